--- /dev/null
+++ b/src/core/clocktypes.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+
+namespace Cardamomhill
+{
+
+/// A point on the steady clock of one process. Never compared between processes.
+using SteadyTime = std::chrono::time_point<std::chrono::steady_clock, std::chrono::microseconds>;
+
+/// A point on the wall clock, in Unix time. Clocks of different hosts differ.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+using Microseconds = std::chrono::microseconds;
+using Milliseconds = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,11 @@
+#pragma once
+
+// The vocabulary that all other modules share.
+
+#include "core/clocktypes.h"
+#include "core/hash.h"
+#include "core/identifier.h"
+#include "core/identifiers.h"
+#include "core/nametable.h"
+#include "core/random.h"
+#include "core/result.h"
