Add load reports and member states to core

Cause: membership, routing and the wire messages need one type for each. Change: LoadReport and MemberState.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -6,6 +6,8 @@
 #include "core/hash.h"
 #include "core/identifier.h"
 #include "core/identifiers.h"
+#include "core/loadreport.h"
+#include "core/memberstate.h"
 #include "core/nametable.h"
 #include "core/random.h"
 #include "core/result.h"
