Add stream: frame sender with replay and frame receiver with digest check

Answers must reach a caller whole even when connections go silent. The sender keeps frames until they are acknowledged and reports when its buffer is full; the receiver delivers frames in order, drops duplicates and foreign frames, reports gaps, and completes only when count and digest match.

--- /dev/null
+++ b/src/stream/streamdigest.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "stream/framekind.h"
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+struct XXH3_state_s;
+
+namespace Cardamomhill::internal
+{
+
+/// A streaming XXH3 digest over the frames of an answer. Kind and length are part of it, so frames whose bytes were
+/// shifted from one to the next differ too.
+class StreamDigest
+{
+public:
+    StreamDigest();
+
+    void update(FrameKind kind, std::string_view payload);
+    std::uint64_t value() const;
+
+private:
+    struct StateDeleter {
+        void operator()(XXH3_state_s *state) const;
+    };
+
+    std::unique_ptr<XXH3_state_s, StateDeleter> m_state;
+};
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/stream/streamerror.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Cardamomhill
+{
+
+enum class StreamErrorCode : std::uint8_t {
+    /// The frame has a kind that this release does not know.
+    UnknownKind,
+    /// The last frame does not stand where its frame count says.
+    CountMismatch,
+    /// The content differs from what the sender sent.
+    DigestMismatch,
+    /// The sender reported that it could not finish the answer.
+    FailedBySender,
+    /// A frame follows the last one.
+    FrameAfterEnd,
+    /// The frames from which to resume were acknowledged and dropped.
+    ResumeFromAcknowledged,
+    /// The frame from which to resume was never sent.
+    ResumeFromUnsent,
+};
+
+constexpr auto nameTable(StreamErrorCode)
+{
+    return std::to_array<NamedValue<StreamErrorCode>>({
+        {StreamErrorCode::UnknownKind, "unknown-kind"},
+        {StreamErrorCode::CountMismatch, "count-mismatch"},
+        {StreamErrorCode::DigestMismatch, "digest-mismatch"},
+        {StreamErrorCode::FailedBySender, "failed-by-sender"},
+        {StreamErrorCode::FrameAfterEnd, "frame-after-end"},
+        {StreamErrorCode::ResumeFromAcknowledged, "resume-from-acknowledged"},
+        {StreamErrorCode::ResumeFromUnsent, "resume-from-unsent"},
+    });
+}
+
+/// Why an answer cannot be completed or resumed.
+struct StreamError {
+    StreamErrorCode code = StreamErrorCode::UnknownKind;
+    std::uint64_t attempt = 0;
+    std::uint64_t sequence = 0;
+    /// FailedBySender only: the reason that the sender gave.
+    std::string reason;
+
+    std::string message() const;
+
+    bool operator==(const StreamError &) const = default;
+};
+
+} // namespace Cardamomhill
