--- /dev/null
+++ b/src/agent/agentprogram.cpp
@@ -0,0 +1,120 @@
+#include "agent/agentprogram.h"
+
+#include "agent/agentserver.h"
+#include "config/backendserver.h"
+#include "config/configuration.h"
+#include "control/configurationfeed.h"
+#include "control/operatorserver.h"
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+#include "net/steadynow.h"
+#include "settings/agentsettings.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds ExitCheckPeriod{50};
+
+/// The threads and parts of one agent process.
+class AgentProgram
+{
+public:
+    explicit AgentProgram(const AgentSettings &settings)
+        : m_settings(settings)
+        , m_signals(m_control, SIGTERM, SIGINT)
+        , m_exitTimer(m_traffic)
+        , m_server(m_traffic,
+                   {settings.backendServer, static_cast<std::uint64_t>(wallNow().time_since_epoch().count())},
+                   settings.engine,
+                   m_metrics)
+        , m_feed(m_control,
+                 settings.platform,
+                 [this](std::shared_ptr<const Configuration> configuration) { apply(std::move(configuration)); })
+        , m_operator(m_control, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
+    {
+    }
+
+    Result<void, NetError> run()
+    {
+        BOOST_OUTCOME_TRY(m_server.listen(m_settings.listen));
+        BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
+        m_feed.start();
+        m_signals.async_wait([this](SystemError error, int) {
+            if (!error) {
+                m_isLeaving = true;
+                asio::post(m_traffic, [this] { leave(); });
+            }
+        });
+        std::thread control([this] { m_control.run(); });
+        m_traffic.run();
+        m_control.stop();
+        control.join();
+        return success();
+    }
+
+private:
+    void apply(std::shared_ptr<const Configuration> configuration)
+    {
+        asio::post(m_traffic, [this, configuration = std::move(configuration)] {
+            const auto *self = configuration->backendServer(m_settings.backendServer);
+            m_server.setCapacity(self == nullptr ? 0 : self->capacity);
+        });
+    }
+
+    void leave()
+    {
+        m_server.startLeaving();
+        if (m_server.runningCount() == 0) {
+            logEvent(LogLevel::Info, "exit", {{"reason", "left"}});
+            m_traffic.stop();
+            return;
+        }
+        m_exitTimer.expires_after(ExitCheckPeriod);
+        m_exitTimer.async_wait([this](SystemError) { leave(); });
+    }
+
+    bool isReady() const
+    {
+        return m_feed.isReady() && !m_isLeaving;
+    }
+
+    std::string status() const
+    {
+        return nlohmann::json{{"backend_server", m_settings.backendServer.value()},
+                              {"failure_domain", m_settings.failureDomain.value()},
+                              {"ready", isReady()},
+                              {"leaving", m_isLeaving.load()}}
+            .dump();
+    }
+
+    const AgentSettings &m_settings;
+    asio::io_context m_control;
+    asio::io_context m_traffic;
+    MetricsRegistry m_metrics;
+    asio::signal_set m_signals;
+    asio::steady_timer m_exitTimer;
+    std::atomic<bool> m_isLeaving = false;
+    AgentServer m_server;
+    ConfigurationFeed m_feed;
+    OperatorServer m_operator;
+};
+
+} // namespace
+
+Result<void, NetError> runAgent(const AgentSettings &settings)
+{
+    AgentProgram program(settings);
+    return program.run();
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/agent/agentprogram.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/result.h"
+#include "net/neterror.h"
+
+namespace Cardamomhill
+{
+
+struct AgentSettings;
+
+/// Runs an agent until it has left gracefully.
+Result<void, NetError> runAgent(const AgentSettings &settings);
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/agent/agentserver.cpp
@@ -0,0 +1,331 @@
+#include "agent/agentserver.h"
+
+#include "agent/engineattempt.h"
+#include "logging/logexception.h"
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+#include "net/framedconnection.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+
+#include <tuple>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// How long an attempt without connection waits for its entry process before it is cancelled.
+constexpr Seconds ResumeWindow{10};
+/// How long a finished attempt is kept for frames that may be asked for again.
+constexpr Seconds FinishedRetention{30};
+constexpr Milliseconds HousekeepingPeriod{500};
+
+} // namespace
+
+struct AgentServer::Peer {
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::uint64_t connectionNumber = 0;
+    std::shared_ptr<FramedConnection> connection;
+    bool hasAcknowledgedLeaving = false;
+
+    AttemptId attemptId(std::uint64_t attempt) const
+    {
+        return {name, incarnation, attempt};
+    }
+};
+
+class AgentServer::MessageHandler
+{
+public:
+    MessageHandler(AgentServer &server, Peer &peer)
+        : m_server(server)
+        , m_peer(peer)
+    {
+    }
+
+    void operator()(const Execute &message)
+    {
+        m_server.execute(m_peer, message);
+    }
+
+    void operator()(const Resume &message)
+    {
+        m_server.resume(m_peer, message);
+    }
+
+    void operator()(const Acknowledge &message)
+    {
+        m_server.acknowledge(m_peer, message);
+    }
+
+    void operator()(const Cancel &message)
+    {
+        m_server.cancel(m_peer.attemptId(message.attempt));
+    }
+
+    void operator()(const Heartbeat &message)
+    {
+        m_server.sendLoad(m_peer, message.number);
+    }
+
+    void operator()(const LeavingAcknowledged &message)
+    {
+        m_peer.hasAcknowledgedLeaving = message.incarnation == m_server.m_identity.incarnation;
+    }
+
+    /// Messages that only agents send.
+    template<class Other>
+    void operator()(const Other &)
+    {
+        m_peer.connection->close({NetErrorCode::MalformedMessage, "message of the wrong direction"});
+    }
+
+private:
+    AgentServer &m_server;
+    Peer &m_peer;
+};
+
+AgentServer::AgentServer(asio::io_context &context, Identity identity, tcp::endpoint engine, MetricsRegistry &metrics)
+    : m_context(context)
+    , m_identity(std::move(identity))
+    , m_engine(std::move(engine))
+    , m_metrics(metrics)
+    , m_acceptor(context)
+    , m_housekeepingTimer(context)
+{
+}
+
+AgentServer::~AgentServer() = default;
+
+Result<void, NetError> AgentServer::listen(const tcp::endpoint &endpoint)
+{
+    SystemError error;
+    m_acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return failure(NetError{NetErrorCode::AddressInUse, error.message()});
+    }
+    spawn(m_context.get_executor(), "agent-accept", acceptLoop());
+    spawn(m_context.get_executor(), "agent-housekeeping", housekeepingLoop());
+    return success();
+}
+
+Task<> AgentServer::acceptLoop()
+{
+    while (m_acceptor.is_open()) {
+        SystemError error;
+        tcp::socket socket(m_context);
+        co_await m_acceptor.async_accept(socket, storeError(error));
+        if (!error) {
+            startConnection(std::move(socket));
+        }
+    }
+}
+
+void AgentServer::startConnection(tcp::socket socket)
+{
+    const auto connection = std::make_shared<FramedConnection>(std::move(socket));
+    const std::weak_ptr<FramedConnection> weak = connection;
+    connection->start(
+        [this, weak](const Message &message) {
+            const auto self = weak.lock();
+            if (const auto *hello = std::get_if<Hello>(&message)) {
+                handleHello(self, *hello);
+            } else {
+                self->close({NetErrorCode::MalformedMessage, "first message is not Hello"});
+            }
+        },
+        [](const NetError &) {});
+}
+
+void AgentServer::handleHello(const std::shared_ptr<FramedConnection> &connection, const Hello &hello)
+{
+    auto &peer = m_peers[hello.peer];
+    if (!peer) {
+        peer = std::make_unique<Peer>();
+        peer->name = hello.peer;
+    }
+    const bool isNewer
+        = std::tie(hello.incarnation, hello.connection) > std::tie(peer->incarnation, peer->connectionNumber);
+    if (!isNewer) {
+        connection->close({NetErrorCode::Closed, "superseded by a newer connection of the same peer"});
+        return;
+    }
+    if (peer->connection) {
+        peer->connection->close({NetErrorCode::Closed, "superseded by a newer connection of the same peer"});
+    }
+    peer->incarnation = hello.incarnation;
+    peer->connectionNumber = hello.connection;
+    peer->connection = connection;
+    peer->hasAcknowledgedLeaving = false;
+    connection->setHandlers(
+        [this, current = peer.get()](const Message &message) { handleMessage(*current, message); },
+        [name = hello.peer](const NetError &error) {
+            logEvent(LogLevel::Info, "entry-connection-closed", {{"peer", name}, {"reason", error.message()}});
+        });
+    connection->send(HelloReply{m_identity.backendServer.value(), m_identity.incarnation, m_isLeaving});
+}
+
+void AgentServer::handleMessage(Peer &peer, const Message &message)
+{
+    std::visit(MessageHandler(*this, peer), message);
+}
+
+void AgentServer::execute(Peer &peer, const Execute &execute)
+{
+    if (findAttempt(peer.attemptId(execute.attempt))) {
+        // The entry process asks for a running attempt only with Resume.
+        return;
+    }
+    if (m_isLeaving) {
+        peer.connection->send(AttemptEnded{execute.attempt, AttemptOutcome::NotRun, AttemptReason::Leaving, 0});
+        return;
+    }
+    start(peer, execute);
+}
+
+void AgentServer::start(Peer &peer, const Execute &execute)
+{
+    const auto attempt = std::make_shared<EngineAttempt>(m_context, m_engine, execute);
+    attempt->attach(peer.connection);
+    m_attempts[peer.attemptId(execute.attempt)] = attempt;
+    ++m_running;
+    logEvent(LogLevel::Info,
+             "attempt-started",
+             {{"request", execute.request},
+              {"attempt", execute.attempt},
+              {"peer", peer.name},
+              {"service", execute.service},
+              {"organisation", execute.organisation}});
+    asio::co_spawn(
+        m_context, attempt->run(), [this, attempt, request = execute.request](const std::exception_ptr &exception) {
+            logException("attempt", exception);
+            --m_running;
+            m_metrics.counter("attempts_total{state=\"" + std::string(nameOf(attempt->state())) + "\"}").add();
+            logEvent(LogLevel::Info, "attempt-ended", {{"request", request}, {"state", nameOf(attempt->state())}});
+        });
+}
+
+void AgentServer::resume(Peer &peer, const Resume &resume)
+{
+    const auto attempt = findAttempt(peer.attemptId(resume.attempt));
+    if (!attempt) {
+        peer.connection->send(
+            AttemptEnded{resume.attempt, AttemptOutcome::Rejected, AttemptReason::AttemptNotKnown, 0});
+        return;
+    }
+    m_metrics.counter("attempts_resumed_total").add();
+    attempt->resume(peer.connection, resume.nextSequence);
+}
+
+void AgentServer::acknowledge(Peer &peer, const Acknowledge &acknowledge)
+{
+    const auto id = peer.attemptId(acknowledge.attempt);
+    const auto attempt = findAttempt(id);
+    if (!attempt) {
+        return;
+    }
+    attempt->acknowledge(acknowledge.nextSequence);
+    if (attempt->isSettled()) {
+        m_attempts.erase(id);
+    }
+}
+
+void AgentServer::cancel(const AttemptId &id)
+{
+    const auto attempt = findAttempt(id);
+    if (!attempt) {
+        return;
+    }
+    // Steps whose result nobody receives cost the operating company money.
+    m_metrics.counter("wasted_frames_total").add(attempt->unacknowledgedFrames());
+    attempt->cancel();
+    m_attempts.erase(id);
+}
+
+void AgentServer::sendLoad(Peer &peer, std::uint64_t heartbeatNumber)
+{
+    const auto report = load();
+    peer.connection->send(
+        HeartbeatReply{heartbeatNumber, report.sequence, report.running, report.queued, report.capacity});
+}
+
+LoadReport AgentServer::load()
+{
+    return {++m_loadSequence, static_cast<std::uint32_t>(m_running), 0, m_isLeaving ? 0 : m_capacity};
+}
+
+void AgentServer::startLeaving()
+{
+    if (m_isLeaving) {
+        return;
+    }
+    m_isLeaving = true;
+    logEvent(LogLevel::Info, "leaving", {{"running", m_running}});
+    for (const auto &[name, peer] : m_peers) {
+        peer->connection->send(LeavingNotice{m_identity.incarnation});
+    }
+}
+
+void AgentServer::setCapacity(std::uint32_t capacity)
+{
+    m_capacity = capacity;
+}
+
+std::size_t AgentServer::runningCount() const
+{
+    return m_running;
+}
+
+Task<> AgentServer::housekeepingLoop()
+{
+    SystemError error;
+    while (!error) {
+        m_housekeepingTimer.expires_after(HousekeepingPeriod);
+        co_await m_housekeepingTimer.async_wait(storeError(error));
+        forgetSettledAttempts();
+        cancelDetachedAttempts();
+    }
+}
+
+void AgentServer::forgetSettledAttempts()
+{
+    std::erase_if(m_attempts, [](const auto &entry) {
+        const auto &attempt = *entry.second;
+        if (attempt.state() == AttemptState::Running) {
+            return false;
+        }
+        const auto detached = attempt.detachedSince();
+        return attempt.isSettled() || (detached && steadyNow() - *detached > FinishedRetention);
+    });
+}
+
+void AgentServer::cancelDetachedAttempts()
+{
+    for (const auto &[id, attempt] : m_attempts) {
+        const auto detached = attempt->detachedSince();
+        if (attempt->state() == AttemptState::Running && detached && steadyNow() - *detached > ResumeWindow) {
+            m_metrics.counter("wasted_frames_total").add(attempt->unacknowledgedFrames());
+            attempt->cancel();
+        }
+    }
+}
+
+std::shared_ptr<EngineAttempt> AgentServer::findAttempt(const AttemptId &id) const
+{
+    const auto found = m_attempts.find(id);
+    return found == m_attempts.end() ? nullptr : found->second;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/agent/agentserver.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "agent/attemptid.h"
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/loadreport.h"
+#include "core/result.h"
+#include "net/asio.h"
+#include "net/neterror.h"
+#include "wire/message.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Cardamomhill
+{
+
+class EngineAttempt;
+class FramedConnection;
+class MetricsRegistry;
+
+/// Serves the entry processes on the traffic thread of an agent.
+class AgentServer
+{
+public:
+    struct Identity {
+        BackendServerId backendServer;
+        /// Wall clock at the start of the process, in ms.
+        std::uint64_t incarnation = 0;
+    };
+
+    AgentServer(asio::io_context &context, Identity identity, tcp::endpoint engine, MetricsRegistry &metrics);
+    ~AgentServer();
+
+    /// Binds the agent's port. Two agents on one host exclude each other here.
+    Result<void, NetError> listen(const tcp::endpoint &endpoint);
+
+    /// Takes no new work from now on and tells every connected entry process.
+    void startLeaving();
+
+    void setCapacity(std::uint32_t capacity);
+
+    /// Requests that run now.
+    std::size_t runningCount() const;
+
+    LoadReport load();
+
+private:
+    struct Peer;
+    class MessageHandler;
+
+    Task<> acceptLoop();
+    Task<> housekeepingLoop();
+    void startConnection(tcp::socket socket);
+    void handleHello(const std::shared_ptr<FramedConnection> &connection, const Hello &hello);
+    void handleMessage(Peer &peer, const Message &message);
+    void execute(Peer &peer, const Execute &execute);
+    void start(Peer &peer, const Execute &execute);
+    void resume(Peer &peer, const Resume &resume);
+    void acknowledge(Peer &peer, const Acknowledge &acknowledge);
+    void cancel(const AttemptId &id);
+    void sendLoad(Peer &peer, std::uint64_t heartbeatNumber);
+    void forgetSettledAttempts();
+    void cancelDetachedAttempts();
+    std::shared_ptr<EngineAttempt> findAttempt(const AttemptId &id) const;
+
+    asio::io_context &m_context;
+    Identity m_identity;
+    tcp::endpoint m_engine;
+    MetricsRegistry &m_metrics;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_housekeepingTimer;
+    std::map<std::string, std::unique_ptr<Peer>> m_peers;
+    std::map<AttemptId, std::shared_ptr<EngineAttempt>> m_attempts;
+    std::size_t m_running = 0;
+    std::uint64_t m_loadSequence = 0;
+    std::uint32_t m_capacity = 0;
+    bool m_isLeaving = false;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/cli/addresses.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "net/asio.h"
+
+#include <optional>
+#include <string>
+
+namespace Cardamomhill::internal
+{
+
+/// Reads "address:port" with an IP address.
+std::optional<tcp::endpoint> parseAddress(const std::string &text);
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/cli/commandline.cpp
@@ -0,0 +1,153 @@
+#include "cli/commandline.h"
+
+#include "agent/agentprogram.h"
+#include "cli/commandoptions.h"
+#include "cli/objectcommand.h"
+#include "cli/statuscommand.h"
+#include "entry/entryprogram.h"
+#include "logging/logging.h"
+#include "settings/agentsettings.h"
+#include "settings/entrysettings.h"
+
+#include <iostream>
+#include <map>
+#include <string_view>
+
+namespace Cardamomhill
+{
+
+using internal::CommandOptions;
+
+namespace
+{
+
+constexpr std::string_view Version = "cardamomhill 0.1.0";
+
+constexpr std::string_view Usage = R"(Usage: cardamomhill COMMAND [OPTIONS]
+
+Processes:
+  entry  --settings FILE            serve callers on an entry host
+  agent  --settings FILE            serve entry processes on a backend server host
+
+Configuration (KIND is profile, service, organisation or backendserver):
+  KIND create NAME --platform ADDRESS:PORT [--set FIELD=VALUE ...] [--file FILE]
+  KIND change NAME --platform ADDRESS:PORT [--set FIELD=VALUE ...] [--file FILE]
+  KIND retire NAME --platform ADDRESS:PORT
+  KIND list        --platform ADDRESS:PORT
+
+Checks:
+  config check entry FILE           check the settings of an entry process
+  config check agent FILE           check the settings of an agent
+  config check KIND NAME FILE       check the JSON value of a configuration object
+  status --operator-port ADDRESS:PORT
+                                    print the state of a process
+
+Options:
+  -h, --help     print this text
+  -V, --version  print the version
+
+Exit status: 0 success, 1 runtime error, 2 wrong usage, 3 mistakes in settings or configuration.
+)";
+
+template<class Errors>
+ExitStatus printErrors(const Errors &errors)
+{
+    for (const auto &error : errors) {
+        std::cerr << error.message() << '\n';
+    }
+    return ExitStatus::SettingsError;
+}
+
+ExitStatus usageError()
+{
+    std::cerr << Usage;
+    return ExitStatus::UsageError;
+}
+
+/// Runs a process with checked settings.
+template<class Settings, class Program>
+ExitStatus runProcess(const Result<Settings, SettingsErrors> &settings, Program program)
+{
+    if (settings.has_error()) {
+        return printErrors(settings.error());
+    }
+    startLogging(settings.value().logLevel);
+    const auto ended = program(settings.value());
+    if (ended.has_error()) {
+        logEvent(LogLevel::Error, "start-failed", {{"error", ended.error().message()}});
+        return ExitStatus::RuntimeError;
+    }
+    return ExitStatus::Success;
+}
+
+ExitStatus entryCommand(const CommandOptions &options)
+{
+    return runProcess(readEntrySettings(options.settingsFile), runEntry);
+}
+
+ExitStatus agentCommand(const CommandOptions &options)
+{
+    return runProcess(readAgentSettings(options.settingsFile), runAgent);
+}
+
+template<class Settings>
+ExitStatus checkSettings(const Result<Settings, SettingsErrors> &settings)
+{
+    return settings.has_error() ? printErrors(settings.error()) : ExitStatus::Success;
+}
+
+ExitStatus configCommand(const CommandOptions &options)
+{
+    const auto &words = options.words;
+    if (words.size() == 4 && words[1] == "check" && words[2] == "entry") {
+        return checkSettings(readEntrySettings(words[3]));
+    }
+    if (words.size() == 4 && words[1] == "check" && words[2] == "agent") {
+        return checkSettings(readAgentSettings(words[3]));
+    }
+    if (words.size() == 5 && words[1] == "check") {
+        return checkObjectFile(words[2], words[3], words[4]);
+    }
+    return usageError();
+}
+
+bool needsSettings(std::string_view command)
+{
+    return command == "entry" || command == "agent";
+}
+
+} // namespace
+
+ExitStatus runCommandLine(int argc, char **argv)
+{
+    const auto options = internal::parseOptions(argc, argv);
+    if (!options) {
+        return usageError();
+    }
+    if (options->help) {
+        std::cout << Usage;
+        return ExitStatus::Success;
+    }
+    if (options->version) {
+        std::cout << Version << '\n';
+        return ExitStatus::Success;
+    }
+    using Command = ExitStatus (*)(const CommandOptions &);
+    static const std::map<std::string_view, Command> Commands{
+        {"agent", &agentCommand},
+        {"backendserver", &objectCommand},
+        {"config", &configCommand},
+        {"entry", &entryCommand},
+        {"organisation", &objectCommand},
+        {"profile", &objectCommand},
+        {"service", &objectCommand},
+        {"status", &statusCommand},
+    };
+    const auto command = options->words.empty() ? Commands.end() : Commands.find(options->words.front());
+    if (command == Commands.end() || (needsSettings(command->first) && options->settingsFile.empty())) {
+        return usageError();
+    }
+    return command->second(*options);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/cli/objectcommand.cpp
@@ -0,0 +1,210 @@
+#include "cli/objectcommand.h"
+
+#include "cli/addresses.h"
+#include "cli/commandoptions.h"
+#include "config/configurationbuilder.h"
+#include "control/platformclient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace Cardamomhill
+{
+
+using internal::CommandOptions;
+
+namespace
+{
+
+std::string pluralOf(const std::string &kind)
+{
+    return kind + "s";
+}
+
+ExitStatus usageError(const std::string &text)
+{
+    std::cerr << text << "; see cardamomhill --help\n";
+    return ExitStatus::UsageError;
+}
+
+ExitStatus runtimeError(const PlatformError &error)
+{
+    std::cerr << error.message() << '\n';
+    return ExitStatus::RuntimeError;
+}
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// Applies "field=value" to a JSON object.
+bool assign(nlohmann::json &value, const std::string &assignment)
+{
+    const auto equals = assignment.find('=');
+    if (equals == std::string::npos || equals == 0) {
+        return false;
+    }
+    const auto text = assignment.substr(equals + 1);
+    auto parsed = nlohmann::json::parse(text, nullptr, false);
+    value[assignment.substr(0, equals)] = parsed.is_discarded() ? nlohmann::json(text) : std::move(parsed);
+    return true;
+}
+
+/// The JSON value that the options describe, on top of a present value.
+std::optional<nlohmann::json> composeValue(const CommandOptions &options, nlohmann::json value)
+{
+    if (!options.valueFile.empty()) {
+        const auto text = readFile(options.valueFile);
+        value = text ? nlohmann::json::parse(*text, nullptr, false) : nlohmann::json();
+        if (!value.is_object()) {
+            std::cerr << options.valueFile << ": not a readable JSON object\n";
+            return std::nullopt;
+        }
+    }
+    for (const auto &assignment : options.assignments) {
+        if (!assign(value, assignment)) {
+            std::cerr << assignment << ": not FIELD=VALUE\n";
+            return std::nullopt;
+        }
+    }
+    return value;
+}
+
+ExitStatus printErrors(const ConfigErrors &errors)
+{
+    for (const auto &error : errors) {
+        std::cerr << error.message() << '\n';
+    }
+    return errors.empty() ? ExitStatus::Success : ExitStatus::SettingsError;
+}
+
+/// One command on configuration objects, with its connection to the platform.
+class ObjectCommand
+{
+public:
+    ObjectCommand(const CommandOptions &options, const tcp::endpoint &platform)
+        : m_options(options)
+        , m_client(m_context, platform)
+        , m_key{pluralOf(options.words[0]), options.words.size() > 2 ? options.words[2] : std::string()}
+    {
+    }
+
+    ExitStatus run()
+    {
+        ExitStatus status = ExitStatus::RuntimeError;
+        asio::co_spawn(
+            m_context, dispatch(), [&status](const std::exception_ptr &, ExitStatus result) { status = result; });
+        m_context.run();
+        return status;
+    }
+
+private:
+    Task<ExitStatus> dispatch()
+    {
+        const auto &verb = m_options.words[1];
+        if (verb == "list") {
+            co_return co_await list();
+        }
+        if (verb == "create") {
+            co_return co_await write(0, nlohmann::json::object());
+        }
+        const auto present = co_await m_client.read(m_key);
+        if (present.has_error()) {
+            co_return runtimeError(present.error());
+        }
+        auto value = nlohmann::json::parse(present.value().value, nullptr, false);
+        if (verb == "retire") {
+            value = nlohmann::json::object();
+            value["retired"] = true;
+            co_return co_await put(present.value().version, std::move(value));
+        }
+        value.erase("retired");
+        co_return co_await write(present.value().version, std::move(value));
+    }
+
+    Task<ExitStatus> list()
+    {
+        const auto objects = co_await m_client.list(m_key.kind);
+        if (objects.has_error()) {
+            co_return runtimeError(objects.error());
+        }
+        for (const auto &object : objects.value().objects) {
+            std::cout << object.key.name << " version " << object.version << ' '
+                      << (object.retired ? "retired" : object.value) << '\n';
+        }
+        co_return ExitStatus::Success;
+    }
+
+    Task<ExitStatus> write(std::uint64_t expectedVersion, nlohmann::json present)
+    {
+        auto value = composeValue(m_options, std::move(present));
+        if (!value) {
+            co_return ExitStatus::SettingsError;
+        }
+        const auto errors = checkObject(m_key.kind, m_key.name, value->dump());
+        if (!errors.empty()) {
+            co_return printErrors(errors);
+        }
+        co_return co_await put(expectedVersion, std::move(*value));
+    }
+
+    Task<ExitStatus> put(std::uint64_t expectedVersion, nlohmann::json value)
+    {
+        const auto written = co_await m_client.write(m_key, expectedVersion, value.dump());
+        if (written.has_error()) {
+            co_return runtimeError(written.error());
+        }
+        std::cout << m_key.kind << '/' << m_key.name << " version " << written.value().version << '\n';
+        co_return ExitStatus::Success;
+    }
+
+    const CommandOptions &m_options;
+    asio::io_context m_context;
+    PlatformClient m_client;
+    ObjectKey m_key;
+};
+
+bool isKnownVerb(const std::vector<std::string> &words)
+{
+    if (words.size() == 2) {
+        return words[1] == "list";
+    }
+    return words.size() == 3 && (words[1] == "create" || words[1] == "change" || words[1] == "retire");
+}
+
+} // namespace
+
+ExitStatus objectCommand(const CommandOptions &options)
+{
+    if (!isKnownVerb(options.words)) {
+        return usageError("create NAME, change NAME, retire NAME or list");
+    }
+    const auto platform = internal::parseAddress(options.platform);
+    if (!platform) {
+        return usageError("--platform ADDRESS:PORT is missing or wrong");
+    }
+    return ObjectCommand(options, *platform).run();
+}
+
+ExitStatus checkObjectFile(const std::string &kind, const std::string &name, const std::string &file)
+{
+    const auto text = readFile(file);
+    if (!text) {
+        std::cerr << file << ": cannot be read\n";
+        return ExitStatus::SettingsError;
+    }
+    return printErrors(checkObject(pluralOf(kind), name, *text));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/cli/statuscommand.cpp
@@ -0,0 +1,46 @@
+#include "cli/statuscommand.h"
+
+#include "cli/addresses.h"
+#include "cli/commandoptions.h"
+#include "net/httpclient.h"
+
+#include <iostream>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds CallTimeout{5000};
+
+Task<ExitStatus> printStatus(HttpClient &client)
+{
+    const auto response = co_await client.call(makeHttpRequest("GET", "/status"), CallTimeout);
+    if (response.has_error()) {
+        std::cerr << response.error().error.message() << '\n';
+        co_return ExitStatus::RuntimeError;
+    }
+    std::cout << response.value().body << '\n';
+    co_return ExitStatus::Success;
+}
+
+} // namespace
+
+ExitStatus statusCommand(const internal::CommandOptions &options)
+{
+    const auto endpoint = internal::parseAddress(options.operatorPort);
+    if (!endpoint) {
+        std::cerr << "--operator-port ADDRESS:PORT is missing or wrong\n";
+        return ExitStatus::UsageError;
+    }
+    asio::io_context context;
+    HttpClient client(context, *endpoint);
+    ExitStatus status = ExitStatus::RuntimeError;
+    asio::co_spawn(
+        context, printStatus(client), [&status](const std::exception_ptr &, ExitStatus result) { status = result; });
+    context.run();
+    return status;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/config/configuration.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/identifiers.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+struct BackendServer;
+struct Organisation;
+struct Profile;
+struct Service;
+
+/// An immutable view of the configuration in force. Traffic threads share it without locks.
+class Configuration
+{
+public:
+    /// The service of that name whose profile also exists, or nothing.
+    const Service *service(const ServiceId &id) const;
+    const Profile *profile(const ProfileId &id) const;
+    const Organisation *organisation(const OrganisationId &id) const;
+    const BackendServer *backendServer(const BackendServerId &id) const;
+
+    /// The organisation that a bearer token belongs to, or nothing.
+    const Organisation *organisationOfToken(std::string_view token) const;
+
+    std::vector<const BackendServer *> backendServersOf(const ServiceId &id) const;
+    std::vector<const BackendServer *> backendServers() const;
+
+    /// The JSON value of the slot table of a service, or nothing.
+    const std::string *slotTable(const ServiceId &id) const;
+
+    /// The highest platform version among the objects in force.
+    std::uint64_t version() const;
+
+    std::size_t organisationCount() const;
+    std::size_t serviceCount() const;
+
+private:
+    friend class ConfigurationBuilder;
+
+    std::map<ServiceId, std::shared_ptr<const Service>> m_services;
+    std::map<ProfileId, std::shared_ptr<const Profile>> m_profiles;
+    std::unordered_map<OrganisationId, std::shared_ptr<const Organisation>> m_organisations;
+    std::map<BackendServerId, std::shared_ptr<const BackendServer>> m_backendServers;
+    std::unordered_map<std::string, std::shared_ptr<const Organisation>> m_organisationsByToken;
+    std::map<ServiceId, std::shared_ptr<const std::string>> m_slotTables;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/config/objectreader.cpp
@@ -0,0 +1,158 @@
+#include "config/objectreader.h"
+
+#include "config/objectname.h"
+
+namespace Cardamomhill::internal
+{
+
+namespace
+{
+
+template<class T>
+std::string range(T low, T high)
+{
+    return std::to_string(low) + " to " + std::to_string(high);
+}
+
+} // namespace
+
+ObjectReader::ObjectReader(const std::string &kind, const std::string &name, std::string_view json)
+    : m_object(kind + "/" + name)
+    , m_value(nlohmann::json::parse(json, nullptr, false))
+{
+    if (!isValidObjectName(name)) {
+        addError(ConfigErrorCode::InvalidName, "", std::string(AcceptedObjectNames));
+    }
+    if (!m_value.is_object()) {
+        addError(ConfigErrorCode::MalformedJson, "", "a JSON object");
+        m_value = nlohmann::json::object();
+    }
+    // Written by every conditional update; not part of the configuration itself.
+    m_known = {"operation", "previousOperations", "retired"};
+}
+
+const nlohmann::json *ObjectReader::find(const std::string &field)
+{
+    m_known.insert(field);
+    const auto found = m_value.find(field);
+    return found == m_value.end() ? nullptr : &*found;
+}
+
+std::int64_t ObjectReader::integer(const std::string &field, std::int64_t fallback, std::int64_t low, std::int64_t high)
+{
+    const auto *value = find(field);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_number_integer()) {
+        addError(ConfigErrorCode::WrongType, field, "a whole number");
+        return fallback;
+    }
+    const auto number = value->get<std::int64_t>();
+    if (number < low || number > high) {
+        addError(ConfigErrorCode::OutOfRange, field, range(low, high));
+        return fallback;
+    }
+    return number;
+}
+
+std::int64_t ObjectReader::requiredInteger(const std::string &field, std::int64_t low, std::int64_t high)
+{
+    if (find(field) == nullptr) {
+        addError(ConfigErrorCode::MissingField, field, range(low, high));
+    }
+    return integer(field, low, low, high);
+}
+
+double ObjectReader::number(const std::string &field, double fallback, double low, double high)
+{
+    const auto *value = find(field);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_number()) {
+        addError(ConfigErrorCode::WrongType, field, "a number");
+        return fallback;
+    }
+    const auto number = value->get<double>();
+    if (number < low || number > high) {
+        addError(ConfigErrorCode::OutOfRange, field, range(low, high));
+        return fallback;
+    }
+    return number;
+}
+
+bool ObjectReader::boolean(const std::string &field, bool fallback)
+{
+    const auto *value = find(field);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_boolean()) {
+        addError(ConfigErrorCode::WrongType, field, "true or false");
+        return fallback;
+    }
+    return value->get<bool>();
+}
+
+std::string ObjectReader::text(const std::string &field, const std::string &fallback)
+{
+    const auto *value = find(field);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_string()) {
+        addError(ConfigErrorCode::WrongType, field, "a string");
+        return fallback;
+    }
+    return value->get<std::string>();
+}
+
+std::string ObjectReader::requiredText(const std::string &field)
+{
+    if (find(field) == nullptr) {
+        addError(ConfigErrorCode::MissingField, field, "a string");
+    }
+    return text(field, "");
+}
+
+std::vector<std::string> ObjectReader::texts(const std::string &field)
+{
+    const auto *value = find(field);
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_array()) {
+        addError(ConfigErrorCode::WrongType, field, "a list of strings");
+        return {};
+    }
+    std::vector<std::string> texts;
+    for (const auto &element : *value) {
+        if (!element.is_string()) {
+            addError(ConfigErrorCode::WrongType, field, "a list of strings");
+            return {};
+        }
+        texts.push_back(element.get<std::string>());
+    }
+    return texts;
+}
+
+void ObjectReader::addError(ConfigErrorCode code, const std::string &field, const std::string &accepted)
+{
+    m_errors.push_back({code, m_object, field, accepted});
+}
+
+void ObjectReader::reportUnknownFields()
+{
+    std::string accepted;
+    for (const auto &field : m_known) {
+        accepted += (accepted.empty() ? "" : ", ") + field;
+    }
+    for (const auto &[field, value] : m_value.items()) {
+        if (m_known.count(field) == 0) {
+            addError(ConfigErrorCode::UnknownField, field, accepted);
+        }
+    }
+}
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/config/service.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "config/configerror.h"
+#include "config/idempotentcall.h"
+#include "config/servicekind.h"
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/result.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// What callers address: a model, or a plain service beside the model engines.
+struct Service {
+    ServiceId id;
+    ProfileId profile;
+    ServiceKind kind = ServiceKind::Model;
+    /// Calls of a plain service that may be repeated; every other call of it runs at most once.
+    std::vector<IdempotentCall> idempotentCalls;
+    /// How long an idempotency key and its recorded answer stay valid.
+    Seconds keyLifetime{24 * 3600};
+
+    /// Whether a call may be repeated.
+    bool isIdempotent(std::string_view method, std::string_view path) const;
+
+    bool operator==(const Service &) const = default;
+};
+
+/// Reads a service from the JSON value of its platform object.
+Result<Service, ConfigErrors> parseService(const std::string &name, std::string_view json);
+
+} // namespace Cardamomhill
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -10,17 +10,8 @@
 template<class T, class E>
 using Result = boost::outcome_v2::checked<T, E>;
 
-/// Starts the return of an error: `return failure(error);`.
-template<class E>
-auto failure(E &&error)
-{
-    return boost::outcome_v2::failure(std::forward<E>(error));
-}
-
-/// Starts the return of success without a value: `return success();`.
-inline auto success()
-{
-    return boost::outcome_v2::success();
-}
+/// `return failure(error);` returns an error, `return success();` success without a value.
+using boost::outcome_v2::failure;
+using boost::outcome_v2::success;
 
 } // namespace Cardamomhill
--- /dev/null
+++ b/src/entry/entryprogram.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/result.h"
+#include "net/neterror.h"
+
+namespace Cardamomhill
+{
+
+struct EntrySettings;
+
+/// Runs an entry process until it has shut down gracefully.
+Result<void, NetError> runEntry(const EntrySettings &settings);
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/entry/problem.cpp
@@ -0,0 +1,30 @@
+#include "entry/problem.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cardamomhill
+{
+
+std::string problemJson(const Problem &problem)
+{
+    const std::string name(nameOf(problem.kind));
+    // Details may quote a caller's bytes, which need not be valid UTF-8.
+    return nlohmann::json{{"type", "urn:cardamomhill:problem:" + name},
+                          {"title", name},
+                          {"status", problem.status},
+                          {"detail", problem.detail},
+                          {"outcome", problem.outcome}}
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Task<bool> sendProblem(HttpExchange &exchange, Problem problem)
+{
+    HttpHeaders headers;
+    if (problem.retryAfter) {
+        headers.emplace_back("Retry-After", std::to_string(problem.retryAfter->count()));
+    }
+    co_return co_await exchange.sendWhole(
+        problem.status, "application/problem+json", problemJson(problem), std::move(headers));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/entry/problemkind.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// The stable types of the problem documents (RFC 9457) that callers get.
+enum class ProblemKind : std::uint8_t {
+    AnswerUnknown,
+    BackendServerFailed,
+    IdempotencyKeyInvalid,
+    IdempotencyKeyMissing,
+    IdempotencyKeyMismatch,
+    NoBackendServer,
+    NotFound,
+    NotRun,
+    Overloaded,
+    ServiceUnknown,
+    TimedOut,
+    TokenInvalid,
+};
+
+constexpr auto nameTable(ProblemKind)
+{
+    return std::to_array<NamedValue<ProblemKind>>({
+        {ProblemKind::AnswerUnknown, "answer-unknown"},
+        {ProblemKind::BackendServerFailed, "backend-server-failed"},
+        {ProblemKind::IdempotencyKeyInvalid, "idempotency-key-invalid"},
+        {ProblemKind::IdempotencyKeyMissing, "idempotency-key-missing"},
+        {ProblemKind::IdempotencyKeyMismatch, "idempotency-key-mismatch"},
+        {ProblemKind::NoBackendServer, "no-backend-server"},
+        {ProblemKind::NotFound, "not-found"},
+        {ProblemKind::NotRun, "not-run"},
+        {ProblemKind::Overloaded, "overloaded"},
+        {ProblemKind::ServiceUnknown, "service-unknown"},
+        {ProblemKind::TimedOut, "timed-out"},
+        {ProblemKind::TokenInvalid, "token-invalid"},
+    });
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/entry/trafficthread.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "entry/answerrelay.h"
+#include "net/asio.h"
+#include "net/httpserver.h"
+#include "net/neterror.h"
+#include "wire/execute.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Cardamomhill
+{
+
+class AgentLink;
+class Configuration;
+class MetricsRegistry;
+struct BackendServer;
+struct CallerRequest;
+struct EntrySettings;
+
+/// One traffic thread of an entry process with everything that it owns; nothing here is shared but the metrics.
+class TrafficThread
+{
+public:
+    struct Chosen {
+        BackendServerId server;
+        std::shared_ptr<AgentLink> link;
+    };
+
+    TrafficThread(const EntrySettings &settings, unsigned index, std::uint64_t incarnation, MetricsRegistry &metrics);
+    ~TrafficThread();
+
+    Result<void, NetError> listen();
+
+    /// Runs until stop() is called.
+    void run();
+    void stop();
+
+    asio::io_context &context();
+
+    /// Puts a configuration in force; called on this thread.
+    void apply(std::shared_ptr<const Configuration> configuration);
+
+    /// Takes no new connections; called on this thread.
+    void stopAccepting();
+
+    /// Requests in progress; called by any thread.
+    std::size_t requestCount() const;
+
+    // For the requests of this thread.
+    std::shared_ptr<const Configuration> configuration() const;
+    MetricsRegistry &metrics();
+    RequestId nextRequestId();
+    std::optional<Chosen> chooseBackendServer(const CallerRequest &request, const std::set<BackendServerId> &tried);
+    Execute makeExecute(const CallerRequest &request);
+    void requestStarted();
+    void requestEnded();
+    void attemptEnded(const BackendServerId &server, RelayEnd end);
+    bool mayRetry();
+
+private:
+    struct Server;
+
+    void addServer(const BackendServer &server);
+    std::shared_ptr<AgentLink> makeLink(const BackendServer &server);
+
+    const EntrySettings &m_settings;
+    std::string m_peer;
+    std::uint64_t m_incarnation;
+    MetricsRegistry &m_metrics;
+    asio::io_context m_context;
+    HttpServer m_http;
+    std::shared_ptr<const Configuration> m_configuration;
+    std::map<BackendServerId, std::unique_ptr<Server>> m_servers;
+    std::uint64_t m_nextAttempt = 1;
+    std::uint64_t m_nextRequest = 1;
+    std::atomic<std::size_t> m_requestCount{0};
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/logging/logger.cpp
@@ -0,0 +1,80 @@
+#include "logging/logger.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+log4cxx::LevelPtr levelOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::Warning:
+        return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+void appendValue(std::string &line, const std::string &value)
+{
+    if (!value.empty() && value.find_first_of(" \"\\=\n\r\t") == std::string::npos) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            line += '\\';
+        }
+        // A caller's input must not be able to start a new line.
+        line += (c == '\n' || c == '\r') ? ' ' : c;
+    }
+    line += '"';
+}
+
+} // namespace
+
+void startLogging(LogLevel level)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %m%n"));
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    const auto root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(appender);
+    root->setLevel(levelOf(level));
+}
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    static const auto Root = log4cxx::Logger::getRootLogger();
+    const auto logLevel = levelOf(level);
+    if (!Root->isEnabledFor(logLevel)) {
+        return;
+    }
+    LOG4CXX_LOG(Root, logLevel, formatEvent(event, fields));
+}
+
+std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line = "event=" + std::string(event);
+    for (const auto &field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        appendValue(line, field.value);
+    }
+    return line;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/logging/logger.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "logging/logfield.h"
+#include "logging/loglevel.h"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace Cardamomhill
+{
+
+/// Sends log lines to standard error, at this level and above.
+void startLogging(LogLevel level);
+
+/// Writes one line: time, level, event, then name=value pairs. Values with spaces or quotes are quoted.
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+
+/// The text of a line without time and level.
+std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields);
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/net/httpcall.cpp
@@ -0,0 +1,109 @@
+#include "net/httpcall.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <limits>
+
+namespace Cardamomhill
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t ReadBytes = 16 * 1024;
+
+NetError netError(NetErrorCode code, const SystemError &error)
+{
+    return {error == beast::error::timeout ? NetErrorCode::TimedOut : code, error.message()};
+}
+
+} // namespace
+
+HttpCall::HttpCall(asio::io_context &context)
+    : m_stream(context)
+{
+}
+
+Task<Result<void, NetError>> HttpCall::connect(const tcp::endpoint &endpoint, Milliseconds timeout)
+{
+    m_stream.expires_after(timeout);
+    SystemError error;
+    co_await m_stream.async_connect(endpoint, storeError(error));
+    if (error) {
+        const bool refused = error == asio::error::connection_refused;
+        co_return failure(netError(refused ? NetErrorCode::ConnectRefused : NetErrorCode::ConnectFailed, error));
+    }
+    m_stream.socket().set_option(tcp::no_delay(true), error);
+    co_return success();
+}
+
+Task<Result<void, NetError>> HttpCall::start(HttpRequest request, Milliseconds timeout)
+{
+    m_stream.expires_after(timeout);
+    SystemError error;
+    co_await http::async_write(m_stream, request, storeError(error));
+    if (error) {
+        co_return failure(netError(NetErrorCode::WriteFailed, error));
+    }
+    m_parser.emplace();
+    // Callers of readSome() bound what they keep.
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, storeError(error));
+    if (error) {
+        co_return failure(netError(NetErrorCode::ReadFailed, error));
+    }
+    co_return success();
+}
+
+unsigned HttpCall::status() const
+{
+    return m_parser->get().result_int();
+}
+
+std::string HttpCall::contentType() const
+{
+    return std::string(m_parser->get()[http::field::content_type]);
+}
+
+Task<Result<std::optional<std::string>, NetError>> HttpCall::readSome(Milliseconds timeout)
+{
+    std::string piece;
+    while (piece.empty() && !m_parser->is_done()) {
+        piece.resize(ReadBytes);
+        auto &body = m_parser->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        m_stream.expires_after(timeout);
+        SystemError error;
+        co_await http::async_read_some(m_stream, m_buffer, *m_parser, storeError(error));
+        piece.resize(ReadBytes - body.size);
+        if (error && error != http::error::need_buffer) {
+            co_return failure(netError(NetErrorCode::ReadFailed, error));
+        }
+    }
+    if (piece.empty()) {
+        co_return std::optional<std::string>();
+    }
+    co_return std::optional<std::string>(std::move(piece));
+}
+
+void HttpCall::cancel()
+{
+    m_stream.close();
+}
+
+bool HttpCall::isReusable() const
+{
+    return m_parser && m_parser->is_done() && m_parser->keep_alive();
+}
+
+void HttpCall::reset()
+{
+    m_parser.reset();
+    m_stream.expires_never();
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,84 @@
+#include "net/httpclient.h"
+
+#include "net/httpcall.h"
+
+namespace Cardamomhill
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
+
+Task<Result<HttpResponse, NetError>> readResponse(HttpCall &call, Milliseconds timeout)
+{
+    HttpResponse response;
+    response.status = call.status();
+    response.contentType = call.contentType();
+    while (response.body.size() <= MaxResponseBytes) {
+        auto piece = co_await call.readSome(timeout);
+        if (piece.has_error()) {
+            co_return failure(piece.error());
+        }
+        if (!piece.value()) {
+            co_return response;
+        }
+        response.body += *piece.value();
+    }
+    co_return failure(NetError{NetErrorCode::ReadFailed, "response too large"});
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &context, tcp::endpoint endpoint)
+    : m_context(context)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Task<Result<HttpResponse, HttpCallError>> HttpClient::call(HttpRequest request, Milliseconds timeout)
+{
+    // Taken out of the member, so that a failed call leaves no connection in an unknown state behind.
+    auto call = std::exchange(m_call, nullptr);
+    if (!call) {
+        call = std::make_unique<HttpCall>(m_context);
+        const auto connected = co_await call->connect(m_endpoint, timeout);
+        if (connected.has_error()) {
+            co_return failure(HttpCallError{connected.error(), true});
+        }
+    }
+    const auto started = co_await call->start(std::move(request), timeout);
+    if (started.has_error()) {
+        co_return failure(HttpCallError{started.error(), false});
+    }
+    auto response = co_await readResponse(*call, timeout);
+    if (response.has_error()) {
+        co_return failure(HttpCallError{response.error(), false});
+    }
+    if (call->isReusable()) {
+        call->reset();
+        m_call = std::move(call);
+    }
+    co_return std::move(response.value());
+}
+
+HttpRequest makeHttpRequest(std::string_view method, std::string_view target, std::string body)
+{
+    HttpRequest request;
+    request.method_string({method.data(), method.size()});
+    request.target({target.data(), target.size()});
+    request.version(11);
+    request.set(http::field::host, "localhost");
+    if (!body.empty()) {
+        request.set(http::field::content_type, "application/json");
+    }
+    request.body() = std::move(body);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/net/httpexchange.cpp
@@ -0,0 +1,141 @@
+#include "net/httpexchange.h"
+
+#include "net/httplimits.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+namespace Cardamomhill
+{
+
+namespace http = boost::beast::http;
+
+struct HttpExchange::Watch {
+    std::function<void()> handler;
+};
+
+namespace
+{
+
+template<class Response>
+void setHeaders(Response &response, const std::string &contentType, const HttpHeaders &headers)
+{
+    if (!contentType.empty()) {
+        response.set(http::field::content_type, contentType);
+    }
+    for (const auto &[name, value] : headers) {
+        response.set(name, value);
+    }
+}
+
+/// Whether the peer has closed its side. Data that is waiting means that it sends its next request early.
+bool isPeerClosed(int socket)
+{
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive)
+    : m_stream(stream)
+    , m_request(std::move(request))
+    , m_limits(limits)
+    , m_keepAlive(keepAlive && m_request.keep_alive())
+{
+}
+
+const HttpRequest &HttpExchange::request() const
+{
+    return m_request;
+}
+
+Task<bool> HttpExchange::sendWhole(unsigned status, std::string contentType, std::string body, HttpHeaders headers)
+{
+    http::response<http::string_body> response(static_cast<http::status>(status), m_request.version());
+    setHeaders(response, contentType, headers);
+    response.keep_alive(m_keepAlive);
+    response.body() = std::move(body);
+    response.prepare_payload();
+    m_hasBegun = true;
+    m_stream.expires_after(m_limits.writeTimeout);
+    SystemError error;
+    co_await http::async_write(m_stream, response, storeError(error));
+    m_isComplete = !error;
+    co_return !error;
+}
+
+Task<bool> HttpExchange::beginChunks(unsigned status, std::string contentType, HttpHeaders headers)
+{
+    http::response<http::empty_body> response(static_cast<http::status>(status), m_request.version());
+    setHeaders(response, contentType, headers);
+    response.keep_alive(m_keepAlive);
+    response.chunked(true);
+    m_hasBegun = true;
+    m_stream.expires_after(m_limits.writeTimeout);
+    http::response_serializer<http::empty_body> serializer(response);
+    SystemError error;
+    co_await http::async_write_header(m_stream, serializer, storeError(error));
+    co_return !error;
+}
+
+Task<bool> HttpExchange::sendChunk(std::string_view data)
+{
+    // A chunk of length zero would end the answer.
+    if (data.empty()) {
+        co_return true;
+    }
+    m_stream.expires_after(m_limits.writeTimeout);
+    SystemError error;
+    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), storeError(error));
+    co_return !error;
+}
+
+Task<bool> HttpExchange::endChunks()
+{
+    m_stream.expires_after(m_limits.writeTimeout);
+    SystemError error;
+    co_await asio::async_write(m_stream, http::make_chunk_last(), storeError(error));
+    m_isComplete = !error;
+    co_return !error;
+}
+
+void HttpExchange::watchDisconnect(std::function<void()> handler)
+{
+    m_watch = std::make_shared<Watch>();
+    m_watch->handler = std::move(handler);
+    auto &socket = m_stream.socket();
+    socket.async_wait(tcp::socket::wait_read,
+                      [watch = std::weak_ptr<Watch>(m_watch), descriptor = socket.native_handle()](SystemError error) {
+                          const auto current = watch.lock();
+                          if (current && !error && isPeerClosed(descriptor)) {
+                              current->handler();
+                          }
+                      });
+}
+
+void HttpExchange::stopWatching()
+{
+    if (m_watch) {
+        m_watch.reset();
+        SystemError ignored;
+        m_stream.socket().cancel(ignored);
+    }
+}
+
+bool HttpExchange::isReusable() const
+{
+    return m_keepAlive && m_isComplete;
+}
+
+bool HttpExchange::hasBegun() const
+{
+    return m_hasBegun;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/result.h"
+#include "net/asio.h"
+#include "net/httplimits.h"
+#include "net/neterror.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+
+namespace Cardamomhill
+{
+
+class HttpExchange;
+
+/// Accepts HTTP/1.1 connections on one thread and hands each request to a coroutine.
+class HttpServer
+{
+public:
+    using Handler = std::function<Task<>(HttpExchange &)>;
+
+    HttpServer(asio::io_context &context, HttpLimits limits, Handler handler);
+    ~HttpServer();
+
+    /// Binds and listens. Several threads of a process may listen on one port; the kernel spreads connections.
+    Result<void, NetError> listen(const tcp::endpoint &endpoint, bool shared);
+
+    /// Takes no new connections, closes idle ones and ends the others after their present answer.
+    void stopAccepting();
+
+    std::size_t connectionCount() const;
+
+private:
+    struct Connection;
+
+    Task<> acceptLoop();
+    Task<> serve(std::shared_ptr<Connection> connection);
+    Task<bool> serveOne(Connection &connection);
+    std::shared_ptr<asio::steady_timer> startRequestTimer(Connection &connection);
+
+    asio::io_context &m_context;
+    HttpLimits m_limits;
+    Handler m_handler;
+    tcp::acceptor m_acceptor;
+    std::list<std::weak_ptr<Connection>> m_connections;
+    std::size_t m_connectionCount = 0;
+    bool m_isStopping = false;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/net/net.h
@@ -0,0 +1,16 @@
+#pragma once
+
+// Sockets: HTTP server and client over Boost.Beast, and the framed connection between entry processes and agents.
+
+#include "net/asio.h"
+#include "net/framedconnection.h"
+#include "net/httpcall.h"
+#include "net/httpclient.h"
+#include "net/httpexchange.h"
+#include "net/httplimits.h"
+#include "net/httpresponse.h"
+#include "net/httpserver.h"
+#include "net/neterror.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+#include "net/wakeup.h"
--- /dev/null
+++ b/src/net/neterror.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Cardamomhill
+{
+
+enum class NetErrorCode : std::uint8_t {
+    AddressInUse,
+    Closed,
+    ConnectFailed,
+    ConnectRefused,
+    InvalidAddress,
+    MalformedMessage,
+    ReadFailed,
+    Silent,
+    TimedOut,
+    WriteFailed,
+};
+
+constexpr auto nameTable(NetErrorCode)
+{
+    return std::to_array<NamedValue<NetErrorCode>>({
+        {NetErrorCode::AddressInUse, "address-in-use"},
+        {NetErrorCode::Closed, "closed"},
+        {NetErrorCode::ConnectFailed, "connect-failed"},
+        {NetErrorCode::ConnectRefused, "connect-refused"},
+        {NetErrorCode::InvalidAddress, "invalid-address"},
+        {NetErrorCode::MalformedMessage, "malformed-message"},
+        {NetErrorCode::ReadFailed, "read-failed"},
+        {NetErrorCode::Silent, "silent"},
+        {NetErrorCode::TimedOut, "timed-out"},
+        {NetErrorCode::WriteFailed, "write-failed"},
+    });
+}
+
+/// Why a socket operation failed.
+struct NetError {
+    NetErrorCode code = NetErrorCode::Closed;
+    /// What the operating system or the codec said.
+    std::string cause;
+
+    std::string message() const
+    {
+        return std::string(nameOf(code)) + (cause.empty() ? "" : ": " + cause);
+    }
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/net/wakeup.cpp
@@ -0,0 +1,27 @@
+#include "net/wakeup.h"
+
+namespace Cardamomhill
+{
+
+Wakeup::Wakeup(asio::io_context &context)
+    : m_timer(context)
+{
+}
+
+void Wakeup::notify()
+{
+    m_notified = true;
+    m_timer.cancel();
+}
+
+Task<bool> Wakeup::waitUntil(SteadyTime deadline)
+{
+    if (!m_notified) {
+        SystemError error;
+        m_timer.expires_at(deadline);
+        co_await m_timer.async_wait(storeError(error));
+    }
+    co_return std::exchange(m_notified, false);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/settings/settingsreader.cpp
@@ -0,0 +1,165 @@
+#include "settings/settingsreader.h"
+
+#include <charconv>
+#include <optional>
+
+namespace Cardamomhill::internal
+{
+
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+namespace
+{
+
+constexpr std::string_view AcceptedEndpoint = "address:port with an IP address, IPv6 in brackets";
+
+int lineOf(const YAML::Node &node)
+{
+    return node.Mark().line + 1;
+}
+
+template<class Number>
+std::optional<Number> parseNumber(std::string_view text)
+{
+    Number number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(const std::string &file)
+    : m_file(file)
+    , m_root(YAML::NodeType::Map)
+{
+    // yaml-cpp reports bad input by exceptions.
+    try {
+        m_root = YAML::LoadFile(file);
+    } catch (const YAML::BadFile &) {
+        addError(SettingsErrorCode::Unreadable, 0, "", "");
+    } catch (const YAML::ParserException &error) {
+        addError(SettingsErrorCode::MalformedYaml, error.mark.line + 1, "", "");
+    }
+    if (!m_root.IsMap()) {
+        addError(SettingsErrorCode::MalformedYaml, 1, "", "a map of keys and values");
+        m_root = YAML::Node(YAML::NodeType::Map);
+    }
+}
+
+YAML::Node SettingsReader::find(const std::string &key, bool required, const std::string &accepted)
+{
+    m_known.insert(key);
+    const YAML::Node node = std::as_const(m_root)[key];
+    if (required && !node.IsDefined()) {
+        addError(SettingsErrorCode::MissingKey, 0, key, accepted);
+    }
+    return node;
+}
+
+std::string SettingsReader::text(const std::string &key)
+{
+    const auto node = find(key, true, "a name");
+    if (!node.IsDefined()) {
+        return {};
+    }
+    if (!node.IsScalar() || node.Scalar().empty()) {
+        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, "a name");
+        return {};
+    }
+    return node.Scalar();
+}
+
+std::int64_t SettingsReader::integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high)
+{
+    const std::string accepted = std::to_string(low) + " to " + std::to_string(high);
+    const auto node = find(key, false, accepted);
+    if (!node.IsDefined()) {
+        return fallback;
+    }
+    const auto number = node.IsScalar() ? parseNumber<std::int64_t>(node.Scalar()) : std::nullopt;
+    if (!number || *number < low || *number > high) {
+        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, accepted);
+        return fallback;
+    }
+    return *number;
+}
+
+Endpoint SettingsReader::endpoint(const std::string &key)
+{
+    const auto node = find(key, true, std::string(AcceptedEndpoint));
+    return node.IsDefined() ? parseEndpoint(node, key) : Endpoint();
+}
+
+std::vector<Endpoint> SettingsReader::endpoints(const std::string &key)
+{
+    const auto node = find(key, false, "");
+    std::vector<Endpoint> endpoints;
+    if (!node.IsDefined()) {
+        return endpoints;
+    }
+    if (!node.IsSequence()) {
+        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, "a list of " + std::string(AcceptedEndpoint));
+        return endpoints;
+    }
+    for (const auto &element : node) {
+        endpoints.push_back(parseEndpoint(element, key));
+    }
+    return endpoints;
+}
+
+Endpoint SettingsReader::parseEndpoint(const YAML::Node &node, const std::string &key)
+{
+    const std::string text = node.IsScalar() ? node.Scalar() : std::string();
+    const auto colon = text.rfind(':');
+    std::string address = text.substr(0, colon);
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
+        address = address.substr(1, address.size() - 2);
+    }
+    const std::string_view portText = colon == std::string::npos ? "" : std::string_view(text).substr(colon + 1);
+    const std::uint16_t port = parseNumber<std::uint16_t>(portText).value_or(0);
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address(address, error);
+    if (error || port == 0) {
+        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, std::string(AcceptedEndpoint));
+        return {};
+    }
+    return {ip, port};
+}
+
+LogLevel SettingsReader::logLevel(const std::string &key)
+{
+    const auto node = find(key, false, acceptedNames<LogLevel>());
+    if (!node.IsDefined()) {
+        return LogLevel::Info;
+    }
+    const auto level = node.IsScalar() ? valueOf<LogLevel>(node.Scalar()) : std::nullopt;
+    if (!level) {
+        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, acceptedNames<LogLevel>());
+        return LogLevel::Info;
+    }
+    return *level;
+}
+
+void SettingsReader::addError(SettingsErrorCode code, int line, const std::string &key, const std::string &accepted)
+{
+    m_errors.push_back({code, m_file, line, key, accepted});
+}
+
+void SettingsReader::reportUnknownKeys()
+{
+    std::string accepted;
+    for (const auto &key : m_known) {
+        accepted += (accepted.empty() ? "" : ", ") + key;
+    }
+    for (const auto &entry : m_root) {
+        const auto key = entry.first.Scalar();
+        if (m_known.count(key) == 0) {
+            addError(SettingsErrorCode::UnknownKey, lineOf(entry.first), key, accepted);
+        }
+    }
+}
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/wire/execute.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include <msgpack.hpp>
+
+namespace Cardamomhill
+{
+
+/// Asks an agent to run one attempt of a request.
+struct Execute {
+    std::uint64_t attempt = 0;
+    std::string request;
+    std::string service;
+    std::string organisation;
+    std::string method;
+    /// Path and query towards the backend server.
+    std::string target;
+    std::string contentType;
+    std::string body;
+    /// Empty for an idempotent request.
+    std::string idempotencyKey;
+    /// Version of the slot table that the entry process routed by; 0 for an idempotent request.
+    std::uint64_t slotTableVersion = 0;
+    /// Time that is left for the request, in ms.
+    std::uint64_t remainingMs = 0;
+    /// Priority class of the profile, 0 is the most urgent.
+    std::uint8_t priority = 0;
+
+    MSGPACK_DEFINE_ARRAY(attempt,
+                         request,
+                         service,
+                         organisation,
+                         method,
+                         target,
+                         contentType,
+                         body,
+                         idempotencyKey,
+                         slotTableVersion,
+                         remainingMs,
+                         priority)
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/wire/messagecodec.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/result.h"
+#include "wire/message.h"
+#include "wire/wireerror.h"
+
+#include <string>
+#include <string_view>
+
+namespace Cardamomhill
+{
+
+/// Version of the protocol between entry processes and agents.
+inline constexpr std::uint64_t ProtocolVersion = 1;
+
+/// Bytes of the length prefix of a message on a connection, in network byte order.
+inline constexpr std::size_t LengthPrefixBytes = 4;
+
+/// The largest message that a connection accepts: a request body of 1 MiB with its headers.
+inline constexpr std::size_t MaxMessageBytes = 1'310'720;
+
+/// Encodes a message without length prefix.
+std::string encodeMessage(const Message &message);
+
+/// Encodes a message with its length prefix, ready to be written.
+std::string encodeFramed(const Message &message);
+
+Result<Message, WireError> decodeMessage(std::string_view bytes);
+
+/// Reads a length prefix. Lengths above MaxMessageBytes are an error.
+Result<std::size_t, WireError> decodeLength(std::string_view prefix);
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,8 @@
+#pragma once
+
+// Messages between entry processes and agents, and their encoding. Each message is one msgpack array of
+// [protocol version, message type, body].
+
+#include "wire/message.h"
+#include "wire/messagecodec.h"
+#include "wire/wireerror.h"
--- /dev/null
+++ b/tests/standins/modelengine.cpp
@@ -0,0 +1,127 @@
+#include "standins/modelengine.h"
+
+#include "net/httpexchange.h"
+#include "net/steadynow.h"
+#include "net/wakeup.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr Seconds LongestWait{3600};
+
+/// The text of a token depends on prompt and position only, so that a test can recompute the answer.
+std::string tokenText(const std::string &prompt, std::uint64_t position)
+{
+    const std::string word = prompt.empty() ? "token" : prompt.substr(0, prompt.find(' '));
+    return word + "-" + std::to_string(position) + " ";
+}
+
+} // namespace
+
+struct ModelEngine::Sequence {
+    explicit Sequence(asio::io_context &context)
+        : wakeup(context)
+    {
+    }
+
+    std::uint64_t produced = 0;
+    std::uint64_t wanted = 0;
+    Wakeup wakeup;
+    bool isCancelled = false;
+};
+
+ModelEngine::ModelEngine(asio::io_context &context, Milliseconds stepTime)
+    : m_context(context)
+    , m_stepTime(stepTime)
+    , m_stepTimer(context)
+{
+}
+
+Task<> ModelEngine::generate(HttpExchange &exchange)
+{
+    const auto json = nlohmann::json::parse(exchange.request().body(), nullptr, false);
+    if (!json.is_object()) {
+        co_await exchange.sendWhole(StatusBadRequest, "application/json", R"({"error":"not a JSON object"})");
+        co_return;
+    }
+    const auto prompt = json.value("prompt", std::string());
+    const bool asStream = json.value("stream", false);
+    Sequence sequence(m_context);
+    sequence.wanted = json.value("tokens", std::uint64_t{16});
+    const auto position = m_running.insert(m_running.end(), &sequence);
+    exchange.watchDisconnect([this, &sequence] {
+        sequence.isCancelled = true;
+        ++m_cancelled;
+        sequence.wakeup.notify();
+    });
+    if (!m_isStepping) {
+        m_isStepping = true;
+        asio::co_spawn(m_context, stepLoop(), asio::detached);
+    }
+    bool alive = !asStream || co_await exchange.beginChunks(StatusOk, "text/event-stream");
+    std::string text;
+    std::uint64_t sent = 0;
+    while (alive && sent < sequence.wanted && !sequence.isCancelled) {
+        co_await sequence.wakeup.waitUntil(steadyNow() + LongestWait);
+        std::string batch;
+        for (; sent < sequence.produced; ++sent) {
+            const auto token = tokenText(prompt, sent);
+            batch += asStream ? "data: " + token + "\n\n" : token;
+        }
+        if (m_faults.breakAfterTokens > 0 && sent >= m_faults.breakAfterTokens) {
+            alive = false;
+        } else if (asStream) {
+            alive = co_await exchange.sendChunk(batch);
+        } else {
+            text += batch;
+        }
+    }
+    m_running.erase(position);
+    exchange.stopWatching();
+    if (alive && !sequence.isCancelled) {
+        if (asStream) {
+            co_await exchange.endChunks();
+        } else {
+            const nlohmann::json answer{{"text", text}};
+            co_await exchange.sendWhole(StatusOk, "application/json", answer.dump());
+        }
+    }
+}
+
+Task<> ModelEngine::stepLoop()
+{
+    auto next = steadyNow();
+    while (!m_running.empty()) {
+        next += m_stepTime + Milliseconds(m_faults.delayMs);
+        SystemError ignored;
+        m_stepTimer.expires_at(next);
+        co_await m_stepTimer.async_wait(storeError(ignored));
+        ++m_steps;
+        for (auto *sequence : m_running) {
+            if (sequence->produced < sequence->wanted) {
+                ++sequence->produced;
+                sequence->wakeup.notify();
+            }
+        }
+    }
+    m_isStepping = false;
+}
+
+std::string ModelEngine::load() const
+{
+    return nlohmann::json{{"running", m_running.size()}, {"steps", m_steps}, {"cancelled", m_cancelled}}.dump();
+}
+
+void ModelEngine::setFaults(const BackendFaults &faults)
+{
+    m_faults = faults;
+}
+
+} // namespace Cardamomhill
