Add execution: idempotency keys, slot table, registry and slot handover

Change: new library module src/execution; the proof simulates three agents, a platform and retrying clients around the real code. BOOST_OUTCOME_TRY did not compile with error types of this namespace, because argument-dependent lookup found our failure() beside Outcome's own; failure and success are function objects now.

--- a/src/core/result.h
+++ b/src/core/result.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <utility>
+
 #include <boost/outcome/result.hpp>
 #include <boost/outcome/try.hpp>
 
@@ -10,17 +12,32 @@
 template<class T, class E>
 using Result = boost::outcome_v2::checked<T, E>;
 
-/// Starts the return of an error: `return failure(error);`.
-template<class E>
-auto failure(E &&error)
+/// Makes the functions below objects, because Outcome calls its own functions of the same names unqualified, and
+/// argument-dependent lookup on an error type of this namespace would make such calls ambiguous.
+namespace internal
 {
-    return boost::outcome_v2::failure(std::forward<E>(error));
-}
+
+struct FailureFunction {
+    template<class E>
+    auto operator()(E &&error) const
+    {
+        return boost::outcome_v2::failure(std::forward<E>(error));
+    }
+};
+
+struct SuccessFunction {
+    auto operator()() const
+    {
+        return boost::outcome_v2::success();
+    }
+};
+
+} // namespace internal
+
+/// Starts the return of an error: `return failure(error);`.
+inline constexpr internal::FailureFunction failure;
 
 /// Starts the return of success without a value: `return success();`.
-inline auto success()
-{
-    return boost::outcome_v2::success();
-}
+inline constexpr internal::SuccessFunction success;
 
 } // namespace Cardamomhill
--- /dev/null
+++ b/src/execution/slottable.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/result.h"
+#include "execution/slotentry.h"
+#include "execution/slotnumber.h"
+#include "execution/slottableerror.h"
+
+#include <array>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace Cardamomhill
+{
+
+/// The owners of all slots of one service: the value of the platform object `slots/<service>`.
+class SlotTable
+{
+public:
+    /// A first table that divides the slots evenly among the owners, all of them still to be claimed.
+    static Result<SlotTable, SlotTableError> create(const std::vector<BackendServerId> &owners,
+                                                    const OperationId &operation);
+
+    /// Reads the value of the platform object. Unknown fields are an error, since rewriting the table would lose them.
+    static Result<SlotTable, SlotTableError> fromJson(const nlohmann::json &value, std::uint64_t version);
+
+    /// The value for the platform object: about 40 bytes for each slot, with owners and operations named once.
+    nlohmann::json toJson() const;
+
+    /// The version of the platform object, and the condition of the next write; 0 if it was never written.
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+    void setVersion(std::uint64_t version)
+    {
+        m_version = version;
+    }
+
+    const SlotEntry &entry(SlotNumber slot) const
+    {
+        return m_entries[slot];
+    }
+
+    /// Replaces a row and raises its generation.
+    void assign(SlotNumber slot, const BackendServerId &owner, SlotEntryState state, const OperationId &operation);
+
+    /// Names the write of the whole table; the previous name moves to the history of the last 8.
+    void setOperation(const OperationId &operation);
+
+    const OperationId &operation() const
+    {
+        return m_operation;
+    }
+
+    const std::vector<OperationId> &previousOperations() const
+    {
+        return m_previousOperations;
+    }
+
+    SlotSet slotsOwnedBy(const BackendServerId &owner) const;
+
+    /// The table after backend servers were retired: each of their slots goes to the remaining owner that has the
+    /// fewest. The caller vouches that the hosts of the retired servers are stopped.
+    Result<SlotTable, SlotTableError> withoutRetired(const std::set<BackendServerId> &retired,
+                                                     const std::vector<BackendServerId> &remaining,
+                                                     const OperationId &operation) const;
+
+private:
+    std::uint64_t m_version = 0;
+    std::array<SlotEntry, slotCount> m_entries;
+    OperationId m_operation;
+    std::vector<OperationId> m_previousOperations;
+};
+
+} // namespace Cardamomhill
