--- a/tests/executionhandovertest.cpp
+++ b/tests/executionhandovertest.cpp
@@ -2,8 +2,11 @@
 
 #include <iomanip>
 #include <iostream>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -14,33 +17,69 @@
 namespace
 {
 
+/// Failures that fall together, most of them within the moments in which a slot moves.
+struct Incident {
+    int atMs;
+    int agent;
+    bool handover;
+    std::vector<Fault> faults;
+};
+
 rc::Gen<Fault> arbitraryFault()
 {
-    return rc::gen::build<Fault>(rc::gen::set(&Fault::kind,
-                                              rc::gen::element(FaultKind::Handover,
-                                                               FaultKind::Handover,
-                                                               FaultKind::Crash,
-                                                               FaultKind::Retire,
-                                                               FaultKind::Pause,
-                                                               FaultKind::ClockStep,
-                                                               FaultKind::PlatformOutage,
-                                                               FaultKind::LostWriteResponses,
-                                                               FaultKind::EngineFailure,
-                                                               FaultKind::Network)),
-                                 rc::gen::set(&Fault::atMs, rc::gen::inRange(4'000, 50'000)),
+    const auto kinds = rc::gen::element(FaultKind::Handover,
+                                        FaultKind::Leave,
+                                        FaultKind::Crash,
+                                        FaultKind::Retire,
+                                        FaultKind::Pause,
+                                        FaultKind::ClockStep,
+                                        FaultKind::PlatformOutage,
+                                        FaultKind::LostWriteResponses,
+                                        FaultKind::EngineFailure,
+                                        FaultKind::Network);
+    // The square puts most faults shortly after the start of the incident.
+    const auto offset = rc::gen::map(rc::gen::inRange(0, 2'500), [](int root) { return root * root / 1'000; });
+    return rc::gen::build<Fault>(rc::gen::set(&Fault::kind, kinds),
+                                 rc::gen::set(&Fault::atMs, offset),
                                  rc::gen::set(&Fault::agent, rc::gen::inRange(0, 3)),
                                  rc::gen::set(&Fault::amount, rc::gen::inRange(0, 1'001)),
                                  rc::gen::set(&Fault::twice, rc::gen::arbitrary<bool>()));
 }
 
+rc::Gen<Incident> arbitraryIncident()
+{
+    const auto faults = rc::gen::mapcat(rc::gen::inRange<std::size_t>(0, 4), [](std::size_t count) {
+        return rc::gen::container<std::vector<Fault>>(count, arbitraryFault());
+    });
+    return rc::gen::build<Incident>(rc::gen::set(&Incident::atMs, rc::gen::inRange(4'000, 50'000)),
+                                    rc::gen::set(&Incident::agent, rc::gen::inRange(0, 3)),
+                                    rc::gen::set(&Incident::handover, rc::gen::element(true, true, false)),
+                                    rc::gen::set(&Incident::faults, faults));
+}
+
+std::vector<Fault> faultsOf(const std::vector<Incident> &incidents)
+{
+    std::vector<Fault> faults;
+    for (const Incident &incident : incidents) {
+        if (incident.handover) {
+            faults.push_back({FaultKind::Handover, incident.atMs, incident.agent, incident.atMs % 2, false});
+        }
+        for (Fault fault : incident.faults) {
+            fault.atMs += incident.atMs;
+            faults.push_back(fault);
+        }
+    }
+    return faults;
+}
+
 rc::Gen<Schedule> arbitrarySchedule()
 {
-    return rc::gen::build<Schedule>(
-        rc::gen::set(&Schedule::seed, rc::gen::inRange<std::uint64_t>(1, 1'000'000'000)),
-        rc::gen::set(&Schedule::smallRegistry, rc::gen::arbitrary<bool>()),
-        rc::gen::set(&Schedule::faults, rc::gen::mapcat(rc::gen::inRange<std::size_t>(1, 9), [](std::size_t count) {
-            return rc::gen::container<std::vector<Fault>>(count, arbitraryFault());
-        })));
+    const auto incidents = rc::gen::mapcat(rc::gen::inRange<std::size_t>(1, 6), [](std::size_t count) {
+        return rc::gen::container<std::vector<Incident>>(count, arbitraryIncident());
+    });
+    return rc::gen::build<Schedule>(rc::gen::set(&Schedule::seed, rc::gen::inRange<std::uint64_t>(1, 1'000'000'000)),
+                                    rc::gen::set(&Schedule::smallRegistry, rc::gen::element(false, false, true)),
+                                    rc::gen::set(&Schedule::faults, rc::gen::map(incidents, faultsOf)));
 }
 
 /// Runs drawn schedules with a seeded fault until the checker reports `violation`, and returns how many it took; 0 if
@@ -105,16 +144,44 @@
 {
     std::size_t schedules = 0;
     RequestCounts total;
+    std::map<std::string, int> reached;
     CHECK(rc::check("execution over handovers, crashes, pauses, outages and clock steps", [&] {
         const Schedule schedule = *arbitrarySchedule();
         ExecutionWorld world(schedule, SeededFault{});
         world.run();
         ++schedules;
         total += world.counts();
+        for (const auto &[name, count] : world.reached()) {
+            reached[name] += count;
+        }
         RC_ASSERT(world.violations() == std::set<std::string>{});
     }));
     std::cout << "schedules " << schedules << ", requests " << total.requests << ", completed " << total.completed
               << "\n";
+    for (const auto &[name, count] : reached) {
+        std::cout << "  " << name << ": " << count << "\n";
+    }
+    // The schedules must reach the decisions and steps that the proof is about.
+    for (const char *name : {"decision wait record-exists",
+                             "decision replay record-exists",
+                             "decision replay answer-not-kept",
+                             "decision not-run registry-full",
+                             "decision not-run refused-earlier",
+                             "decision not-run slot-sealed",
+                             "decision not-run agent-leaving",
+                             "decision unknown key-time-below-floor",
+                             "decision unknown execution-failed",
+                             "decision rejected key-time-ahead",
+                             "decision rejected not-owner",
+                             "decision rejected slot-sealed",
+                             "phase imported to serving",
+                             "phase imported to not-owned",
+                             "phase exported to serving",
+                             "phase exported to not-owned",
+                             "phase not-owned to serving"}) {
+        INFO(std::string(name));
+        CHECK(reached[name] > 0);
+    }
 }
 
 TEST_CASE("the checker finds seeded faults")
@@ -127,6 +194,7 @@
     checkFound("transfer loses a record", {.transferLosesRecord = true}, twice);
     checkFound("platform ignores the version of a write", {.unconditionalWrites = true}, twoOwners);
     checkFound("operator retires a running server", {.retiresRunningServer = true}, twoOwners);
+    checkFound("operation ids repeat after a restart", {.repeatsOperationIds = true}, twoOwners);
 }
 
 TEST_CASE("requests without definite outcome, for each kind of failure")
--- a/tests/support/executionworld.h
+++ b/tests/support/executionworld.h
@@ -24,6 +24,7 @@
 
 enum class FaultKind {
     Handover,
+    Leave,
     Crash,
     Retire,
     Pause,
@@ -38,6 +39,7 @@
 {
     return std::to_array<NamedValue<FaultKind>>({
         {FaultKind::Handover, "handover"},
+        {FaultKind::Leave, "leave"},
         {FaultKind::Crash, "crash"},
         {FaultKind::Retire, "retire"},
         {FaultKind::Pause, "pause"},
@@ -85,6 +87,8 @@
     bool unconditionalWrites = false;
     /// The operator retires a backend server whose host still runs.
     bool retiresRunningServer = false;
+    /// Each run of an agent draws the same numbers, so its operation ids repeat those of the run before.
+    bool repeatsOperationIds = false;
 };
 
 /// How requests ended for their clients.
@@ -162,6 +166,12 @@
         return m_violations;
     }
 
+    /// How often each decision and each change of a slot's phase occurred.
+    const std::map<std::string, int> &reached() const
+    {
+        return m_reached;
+    }
+
     const RequestCounts &counts() const
     {
         return m_counts;
@@ -198,6 +208,7 @@
         std::optional<SlotHandover> handover;
         std::vector<std::function<void()>> inbox;
         std::map<std::string, std::vector<std::size_t>> waiting;
+        std::array<SlotPhase, testedSlots> phases{};
     };
 
     struct Request {
@@ -284,7 +295,8 @@
     {
         Agent &agent = m_agents[index];
         ++agent.run;
-        agent.random.seed(m_random());
+        agent.random.seed(m_seeded.repeatsOperationIds ? 1 + static_cast<std::uint64_t>(index) : m_random());
+        agent.phases.fill(SlotPhase::NotOwned);
         agent.registry.emplace(m_limits, ClockBounds{Milliseconds(1000), m_seeded.registryClockDifference}, lifetime);
         agent.handover.emplace(agent.id, *agent.registry, agent.random);
         // A peer's copy of the table may be old.
@@ -427,6 +439,8 @@
         case FaultKind::Handover:
             giveAll(index, (index + 1 + amount % 2) % agentCount);
             return 0;
+        case FaultKind::Leave:
+            return leave(index, (index + 1 + amount % 2) % agentCount, amount);
         case FaultKind::Crash:
             stop(index);
             // Short restarts are the hard ones: the clock may step back further than the restart takes.
@@ -447,8 +461,8 @@
             m_lostResponses += 1 + amount % 2;
             return 0;
         case FaultKind::EngineFailure:
-            m_engineFailsUntil = m_now + 2 * amount;
-            return 2 * amount;
+            m_engineFailsUntil = m_now + std::int64_t{2} * amount;
+            return std::int64_t{2} * amount;
         case FaultKind::Network:
             m_networkBadUntil = m_now + std::int64_t{10} * amount;
             return std::int64_t{10} * amount;
@@ -465,6 +479,21 @@
         }
     }
 
+    /// The agent gives its slots away, ends after some seconds whether or not that succeeded, and starts again.
+    std::int64_t leave(int index, int to, int amount)
+    {
+        inAgent(index, std::nullopt, [this, index] { m_agents[index].registry->leave(); });
+        giveAll(index, to);
+        const std::int64_t length = 2'000 + std::int64_t{8} * amount;
+        after(length, [this, index, run = m_agents[index].run] {
+            if (m_agents[index].run == run) {
+                stop(index);
+                restart(index);
+            }
+        });
+        return length;
+    }
+
     void giveAll(int from, int to)
     {
         inAgent(from, std::nullopt, [this, from, to] {
@@ -560,6 +589,7 @@
         const std::string name = request.organisation.value() + "/" + request.key.toString();
         KeyHistory &history = m_history[name];
         const Decision decision = agent.registry->decide({request.organisation, request.key, 1}, wallOf(agent));
+        ++m_reached["decision " + std::string(nameOf(decision.kind)) + " " + std::string(nameOf(decision.reason))];
         switch (decision.kind) {
         case DecisionKind::Execute:
             if (++history.executions > 1) {
@@ -634,9 +664,17 @@
     void checkSingleOwner()
     {
         for (std::size_t slot = 0; slot < testedSlots; ++slot) {
-            const auto serving = std::count_if(m_agents.begin(), m_agents.end(), [&](const Agent &agent) {
-                return agent.registry && agent.registry->phase(static_cast<SlotNumber>(slot)) == SlotPhase::Serving;
-            });
+            int serving = 0;
+            for (Agent &agent : m_agents) {
+                if (agent.registry) {
+                    const SlotPhase phase = agent.registry->phase(static_cast<SlotNumber>(slot));
+                    const SlotPhase before = std::exchange(agent.phases[slot], phase);
+                    serving += phase == SlotPhase::Serving ? 1 : 0;
+                    if (before != phase) {
+                        ++m_reached["phase " + std::string(nameOf(before)) + " to " + std::string(nameOf(phase))];
+                    }
+                }
+            }
             if (serving > 1) {
                 m_violations.insert("a slot was served by two owners");
             }
@@ -673,6 +711,7 @@
     std::deque<Request> m_requests;
     std::map<std::string, KeyHistory> m_history;
     std::set<std::string> m_violations;
+    std::map<std::string, int> m_reached;
     RequestCounts m_counts;
 };
 
