Add routing: choice of backend server, admission, retries and outcomes

The traffic path needs decisions without I/O: a table of backend servers with load, health and own work in flight; two random candidates by score with prefix affinity and spill-over; weighted fair shares per organisation with lending and claims; a retry budget and the outcome bookkeeping of attempts.

--- /dev/null
+++ b/src/routing/attemptresult.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// What the end of an attempt says about the health of its backend server.
+enum class AttemptResult : std::uint8_t {
+    Success,
+    Failure,
+    /// Says nothing: the caller went away, or the server refused in an orderly way.
+    Neutral,
+};
+
+constexpr auto nameTable(AttemptResult)
+{
+    return std::to_array<NamedValue<AttemptResult>>({
+        {AttemptResult::Success, "success"},
+        {AttemptResult::Failure, "failure"},
+        {AttemptResult::Neutral, "neutral"},
+    });
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/backendserver.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "core/memberstate.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// A backend server as configuration and membership describe it.
+struct BackendServer {
+    BackendServerId id;
+    ServiceId service;
+    FailureDomainId failureDomain;
+    MemberState state = MemberState::Suspect;
+    /// Grows with each restart of the host.
+    std::uint64_t incarnation = 0;
+    /// Requests that may be outstanding (running and queued) at the server; 0 means no limit.
+    std::uint32_t capacityLimit = 0;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/backendtable.cpp
@@ -0,0 +1,351 @@
+#include "routing/backendtable.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+double loadOf(const LoadReport &report)
+{
+    return static_cast<double>(report.running) + static_cast<double>(report.queued);
+}
+
+/// Leaving is final, and a leaving server that is found dead does not come back either.
+bool isFinal(MemberState state)
+{
+    return state == MemberState::Leaving;
+}
+
+} // namespace
+
+BackendTable::BackendTable(BackendTableOptions options)
+    : m_options(options)
+{
+}
+
+void BackendTable::upsert(const BackendServer &server)
+{
+    const auto known = m_indices.find(server.id);
+    if (known == m_indices.end()) {
+        Index index = static_cast<Index>(m_entries.size());
+        if (m_freeIndices.empty()) {
+            m_entries.emplace_back();
+        } else {
+            index = m_freeIndices.back();
+            m_freeIndices.pop_back();
+        }
+        m_entries[index] = Entry{};
+        m_entries[index].server = server;
+        m_entries[index].idHash = hash64(server.id.value());
+        m_indices.emplace(server.id, index);
+        placeInPool(index);
+        return;
+    }
+    Entry &entry = m_entries[known->second];
+    takeFromPool(known->second);
+    entry.server.service = server.service;
+    entry.server.failureDomain = server.failureDomain;
+    entry.server.capacityLimit = server.capacityLimit;
+    placeInPool(known->second);
+    setState(server.id, server.incarnation, server.state);
+}
+
+void BackendTable::remove(const BackendServerId &id)
+{
+    const auto known = m_indices.find(id);
+    if (known == m_indices.end()) {
+        return;
+    }
+    takeFromPool(known->second);
+    m_freeIndices.push_back(known->second);
+    m_indices.erase(known);
+}
+
+void BackendTable::setState(const BackendServerId &id, std::uint64_t incarnation, MemberState state)
+{
+    const auto known = m_indices.find(id);
+    if (known == m_indices.end()) {
+        return;
+    }
+    Entry &entry = m_entries[known->second];
+    if (incarnation < entry.server.incarnation) {
+        return;
+    }
+    const bool isRestart = incarnation > entry.server.incarnation;
+    if (!isRestart && (state == entry.server.state || isFinal(entry.server.state))) {
+        return;
+    }
+    takeFromPool(known->second);
+    if (isRestart) {
+        entry.report.reset();
+        entry.inFlightAtReport = 0;
+        entry.consecutiveFailures = 0;
+        entry.excludedUntil = {};
+    }
+    entry.server.incarnation = incarnation;
+    entry.server.state = state;
+    placeInPool(known->second);
+}
+
+void BackendTable::report(const BackendServerId &id,
+                          std::uint64_t incarnation,
+                          const LoadReport &report,
+                          SteadyTime now)
+{
+    const auto known = m_indices.find(id);
+    if (known == m_indices.end()) {
+        return;
+    }
+    Entry &entry = m_entries[known->second];
+    if (incarnation != entry.server.incarnation) {
+        return;
+    }
+    if (entry.report && report.sequence <= entry.report->sequence) {
+        return;
+    }
+    entry.report = report;
+    entry.reportedAt = now;
+    entry.inFlightAtReport = entry.inFlight;
+}
+
+void BackendTable::started(const BackendServerId &id)
+{
+    const auto known = m_indices.find(id);
+    if (known != m_indices.end()) {
+        ++m_entries[known->second].inFlight;
+    }
+}
+
+void BackendTable::finished(const BackendServerId &id, AttemptResult result, SteadyTime now)
+{
+    const auto known = m_indices.find(id);
+    if (known == m_indices.end()) {
+        return;
+    }
+    Entry &entry = m_entries[known->second];
+    // A server that was removed and added again while an attempt ran starts with none in flight.
+    if (entry.inFlight > 0) {
+        --entry.inFlight;
+    }
+    if (result == AttemptResult::Success) {
+        entry.consecutiveFailures = 0;
+        entry.excludedUntil = {};
+    } else if (result == AttemptResult::Failure) {
+        recordFailure(entry, now);
+    }
+}
+
+void BackendTable::recordFailure(Entry &entry, SteadyTime now)
+{
+    // Attempts that were in flight when the exclusion began say nothing new, so they do not prolong it.
+    if (now < entry.excludedUntil) {
+        return;
+    }
+    ++entry.consecutiveFailures;
+    if (entry.consecutiveFailures < m_options.failuresBeforeExclusion) {
+        return;
+    }
+    Microseconds exclusion = m_options.firstExclusion;
+    for (auto n = m_options.failuresBeforeExclusion;
+         n < entry.consecutiveFailures && exclusion < m_options.longestExclusion;
+         ++n) {
+        exclusion *= 2;
+    }
+    entry.excludedUntil = now + std::min(exclusion, m_options.longestExclusion);
+}
+
+void BackendTable::setReachable(const FailureDomainId &domain, bool reachable)
+{
+    if (reachable) {
+        m_unreachable.erase(domain);
+    } else {
+        m_unreachable.insert(domain);
+    }
+}
+
+bool BackendTable::isReachable(const FailureDomainId &domain) const
+{
+    return m_unreachable.count(domain) == 0;
+}
+
+std::optional<BackendTable::Index> BackendTable::find(const BackendServerId &id) const
+{
+    const auto known = m_indices.find(id);
+    return known == m_indices.end() ? std::nullopt : std::optional<Index>(known->second);
+}
+
+const BackendServer &BackendTable::server(Index index) const
+{
+    return m_entries[index].server;
+}
+
+std::uint64_t BackendTable::idHash(Index index) const
+{
+    return m_entries[index].idHash;
+}
+
+std::uint32_t BackendTable::inFlight(Index index) const
+{
+    return m_entries[index].inFlight;
+}
+
+const std::optional<LoadReport> &BackendTable::lastReport(Index index) const
+{
+    return m_entries[index].report;
+}
+
+const std::vector<BackendTable::Pool> &BackendTable::pools(const ServiceId &service) const
+{
+    static const std::vector<Pool> NONE;
+    const auto known = m_pools.find(service);
+    return known == m_pools.end() ? NONE : known->second;
+}
+
+Availability BackendTable::availability(Index index, SteadyTime now) const
+{
+    const Entry &entry = m_entries[index];
+    if (entry.server.state == MemberState::Leaving || entry.server.state == MemberState::Dead) {
+        return Availability::NotLive;
+    }
+    // After an exclusion one request at a time tries the server, until one succeeds.
+    const bool onTrial = entry.consecutiveFailures >= m_options.failuresBeforeExclusion;
+    if (now < entry.excludedUntil || (onTrial && entry.inFlight > 0)) {
+        return Availability::Excluded;
+    }
+    if (entry.report && entry.report->capacity == 0) {
+        return Availability::AtLimit;
+    }
+    if (entry.server.capacityLimit == 0) {
+        return Availability::Available;
+    }
+    // The report includes own requests that were in flight then; only the change since is added.
+    double outstanding = entry.inFlight;
+    if (entry.report) {
+        const double change = static_cast<double>(entry.inFlight) - static_cast<double>(entry.inFlightAtReport);
+        outstanding = std::max(outstanding, reportWeight(entry, now) * loadOf(*entry.report) + change);
+    }
+    return outstanding < entry.server.capacityLimit ? Availability::Available : Availability::AtLimit;
+}
+
+SteadyTime BackendTable::excludedUntil(Index index) const
+{
+    return m_entries[index].excludedUntil;
+}
+
+double BackendTable::score(Index index, const Pool &pool, SteadyTime now) const
+{
+    refreshMeans(pool, now);
+    const Entry &entry = m_entries[index];
+    return static_cast<double>(entry.inFlight) + agedLoad(entry, pool, now);
+}
+
+double BackendTable::meanScore(const Pool &pool, SteadyTime now) const
+{
+    refreshMeans(pool, now);
+    return pool.meanScore;
+}
+
+std::size_t BackendTable::size() const
+{
+    return m_indices.size();
+}
+
+double BackendTable::reportWeight(const Entry &entry, SteadyTime now) const
+{
+    if (!entry.report) {
+        return 0;
+    }
+    const Microseconds late = now - entry.reportedAt - m_options.freshFor;
+    if (late <= Microseconds::zero()) {
+        return 1;
+    }
+    return std::exp2(-static_cast<double>(late.count()) / static_cast<double>(m_options.halfLife.count()));
+}
+
+double BackendTable::agedLoad(const Entry &entry, const Pool &pool, SteadyTime now) const
+{
+    const double weight = reportWeight(entry, now);
+    const double reported = entry.report ? loadOf(*entry.report) : 0;
+    return weight * reported + (1 - weight) * pool.meanFreshLoad;
+}
+
+void BackendTable::refreshMeans(const Pool &pool, SteadyTime now) const
+{
+    if (pool.meansComputedAt && now - *pool.meansComputedAt < m_options.meanLifetime) {
+        return;
+    }
+    pool.meansComputedAt = now;
+    double freshLoad = 0;
+    std::size_t fresh = 0;
+    for (const Index index : pool.live) {
+        const Entry &entry = m_entries[index];
+        if (entry.report && now - entry.reportedAt <= m_options.freshFor) {
+            freshLoad += loadOf(*entry.report);
+            ++fresh;
+        }
+    }
+    pool.meanFreshLoad = fresh == 0 ? 0 : freshLoad / static_cast<double>(fresh);
+    double scores = 0;
+    for (const Index index : pool.live) {
+        const Entry &entry = m_entries[index];
+        scores += static_cast<double>(entry.inFlight) + agedLoad(entry, pool, now);
+    }
+    pool.meanScore = pool.live.empty() ? 0 : scores / static_cast<double>(pool.live.size());
+}
+
+BackendTable::Pool &BackendTable::poolOf(const BackendServer &server)
+{
+    auto &pools = m_pools[server.service];
+    const auto known = std::find_if(
+        pools.begin(), pools.end(), [&](const Pool &pool) { return pool.failureDomain == server.failureDomain; });
+    if (known != pools.end()) {
+        return *known;
+    }
+    pools.emplace_back();
+    pools.back().failureDomain = server.failureDomain;
+    return pools.back();
+}
+
+void BackendTable::placeInPool(Index index)
+{
+    const BackendServer &server = m_entries[index].server;
+    Pool &pool = poolOf(server);
+    ++pool.servers;
+    if (server.state == MemberState::Live) {
+        pool.live.push_back(index);
+    } else if (server.state == MemberState::Suspect) {
+        pool.suspect.push_back(index);
+    }
+    pool.meansComputedAt.reset();
+}
+
+void BackendTable::takeFromPool(Index index)
+{
+    const BackendServer &server = m_entries[index].server;
+    auto &pools = m_pools[server.service];
+    const auto pool = std::find_if(pools.begin(), pools.end(), [&](const Pool &candidate) {
+        return candidate.failureDomain == server.failureDomain;
+    });
+    if (pool == pools.end()) {
+        return;
+    }
+    std::erase(pool->live, index);
+    std::erase(pool->suspect, index);
+    pool->meansComputedAt.reset();
+    --pool->servers;
+    // Services and failure domains come and go over months; pools without servers are not kept.
+    if (pool->servers == 0) {
+        pools.erase(pool);
+    }
+    if (pools.empty()) {
+        m_pools.erase(server.service);
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/requestoutcome.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// What is known of a request, or of one attempt of it, when it ends.
+enum class RequestOutcome : std::uint8_t {
+    /// The whole answer was received.
+    Completed,
+    /// It was not executed and never will be.
+    NotRun,
+    /// It never left this entry process.
+    NotSent,
+    /// The agent turned the attempt away and says nothing about the idempotency key.
+    Rejected,
+    /// It may have been executed, in whole or in part.
+    Unknown,
+};
+
+constexpr auto nameTable(RequestOutcome)
+{
+    return std::to_array<NamedValue<RequestOutcome>>({
+        {RequestOutcome::Completed, "completed"},
+        {RequestOutcome::NotRun, "not-run"},
+        {RequestOutcome::NotSent, "not-sent"},
+        {RequestOutcome::Rejected, "rejected"},
+        {RequestOutcome::Unknown, "unknown"},
+    });
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/retrybudget.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// Constants of RetryBudget.
+struct RetryBudgetOptions {
+    /// First attempts that pay for one retry: 10% overhead.
+    std::uint32_t attemptsPerRetry = 10;
+    /// Retries that may be saved up; also what a new budget holds.
+    std::uint32_t burst = 10;
+};
+
+/// A token bucket that bounds retries to a part of the first attempts, so that retries cannot overload servers that
+/// fail because of load. One for each service, or one failing service would use up the retries of the others.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(RetryBudgetOptions options = {});
+
+    void recordFirstAttempt();
+
+    /// Takes the token of one retry, if there is one.
+    bool takeRetry();
+
+    bool hasRetry() const;
+
+private:
+    RetryBudgetOptions m_options;
+    /// In parts of a token: each first attempt adds one, a retry takes `attemptsPerRetry`.
+    std::uint64_t m_parts;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/retrypolicy.cpp
@@ -0,0 +1,38 @@
+#include "routing/retrypolicy.h"
+
+namespace Cardamomhill
+{
+
+RetryPolicy::RetryPolicy(RetryOptions options)
+    : m_options(options)
+{
+}
+
+Result<void, RetryRefusal> RetryPolicy::decide(const RetryQuestion &question,
+                                               const AttemptLog &attempts,
+                                               RetryBudget &budget,
+                                               SteadyTime now) const
+{
+    const auto refuse = [&](RetryRefusalCode code) { return failure(RetryRefusal{code, attempts.count()}); };
+    if (!question.idempotent) {
+        return refuse(RetryRefusalCode::NotIdempotent);
+    }
+    if (question.answerStarted) {
+        return refuse(RetryRefusalCode::AnswerStarted);
+    }
+    if (attempts.outcome() == RequestOutcome::Completed) {
+        return refuse(RetryRefusalCode::AlreadyCompleted);
+    }
+    if (attempts.count() >= m_options.maxAttempts) {
+        return refuse(RetryRefusalCode::TooManyAttempts);
+    }
+    if (question.deadline - now < m_options.shortestAttempt) {
+        return refuse(RetryRefusalCode::DeadlineTooClose);
+    }
+    if (!budget.takeRetry()) {
+        return refuse(RetryRefusalCode::BudgetEmpty);
+    }
+    return success();
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/retryrefusal.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Cardamomhill
+{
+
+enum class RetryRefusalCode : std::uint8_t {
+    NotIdempotent,
+    /// Part of an answer went to the caller; another attempt could differ from it.
+    AnswerStarted,
+    AlreadyCompleted,
+    TooManyAttempts,
+    DeadlineTooClose,
+    BudgetEmpty,
+};
+
+constexpr auto nameTable(RetryRefusalCode)
+{
+    return std::to_array<NamedValue<RetryRefusalCode>>({
+        {RetryRefusalCode::NotIdempotent, "not-idempotent"},
+        {RetryRefusalCode::AnswerStarted, "answer-started"},
+        {RetryRefusalCode::AlreadyCompleted, "already-completed"},
+        {RetryRefusalCode::TooManyAttempts, "too-many-attempts"},
+        {RetryRefusalCode::DeadlineTooClose, "deadline-too-close"},
+        {RetryRefusalCode::BudgetEmpty, "budget-empty"},
+    });
+}
+
+/// Why a request is not tried again.
+struct RetryRefusal {
+    RetryRefusalCode code = RetryRefusalCode::NotIdempotent;
+    /// Attempts made.
+    std::uint64_t attempts = 0;
+
+    std::string message() const;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/routing/routing.h
@@ -0,0 +1,18 @@
+#pragma once
+
+// Choice of a backend server, admission by organisation, retries and the outcome of requests.
+
+#include "routing/admissioncontrol.h"
+#include "routing/admissionrefusal.h"
+#include "routing/attemptlog.h"
+#include "routing/attemptresult.h"
+#include "routing/backendserver.h"
+#include "routing/backendtable.h"
+#include "routing/priorityclass.h"
+#include "routing/requestoutcome.h"
+#include "routing/retrybudget.h"
+#include "routing/retrypolicy.h"
+#include "routing/retryrefusal.h"
+#include "routing/router.h"
+#include "routing/routingdecision.h"
+#include "routing/routingerror.h"
