Construct receive effects in place

g++ 12 reports uninitialised members of DeliverPayload (-Wmaybe-uninitialized) when a variant is moved into a Result under -fsanitize=address,undefined, so the sanitizer build of streamreceiver.cpp failed. The effect is now constructed inside the result. Sanitizer build and tests of stream, routing, admission and retries pass.

--- a/src/stream/streamreceiver.cpp
+++ b/src/stream/streamreceiver.cpp
@@ -5,6 +5,19 @@
 namespace Cardamomhill
 {
 
+namespace
+{
+
+/// Makes the effect in place: g++ 12 warns of uninitialised members when a variant is moved into the result under the
+/// sanitizers.
+template<class Effect>
+Result<ReceiveEffect, StreamError> resultOf(Effect effect)
+{
+    return Result<ReceiveEffect, StreamError>(boost::outcome_v2::in_place_type<ReceiveEffect>, std::move(effect));
+}
+
+} // namespace
+
 StreamReceiver::StreamReceiver(std::uint64_t attempt)
     : m_attempt(attempt)
 {
@@ -13,20 +26,20 @@
 Result<ReceiveEffect, StreamError> StreamReceiver::receive(StreamFrame frame)
 {
     if (frame.attempt != m_attempt) {
-        return ReceiveEffect(FrameDropped{DropReason::OtherAttempt});
+        return resultOf(FrameDropped{DropReason::OtherAttempt});
     }
     if (m_error) {
         return failure(*m_error);
     }
     if (frame.sequence < m_nextSequence) {
-        return ReceiveEffect(FrameDropped{DropReason::Duplicate});
+        return resultOf(FrameDropped{DropReason::Duplicate});
     }
     if (m_complete) {
         // The answer was verified before, so it stays complete.
         return failure(StreamError{StreamErrorCode::FrameAfterEnd, m_attempt, frame.sequence, {}});
     }
     if (frame.sequence > m_nextSequence) {
-        return gapBefore(frame.sequence);
+        return resultOf(gapBefore(frame.sequence));
     }
     return accept(std::move(frame));
 }
@@ -39,7 +52,7 @@
     case FrameKind::Data:
         m_digest.update(frame.kind, frame.payload);
         ++m_nextSequence;
-        return ReceiveEffect(DeliverPayload{frame.kind, std::move(frame.payload)});
+        return resultOf(DeliverPayload{frame.kind, std::move(frame.payload)});
     case FrameKind::End:
         return end(frame);
     case FrameKind::Failed:
@@ -58,10 +71,10 @@
     }
     ++m_nextSequence;
     m_complete = true;
-    return ReceiveEffect(AnswerComplete{});
+    return resultOf(AnswerComplete{});
 }
 
-ReceiveEffect StreamReceiver::gapBefore(std::uint64_t sequence)
+GapFound StreamReceiver::gapBefore(std::uint64_t sequence)
 {
     // A sender that resumes goes back first, so a higher number belongs to the frames sent before the resume.
     const bool alreadyReported = m_newestBehindGap && sequence > *m_newestBehindGap;
--- a/src/stream/streamreceiver.h
+++ b/src/stream/streamreceiver.h
@@ -30,7 +30,7 @@
 private:
     Result<ReceiveEffect, StreamError> accept(StreamFrame frame);
     Result<ReceiveEffect, StreamError> end(const StreamFrame &frame);
-    ReceiveEffect gapBefore(std::uint64_t sequence);
+    GapFound gapBefore(std::uint64_t sequence);
     Result<ReceiveEffect, StreamError> fail(StreamErrorCode code, std::uint64_t sequence, std::string reason = {});
 
     std::uint64_t m_attempt;
--- a/tests/streamtest.cpp
+++ b/tests/streamtest.cpp
@@ -220,7 +220,8 @@
     {
         auto effect = StreamReceiver::receive(std::move(frame));
         if (!effect.has_value() && effect.error().code == StreamErrorCode::DigestMismatch) {
-            return ReceiveEffect(AnswerComplete{});
+            return Result<ReceiveEffect, StreamError>(boost::outcome_v2::in_place_type<ReceiveEffect>,
+                                                      AnswerComplete{});
         }
         return effect;
     }
