Learn how far load reports can be trusted

A reply now shows how well the older report of its server foretold the load, and that regression coefficient, by source and age, weighs such reports.

--- a/src/routing/admissioncontrol.cpp
+++ b/src/routing/admissioncontrol.cpp
@@ -94,7 +94,7 @@
     const double crowding = std::min(1.0, static_cast<double>(m_claims) / std::max(m_options.nodeLimit, 1U));
     const auto shortest = static_cast<double>(m_options.shortestRetryAfter.count());
     const Milliseconds retryAfter(std::llround(shortest * (1 + crowding)));
-    return {code, entry.id, retryAfter};
+    return {code, *entry.id, retryAfter};
 }
 
 double AdmissionControl::shareOf(const Entry &entry) const
@@ -112,8 +112,7 @@
         setClaims(entry, 0);
         clearIdle(entry);
         m_activeWeight -= entry.weight;
-        // erase() must not get a reference into the node that it frees.
-        m_entries.erase(m_entries.find(entry.id));
+        m_entries.erase(m_entries.find(*entry.id));
     }
 }
 
@@ -122,7 +121,7 @@
     const auto [known, isNew] = m_entries.try_emplace(organisation.id);
     Entry &entry = known->second;
     if (isNew) {
-        entry.id = organisation.id;
+        entry.id = &known->first;
     } else {
         m_activeWeight -= entry.weight;
     }
--- a/src/routing/admissioncontrol.h
+++ b/src/routing/admissioncontrol.h
@@ -82,7 +82,8 @@
 
 private:
     struct Entry {
-        OrganisationId id;
+        /// Points to the key in `m_entries`.
+        const OrganisationId *id = nullptr;
         std::uint32_t weight = 1;
         std::uint32_t inFlight = 0;
         /// Refused requests within the share for which room is kept.
--- a/src/routing/backendtable.cpp
+++ b/src/routing/backendtable.cpp
@@ -48,11 +48,13 @@
         return;
     }
     Entry &entry = m_entries[known->second];
-    takeFromPool(known->second);
-    entry.server.service = server.service;
-    entry.server.failureDomain = server.failureDomain;
     entry.server.capacityLimit = server.capacityLimit;
-    placeInPool(known->second);
+    if (entry.server.service != server.service || entry.server.failureDomain != server.failureDomain) {
+        takeFromPool(known->second);
+        entry.server.service = server.service;
+        entry.server.failureDomain = server.failureDomain;
+        placeInPool(known->second);
+    }
     setState(server.id, server.incarnation, server.state);
 }
 
@@ -93,10 +95,8 @@
     placeInPool(known->second);
 }
 
-void BackendTable::report(const BackendServerId &id,
-                          std::uint64_t incarnation,
-                          const LoadReport &report,
-                          SteadyTime now)
+void BackendTable::report(
+    const BackendServerId &id, std::uint64_t incarnation, const LoadReport &report, ReportSource source, SteadyTime now)
 {
     const auto known = m_indices.find(id);
     if (known == m_indices.end()) {
@@ -109,11 +109,23 @@
     if (entry.report && report.sequence <= entry.report->sequence) {
         return;
     }
+    if (source == ReportSource::Reply && entry.report && entry.server.state == MemberState::Live) {
+        learnTrust(entry, report, now);
+    }
     entry.report = report;
     entry.reportedAt = now;
+    entry.source = source;
     entry.inFlightAtReport = entry.inFlight;
 }
 
+void BackendTable::learnTrust(const Entry &entry, const LoadReport &report, SteadyTime now)
+{
+    Pool &pool = poolOf(entry.server);
+    refreshMeans(pool, now);
+    const double reported = reportWeight(entry, now) * (loadOf(*entry.report) - pool.meanFreshLoad);
+    pool.trust.learn(entry.source, now - entry.reportedAt, reported, loadOf(report) - pool.meanFreshLoad);
+}
+
 void BackendTable::started(const BackendServerId &id)
 {
     const auto known = m_indices.find(id);
@@ -270,9 +282,11 @@
 
 double BackendTable::agedLoad(const Entry &entry, const Pool &pool, SteadyTime now) const
 {
-    const double weight = reportWeight(entry, now);
-    const double reported = entry.report ? loadOf(*entry.report) : 0;
-    return weight * reported + (1 - weight) * pool.meanFreshLoad;
+    if (!entry.report) {
+        return pool.meanFreshLoad;
+    }
+    const double weight = reportWeight(entry, now) * pool.trust.weight(entry.source, now - entry.reportedAt);
+    return weight * loadOf(*entry.report) + (1 - weight) * pool.meanFreshLoad;
 }
 
 void BackendTable::refreshMeans(const Pool &pool, SteadyTime now) const
--- a/src/routing/backendtable.h
+++ b/src/routing/backendtable.h
@@ -4,6 +4,8 @@
 #include "core/loadreport.h"
 #include "routing/attemptresult.h"
 #include "routing/backendserver.h"
+#include "routing/reportsource.h"
+#include "routing/reporttrust.h"
 
 #include <cstddef>
 #include <map>
@@ -69,6 +71,8 @@
         mutable double meanFreshLoad = 0;
         mutable double meanScore = 0;
         mutable std::optional<SteadyTime> meansComputedAt;
+        /// How far reports of these servers can be trusted.
+        internal::ReportTrust trust;
     };
 
     explicit BackendTable(BackendTableOptions options = {});
@@ -81,8 +85,13 @@
     /// higher incarnation forgets load reports and failures.
     void setState(const BackendServerId &id, std::uint64_t incarnation, MemberState state);
 
-    /// Takes a load report of the server's current incarnation unless a newer one is known.
-    void report(const BackendServerId &id, std::uint64_t incarnation, const LoadReport &report, SteadyTime now);
+    /// Takes a load report of the server's current incarnation unless a newer one is known. One that came with a reply
+    /// also shows how far the report known before could be trusted.
+    void report(const BackendServerId &id,
+                std::uint64_t incarnation,
+                const LoadReport &report,
+                ReportSource source,
+                SteadyTime now);
 
     /// Counts an attempt of this process on the server. Each is followed by one finished().
     void started(const BackendServerId &id);
@@ -107,7 +116,8 @@
     /// When an exclusion ends; the past if there is none.
     SteadyTime excludedUntil(Index index) const;
 
-    /// Own requests in flight plus the reported load, which is replaced by the mean of the pool as it ages.
+    /// Own requests in flight plus the reported load. The less the report can be trusted and the older it is, the more
+    /// the mean of the fresh reports in the pool replaces it.
     double score(Index index, const Pool &pool, SteadyTime now) const;
     double meanScore(const Pool &pool, SteadyTime now) const;
 
@@ -119,6 +129,7 @@
         std::uint64_t idHash = 0;
         std::optional<LoadReport> report;
         SteadyTime reportedAt{};
+        ReportSource source = ReportSource::Gossip;
         std::uint32_t inFlight = 0;
         std::uint32_t inFlightAtReport = 0;
         std::uint32_t consecutiveFailures = 0;
@@ -130,6 +141,7 @@
     Pool &poolOf(const BackendServer &server);
     void refreshMeans(const Pool &pool, SteadyTime now) const;
     double agedLoad(const Entry &entry, const Pool &pool, SteadyTime now) const;
+    void learnTrust(const Entry &entry, const LoadReport &report, SteadyTime now);
     double reportWeight(const Entry &entry, SteadyTime now) const;
     void recordFailure(Entry &entry, SteadyTime now);
 
--- /dev/null
+++ b/src/routing/reportsource.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// How a load report reached this process.
+enum class ReportSource : std::uint8_t {
+    /// Over gossip, with a lag that is not known.
+    Gossip,
+    /// With a reply on a traffic connection, so it is as new as can be.
+    Reply,
+};
+
+constexpr std::size_t REPORT_SOURCES = 2;
+
+constexpr auto nameTable(ReportSource)
+{
+    return std::to_array<NamedValue<ReportSource>>({
+        {ReportSource::Gossip, "gossip"},
+        {ReportSource::Reply, "reply"},
+    });
+}
+
+} // namespace Cardamomhill
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -9,6 +9,7 @@
 #include "routing/backendserver.h"
 #include "routing/backendtable.h"
 #include "routing/priorityclass.h"
+#include "routing/reportsource.h"
 #include "routing/requestoutcome.h"
 #include "routing/retrybudget.h"
 #include "routing/retrypolicy.h"
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -88,7 +88,8 @@
             return;
         case 2: {
             LoadReport report{++m_sequence, static_cast<std::uint32_t>(m_random() % 6), 0, 4};
-            return m_table.report(serverId(number), m_incarnations[number], report, m_now);
+            return m_table.report(
+                serverId(number), m_incarnations[number], report, static_cast<ReportSource>(m_random() % 2), m_now);
         }
         case 3:
             return m_table.setReachable(REMOTE, m_random() % 2 == 0);
@@ -193,9 +194,9 @@
     for (const int number : {0, 2, 4}) {
         table.upsert(makeServer(number));
     }
-    table.report(serverId(0), 1, {1, 90, 10, 200}, at(Seconds(0)));
-    table.report(serverId(2), 1, {1, 10, 0, 200}, at(Seconds(20)));
-    table.report(serverId(4), 1, {1, 20, 10, 200}, at(Seconds(20)));
+    table.report(serverId(0), 1, {1, 90, 10, 200}, ReportSource::Gossip, at(Seconds(0)));
+    table.report(serverId(2), 1, {1, 10, 0, 200}, ReportSource::Gossip, at(Seconds(20)));
+    table.report(serverId(4), 1, {1, 20, 10, 200}, ReportSource::Gossip, at(Seconds(20)));
     table.started(serverId(0));
     const auto score = [&](Seconds now) {
         return table.score(table.find(serverId(0)).value(), table.pools(SERVICE).front(), at(now));
@@ -205,10 +206,42 @@
     CHECK(score(Seconds(20)) == doctest::Approx(1 + 50 + 10));
     CHECK(score(Seconds(30)) == doctest::Approx(1 + 25 + 15));
     // A report of an older state of the server arrives late.
-    table.report(serverId(0), 1, {0, 5, 0, 200}, at(Seconds(30)));
+    table.report(serverId(0), 1, {0, 5, 0, 200}, ReportSource::Gossip, at(Seconds(30)));
     CHECK(score(Seconds(30)) == doctest::Approx(1 + 25 + 15));
 }
 
+TEST_CASE("reports that replies contradict lose their weight, or late ones would send all hosts to the same server")
+{
+    BackendTable table;
+    table.upsert(makeServer(0));
+    table.upsert(makeServer(2));
+    std::uint64_t sequence = 0;
+    // Server 2 reports the mean of 10 throughout; gossip says 6 more or less of server 0 than the reply 1 s later.
+    const auto scoreAfter = [&](int replies, std::uint32_t reportedLow, std::uint32_t actualLow) {
+        for (int i = 0; i < replies; ++i) {
+            const SteadyTime now = at(Seconds(2 * i));
+            const bool low = i % 2 == 0;
+            ++sequence;
+            table.report(serverId(2), 1, {sequence, 10, 0, 99}, ReportSource::Gossip, now);
+            table.report(
+                serverId(0), 1, {2 * sequence, low ? reportedLow : 20 - reportedLow, 0, 99}, ReportSource::Gossip, now);
+            table.report(serverId(0),
+                         1,
+                         {2 * sequence + 1, low ? actualLow : 20 - actualLow, 0, 99},
+                         ReportSource::Reply,
+                         now + Seconds(1));
+        }
+        const SteadyTime end = at(Seconds(2 * replies));
+        table.report(serverId(0), 1, {2 * sequence + 2, 2, 0, 99}, ReportSource::Gossip, end);
+        return table.score(table.find(serverId(0)).value(), table.pools(SERVICE).front(), end + Seconds(1));
+    };
+    const double trusted = scoreAfter(50, 4, 4);
+    CHECK(trusted == doctest::Approx(2));
+    const double contradicted = scoreAfter(200, 4, 16);
+    CHECK(contradicted > 5);
+    CHECK(contradicted <= 10);
+}
+
 TEST_CASE("a prompt stays with one server until that is overloaded, or prefix caches would not be used")
 {
     BackendTable table;
