--- a/bench/routingbench.cpp
+++ b/bench/routingbench.cpp
@@ -670,21 +670,35 @@
               << ": " << organisations << ")\n";
 }
 
+struct RetryVariant {
+    std::string_view name;
+    std::size_t maxAttempts;
+    bool useBudget;
+};
+
+struct RetryFigures {
+    /// Answers in time as part of the requests that arrived: before, in and after the phase.
+    std::array<double, 3> goodput{};
+    /// Of requests that arrived in the phase.
+    double attemptsPerRequest = 0;
+    double serverSecondsPerAnswer = 0;
+};
+
 /// Servers under a phase in which every second attempt fails after its full service time. Callers have a deadline of
-/// 3 s; an attempt whose caller is gone is dropped when its turn comes.
+/// 3 s; an attempt whose caller is gone is dropped when its turn comes, and one that runs is not cut short.
 class FailurePhase
 {
 public:
-    FailurePhase(bool retries, bool useBudget, std::uint64_t seed)
-        : m_retries(retries)
-        , m_useBudget(useBudget)
+    FailurePhase(const RetryVariant &variant, double utilisation, std::uint64_t seed)
+        : m_useBudget(variant.useBudget)
+        , m_utilisation(utilisation)
+        , m_policy(RetryOptions{variant.maxAttempts, Milliseconds(50)})
         , m_random(seed)
     {
         at(0, [this] { arrive(); });
     }
 
-    /// Answers in time as part of the requests that arrived: before, in and after the phase.
-    std::array<double, 3> run()
+    RetryFigures run()
     {
         while (!m_events.empty()) {
             const auto event = m_events.begin();
@@ -693,21 +707,17 @@
             m_events.erase(event);
             action();
         }
-        std::array<double, 3> goodput{};
-        for (std::size_t phase = 0; phase < goodput.size(); ++phase) {
-            goodput[phase] = static_cast<double>(m_answered[phase]) / static_cast<double>(m_arrived[phase]);
+        RetryFigures figures;
+        for (std::size_t phase = 0; phase < figures.goodput.size(); ++phase) {
+            figures.goodput[phase] = static_cast<double>(m_answered[phase]) / static_cast<double>(m_arrived[phase]);
         }
-        return goodput;
-    }
-
-    double attemptsPerRequestInPhase() const
-    {
-        return static_cast<double>(m_attemptsInPhase) / static_cast<double>(m_arrived[1]);
+        figures.attemptsPerRequest = static_cast<double>(m_attemptsInPhase) / static_cast<double>(m_arrived[1]);
+        figures.serverSecondsPerAnswer = m_serverSecondsInPhase / static_cast<double>(m_answered[1]);
+        return figures;
     }
 
 private:
     static constexpr std::size_t SERVERS = 16;
-    static constexpr double UTILISATION = 0.7;
     static constexpr double DEADLINE = 3;
     static constexpr double PHASE_START = 60;
     static constexpr double PHASE_END = 120;
@@ -736,7 +746,7 @@
     void arrive()
     {
         if (m_now < END) {
-            const double rate = UTILISATION * SLOTS * SERVERS;
+            const double rate = m_utilisation * SLOTS * SERVERS;
             at(std::exponential_distribution<double>(rate)(m_random), [this] { arrive(); });
         }
         ++m_arrived[phaseOf(m_now)];
@@ -750,11 +760,11 @@
     {
         request->attempts.start();
         m_attemptsInPhase += phaseOf(request->arrival) == 1 ? 1 : 0;
-        std::size_t best = m_random() % SERVERS;
-        const std::size_t other = m_random() % SERVERS;
         const auto load
             = [this](std::size_t number) { return m_servers[number].running + m_servers[number].queue.size(); };
-        best = load(other) < load(best) ? other : best;
+        const std::size_t first = m_random() % SERVERS;
+        const std::size_t second = m_random() % SERVERS;
+        const std::size_t best = load(second) < load(first) ? second : first;
         m_servers[best].queue.push_back(request);
         startNext(best);
     }
@@ -769,7 +779,9 @@
                 continue;
             }
             ++server.running;
-            at(std::exponential_distribution<double>(1)(m_random), [this, number, request] {
+            const double service = std::exponential_distribution<double>(1)(m_random);
+            m_serverSecondsInPhase += phaseOf(request->arrival) == 1 ? service : 0;
+            at(service, [this, number, request] {
                 --m_servers[number].running;
                 finish(request);
                 startNext(number);
@@ -791,13 +803,14 @@
         // Without a budget: one that is full for each decision.
         RetryBudget full;
         RetryBudget &budget = m_useBudget ? m_budget : full;
-        if (m_retries && RetryPolicy().decide(question, request->attempts, budget, atSecond(m_now)).has_value()) {
+        if (m_policy.decide(question, request->attempts, budget, atSecond(m_now)).has_value()) {
             attempt(request);
         }
     }
 
-    bool m_retries;
     bool m_useBudget;
+    double m_utilisation;
+    RetryPolicy m_policy;
     Random m_random;
     double m_now = 0;
     RetryBudget m_budget;
@@ -806,30 +819,38 @@
     std::array<std::size_t, 3> m_arrived{};
     std::array<std::size_t, 3> m_answered{};
     std::size_t m_attemptsInPhase = 0;
+    double m_serverSecondsInPhase = 0;
 };
 
 void benchRetries()
 {
-    std::cout << "Goodput with 50% failing attempts for 60 s (16 servers, utilisation 0.7, deadline 3 s, up to 3"
-              << " attempts; part of requests answered in time, mean of " << SEEDS << " seeds)\n"
-              << "retries              before   in phase    after   attempts per request in phase\n";
-    const std::array<std::tuple<std::string_view, bool, bool>, 3> variants{std::tuple("none", false, false),
-                                                                           std::tuple("without budget", true, false),
-                                                                           std::tuple("with budget", true, true)};
-    for (const auto &[name, retries, useBudget] : variants) {
-        std::array<double, 3> goodput{};
-        double attempts = 0;
-        for (std::size_t seed = 0; seed < SEEDS; ++seed) {
-            FailurePhase phase(retries, useBudget, FIRST_SEED + seed);
-            const auto run = phase.run();
-            for (std::size_t i = 0; i < run.size(); ++i) {
-                goodput[i] += run[i] / SEEDS;
+    std::cout << "Goodput with 50% failing attempts for 60 s (16 servers, deadline 3 s; part of requests answered in"
+              << " time, mean of " << SEEDS << " seeds)\n"
+              << "utilisation retries                before   in phase    after   attempts/request   server seconds/"
+              << "answer   goodput ratio to none\n";
+    const std::array<RetryVariant, 4> variants{{{"none", 1, false},
+                                                {"3 attempts, no budget", 3, false},
+                                                {"any number, no budget", 1000, false},
+                                                {"3 attempts, budget", 3, true}}};
+    for (const double utilisation : {0.5, 0.7, 0.9}) {
+        double baseline = 0;
+        for (const RetryVariant &variant : variants) {
+            RetryFigures mean;
+            for (std::size_t seed = 0; seed < SEEDS; ++seed) {
+                const RetryFigures run = FailurePhase(variant, utilisation, FIRST_SEED + seed).run();
+                for (std::size_t phase = 0; phase < mean.goodput.size(); ++phase) {
+                    mean.goodput[phase] += run.goodput[phase] / SEEDS;
+                }
+                mean.attemptsPerRequest += run.attemptsPerRequest / SEEDS;
+                mean.serverSecondsPerAnswer += run.serverSecondsPerAnswer / SEEDS;
             }
-            attempts += phase.attemptsPerRequestInPhase() / SEEDS;
+            baseline = baseline == 0 ? mean.goodput[1] : baseline;
+            std::cout << std::setprecision(1) << std::setw(11) << utilisation << ' ' << std::left << std::setw(22)
+                      << variant.name << std::right << std::setprecision(3) << std::setw(7) << mean.goodput[0]
+                      << std::setw(11) << mean.goodput[1] << std::setw(9) << mean.goodput[2] << std::setw(19)
+                      << mean.attemptsPerRequest << std::setw(24) << mean.serverSecondsPerAnswer << std::setw(24)
+                      << mean.goodput[1] / baseline << std::endl;
         }
-        std::cout << std::left << std::setw(18) << name << std::right << std::setprecision(3) << std::setw(9)
-                  << goodput[0] << std::setw(11) << goodput[1] << std::setw(9) << goodput[2] << std::setw(12)
-                  << attempts << std::endl;
     }
 }
 
