--- /dev/null
+++ b/src/platform/followanswer.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "platform/platformobject.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// The answer to a watch or a list request.
+struct FollowAnswer {
+    /// The platform's revision when it answered. The objects cover all writes up to it.
+    std::uint64_t revision = 0;
+    /// Only for a watch: the platform's history does not reach back to the revision asked for.
+    bool historyLost = false;
+    std::vector<PlatformObject> objects;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/platform/watchfollower.cpp
@@ -0,0 +1,151 @@
+#include "platform/watchfollower.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+// A connection that went silent is noticed after the poll's time limit, so that limit is part of the time for a change
+// to be in force (5 s).
+constexpr Milliseconds PollLimit(2000);
+constexpr Milliseconds AnswerMargin(1000);
+// A list of 38,000 organisations is about 11 MB.
+constexpr Milliseconds ListLimit(10000);
+// Only two hosts of a failure domain follow, so a short limit does not overload a platform that comes back: 28
+// followers at the target size make at most 28 calls in each second of an outage.
+constexpr Milliseconds FirstDelay(200);
+constexpr Milliseconds DelayLimit(2000);
+// Spreads the first requests of hosts that start together.
+constexpr Milliseconds StartSpread(500);
+// Bounds the calls during a burst of changes, and to a platform that answers polls at once.
+constexpr Milliseconds RequestInterval(50);
+
+} // namespace
+
+WatchFollower::WatchFollower(std::vector<std::string> kinds)
+    : m_kinds(std::move(kinds))
+    , m_backoff(FirstDelay, DelayLimit)
+{
+}
+
+void WatchFollower::start(std::uint64_t completeThrough, SteadyTime now, Random &random)
+{
+    if (m_isFollowing) {
+        return;
+    }
+    m_isFollowing = true;
+    m_completeThrough = std::max(m_completeThrough, completeThrough);
+    if (m_completeThrough == 0) {
+        beginListing();
+    }
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, StartSpread.count());
+    m_due = now + Milliseconds(spread(random));
+}
+
+void WatchFollower::stop()
+{
+    m_isFollowing = false;
+    m_awaitsAnswer = false;
+    m_kindToList.reset();
+}
+
+bool WatchFollower::isFollowing() const
+{
+    return m_isFollowing;
+}
+
+std::optional<FollowRequest> WatchFollower::nextRequest(SteadyTime now, Random &random)
+{
+    if (!m_isFollowing || now < m_due) {
+        return std::nullopt;
+    }
+    if (m_awaitsAnswer) {
+        onFailure(m_request, now, random);
+        return std::nullopt;
+    }
+    m_awaitsAnswer = true;
+    m_sent = now;
+    ++m_request;
+    if (m_kindToList.has_value()) {
+        m_due = now + ListLimit;
+        return ListRequest{m_request, m_kinds.at(*m_kindToList)};
+    }
+    m_due = now + PollLimit + AnswerMargin;
+    return WatchRequest{m_request, m_completeThrough, PollLimit};
+}
+
+SteadyTime WatchFollower::nextWakeUp() const
+{
+    return m_isFollowing ? m_due : SteadyTime::max();
+}
+
+FollowResult WatchFollower::onAnswer(std::uint64_t request, const FollowAnswer &answer)
+{
+    FollowResult result;
+    if (!m_isFollowing || !m_awaitsAnswer || request != m_request) {
+        return result;
+    }
+    m_awaitsAnswer = false;
+    m_due = m_sent + RequestInterval;
+    m_backoff.reset();
+    m_consecutiveFailures = 0;
+    for (const auto &object : answer.objects) {
+        auto converted = toVersionedObject(object);
+        if (converted.has_value()) {
+            result.objects.push_back(std::move(converted.value()));
+        } else {
+            result.rejected.push_back(std::move(converted.error()));
+        }
+    }
+    advance(answer, result);
+    return result;
+}
+
+void WatchFollower::onFailure(std::uint64_t request, SteadyTime now, Random &random)
+{
+    if (m_awaitsAnswer && request == m_request) {
+        m_awaitsAnswer = false;
+        ++m_consecutiveFailures;
+        m_due = now + m_backoff.next(random);
+    }
+}
+
+std::uint64_t WatchFollower::completeThrough() const
+{
+    return m_completeThrough;
+}
+
+std::size_t WatchFollower::consecutiveFailures() const
+{
+    return m_consecutiveFailures;
+}
+
+void WatchFollower::beginListing()
+{
+    m_kindToList = 0;
+}
+
+void WatchFollower::advance(const FollowAnswer &answer, FollowResult &result)
+{
+    if (!m_kindToList.has_value()) {
+        result.revisionWentBack = answer.revision < m_completeThrough;
+        if (answer.historyLost || result.revisionWentBack) {
+            beginListing();
+        } else {
+            m_completeThrough = answer.revision;
+        }
+        return;
+    }
+    // The kinds are listed one after the other; the watch goes on after the first list, so that a write between
+    // two lists is not missed.
+    m_listRevision = *m_kindToList == 0 ? answer.revision : std::min(m_listRevision, answer.revision);
+    if (++*m_kindToList == m_kinds.size()) {
+        m_kindToList.reset();
+        m_completeThrough = m_listRevision;
+    }
+}
+
+} // namespace Cardamomhill
--- a/tests/objectstoretest.cpp
+++ b/tests/objectstoretest.cpp
@@ -20,7 +20,9 @@
                             VersionedObject object;
                             object.key = {kind == 0 ? "profiles" : ObjectStore::OrganisationKind, std::to_string(name)};
                             // A version belongs to one write only, as on the platform.
-                            object.version = static_cast<std::uint64_t>((version * 40 + name) * 2 + kind);
+                            object.version
+                                = (static_cast<std::uint64_t>(version) * 40 + static_cast<std::uint64_t>(name)) * 2;
+                            object.version += static_cast<std::uint64_t>(kind);
                             object.retired = object.version % 7 == 0;
                             object.value = object.retired ? "" : std::to_string(object.version);
                             return object;
