--- /dev/null
+++ b/src/membership/agentreporter.cpp
@@ -0,0 +1,309 @@
+#include "membership/agentreporter.h"
+
+#include "core/hash.h"
+#include "membership/configurationrepair.h"
+#include "membership/membertable.h"
+#include "membership/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr std::size_t TargetCount = 2;
+constexpr Seconds ReportPeriod(10);
+constexpr Milliseconds ChangeInterval(1000);
+constexpr Milliseconds RetryTime(300);
+// While no entry host answers at all.
+constexpr Milliseconds SlowRetryTime(2000);
+constexpr std::size_t ReportAttempts = 4;
+// How long an entry host that did not answer is passed over.
+constexpr Seconds AvoidTime(10);
+constexpr Milliseconds PauseThreshold(2000);
+constexpr Milliseconds RepairInterval(200);
+constexpr std::uint32_t SignificantFraction = 8;
+
+std::uint32_t work(const LoadReport &load)
+{
+    return load.running + load.queued;
+}
+
+bool isSignificant(const LoadReport &before, const LoadReport &after)
+{
+    const auto threshold = std::max(1U, after.capacity / SignificantFraction);
+    const auto moved = std::max(work(before), work(after)) - std::min(work(before), work(after));
+    return moved >= threshold || before.capacity != after.capacity;
+}
+
+} // namespace
+
+AgentReporter::AgentReporter(AgentIdentity identity)
+    : m_identity(std::move(identity))
+    , m_domain(hash64(m_identity.domain.value()))
+{
+    m_row.server = MemberTable::hashOf(m_identity.server);
+    m_row.incarnation = static_cast<std::uint64_t>(m_identity.start.time_since_epoch().count());
+    m_row.state = static_cast<std::uint8_t>(MemberState::Live);
+}
+
+void AgentReporter::setEntryHosts(const std::vector<EntryHost> &hosts)
+{
+    std::vector<HostId> names;
+    for (const auto &host : hosts) {
+        names.push_back(host.host);
+        if (!m_isReady) {
+            m_join.expect(host.address);
+        }
+    }
+    m_hosts.clear();
+    for (const auto &name : rendezvousOrder(m_identity.server.value(), std::move(names))) {
+        m_hosts.push_back(
+            *std::find_if(hosts.begin(), hosts.end(), [&](const auto &host) { return host.host == name; }));
+    }
+}
+
+void AgentReporter::setLoad(LoadReport load)
+{
+    load.sequence = m_row.sequence;
+    m_row.setLoad(load);
+}
+
+void AgentReporter::leave()
+{
+    m_row.state = static_cast<std::uint8_t>(MemberState::Leaving);
+    m_isUrgent = true;
+}
+
+void AgentReporter::tick(SteadyTime now)
+{
+    if (m_lastTick.has_value() && now - *m_lastTick > PauseThreshold) {
+        m_join.shiftTimes(now - *m_lastTick);
+        for (auto &target : m_targets) {
+            target.attempts = 0;
+        }
+    }
+    m_lastTick = now;
+    join(now);
+    chooseTargets(now);
+    for (std::size_t rank = 0; rank < m_targets.size(); ++rank) {
+        auto &target = m_targets.at(rank);
+        if (m_isUrgent || isReportDue(target, now)) {
+            if (target.isAnswered) {
+                target.attempts = 0;
+            }
+            report(target, static_cast<std::uint8_t>(rank), now);
+        }
+    }
+    m_isUrgent = m_isUrgent && m_targets.empty();
+}
+
+Result<void, MembershipError> AgentReporter::onMessage(const NodeAddress &from, std::string_view bytes, SteadyTime now)
+{
+    const auto message = decodeMembershipMessage(bytes);
+    if (!message) {
+        return failure(message.error());
+    }
+    if (const auto *answer = std::get_if<AgentAnswer>(&message.value())) {
+        handle(from, *answer, now);
+    } else if (const auto *objects = std::get_if<ObjectsMessage>(&message.value())) {
+        handle(from, *objects, now);
+    }
+    return success();
+}
+
+bool AgentReporter::hasConfiguration() const
+{
+    return m_isReady;
+}
+
+bool AgentReporter::isLeavingAcknowledged() const
+{
+    return !m_targets.empty()
+        && std::all_of(m_targets.begin(), m_targets.end(), [](const Target &target) { return target.knowsLeaving; });
+}
+
+ServerRow AgentReporter::row() const
+{
+    return m_row;
+}
+
+const ObjectStore &AgentReporter::store() const
+{
+    return m_store;
+}
+
+std::vector<OutgoingMessage> AgentReporter::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::vector<VersionedObject> AgentReporter::takeInForce()
+{
+    return std::exchange(m_inForce, {});
+}
+
+void AgentReporter::handle(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now)
+{
+    for (auto &target : m_targets) {
+        if (target.host.address == from && answer.number != 0 && answer.number == target.number) {
+            target.isAnswered = true;
+            target.attempts = 0;
+            target.knowsLeaving = static_cast<MemberState>(answer.state) == MemberState::Leaving;
+        }
+    }
+    if (answer.isLeaving) {
+        m_unresponsive[from] = now;
+    }
+    if (answer.number != 0) {
+        refuteSuspicion(answer);
+    }
+    compareConfiguration(from, answer.configuration, now);
+}
+
+void AgentReporter::handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime)
+{
+    for (const auto &held : message.objects) {
+        if (held.object.key.kind != ObjectStore::OrganisationKind && m_store.merge(held.object) && m_isReady) {
+            m_inForce.push_back(held.object);
+            // The report with the new digest tells the entry hosts that the change has arrived.
+            m_isUrgent = true;
+        }
+    }
+    auto lacking = internal::lackingKeys(m_store, message);
+    if (!lacking.empty()) {
+        send(from, FetchRequest{std::move(lacking), true, message.isComplete});
+    } else if (!message.isComplete) {
+        requestRepair(from);
+    } else {
+        m_join.received(from);
+    }
+}
+
+void AgentReporter::compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now)
+{
+    const bool isEqual = theirs.digest == m_store.digest(DigestScope::WithoutOrganisations);
+    if (!m_isReady) {
+        m_join.answered(from, theirs.ready, isEqual, now);
+    }
+    auto &lastRepair = m_repairs[from];
+    if (!isEqual && now - lastRepair >= RepairInterval) {
+        lastRepair = now;
+        requestRepair(from);
+    }
+}
+
+void AgentReporter::refuteSuspicion(const AgentAnswer &answer)
+{
+    const bool isAhead = answer.incarnation > m_row.incarnation;
+    const bool isDoubted = answer.incarnation == m_row.incarnation && answer.state != m_row.state
+        && static_cast<MemberState>(answer.state) != MemberState::Live;
+    if (isAhead || isDoubted) {
+        m_row.incarnation = answer.incarnation + 1;
+        m_isUrgent = true;
+    }
+}
+
+void AgentReporter::join(SteadyTime now)
+{
+    if (m_isReady) {
+        return;
+    }
+    for (const auto &address : m_join.hostsToAsk(now)) {
+        // Rank 1: a host that is only asked does not announce the agent.
+        auto message = agentReport(TargetCount - 1);
+        message.number = 0;
+        send(address, message);
+    }
+    if (m_join.isComplete(now)) {
+        m_isReady = true;
+        m_store.forEach([this](const VersionedObject &object) { m_inForce.push_back(object); });
+    }
+}
+
+void AgentReporter::chooseTargets(SteadyTime now)
+{
+    for (auto &target : m_targets) {
+        if (!target.isAnswered && target.attempts >= ReportAttempts && now - target.sent >= RetryTime) {
+            m_unresponsive[target.host.address] = now;
+        }
+    }
+    std::vector<Target> chosen;
+    for (const auto &host : m_hosts) {
+        if (chosen.size() < TargetCount && !isUnresponsive(host.address, now)) {
+            const auto same = [&](const Target &target) { return target.host.address == host.address; };
+            const auto found = std::find_if(m_targets.begin(), m_targets.end(), same);
+            chosen.push_back(found == m_targets.end() ? Target(host) : *found);
+        }
+    }
+    // When no entry host answers, the agent goes on with the ones that it has.
+    if (!chosen.empty() || m_targets.empty()) {
+        m_targets = std::move(chosen);
+    }
+}
+
+bool AgentReporter::isUnresponsive(const NodeAddress &address, SteadyTime now) const
+{
+    const auto found = m_unresponsive.find(address);
+    return found != m_unresponsive.end() && now - found->second < AvoidTime;
+}
+
+void AgentReporter::report(Target &target, std::uint8_t rank, SteadyTime now)
+{
+    auto message = agentReport(rank);
+    target.number = message.number;
+    target.sent = now;
+    target.isAnswered = false;
+    target.reported = m_row.load();
+    ++target.attempts;
+    send(target.host.address, message);
+}
+
+bool AgentReporter::isReportDue(const Target &target, SteadyTime now) const
+{
+    const auto silence = now - target.sent;
+    if (target.sent == SteadyTime() || silence >= ReportPeriod) {
+        return true;
+    }
+    if (!target.isAnswered) {
+        return silence >= (target.attempts < ReportAttempts ? RetryTime : SlowRetryTime);
+    }
+    return silence >= ChangeInterval && isSignificant(target.reported, m_row.load());
+}
+
+void AgentReporter::requestRepair(const NodeAddress &to)
+{
+    auto request = internal::fullRepairRequest(m_store, DigestScope::WithoutOrganisations);
+    request.isJoining = !m_isReady;
+    send(to, request);
+}
+
+ConfigurationSummary AgentReporter::summary() const
+{
+    return ConfigurationSummary{
+        m_store.digest(DigestScope::WithoutOrganisations), m_store.highestRevision(), 0, m_isReady};
+}
+
+AgentReport AgentReporter::agentReport(std::uint8_t rank)
+{
+    ++m_row.sequence;
+    AgentReport report;
+    report.number = ++m_number;
+    report.domain = m_domain;
+    report.row = m_row;
+    report.configuration = summary();
+    report.rank = rank;
+    return report;
+}
+
+void AgentReporter::send(const NodeAddress &to, const MembershipMessage &message)
+{
+    auto bytes = encode(message);
+    const auto channel = bytes.size() <= DatagramLimit ? MessageChannel::Datagram : MessageChannel::Connection;
+    m_messages.push_back(OutgoingMessage{to, channel, std::move(bytes)});
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/membership/agentreporter.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/loadreport.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "membership/agentidentity.h"
+#include "membership/entryhost.h"
+#include "membership/joinprogress.h"
+#include "membership/membershipmessage.h"
+#include "membership/outgoingmessage.h"
+#include "platform/objectstore.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// An agent's reports to two entry hosts of its failure domain, and its copy of the configuration.
+///
+/// The caller passes in each received message and a tick every 100 ms, and after each call sends what takeMessages()
+/// returns and applies what takeInForce() returns.
+class AgentReporter
+{
+public:
+    explicit AgentReporter(AgentIdentity identity);
+
+    /// The entry hosts of the failure domain, from settings or the configuration. The agent reports to the first two by
+    /// rendezvous hash that answer.
+    void setEntryHosts(const std::vector<EntryHost> &hosts);
+
+    /// The current load; its sequence number is set here. A change of at least one eighth of the capacity is reported
+    /// at once, but not more often than once a second.
+    void setLoad(LoadReport load);
+
+    /// Announces that the server takes no new work. Final until the process restarts.
+    void leave();
+
+    void tick(SteadyTime now);
+
+    /// Takes a message. A message that cannot be read changes nothing.
+    Result<void, MembershipError> onMessage(const NodeAddress &from, std::string_view bytes, SteadyTime now);
+
+    /// Whether the process has a whole configuration and may serve.
+    bool hasConfiguration() const;
+
+    /// Whether the entry hosts that the agent reports to have acknowledged that it leaves.
+    bool isLeavingAcknowledged() const;
+
+    /// The row that goes with a load report over a traffic connection.
+    ServerRow row() const;
+
+    const ObjectStore &store() const;
+
+    std::vector<OutgoingMessage> takeMessages();
+
+    /// Objects that have come into force, each newer than any returned before for the same key.
+    std::vector<VersionedObject> takeInForce();
+
+private:
+    struct Target {
+        explicit Target(EntryHost entryHost)
+            : host(std::move(entryHost))
+        {
+        }
+
+        EntryHost host;
+        LoadReport reported;
+        std::uint64_t number = 0;
+        SteadyTime sent;
+        std::size_t attempts = 0;
+        bool isAnswered = true;
+        bool knowsLeaving = false;
+    };
+
+    void handle(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now);
+    void handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime now);
+    void compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now);
+    void refuteSuspicion(const AgentAnswer &answer);
+    void join(SteadyTime now);
+    void chooseTargets(SteadyTime now);
+    bool isUnresponsive(const NodeAddress &address, SteadyTime now) const;
+    void report(Target &target, std::uint8_t rank, SteadyTime now);
+    bool isReportDue(const Target &target, SteadyTime now) const;
+    void requestRepair(const NodeAddress &to);
+    ConfigurationSummary summary() const;
+    AgentReport agentReport(std::uint8_t rank);
+    void send(const NodeAddress &to, const MembershipMessage &message);
+
+    AgentIdentity m_identity;
+    std::uint64_t m_domain;
+    ServerRow m_row;
+    ObjectStore m_store;
+    internal::JoinProgress m_join;
+    std::vector<EntryHost> m_hosts;
+    std::vector<Target> m_targets;
+    std::map<NodeAddress, SteadyTime> m_unresponsive;
+    std::map<NodeAddress, SteadyTime> m_repairs;
+    std::uint64_t m_number = 0;
+    bool m_isReady = false;
+    bool m_isUrgent = false;
+    std::optional<SteadyTime> m_lastTick;
+    std::vector<OutgoingMessage> m_messages;
+    std::vector<VersionedObject> m_inForce;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/membership/broadcaster.cpp
@@ -0,0 +1,110 @@
+#include "membership/broadcaster.h"
+
+#include "core/hash.h"
+#include "membership/fanouttree.h"
+
+#include <algorithm>
+
+namespace Cardamomhill::internal
+{
+
+namespace
+{
+
+// Many times the round trip within a failure domain, and short enough for several attempts within the bound of 3 s for
+// leaving notices.
+constexpr Milliseconds AcknowledgementTime(300);
+// After these attempts the repair by digest takes over.
+constexpr std::size_t AttemptLimit = 6;
+constexpr std::size_t RememberedMessages = 512;
+
+} // namespace
+
+Broadcaster::Broadcaster(std::uint64_t self, std::uint64_t incarnation)
+    : m_self(self)
+    , m_number(incarnation)
+{
+}
+
+void Broadcaster::originate(BroadcastMessage message,
+                            std::vector<std::uint64_t> receivers,
+                            SteadyTime now,
+                            Random &random)
+{
+    message.origin = m_self;
+    message.number = ++m_number;
+    remember(message, 0);
+    std::shuffle(receivers.begin(), receivers.end(), random);
+    forward(std::move(message), receivers, now);
+}
+
+bool Broadcaster::receive(const BroadcastMessage &message, std::uint64_t from, SteadyTime now)
+{
+    m_deliveries.emplace_back(from, Acknowledgement{m_self, message.origin, message.number});
+    if (!message.rest.empty()
+        && remember(message, hash64({reinterpret_cast<const char *>(message.rest.data()), message.rest.size() * 8}))) {
+        forward(message, message.rest, now);
+    }
+    return remember(message, 0);
+}
+
+void Broadcaster::acknowledge(const Acknowledgement &acknowledgement)
+{
+    std::erase_if(m_outstanding, [&](const Outstanding &outstanding) {
+        return outstanding.child == acknowledgement.host && outstanding.message.origin == acknowledgement.origin
+            && outstanding.message.number == acknowledgement.number;
+    });
+}
+
+void Broadcaster::tick(SteadyTime now)
+{
+    std::vector<Outstanding> orphaned;
+    for (auto &outstanding : m_outstanding) {
+        if (now - outstanding.sent < AcknowledgementTime) {
+            continue;
+        }
+        if (!outstanding.message.rest.empty()) {
+            orphaned.push_back(outstanding);
+            outstanding.message.rest.clear();
+        }
+        ++outstanding.attempts;
+        outstanding.sent = now;
+        if (outstanding.attempts <= AttemptLimit) {
+            m_deliveries.emplace_back(outstanding.child, outstanding.message);
+        }
+    }
+    std::erase_if(m_outstanding, [](const Outstanding &outstanding) { return outstanding.attempts > AttemptLimit; });
+    for (auto &part : orphaned) {
+        forward(part.message, part.message.rest, now);
+    }
+}
+
+std::vector<Broadcaster::Delivery> Broadcaster::takeDeliveries()
+{
+    return std::exchange(m_deliveries, {});
+}
+
+void Broadcaster::forward(BroadcastMessage message, const std::vector<std::uint64_t> &receivers, SteadyTime now)
+{
+    for (auto &branch : FanOutTree::split(receivers)) {
+        message.rest = std::move(branch.rest);
+        m_deliveries.emplace_back(branch.child, message);
+        m_outstanding.push_back(Outstanding{branch.child, message, now});
+    }
+}
+
+bool Broadcaster::remember(const BroadcastMessage &message, std::uint64_t part)
+{
+    const SeenKey key(message.origin, message.number, part);
+    if (!m_seen.insert(key).second) {
+        return false;
+    }
+    m_seenOrder.push_back(key);
+    if (m_seenOrder.size() > RememberedMessages) {
+        m_seen.erase(m_seenOrder.front());
+        m_seenOrder.pop_front();
+    }
+    return true;
+}
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/membership/configurationrepair.cpp
@@ -0,0 +1,157 @@
+#include "membership/configurationrepair.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace Cardamomhill::internal
+{
+
+namespace
+{
+
+// Keeps one answer short enough that it does not delay others on the connection for long; a value has at most 1 MB.
+constexpr std::size_t AnswerLimit = 512 * 1024;
+constexpr std::size_t ObjectOverhead = 64;
+constexpr unsigned BucketShift = 58;
+
+class AnswerBuilder
+{
+public:
+    AnswerBuilder(const ForceGate &gate, bool onlyInForce)
+        : m_gate(gate)
+        , m_onlyInForce(onlyInForce)
+    {
+    }
+
+    void addObject(const VersionedObject &object)
+    {
+        const bool inForce = !m_gate.isHeld(object.key);
+        if (!inForce && m_onlyInForce) {
+            return;
+        }
+        if (m_bytes > AnswerLimit) {
+            m_message.isComplete = false;
+            return;
+        }
+        m_bytes += object.key.name.size() + object.value.size() + ObjectOverhead;
+        m_message.objects.push_back(HeldObject{object, inForce});
+    }
+
+    void addVersion(const VersionedObject &object)
+    {
+        if (!m_onlyInForce || !m_gate.isHeld(object.key)) {
+            m_message.versions.emplace_back(ObjectStore::keyHash(object.key), object.version);
+        }
+    }
+
+    ObjectsMessage take(bool isComplete)
+    {
+        m_message.isComplete = m_message.isComplete && isComplete;
+        return std::move(m_message);
+    }
+
+private:
+    const ForceGate &m_gate;
+    bool m_onlyInForce;
+    std::size_t m_bytes = 0;
+    ObjectsMessage m_message;
+};
+
+DigestScope scopeOf(bool isAgent)
+{
+    return isAgent ? DigestScope::WithoutOrganisations : DigestScope::All;
+}
+
+ObjectsMessage newerObjects(const ObjectStore &store, AnswerBuilder builder, const RepairRequest &request)
+{
+    const auto changes = store.changesAfter(request.highestRevision);
+    if (!changes.has_value()) {
+        return builder.take(false);
+    }
+    for (const auto *object : *changes) {
+        if (!request.isAgent || object->key.kind != ObjectStore::OrganisationKind) {
+            builder.addObject(*object);
+        }
+    }
+    return builder.take(true);
+}
+
+} // namespace
+
+RepairRequest fullRepairRequest(const ObjectStore &store, DigestScope scope)
+{
+    const auto &digests = store.digests(scope);
+    RepairRequest request;
+    request.highestRevision = store.highestRevision();
+    request.digests.assign(digests.begin(), digests.end());
+    request.isAgent = scope == DigestScope::WithoutOrganisations;
+    return request;
+}
+
+ObjectsMessage answerRepair(const ObjectStore &store, const ForceGate &gate, const RepairRequest &request)
+{
+    AnswerBuilder builder(gate, request.isAgent && !request.isJoining);
+    if (request.digests.size() != ObjectStore::BucketCount) {
+        return newerObjects(store, std::move(builder), request);
+    }
+    const auto scope = scopeOf(request.isAgent);
+    const auto &own = store.digests(scope);
+    for (std::size_t bucket = 0; bucket < ObjectStore::BucketCount; ++bucket) {
+        if (own.at(bucket) == request.digests.at(bucket)) {
+            continue;
+        }
+        // A bucket that is empty at the receiver is sent as it is; otherwise the receiver chooses.
+        for (const auto *object : store.objectsIn(bucket, scope)) {
+            if (request.digests.at(bucket) == 0) {
+                builder.addObject(*object);
+            } else {
+                builder.addVersion(*object);
+            }
+        }
+    }
+    return builder.take(true);
+}
+
+ObjectsMessage answerFetch(const ObjectStore &store, const ForceGate &gate, const FetchRequest &request)
+{
+    std::array<std::vector<std::uint64_t>, ObjectStore::BucketCount> wanted;
+    for (const auto key : request.keys) {
+        wanted.at(key >> BucketShift).push_back(key);
+    }
+    AnswerBuilder builder(gate, false);
+    for (std::size_t bucket = 0; bucket < ObjectStore::BucketCount; ++bucket) {
+        auto &keys = wanted.at(bucket);
+        if (keys.empty()) {
+            continue;
+        }
+        std::sort(keys.begin(), keys.end());
+        for (const auto *object : store.objectsIn(bucket, scopeOf(request.isAgent))) {
+            if (std::binary_search(keys.begin(), keys.end(), ObjectStore::keyHash(object->key))) {
+                builder.addObject(*object);
+            }
+        }
+    }
+    return builder.take(request.isComplete);
+}
+
+std::vector<std::uint64_t> lackingKeys(const ObjectStore &store, const ObjectsMessage &message)
+{
+    std::array<std::optional<std::unordered_map<std::uint64_t, std::uint64_t>>, ObjectStore::BucketCount> known;
+    std::vector<std::uint64_t> lacking;
+    for (const auto &[key, version] : message.versions) {
+        auto &bucket = known.at(key >> BucketShift);
+        if (!bucket.has_value()) {
+            bucket.emplace();
+            for (const auto *object : store.objectsIn(key >> BucketShift)) {
+                bucket->emplace(ObjectStore::keyHash(object->key), object->version);
+            }
+        }
+        const auto found = bucket->find(key);
+        if (found == bucket->end() || found->second < version) {
+            lacking.push_back(key);
+        }
+    }
+    return lacking;
+}
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/membership/gossipnode.cpp
@@ -0,0 +1,689 @@
+#include "membership/gossipnode.h"
+
+#include "core/hash.h"
+#include "membership/configurationrepair.h"
+#include "membership/relayselection.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds GossipPeriod(1000);
+// Bytes for rows in a gossip message. A host sends and receives one such message and its answer each second; with 79
+// hosts and 336 servers this keeps all control traffic below 2 KB/s (docs/membership.md).
+constexpr std::size_t GossipRowBytes = 520;
+constexpr std::size_t AnswerRowBytes = 60;
+// An answer arrives within a few milliseconds. Three unanswered probes are no accident at 5% loss (1 in 1,000).
+constexpr Milliseconds ProbeTime(400);
+constexpr std::size_t ProbeAttempts = 3;
+// Ticks come every 100 ms; after a longer gap the process was paused.
+constexpr Milliseconds PauseThreshold(2000);
+constexpr Milliseconds StageTime(300);
+constexpr std::size_t StageAttempts = 10;
+// Larger batches, such as the first list of a relay, spread by the repair of whole buckets instead.
+constexpr std::size_t StageLimit = 256;
+// A difference that a peer with an older copy shows is usually a change on its way.
+constexpr std::size_t ToleratedMismatches = 2;
+constexpr std::size_t BroadcastBytes = 256 * 1024;
+
+MemberState stateOf(std::uint8_t state)
+{
+    return static_cast<MemberState>(state);
+}
+
+std::uint8_t stateValue(MemberState state)
+{
+    return static_cast<std::uint8_t>(state);
+}
+
+} // namespace
+
+GossipNode::GossipNode(HostIdentity identity)
+    : m_identity(std::move(identity))
+    , m_self(MemberTable::hashOf(m_identity.host))
+    , m_domain(hash64(m_identity.domain.value()))
+    , m_broadcaster(m_self, static_cast<std::uint64_t>(m_identity.start.time_since_epoch().count()))
+{
+    m_row.name = m_identity.host.value();
+    m_row.address = m_identity.address.value();
+    m_row.incarnation = static_cast<std::uint64_t>(m_identity.start.time_since_epoch().count());
+    m_row.state = stateValue(MemberState::Live);
+    m_table.mergeHost(m_row, SteadyTime());
+}
+
+void GossipNode::setSeeds(const std::vector<NodeAddress> &seeds)
+{
+    m_seeds.clear();
+    for (const auto &seed : seeds) {
+        if (seed != m_identity.address) {
+            m_seeds.insert(seed);
+            if (!m_isReady) {
+                m_join.expect(seed);
+            }
+        }
+    }
+}
+
+void GossipNode::tick(SteadyTime now, Random &random)
+{
+    noticePause(now);
+    join(now, random);
+    if (now >= m_nextGossip) {
+        gossip(now, random);
+    }
+    checkProbes(now, random);
+    for (const auto &row : m_table.expire(now)) {
+        broadcastHost(row, now, random);
+    }
+    checkAgents(now, random);
+    checkStages(now, random);
+    releaseHeld(now, random);
+    m_broadcaster.tick(now);
+    flushBroadcasts();
+}
+
+Result<void, MembershipError>
+GossipNode::onMessage(const NodeAddress &from, std::string_view bytes, SteadyTime now, Random &random)
+{
+    const auto decoded = decodeMembershipMessage(bytes);
+    if (!decoded) {
+        return failure(decoded.error());
+    }
+    const auto &message = decoded.value();
+    const auto *gossip = std::get_if<GossipMessage>(&message);
+    const auto *report = std::get_if<AgentReport>(&message);
+    if ((gossip != nullptr && gossip->domain != m_domain) || (report != nullptr && report->domain != m_domain)) {
+        return failure(MembershipError{MembershipErrorCode::WrongDomain, from.value()});
+    }
+    std::visit([&](const auto &content) { handle(from, content, now, random); }, message);
+    releaseHeld(now, random);
+    flushBroadcasts();
+    return success();
+}
+
+void GossipNode::onPlatformObjects(const std::vector<VersionedObject> &objects,
+                                   std::uint64_t completeThrough,
+                                   SteadyTime now,
+                                   Random &random)
+{
+    std::vector<VersionedObject> toStage;
+    for (const auto &object : objects) {
+        const bool changed = m_store.merge(object);
+        if (!m_isReady) {
+            continue;
+        }
+        if (changed) {
+            m_gate.hold(object.key, object.version);
+            toStage.push_back(object);
+        }
+        if (m_gate.isHeld(object.key)) {
+            m_toBroadcast.insert(object.key);
+        }
+    }
+    m_completeThrough = std::max(m_completeThrough, completeThrough);
+    if (!m_isReady && m_completeThrough > 0 && m_join.needsPlatform(now)) {
+        becomeReady(now, random);
+    }
+    stage(toStage, now, random);
+    releaseHeld(now, random);
+    flushBroadcasts();
+}
+
+void GossipNode::setPlatformContact(bool reachesPlatform, SteadyTime now)
+{
+    if (m_row.lacksPlatform == reachesPlatform) {
+        m_row.lacksPlatform = !reachesPlatform;
+        ++m_row.change;
+        m_table.mergeHost(m_row, now);
+    }
+}
+
+void GossipNode::observeServer(const ServerRow &row, SteadyTime now)
+{
+    m_table.mergeServer(row, now);
+}
+
+void GossipNode::leave(SteadyTime now, Random &random)
+{
+    m_row.state = stateValue(MemberState::Leaving);
+    m_table.mergeHost(m_row, now);
+    broadcastHost(m_row, now, random);
+    flushBroadcasts();
+}
+
+bool GossipNode::shouldFollow(SteadyTime now) const
+{
+    const bool mayFollow = m_isReady || m_join.needsPlatform(now);
+    return mayFollow && RelaySelection::isRelay(m_identity.host, m_identity.domain, m_table.hosts());
+}
+
+bool GossipNode::hasConfiguration() const
+{
+    return m_isReady;
+}
+
+std::uint64_t GossipNode::completeThrough() const
+{
+    return m_completeThrough;
+}
+
+const ObjectStore &GossipNode::store() const
+{
+    return m_store;
+}
+
+const MemberTable &GossipNode::members() const
+{
+    return m_table;
+}
+
+std::vector<OutgoingMessage> GossipNode::takeMessages()
+{
+    return std::exchange(m_messages, {});
+}
+
+std::vector<VersionedObject> GossipNode::takeInForce()
+{
+    return std::exchange(m_inForce, {});
+}
+
+void GossipNode::handle(const NodeAddress &from, const GossipMessage &message, SteadyTime now, Random &random)
+{
+    mergeRows({message.sender}, {}, now, random);
+    mergeRows(message.hosts, message.servers, now, random);
+    if (message.isAnswer) {
+        m_probes.erase(from);
+    } else {
+        answerGossip(from, message, now);
+    }
+    compareConfiguration(from, message.configuration, now);
+}
+
+void GossipNode::handle(const NodeAddress &from, const RepairRequest &message, SteadyTime, Random &)
+{
+    send(from, internal::answerRepair(m_store, m_gate, message));
+}
+
+void GossipNode::handle(const NodeAddress &from, const FetchRequest &message, SteadyTime, Random &)
+{
+    send(from, internal::answerFetch(m_store, m_gate, message));
+}
+
+void GossipNode::handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime, Random &)
+{
+    const auto sender = hostAt(from);
+    for (const auto &held : message.objects) {
+        take(held, sender);
+    }
+    if (message.number != 0) {
+        send(from, Acknowledgement{m_self, 0, message.number});
+        return;
+    }
+    auto lacking = internal::lackingKeys(m_store, message);
+    if (!lacking.empty()) {
+        send(from, FetchRequest{std::move(lacking), false, message.isComplete});
+    } else if (!message.isComplete) {
+        requestRepair(from, true);
+    } else {
+        m_join.received(from);
+    }
+}
+
+void GossipNode::handle(const NodeAddress &from, const BroadcastMessage &message, SteadyTime now, Random &random)
+{
+    // The acknowledgement promises that the objects are held, so they are taken first; a repetition changes nothing.
+    for (const auto &held : message.objects) {
+        take(held, hostAt(from));
+    }
+    mergeRows(message.hosts, message.servers, now, random);
+    m_broadcaster.receive(message, hostAt(from), now);
+}
+
+void GossipNode::handle(const NodeAddress &, const Acknowledgement &message, SteadyTime, Random &)
+{
+    if (message.origin != 0) {
+        m_broadcaster.acknowledge(message);
+        return;
+    }
+    const auto stage = m_stages.find(message.number);
+    if (stage != m_stages.end()) {
+        for (const auto &held : stage->second.message.objects) {
+            m_gate.addHolder(held.object.key, held.object.version, message.host);
+        }
+    }
+}
+
+void GossipNode::handle(const NodeAddress &from, const AgentReport &message, SteadyTime now, Random &random)
+{
+    const auto before = m_table.serverRow(message.row.server, now);
+    m_table.mergeServer(message.row, now);
+    const auto after = m_table.serverRow(message.row.server, now);
+    const bool isLeaving = stateOf(after->state) == MemberState::Leaving;
+    const bool isNew
+        = !before.has_value() || before->incarnation != after->incarnation || before->state != after->state;
+    // One of the agent's two entry hosts announces it, and both announce that it leaves.
+    if (isNew && (isLeaving || message.rank == 0)) {
+        BroadcastMessage notice;
+        notice.servers.push_back(*after);
+        broadcast(std::move(notice), now, random);
+    }
+    m_agents.reported(from, message, now);
+    AgentAnswer answer;
+    answer.number = message.number;
+    answer.host = m_identity.host.value();
+    answer.configuration = summary(DigestScope::WithoutOrganisations);
+    answer.incarnation = after->incarnation;
+    answer.state = after->state;
+    answer.isLeaving = stateOf(m_row.state) == MemberState::Leaving;
+    send(from, answer);
+}
+
+void GossipNode::handle(const NodeAddress &, const AgentAnswer &, SteadyTime, Random &)
+{
+    // Meant for agents; a process that took over the address of an agent may receive a late one.
+}
+
+void GossipNode::noticePause(SteadyTime now)
+{
+    if (m_lastTick.has_value() && now - *m_lastTick > PauseThreshold) {
+        const auto pause = now - *m_lastTick;
+        m_probes.clear();
+        m_table.shiftTimes(pause);
+        m_agents.shiftTimes(pause);
+        m_join.shiftTimes(pause);
+    }
+    m_lastTick = now;
+}
+
+void GossipNode::join(SteadyTime now, Random &random)
+{
+    if (m_isReady) {
+        return;
+    }
+    for (const auto &address : m_join.hostsToAsk(now)) {
+        auto message = gossipMessage(0, false);
+        message.isJoining = true;
+        send(address, message);
+    }
+    if (m_join.isComplete(now)) {
+        becomeReady(now, random);
+    }
+}
+
+void GossipNode::becomeReady(SteadyTime now, Random &random)
+{
+    m_isReady = true;
+    m_store.forEach([this](const VersionedObject &object) { m_inForce.push_back(object); });
+    broadcastHost(m_row, now, random);
+}
+
+void GossipNode::gossip(SteadyTime now, Random &random)
+{
+    // A small random part keeps hosts that started together from sending together.
+    std::uniform_int_distribution<Milliseconds::rep> jitter(-50, 50);
+    m_nextGossip = now + GossipPeriod + Milliseconds(jitter(random));
+    if (const auto peer = nextPeer(random); peer.has_value()) {
+        probe(NodeAddress(m_table.host(*peer)->address), now);
+    }
+    probeOneMissing(random);
+}
+
+void GossipNode::probe(const NodeAddress &address, SteadyTime now)
+{
+    auto message = gossipMessage(++m_number, false);
+    auto rows = m_table.rowsToSend(GossipRowBytes, now);
+    message.hosts = std::move(rows.hosts);
+    message.servers = std::move(rows.servers);
+    m_probes.try_emplace(address, Probe{message.number, address, now});
+    send(address, message);
+}
+
+void GossipNode::probeOneMissing(Random &random)
+{
+    // Hosts that are thought dead or were never heard of are tried as well, so that the parts of a domain find each
+    // other after a partition.
+    std::vector<NodeAddress> missing;
+    std::set<NodeAddress> known;
+    for (const auto &row : m_table.hosts()) {
+        known.emplace(row.address);
+        if (stateOf(row.state) == MemberState::Dead) {
+            missing.emplace_back(row.address);
+        }
+    }
+    std::set_difference(m_seeds.begin(), m_seeds.end(), known.begin(), known.end(), std::back_inserter(missing));
+    if (!missing.empty()) {
+        std::uniform_int_distribution<std::size_t> choice(0, missing.size() - 1);
+        const auto &address = missing.at(choice(random));
+        auto message = gossipMessage(++m_number, false);
+        for (const auto &row : m_table.hosts()) {
+            if (row.address == address.value()) {
+                message.hosts.push_back(row);
+            }
+        }
+        send(address, message);
+    }
+}
+
+void GossipNode::checkProbes(SteadyTime now, Random &random)
+{
+    std::vector<NodeAddress> failed;
+    for (auto &[address, probe] : m_probes) {
+        if (now - probe.sent < ProbeTime) {
+            continue;
+        }
+        probe.sent = now;
+        if (++probe.attempts <= ProbeAttempts) {
+            send(address, gossipMessage(probe.number, false));
+        } else {
+            failed.push_back(address);
+        }
+    }
+    for (const auto &address : failed) {
+        m_probes.erase(address);
+        const auto *row = m_table.host(hostAt(address));
+        if (row != nullptr && stateOf(row->state) == MemberState::Live) {
+            auto suspect = *row;
+            suspect.state = stateValue(MemberState::Suspect);
+            m_table.mergeHost(suspect, now);
+            broadcastHost(suspect, now, random);
+        }
+    }
+}
+
+void GossipNode::checkAgents(SteadyTime now, Random &random)
+{
+    const auto own = summary(DigestScope::WithoutOrganisations);
+    for (const auto &address : m_agents.agentsToRemind(own.digest, now)) {
+        AgentAnswer reminder;
+        reminder.host = m_identity.host.value();
+        reminder.configuration = own;
+        send(address, reminder);
+    }
+    for (const auto server : m_agents.takeSilent(now)) {
+        auto row = m_table.serverRow(server, now);
+        if (row.has_value() && stateOf(row->state) == MemberState::Live) {
+            row->state = stateValue(MemberState::Suspect);
+            m_table.mergeServer(*row, now);
+            BroadcastMessage notice;
+            notice.servers.push_back(*row);
+            broadcast(std::move(notice), now, random);
+        }
+    }
+}
+
+void GossipNode::checkStages(SteadyTime now, Random &random)
+{
+    std::erase_if(m_stages, [this](const auto &entry) {
+        const auto &objects = entry.second.message.objects;
+        const bool isHeld = std::any_of(
+            objects.begin(), objects.end(), [this](const HeldObject &held) { return m_gate.isHeld(held.object.key); });
+        return !isHeld || entry.second.attempts >= StageAttempts;
+    });
+    for (auto &[number, stage] : m_stages) {
+        if (now - stage.sent >= StageTime) {
+            sendStage(stage, now, random);
+        }
+    }
+}
+
+std::optional<std::uint64_t> GossipNode::nextPeer(Random &random)
+{
+    // Each peer once in random order, then again: a dead host is found within n seconds even when few hosts probe.
+    const auto isPeer = [this](std::uint64_t hash) {
+        const auto *row = m_table.host(hash);
+        return hash != m_self && row != nullptr && stateOf(row->state) != MemberState::Dead;
+    };
+    if (m_peerOrder.empty()) {
+        for (const auto state : {MemberState::Live, MemberState::Suspect, MemberState::Leaving}) {
+            const auto hosts = m_table.hostsIn(state);
+            std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(m_peerOrder), isPeer);
+        }
+        std::shuffle(m_peerOrder.begin(), m_peerOrder.end(), random);
+    }
+    while (!m_peerOrder.empty()) {
+        const auto peer = m_peerOrder.back();
+        m_peerOrder.pop_back();
+        if (isPeer(peer)) {
+            return peer;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<std::uint64_t> GossipNode::livePeers() const
+{
+    auto peers = m_table.hostsIn(MemberState::Live);
+    const auto leaving = m_table.hostsIn(MemberState::Leaving);
+    peers.insert(peers.end(), leaving.begin(), leaving.end());
+    std::erase(peers, m_self);
+    return peers;
+}
+
+void GossipNode::answerGossip(const NodeAddress &from, const GossipMessage &message, SteadyTime now)
+{
+    auto answer = gossipMessage(message.number, true);
+    if (message.isJoining) {
+        auto rows = m_table.allRows(now);
+        answer.hosts = std::move(rows.hosts);
+        answer.servers = std::move(rows.servers);
+    } else {
+        auto rows = m_table.rowsToSend(AnswerRowBytes, now);
+        answer.hosts = std::move(rows.hosts);
+        answer.servers = std::move(rows.servers);
+        const auto *known = m_table.host(MemberTable::hashOf(HostId(message.sender.name)));
+        if (known != nullptr && stateOf(known->state) != MemberState::Live) {
+            answer.hosts.push_back(*known);
+        }
+    }
+    send(from, answer);
+}
+
+void GossipNode::compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now)
+{
+    const bool isEqual = theirs.digest == m_store.digest();
+    if (!m_isReady) {
+        m_join.answered(from, theirs.ready, isEqual, now);
+    }
+    if (isEqual) {
+        m_mismatches = 0;
+        m_completeThrough = std::max(m_completeThrough, theirs.completeThrough);
+        m_gate.addHolderOfAll(hostAt(from));
+    } else if (!m_isReady) {
+        requestRepair(from, true);
+    } else if (theirs.highestRevision > m_store.highestRevision()) {
+        requestRepair(from, false);
+    } else if (theirs.digest != 0 && ++m_mismatches >= ToleratedMismatches) {
+        requestRepair(from, true);
+    }
+}
+
+void GossipNode::requestRepair(const NodeAddress &from, bool full)
+{
+    auto request = full ? internal::fullRepairRequest(m_store, DigestScope::All) : RepairRequest();
+    request.highestRevision = m_store.highestRevision();
+    request.isJoining = !m_isReady;
+    send(from, request);
+}
+
+void GossipNode::mergeRows(const std::vector<HostRow> &hosts,
+                           const std::vector<ServerRow> &servers,
+                           SteadyTime now,
+                           Random &random)
+{
+    for (const auto &row : hosts) {
+        mergeHost(row, now, random);
+    }
+    for (const auto &row : servers) {
+        m_table.mergeServer(row, now);
+    }
+}
+
+void GossipNode::mergeHost(const HostRow &row, SteadyTime now, Random &random)
+{
+    if (row.name != m_row.name) {
+        m_table.mergeHost(row, now);
+        if (!m_isReady && stateOf(row.state) != MemberState::Dead) {
+            m_join.expect(NodeAddress(row.address));
+        }
+        return;
+    }
+    // Any other row about this process is a suspicion, or was left by an earlier process whose clock was ahead.
+    const bool isForeign
+        = row.incarnation == m_row.incarnation && row.state != m_row.state && stateOf(row.state) != MemberState::Live;
+    if (row.incarnation > m_row.incarnation || isForeign) {
+        refute(row.incarnation, now, random);
+    }
+}
+
+void GossipNode::refute(std::uint64_t incarnation, SteadyTime now, Random &random)
+{
+    m_row.incarnation = incarnation + 1;
+    m_table.mergeHost(m_row, now);
+    broadcastHost(m_row, now, random);
+}
+
+void GossipNode::broadcast(BroadcastMessage message, SteadyTime now, Random &random)
+{
+    m_broadcaster.originate(std::move(message), livePeers(), now, random);
+}
+
+void GossipNode::broadcastHost(const HostRow &row, SteadyTime now, Random &random)
+{
+    BroadcastMessage message;
+    message.hosts.push_back(row);
+    broadcast(std::move(message), now, random);
+}
+
+void GossipNode::take(const HeldObject &held, std::uint64_t from)
+{
+    const auto &object = held.object;
+    const bool changed = m_store.merge(object);
+    if (!m_isReady) {
+        return;
+    }
+    if (changed) {
+        m_gate.hold(object.key, object.version);
+    }
+    m_gate.addHolder(object.key, object.version, from);
+    const auto *stored = m_store.find(object.key);
+    if (held.inForce && stored->version == object.version && m_gate.isHeld(object.key)) {
+        m_gate.addHolder(object.key, object.version, m_self);
+        m_gate.addHolder(object.key, object.version, 0);
+    }
+}
+
+void GossipNode::stage(const std::vector<VersionedObject> &objects, SteadyTime now, Random &random)
+{
+    if (objects.empty() || objects.size() > StageLimit) {
+        return;
+    }
+    Stage stage;
+    stage.message.number = ++m_number;
+    for (const auto &object : objects) {
+        stage.message.objects.push_back(HeldObject{object, false});
+    }
+    sendStage(m_stages.emplace(stage.message.number, std::move(stage)).first->second, now, random);
+}
+
+void GossipNode::sendStage(Stage &stage, SteadyTime now, Random &random)
+{
+    stage.sent = now;
+    ++stage.attempts;
+    auto peers = livePeers();
+    std::shuffle(peers.begin(), peers.end(), random);
+    peers.resize(std::min(peers.size(), internal::ForceGate::RequiredHolders));
+    for (const auto peer : peers) {
+        sendToHost(peer, stage.message);
+    }
+}
+
+void GossipNode::releaseHeld(SteadyTime now, Random &random)
+{
+    if (m_gate.isEmpty()) {
+        return;
+    }
+    const auto required = std::min(internal::ForceGate::RequiredHolders, livePeers().size());
+    std::vector<HeldObject> released;
+    BroadcastMessage message;
+    std::size_t bytes = 0;
+    for (const auto &key : m_gate.release(required)) {
+        const auto &object = *m_store.find(key);
+        m_inForce.push_back(object);
+        released.push_back(HeldObject{object, true});
+        if (m_toBroadcast.erase(key) > 0 && bytes < BroadcastBytes) {
+            bytes += object.value.size();
+            message.objects.push_back(released.back());
+        }
+    }
+    if (!message.objects.empty()) {
+        broadcast(std::move(message), now, random);
+    }
+    serveAgents(released, now);
+}
+
+void GossipNode::serveAgents(const std::vector<HeldObject> &objects, SteadyTime now)
+{
+    ObjectsMessage message;
+    std::copy_if(objects.begin(), objects.end(), std::back_inserter(message.objects), [](const HeldObject &held) {
+        return held.object.key.kind != ObjectStore::OrganisationKind;
+    });
+    if (message.objects.empty()) {
+        return;
+    }
+    for (const auto &address : m_agents.agentsToServe(now)) {
+        send(address, message);
+    }
+}
+
+GossipMessage GossipNode::gossipMessage(std::uint64_t number, bool isAnswer) const
+{
+    GossipMessage message;
+    message.number = number;
+    message.isAnswer = isAnswer;
+    message.domain = m_domain;
+    message.sender = m_row;
+    message.configuration = summary(DigestScope::All);
+    return message;
+}
+
+ConfigurationSummary GossipNode::summary(DigestScope scope) const
+{
+    return ConfigurationSummary{m_store.digest(scope), m_store.highestRevision(), m_completeThrough, m_isReady};
+}
+
+std::uint64_t GossipNode::hostAt(const NodeAddress &address) const
+{
+    for (const auto &row : m_table.hosts()) {
+        if (row.address == address.value()) {
+            return MemberTable::hashOf(HostId(row.name));
+        }
+    }
+    return hash64(address.value());
+}
+
+void GossipNode::send(const NodeAddress &to, const MembershipMessage &message)
+{
+    auto bytes = encode(message);
+    const auto channel = bytes.size() <= DatagramLimit ? MessageChannel::Datagram : MessageChannel::Connection;
+    m_messages.push_back(OutgoingMessage{to, channel, std::move(bytes)});
+}
+
+void GossipNode::sendToHost(std::uint64_t host, const MembershipMessage &message)
+{
+    if (const auto *row = m_table.host(host); row != nullptr) {
+        send(NodeAddress(row->address), message);
+    }
+}
+
+void GossipNode::flushBroadcasts()
+{
+    for (const auto &[host, message] : m_broadcaster.takeDeliveries()) {
+        sendToHost(host, message);
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/membership/membershipmessage.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "core/result.h"
+#include "membership/heldobject.h"
+#include "membership/hostrow.h"
+#include "membership/membershiperror.h"
+#include "membership/serverrow.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <msgpack.hpp>
+
+namespace Cardamomhill
+{
+
+/// The largest message that is sent as a datagram. With the headers of IP and UDP it stays below the smallest
+/// usual MTU of 1,280 bytes.
+constexpr std::size_t DatagramLimit = 900;
+
+/// State of a process's copy of the configuration.
+struct ConfigurationSummary {
+    std::uint64_t digest = 0;
+    std::uint64_t highestRevision = 0;
+    /// All changes up to this revision are in the copy.
+    std::uint64_t completeThrough = 0;
+    /// The process has a whole configuration in force.
+    bool ready = false;
+
+    MSGPACK_DEFINE_ARRAY(digest, highestRevision, completeThrough, ready)
+};
+
+/// Sent to one random peer each second; its answer shows that the peer is alive.
+struct GossipMessage {
+    std::uint64_t number = 0;
+    bool isAnswer = false;
+    /// The sender has just started and asks each peer for its configuration.
+    bool isJoining = false;
+    /// Hash of the sender's failure domain.
+    std::uint64_t domain = 0;
+    HostRow sender;
+    ConfigurationSummary configuration;
+    std::vector<HostRow> hosts;
+    std::vector<ServerRow> servers;
+
+    MSGPACK_DEFINE_ARRAY(number, isAnswer, isJoining, domain, sender, configuration, hosts, servers)
+};
+
+/// Asks for the objects that the sender lacks. Without digests only what is newer than the highest revision.
+struct RepairRequest {
+    std::uint64_t highestRevision = 0;
+    /// Empty, or one digest for each bucket.
+    std::vector<std::uint64_t> digests;
+    bool isAgent = false;
+    bool isJoining = false;
+
+    MSGPACK_DEFINE_ARRAY(highestRevision, digests, isAgent, isJoining)
+};
+
+/// Asks for objects by the hashes of their keys.
+struct FetchRequest {
+    std::vector<std::uint64_t> keys;
+    bool isAgent = false;
+    /// Copied into the answer.
+    bool isComplete = true;
+
+    MSGPACK_DEFINE_ARRAY(keys, isAgent, isComplete)
+};
+
+/// Objects for one receiver.
+struct ObjectsMessage {
+    /// Not 0 when the receiver is to acknowledge.
+    std::uint64_t number = 0;
+    std::vector<HeldObject> objects;
+    /// Key hashes and versions of all objects in buckets that differ; the receiver fetches what it lacks.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> versions;
+    /// False when there is more to ask for.
+    bool isComplete = true;
+
+    MSGPACK_DEFINE_ARRAY(number, objects, versions, isComplete)
+};
+
+/// A change for all live members, passed on down the fan-out tree.
+struct BroadcastMessage {
+    std::uint64_t origin = 0;
+    std::uint64_t number = 0;
+    std::vector<HeldObject> objects;
+    std::vector<HostRow> hosts;
+    std::vector<ServerRow> servers;
+    /// Hashes of the hosts that the receiver is to pass the message on to.
+    std::vector<std::uint64_t> rest;
+
+    MSGPACK_DEFINE_ARRAY(origin, number, objects, hosts, servers, rest)
+};
+
+/// The receiver has taken the message.
+struct Acknowledgement {
+    /// Hash of the acknowledging host.
+    std::uint64_t host = 0;
+    /// 0 for an ObjectsMessage.
+    std::uint64_t origin = 0;
+    std::uint64_t number = 0;
+
+    MSGPACK_DEFINE_ARRAY(host, origin, number)
+};
+
+/// An agent's report to an entry host of its failure domain.
+struct AgentReport {
+    std::uint64_t number = 0;
+    /// Hash of the agent's failure domain.
+    std::uint64_t domain = 0;
+    ServerRow row;
+    ConfigurationSummary configuration;
+    /// 0 for the entry host that sends changes to the agent at once, 1 for the one that steps in.
+    std::uint8_t rank = 0;
+
+    MSGPACK_DEFINE_ARRAY(number, domain, row, configuration, rank)
+};
+
+/// The answer of the entry host.
+struct AgentAnswer {
+    /// Number of the report, or 0 when sent unasked because the agent's copy differs.
+    std::uint64_t number = 0;
+    std::string host;
+    ConfigurationSummary configuration;
+    /// What the entry hosts know of the agent; it refutes a suspicion.
+    std::uint64_t incarnation = 0;
+    std::uint8_t state = 0;
+    /// The entry host is leaving, so the agent should report to another one.
+    bool isLeaving = false;
+
+    MSGPACK_DEFINE_ARRAY(number, host, configuration, incarnation, state, isLeaving)
+};
+
+using MembershipMessage = std::variant<GossipMessage,
+                                       RepairRequest,
+                                       FetchRequest,
+                                       ObjectsMessage,
+                                       BroadcastMessage,
+                                       Acknowledgement,
+                                       AgentReport,
+                                       AgentAnswer>;
+
+/// msgpack array of format version, type and content.
+std::string encode(const MembershipMessage &message);
+
+Result<MembershipMessage, MembershipError> decodeMembershipMessage(std::string_view bytes);
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/membership/membertable.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "membership/memberrows.h"
+#include "membership/serverload.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// The entry hosts and backend servers of a failure domain with their states and loads.
+///
+/// Rows merge by incarnation; within an incarnation the state advances from live over suspect and dead to leaving, and
+/// the load with the highest sequence number wins. Order and duplicates of messages do not matter, and a process that
+/// was paused cannot turn a newer row back.
+class MemberTable
+{
+public:
+    /// Takes what is newer in the row. Returns whether anything changed.
+    bool mergeHost(const HostRow &row, SteadyTime now);
+
+    /// As mergeHost(). Small changes of the load do not count as news for other hosts until 30 s have passed.
+    bool mergeServer(const ServerRow &row, SteadyTime now);
+
+    /// The row of the host with the hash, or null.
+    const HostRow *host(std::uint64_t hash) const;
+
+    std::vector<HostRow> hosts() const;
+
+    std::size_t hostCount() const;
+
+    std::size_t serverCount() const;
+
+    std::optional<ServerLoad> server(const BackendServerId &server) const;
+
+    /// The row of the server with its age at this moment, if known.
+    std::optional<ServerRow> serverRow(std::uint64_t server, SteadyTime now) const;
+
+    /// Chooses rows for a message: first those sent the fewest times, and among these the freshest. Each row is sent
+    /// 3 * log2(n + 1) times after a change. Space that is left goes to one further row, in turn.
+    MemberRows rowsToSend(std::size_t byteBudget, SteadyTime now);
+
+    /// All rows, for a process that has just started.
+    MemberRows allRows(SteadyTime now) const;
+
+    /// Hosts in this state, by hash.
+    std::vector<std::uint64_t> hostsIn(MemberState state) const;
+
+    /// Hosts and servers that were suspect for long become dead, and dead and leaving ones are forgotten after a while.
+    /// A server without any news for minutes becomes suspect. Returns the hosts that became dead.
+    std::vector<HostRow> expire(SteadyTime now);
+
+    /// Moves all times forward after the process was paused, so that it does not count the pause against others.
+    void shiftTimes(Microseconds pause);
+
+    static std::uint64_t hashOf(const HostId &host);
+    static std::uint64_t hashOf(const BackendServerId &server);
+
+private:
+    struct Host {
+        HostRow row;
+        SteadyTime changed;
+        std::uint32_t sent = 0;
+    };
+    struct Server {
+        ServerRow row;
+        LoadReport announced;
+        SteadyTime changed;
+        SteadyTime announcedAt;
+        SteadyTime refreshed;
+        SteadyTime reportedAt;
+        std::uint32_t sent = 0;
+    };
+
+    std::uint32_t transmissionLimit() const;
+    void announce(Server &server, SteadyTime now) const;
+    static bool isSignificant(const Server &server, SteadyTime now);
+    static ServerRow agedRow(const Server &server, SteadyTime now);
+    std::size_t addHosts(MemberRows &rows, std::size_t budget);
+    std::size_t addServers(MemberRows &rows, std::size_t budget, SteadyTime now);
+    void addFiller(MemberRows &rows, std::size_t budget, SteadyTime now);
+    void expireServers(SteadyTime now);
+
+    // Keyed by the hash of the name.
+    std::map<std::uint64_t, Host> m_hosts;
+    std::map<std::uint64_t, Server> m_servers;
+    std::uint64_t m_fillerCursor = 0;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/membership/nodeaddress.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "core/identifier.h"
+
+namespace Cardamomhill
+{
+
+/// Where a process receives control messages, such as "192.0.2.7:7400".
+using NodeAddress = Identifier<struct NodeAddressTag>;
+
+} // namespace Cardamomhill
