--- a/src/membership/agentreporter.cpp
+++ b/src/membership/agentreporter.cpp
@@ -179,7 +179,7 @@
     } else if (!message.isComplete) {
         requestRepair(from);
     } else {
-        m_join.received(from);
+        m_join.received(from, message.isReady);
     }
 }
 
--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -205,12 +205,16 @@
 
 void GossipNode::handle(const NodeAddress &from, const RepairRequest &message, SteadyTime, Random &)
 {
-    send(from, internal::answerRepair(m_store, m_gate, message));
+    auto answer = internal::answerRepair(m_store, m_gate, message);
+    answer.isReady = m_isReady;
+    send(from, answer);
 }
 
 void GossipNode::handle(const NodeAddress &from, const FetchRequest &message, SteadyTime, Random &)
 {
-    send(from, internal::answerFetch(m_store, m_gate, message));
+    auto answer = internal::answerFetch(m_store, m_gate, message);
+    answer.isReady = m_isReady;
+    send(from, answer);
 }
 
 void GossipNode::handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime, Random &)
@@ -229,7 +233,7 @@
     } else if (!message.isComplete) {
         requestRepair(from, true);
     } else {
-        m_join.received(from);
+        m_join.received(from, message.isReady);
     }
 }
 
--- a/src/membership/joinprogress.cpp
+++ b/src/membership/joinprogress.cpp
@@ -22,19 +22,21 @@
 void JoinProgress::answered(const NodeAddress &host, bool isReady, bool isEqual, SteadyTime now)
 {
     auto &entry = m_hosts[host];
+    // What was received from a host before it became ready may be only a part.
+    const bool becameReady = isReady && !entry.isReady;
     entry.isReady = entry.isReady || isReady;
     entry.lastAnswer = now;
     if (isEqual) {
         entry.progress = Progress::Received;
-    } else if (entry.progress == Progress::Silent) {
+    } else if (entry.progress == Progress::Silent || becameReady) {
         entry.progress = Progress::Answered;
     }
 }
 
-void JoinProgress::received(const NodeAddress &host)
+void JoinProgress::received(const NodeAddress &host, bool isReady)
 {
     const auto found = m_hosts.find(host);
-    if (found != m_hosts.end() && found->second.progress == Progress::Answered) {
+    if (found != m_hosts.end() && found->second.progress == Progress::Answered && found->second.isReady == isReady) {
         found->second.progress = Progress::Received;
     }
 }
--- a/src/membership/joinprogress.h
+++ b/src/membership/joinprogress.h
@@ -20,8 +20,8 @@
     /// The host answered; whether it has a configuration in force.
     void answered(const NodeAddress &host, bool isReady, bool isEqual, SteadyTime now);
 
-    /// All that the host holds has been received.
-    void received(const NodeAddress &host);
+    /// All that the host held was received; whether it had a configuration in force then.
+    void received(const NodeAddress &host, bool isReady);
 
     /// The hosts to ask now: those that did not answer, or whose objects have not arrived, each every 400 ms.
     std::vector<NodeAddress> hostsToAsk(SteadyTime now);
--- a/src/membership/membershipmessage.h
+++ b/src/membership/membershipmessage.h
@@ -81,8 +81,10 @@
     std::vector<std::pair<std::uint64_t, std::uint64_t>> versions;
     /// False when there is more to ask for.
     bool isComplete = true;
+    /// The sender has a whole configuration in force.
+    bool isReady = false;
 
-    MSGPACK_DEFINE_ARRAY(number, objects, versions, isComplete)
+    MSGPACK_DEFINE_ARRAY(number, objects, versions, isComplete, isReady)
 };
 
 /// A change for all live members, passed on down the fan-out tree.
