--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -6,4 +6,4 @@
 directory="${1:-build}"
 shift || true
 cmake -S . -B "$directory" -G Ninja "$@" >"/dev/null"
-cmake --build "$directory"
+cmake --build "$directory" -- -k 0
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -55,12 +55,13 @@
 YAML
 }
 
-fleet_write_agent_settings() { # NAME PORT OPERATOR ENGINE
+fleet_write_agent_settings() { # NAME PORT OPERATOR ENGINE CONTROL_PORT
     cat >"$FLEET_DIRECTORY/agent-$1.yaml" <<YAML
 backend_server: $1
 failure_domain: zona-centro
 listen: 127.0.0.1:$2
 operator_listen: $3
+control_listen: 127.0.0.1:$5
 engine: $4
 platform: $PLATFORM
 seeds: [127.0.0.1:$((PORT_BASE + 12)), 127.0.0.1:$((PORT_BASE + 15))]
@@ -71,8 +72,8 @@
     local control_a="127.0.0.1:$((PORT_BASE + 12))" control_b="127.0.0.1:$((PORT_BASE + 15))"
     fleet_write_entry_settings entry-a "$ENTRY_A" "$ENTRY_A_OPERATOR" "$control_a" "$control_b"
     fleet_write_entry_settings entry-b "$ENTRY_B" "$ENTRY_B_OPERATOR" "$control_b" "$control_a"
-    fleet_write_agent_settings chat-1 "$AGENT_ENGINE_PORT" "$AGENT_ENGINE_OPERATOR" "$ENGINE"
-    fleet_write_agent_settings orders-1 "$AGENT_PLAIN_PORT" "$AGENT_PLAIN_OPERATOR" "$PLAIN"
+    fleet_write_agent_settings chat-1 "$AGENT_ENGINE_PORT" "$AGENT_ENGINE_OPERATOR" "$ENGINE" "$((PORT_BASE + 24))"
+    fleet_write_agent_settings orders-1 "$AGENT_PLAIN_PORT" "$AGENT_PLAIN_OPERATOR" "$PLAIN" "$((PORT_BASE + 25))"
 }
 
 fleet_start() {
@@ -125,6 +126,41 @@
     done
 }
 
+# fleet_wait_floor: waits until keys that are issued now are above the floor of an owner that has just started
+# (1 s accepted ahead and 1 s clock difference, see docs/execution.md).
+fleet_wait_floor() {
+    sleep 2.2
+}
+
+# fleet_wait_slots SERVICE SERVER COUNT: waits until a backend server owns that many slots and its keys are accepted.
+fleet_wait_slots() {
+    for _ in $(seq 100); do
+        if "$PROGRAM" slots list "$1" --platform "$PLATFORM" | grep -q "^$2 owned $3 slots"; then
+            fleet_wait_floor
+            return 0
+        fi
+        sleep 0.1
+    done
+    echo "$2 does not own $3 slots of $1" >&2
+    return 1
+}
+
+# fleet_create_slots SERVICE: gives all slots of a service to orders-1.
+fleet_create_slots() {
+    "$PROGRAM" slots create "$1" --platform "$PLATFORM"
+    fleet_wait_slots "$1" orders-1 256
+}
+
+fleet_restart_entry_a() {
+    fleet_spawn entry-a "$PROGRAM" entry --settings "$FLEET_DIRECTORY/entry-a.yaml"
+    fleet_wait_ready "$ENTRY_A_OPERATOR"
+}
+
+fleet_restart_agent_orders() {
+    fleet_spawn agent-orders "$PROGRAM" agent --settings "$FLEET_DIRECTORY/agent-orders-1.yaml"
+    fleet_wait_ready "$AGENT_PLAIN_OPERATOR"
+}
+
 # fleet_stop: shuts all processes down gracefully, entry processes first, and waits for them.
 fleet_stop() {
     kill -TERM "$PID_entry_a" "$PID_entry_b"
--- a/src/agent/agentprogram.cpp
+++ b/src/agent/agentprogram.cpp
@@ -1,9 +1,8 @@
 #include "agent/agentprogram.h"
 
 #include "agent/agentserver.h"
-#include "config/backendserver.h"
 #include "config/configuration.h"
-#include "control/configurationfeed.h"
+#include "control/agentcontrol.h"
 #include "control/operatorserver.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
@@ -24,6 +23,7 @@
 {
 
 constexpr Milliseconds ExitCheckPeriod{50};
+constexpr Milliseconds LoadPeriod{200};
 
 /// The threads and parts of one agent process.
 class AgentProgram
@@ -33,13 +33,16 @@
         : m_settings(settings)
         , m_signals(m_control, SIGTERM, SIGINT)
         , m_exitTimer(m_traffic)
+        , m_loadTimer(m_traffic)
         , m_server(m_traffic,
                    {settings.backendServer, static_cast<std::uint64_t>(wallNow().time_since_epoch().count())},
                    settings.engine,
+                   settings.platform,
                    m_metrics)
-        , m_feed(m_control,
-                 settings.platform,
-                 [this](std::shared_ptr<const Configuration> configuration) { apply(std::move(configuration)); })
+        , m_agentControl(m_control,
+                         settings,
+                         m_metrics,
+                         [this](const std::shared_ptr<const Configuration> &configuration) { apply(configuration); })
         , m_operator(m_control, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
     {
     }
@@ -48,10 +51,12 @@
     {
         BOOST_OUTCOME_TRY(m_server.listen(m_settings.listen));
         BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
-        m_feed.start();
+        BOOST_OUTCOME_TRY(m_agentControl.start());
+        reportLoad();
         m_signals.async_wait([this](SystemError error, int) {
             if (!error) {
                 m_isLeaving = true;
+                m_agentControl.leave();
                 asio::post(m_traffic, [this] { leave(); });
             }
         });
@@ -63,12 +68,9 @@
     }
 
 private:
-    void apply(std::shared_ptr<const Configuration> configuration)
+    void apply(const std::shared_ptr<const Configuration> &configuration)
     {
-        asio::post(m_traffic, [this, configuration = std::move(configuration)] {
-            const auto *self = configuration->backendServer(m_settings.backendServer);
-            m_server.setCapacity(self == nullptr ? 0 : self->capacity);
-        });
+        asio::post(m_traffic, [this, configuration] { m_server.apply(*configuration); });
     }
 
     void leave()
@@ -83,9 +85,22 @@
         m_exitTimer.async_wait([this](SystemError) { leave(); });
     }
 
+    /// Hands the load from the traffic thread to the control thread.
+    void reportLoad()
+    {
+        m_loadTimer.expires_after(LoadPeriod);
+        m_loadTimer.async_wait([this](SystemError error) {
+            if (error) {
+                return;
+            }
+            asio::post(m_control, [this, load = m_server.load()] { m_agentControl.setLoad(load); });
+            reportLoad();
+        });
+    }
+
     bool isReady() const
     {
-        return m_feed.isReady() && !m_isLeaving;
+        return m_agentControl.isReady() && !m_isLeaving;
     }
 
     std::string status() const
@@ -93,6 +108,7 @@
         return nlohmann::json{{"backend_server", m_settings.backendServer.value()},
                               {"failure_domain", m_settings.failureDomain.value()},
                               {"ready", isReady()},
+                              {"configuration_version", m_agentControl.configurationVersion()},
                               {"leaving", m_isLeaving.load()}}
             .dump();
     }
@@ -103,9 +119,10 @@
     MetricsRegistry m_metrics;
     asio::signal_set m_signals;
     asio::steady_timer m_exitTimer;
+    asio::steady_timer m_loadTimer;
     std::atomic<bool> m_isLeaving = false;
     AgentServer m_server;
-    ConfigurationFeed m_feed;
+    AgentControl m_agentControl;
     OperatorServer m_operator;
 };
 
--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -1,6 +1,10 @@
 #include "agent/agentserver.h"
 
-#include "agent/engineattempt.h"
+#include "agent/attemptstream.h"
+#include "agent/enginecall.h"
+#include "agent/keyedexecutions.h"
+#include "config/backendserver.h"
+#include "config/configuration.h"
 #include "logging/logexception.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
@@ -88,13 +92,18 @@
     Peer &m_peer;
 };
 
-AgentServer::AgentServer(asio::io_context &context, Identity identity, tcp::endpoint engine, MetricsRegistry &metrics)
+AgentServer::AgentServer(asio::io_context &context,
+                         Identity identity,
+                         tcp::endpoint engine,
+                         const tcp::endpoint &platform,
+                         MetricsRegistry &metrics)
     : m_context(context)
     , m_identity(std::move(identity))
     , m_engine(std::move(engine))
     , m_metrics(metrics)
     , m_acceptor(context)
     , m_housekeepingTimer(context)
+    , m_keyed(std::make_unique<KeyedExecutions>(context, m_identity.backendServer, m_engine, platform, metrics))
 {
 }
 
@@ -118,6 +127,7 @@
     }
     spawn(m_context.get_executor(), "agent-accept", acceptLoop());
     spawn(m_context.get_executor(), "agent-housekeeping", housekeepingLoop());
+    m_keyed->start();
     return success();
 }
 
@@ -184,23 +194,19 @@
 
 void AgentServer::execute(Peer &peer, const Execute &execute)
 {
-    if (findAttempt(peer.attemptId(execute.attempt))) {
+    const auto id = peer.attemptId(execute.attempt);
+    if (findAttempt(id)) {
         // The entry process asks for a running attempt only with Resume.
         return;
     }
-    if (m_isLeaving) {
+    if (m_isLeaving && execute.idempotencyKey.empty()) {
         peer.connection->send(AttemptEnded{execute.attempt, AttemptOutcome::NotRun, AttemptReason::Leaving, 0});
         return;
     }
-    start(peer, execute);
-}
-
-void AgentServer::start(Peer &peer, const Execute &execute)
-{
-    const auto attempt = std::make_shared<EngineAttempt>(m_context, m_engine, execute);
-    attempt->attach(peer.connection);
-    m_attempts[peer.attemptId(execute.attempt)] = attempt;
-    ++m_running;
+    const auto stream
+        = std::make_shared<AttemptStream>(m_context, execute.attempt, steadyNow() + Milliseconds(execute.remainingMs));
+    stream->attach(peer.connection);
+    m_attempts[id] = stream;
     logEvent(LogLevel::Info,
              "attempt-started",
              {{"request", execute.request},
@@ -208,13 +214,24 @@
               {"peer", peer.name},
               {"service", execute.service},
               {"organisation", execute.organisation}});
-    asio::co_spawn(
-        m_context, attempt->run(), [this, attempt, request = execute.request](const std::exception_ptr &exception) {
-            logException("attempt", exception);
-            --m_running;
-            m_metrics.counter("attempts_total{state=\"" + std::string(nameOf(attempt->state())) + "\"}").add();
-            logEvent(LogLevel::Info, "attempt-ended", {{"request", request}, {"state", nameOf(attempt->state())}});
-        });
+    if (execute.idempotencyKey.empty()) {
+        startEngineCall(execute, stream);
+    } else {
+        m_keyed->execute(execute, stream);
+    }
+}
+
+void AgentServer::startEngineCall(const Execute &execute, const std::shared_ptr<AttemptStream> &stream)
+{
+    ++m_running;
+    const auto call = std::make_shared<EngineCall>(m_context, m_engine, execute, stream);
+    const auto onEnd = [this, call, stream, request = execute.request](const std::exception_ptr &exception) {
+        logException("attempt", exception);
+        --m_running;
+        m_metrics.counter("attempts_total{state=\"" + std::string(nameOf(stream->state())) + "\"}").add();
+        logEvent(LogLevel::Info, "attempt-ended", {{"request", request}, {"state", nameOf(stream->state())}});
+    };
+    asio::co_spawn(m_context, call->run(), onEnd);
 }
 
 void AgentServer::resume(Peer &peer, const Resume &resume)
@@ -263,7 +280,7 @@
 
 LoadReport AgentServer::load()
 {
-    return {++m_loadSequence, static_cast<std::uint32_t>(m_running), 0, m_isLeaving ? 0 : m_capacity};
+    return {++m_loadSequence, static_cast<std::uint32_t>(runningCount()), 0, m_isLeaving ? 0 : m_capacity};
 }
 
 void AgentServer::startLeaving()
@@ -272,20 +289,23 @@
         return;
     }
     m_isLeaving = true;
-    logEvent(LogLevel::Info, "leaving", {{"running", m_running}});
+    m_keyed->leave();
+    logEvent(LogLevel::Info, "leaving", {{"running", runningCount()}});
     for (const auto &[name, peer] : m_peers) {
         peer->connection->send(LeavingNotice{m_identity.incarnation});
     }
 }
 
-void AgentServer::setCapacity(std::uint32_t capacity)
+void AgentServer::apply(const Configuration &configuration)
 {
-    m_capacity = capacity;
+    const auto *self = configuration.backendServer(m_identity.backendServer);
+    m_capacity = self == nullptr ? 0 : self->capacity;
+    m_keyed->apply(configuration);
 }
 
 std::size_t AgentServer::runningCount() const
 {
-    return m_running;
+    return m_running + m_keyed->runningCount();
 }
 
 Task<> AgentServer::housekeepingLoop()
@@ -322,7 +342,7 @@
     }
 }
 
-std::shared_ptr<EngineAttempt> AgentServer::findAttempt(const AttemptId &id) const
+std::shared_ptr<AttemptStream> AgentServer::findAttempt(const AttemptId &id) const
 {
     const auto found = m_attempts.find(id);
     return found == m_attempts.end() ? nullptr : found->second;
--- a/src/agent/agentserver.h
+++ b/src/agent/agentserver.h
@@ -16,8 +16,10 @@
 namespace Cardamomhill
 {
 
-class EngineAttempt;
+class AttemptStream;
+class Configuration;
 class FramedConnection;
+class KeyedExecutions;
 class MetricsRegistry;
 
 /// Serves the entry processes on the traffic thread of an agent.
@@ -30,7 +32,11 @@
         std::uint64_t incarnation = 0;
     };
 
-    AgentServer(asio::io_context &context, Identity identity, tcp::endpoint engine, MetricsRegistry &metrics);
+    AgentServer(asio::io_context &context,
+                Identity identity,
+                tcp::endpoint engine,
+                const tcp::endpoint &platform,
+                MetricsRegistry &metrics);
     ~AgentServer();
 
     /// Binds the agent's port. Two agents on one host exclude each other here.
@@ -39,7 +45,8 @@
     /// Takes no new work from now on and tells every connected entry process.
     void startLeaving();
 
-    void setCapacity(std::uint32_t capacity);
+    /// Puts a configuration in force.
+    void apply(const Configuration &configuration);
 
     /// Requests that run now.
     std::size_t runningCount() const;
@@ -56,14 +63,14 @@
     void handleHello(const std::shared_ptr<FramedConnection> &connection, const Hello &hello);
     void handleMessage(Peer &peer, const Message &message);
     void execute(Peer &peer, const Execute &execute);
-    void start(Peer &peer, const Execute &execute);
+    void startEngineCall(const Execute &execute, const std::shared_ptr<AttemptStream> &stream);
     void resume(Peer &peer, const Resume &resume);
     void acknowledge(Peer &peer, const Acknowledge &acknowledge);
     void cancel(const AttemptId &id);
     void sendLoad(Peer &peer, std::uint64_t heartbeatNumber);
     void forgetSettledAttempts();
     void cancelDetachedAttempts();
-    std::shared_ptr<EngineAttempt> findAttempt(const AttemptId &id) const;
+    std::shared_ptr<AttemptStream> findAttempt(const AttemptId &id) const;
 
     asio::io_context &m_context;
     Identity m_identity;
@@ -72,7 +79,8 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_housekeepingTimer;
     std::map<std::string, std::unique_ptr<Peer>> m_peers;
-    std::map<AttemptId, std::shared_ptr<EngineAttempt>> m_attempts;
+    std::map<AttemptId, std::shared_ptr<AttemptStream>> m_attempts;
+    std::unique_ptr<KeyedExecutions> m_keyed;
     std::size_t m_running = 0;
     std::uint64_t m_loadSequence = 0;
     std::uint32_t m_capacity = 0;
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -3,6 +3,7 @@
 #include "agent/agentprogram.h"
 #include "cli/commandoptions.h"
 #include "cli/objectcommand.h"
+#include "cli/slotscommand.h"
 #include "cli/statuscommand.h"
 #include "entry/entryprogram.h"
 #include "logging/logging.h"
@@ -34,6 +35,11 @@
   KIND change NAME --platform ADDRESS:PORT [--set FIELD=VALUE ...] [--file FILE]
   KIND retire NAME --platform ADDRESS:PORT
   KIND list        --platform ADDRESS:PORT
+  slots create SERVICE   --platform ADDRESS:PORT
+                                    divide the idempotency keys of a plain service among its backend servers
+  slots reassign SERVICE --platform ADDRESS:PORT --host-stopped
+                                    move the slots of retired backend servers whose hosts were stopped
+  slots list SERVICE     --platform ADDRESS:PORT
 
 Checks:
   config check entry FILE           check the settings of an entry process
@@ -141,6 +147,7 @@
         {"organisation", &objectCommand},
         {"profile", &objectCommand},
         {"service", &objectCommand},
+        {"slots", &slotsCommand},
         {"status", &statusCommand},
     };
     const auto command = options->words.empty() ? Commands.end() : Commands.find(options->words.front());
--- a/src/cli/commandoptions.cpp
+++ b/src/cli/commandoptions.cpp
@@ -10,12 +10,13 @@
 namespace
 {
 
-constexpr std::array<option, 8> LongOptions{{
+constexpr std::array<option, 9> LongOptions{{
     {"settings", required_argument, nullptr, 's'},
     {"platform", required_argument, nullptr, 'p'},
     {"operator-port", required_argument, nullptr, 'o'},
     {"set", required_argument, nullptr, 'f'},
     {"file", required_argument, nullptr, 'i'},
+    {"host-stopped", no_argument, nullptr, 'S'},
     {"help", no_argument, nullptr, 'h'},
     {"version", no_argument, nullptr, 'V'},
     {nullptr, 0, nullptr, 0},
@@ -39,6 +40,9 @@
     case 'i':
         options.valueFile = optarg;
         return true;
+    case 'S':
+        options.hostStopped = true;
+        return true;
     case 'h':
         options.help = true;
         return true;
--- a/src/cli/commandoptions.h
+++ b/src/cli/commandoptions.h
@@ -17,6 +17,8 @@
     /// "field=value" of --set; the value is JSON, or else a string.
     std::vector<std::string> assignments;
     std::string valueFile;
+    /// The operator confirms that the hosts of retired backend servers were stopped.
+    bool hostStopped = false;
     bool help = false;
     bool version = false;
 };
--- a/src/cli/objectcommand.cpp
+++ b/src/cli/objectcommand.cpp
@@ -1,9 +1,9 @@
 #include "cli/objectcommand.h"
 
-#include "cli/addresses.h"
 #include "cli/commandoptions.h"
 #include "config/configurationbuilder.h"
 #include "control/platformclient.h"
+#include "net/address.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,7 +31,7 @@
     return ExitStatus::UsageError;
 }
 
-ExitStatus runtimeError(const PlatformError &error)
+ExitStatus runtimeError(const PlatformCallError &error)
 {
     std::cerr << error.message() << '\n';
     return ExitStatus::RuntimeError;
@@ -190,7 +190,7 @@
     if (!isKnownVerb(options.words)) {
         return usageError("create NAME, change NAME, retire NAME or list");
     }
-    const auto platform = internal::parseAddress(options.platform);
+    const auto platform = parseAddress(options.platform);
     if (!platform) {
         return usageError("--platform ADDRESS:PORT is missing or wrong");
     }
--- a/src/cli/statuscommand.cpp
+++ b/src/cli/statuscommand.cpp
@@ -1,7 +1,7 @@
 #include "cli/statuscommand.h"
 
-#include "cli/addresses.h"
 #include "cli/commandoptions.h"
+#include "net/address.h"
 #include "net/httpclient.h"
 
 #include <iostream>
@@ -29,7 +29,7 @@
 
 ExitStatus statusCommand(const internal::CommandOptions &options)
 {
-    const auto endpoint = internal::parseAddress(options.operatorPort);
+    const auto endpoint = parseAddress(options.operatorPort);
     if (!endpoint) {
         std::cerr << "--operator-port ADDRESS:PORT is missing or wrong\n";
         return ExitStatus::UsageError;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -1,8 +1,10 @@
 #pragma once
 
-// The control thread of a process: configuration from the platform, and the operator port.
+// The control thread of a process: membership, configuration, calls to the platform, and the operator port.
 
-#include "control/configurationfeed.h"
+#include "control/agentcontrol.h"
+#include "control/controltransport.h"
+#include "control/entrycontrol.h"
 #include "control/operatorserver.h"
+#include "control/platformcallerror.h"
 #include "control/platformclient.h"
-#include "control/platformerror.h"
--- /dev/null
+++ b/src/control/nngsender.cpp
@@ -0,0 +1,43 @@
+#include "control/nngsender.h"
+
+#include "control/nngurl.h"
+
+#include <nng/protocol/pipeline0/push.h>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr int QueuedMessages = 64;
+
+} // namespace
+
+NngSender::NngSender(const tcp::endpoint &peer, SteadyTime now)
+    : m_openedAt(now)
+{
+    m_isOpen = nng_push0_open(&m_socket) == 0 && nng_socket_set_int(m_socket, NNG_OPT_SENDBUF, QueuedMessages) == 0
+        && nng_dial(m_socket, nngUrl(peer).c_str(), nullptr, NNG_FLAG_NONBLOCK) == 0;
+}
+
+NngSender::~NngSender()
+{
+    nng_close(m_socket);
+}
+
+bool NngSender::send(std::string_view bytes)
+{
+    if (!m_isOpen) {
+        return false;
+    }
+    // nng copies the bytes, so they are not written through this pointer.
+    return nng_send(m_socket, const_cast<char *>(bytes.data()), bytes.size(), NNG_FLAG_NONBLOCK) == 0;
+}
+
+SteadyTime NngSender::openedAt() const
+{
+    return m_openedAt;
+}
+
+} // namespace Cardamomhill
--- a/src/control/platformerror.h
+++ b/src/control/platformcallerror.h
@@ -8,7 +8,7 @@
 namespace Cardamomhill
 {
 
-enum class PlatformErrorCode : std::uint8_t {
+enum class PlatformCallErrorCode : std::uint8_t {
     /// The object has another version than the write expected.
     Conflict,
     /// The platform no longer has the changes since the given revision.
@@ -21,21 +21,21 @@
     Unavailable,
 };
 
-constexpr auto nameTable(PlatformErrorCode)
+constexpr auto nameTable(PlatformCallErrorCode)
 {
-    return std::to_array<NamedValue<PlatformErrorCode>>({
-        {PlatformErrorCode::Conflict, "conflict"},
-        {PlatformErrorCode::HistoryGone, "history-gone"},
-        {PlatformErrorCode::MalformedAnswer, "malformed-answer"},
-        {PlatformErrorCode::NotFound, "not-found"},
-        {PlatformErrorCode::NotSent, "not-sent"},
-        {PlatformErrorCode::Unavailable, "unavailable"},
+    return std::to_array<NamedValue<PlatformCallErrorCode>>({
+        {PlatformCallErrorCode::Conflict, "conflict"},
+        {PlatformCallErrorCode::HistoryGone, "history-gone"},
+        {PlatformCallErrorCode::MalformedAnswer, "malformed-answer"},
+        {PlatformCallErrorCode::NotFound, "not-found"},
+        {PlatformCallErrorCode::NotSent, "not-sent"},
+        {PlatformCallErrorCode::Unavailable, "unavailable"},
     });
 }
 
 /// Why a call to the platform failed.
-struct PlatformError {
-    PlatformErrorCode code = PlatformErrorCode::Unavailable;
+struct PlatformCallError {
+    PlatformCallErrorCode code = PlatformCallErrorCode::Unavailable;
     std::string cause;
 
     std::string message() const
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -17,20 +17,20 @@
     return "/objects/" + key.kind + "/" + key.name;
 }
 
-PlatformError errorOfStatus(const HttpResponse &response)
+PlatformCallError errorOfStatus(const HttpResponse &response)
 {
     constexpr unsigned NotFound = 404;
     constexpr unsigned Gone = 410;
     constexpr unsigned PreconditionFailed = 412;
     switch (response.status) {
     case NotFound:
-        return {PlatformErrorCode::NotFound, ""};
+        return {PlatformCallErrorCode::NotFound, ""};
     case Gone:
-        return {PlatformErrorCode::HistoryGone, ""};
+        return {PlatformCallErrorCode::HistoryGone, ""};
     case PreconditionFailed:
-        return {PlatformErrorCode::Conflict, response.body};
+        return {PlatformCallErrorCode::Conflict, response.body};
     default:
-        return {PlatformErrorCode::Unavailable, "status " + std::to_string(response.status)};
+        return {PlatformCallErrorCode::Unavailable, "status " + std::to_string(response.status)};
     }
 }
 
@@ -45,16 +45,16 @@
     return object;
 }
 
-Result<VersionedObject, PlatformError> parseObject(const std::string &body)
+Result<VersionedObject, PlatformCallError> parseObject(const std::string &body)
 {
     try {
         return objectOf(nlohmann::json::parse(body));
     } catch (const nlohmann::json::exception &error) {
-        return failure(PlatformError{PlatformErrorCode::MalformedAnswer, error.what()});
+        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
     }
 }
 
-Result<PlatformClient::Objects, PlatformError> parseObjects(const std::string &body)
+Result<PlatformClient::Objects, PlatformCallError> parseObjects(const std::string &body)
 {
     try {
         const auto json = nlohmann::json::parse(body);
@@ -65,7 +65,7 @@
         }
         return objects;
     } catch (const nlohmann::json::exception &error) {
-        return failure(PlatformError{PlatformErrorCode::MalformedAnswer, error.what()});
+        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
     }
 }
 
@@ -76,7 +76,7 @@
 {
 }
 
-Task<Result<VersionedObject, PlatformError>> PlatformClient::read(ObjectKey key)
+Task<Result<VersionedObject, PlatformCallError>> PlatformClient::read(ObjectKey key)
 {
     const auto body = co_await call(makeHttpRequest("GET", pathOf(key)), CallTimeout);
     if (body.has_error()) {
@@ -85,7 +85,7 @@
     co_return parseObject(body.value());
 }
 
-Task<Result<PlatformClient::Objects, PlatformError>> PlatformClient::list(std::string kind)
+Task<Result<PlatformClient::Objects, PlatformCallError>> PlatformClient::list(std::string kind)
 {
     const std::string path = kind.empty() ? "/objects" : "/objects/" + kind;
     const auto body = co_await call(makeHttpRequest("GET", path), CallTimeout);
@@ -95,7 +95,8 @@
     co_return parseObjects(body.value());
 }
 
-Task<Result<PlatformClient::Objects, PlatformError>> PlatformClient::watch(std::uint64_t since, Milliseconds timeout)
+Task<Result<PlatformClient::Objects, PlatformCallError>> PlatformClient::watch(std::uint64_t since,
+                                                                               Milliseconds timeout)
 {
     const std::string path = "/watch?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(timeout.count());
     const auto body = co_await call(makeHttpRequest("GET", path), timeout + WatchMargin);
@@ -105,7 +106,7 @@
     co_return parseObjects(body.value());
 }
 
-Task<Result<VersionedObject, PlatformError>>
+Task<Result<VersionedObject, PlatformCallError>>
 PlatformClient::write(ObjectKey key, std::uint64_t expectedVersion, std::string value)
 {
     auto request = makeHttpRequest("PUT", pathOf(key), std::move(value));
@@ -121,13 +122,14 @@
     co_return parseObject(body.value());
 }
 
-Task<Result<std::string, PlatformError>> PlatformClient::call(HttpRequest request, Milliseconds timeout)
+Task<Result<std::string, PlatformCallError>> PlatformClient::call(HttpRequest request, Milliseconds timeout)
 {
     constexpr unsigned FirstErrorStatus = 300;
     auto response = co_await m_client.call(std::move(request), timeout);
     if (response.has_error()) {
-        const auto code = response.error().wasNotSent ? PlatformErrorCode::NotSent : PlatformErrorCode::Unavailable;
-        co_return failure(PlatformError{code, response.error().error.message()});
+        const auto code
+            = response.error().wasNotSent ? PlatformCallErrorCode::NotSent : PlatformCallErrorCode::Unavailable;
+        co_return failure(PlatformCallError{code, response.error().error.message()});
     }
     if (response.value().status >= FirstErrorStatus) {
         co_return failure(errorOfStatus(response.value()));
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "control/platformerror.h"
+#include "control/platformcallerror.h"
 #include "core/clocktypes.h"
 #include "core/result.h"
 #include "net/asio.h"
@@ -26,19 +26,20 @@
 
     PlatformClient(asio::io_context &context, const tcp::endpoint &endpoint);
 
-    Task<Result<VersionedObject, PlatformError>> read(ObjectKey key);
+    Task<Result<VersionedObject, PlatformCallError>> read(ObjectKey key);
 
     /// All objects of a kind, or of every kind when it is empty.
-    Task<Result<Objects, PlatformError>> list(std::string kind);
+    Task<Result<Objects, PlatformCallError>> list(std::string kind);
 
     /// Waits for changes after a revision; returns none when the time is up.
-    Task<Result<Objects, PlatformError>> watch(std::uint64_t since, Milliseconds timeout);
+    Task<Result<Objects, PlatformCallError>> watch(std::uint64_t since, Milliseconds timeout);
 
     /// Writes a JSON value if the object still has the given version; 0 means that it must not exist.
-    Task<Result<VersionedObject, PlatformError>> write(ObjectKey key, std::uint64_t expectedVersion, std::string value);
+    Task<Result<VersionedObject, PlatformCallError>>
+    write(ObjectKey key, std::uint64_t expectedVersion, std::string value);
 
 private:
-    Task<Result<std::string, PlatformError>> call(HttpRequest request, Milliseconds timeout);
+    Task<Result<std::string, PlatformCallError>> call(HttpRequest request, Milliseconds timeout);
 
     HttpClient m_client;
 };
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -71,13 +71,14 @@
 
     void operator()(const HeartbeatReply &reply)
     {
-        m_link.m_observers.onLoad({reply.loadSequence, reply.running, reply.queued, reply.capacity});
+        m_link.m_observers.onLoad(m_link.m_agentIncarnation,
+                                  {reply.loadSequence, reply.running, reply.queued, reply.capacity});
     }
 
     void operator()(const LeavingNotice &notice)
     {
         m_link.m_connection->send(LeavingAcknowledged{notice.incarnation});
-        m_link.m_observers.onLeaving();
+        m_link.m_observers.onState(notice.incarnation, MemberState::Leaving);
     }
 
     /// Messages that only entry processes send.
@@ -173,7 +174,6 @@
             isGreeted = co_await greet(connection);
         }
         if (isGreeted) {
-            m_observers.onReachable(true);
             co_await supervise(connection);
         }
         m_reply.reset();
@@ -201,7 +201,6 @@
     if (!error && socket.is_open()) {
         co_return std::make_shared<FramedConnection>(std::move(socket));
     }
-    m_observers.onReachable(false);
     logEvent(LogLevel::Warning, "agent-connect-failed", {{"error", error.message()}});
     if (error == asio::error::connection_refused) {
         // Nothing listens there, so the process that held the attempts has ended.
@@ -225,7 +224,6 @@
     }
     if (!m_reply) {
         connection->close({NetErrorCode::Silent, "no answer to Hello"});
-        m_observers.onReachable(false);
     }
     co_return m_reply.has_value();
 }
@@ -243,7 +241,6 @@
         outstandingSince = outstandingSince.value_or(now);
         if (now - std::max(*outstandingSince, connection->lastReceived()) > SilenceLimit) {
             connection->close({NetErrorCode::Silent, "no heartbeat reply"});
-            m_observers.onReachable(false);
             break;
         }
         connection->send(Heartbeat{++m_heartbeatNumber});
@@ -268,9 +265,7 @@
     }
     m_agentIncarnation = reply.incarnation;
     m_reply = reply;
-    if (reply.leaving) {
-        m_observers.onLeaving();
-    }
+    m_observers.onState(reply.incarnation, reply.leaving ? MemberState::Leaving : MemberState::Live);
     sendOutstanding();
     m_wakeup.notify();
 }
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -3,6 +3,7 @@
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "core/loadreport.h"
+#include "core/memberstate.h"
 #include "net/asio.h"
 #include "net/neterror.h"
 #include "net/wakeup.h"
@@ -35,11 +36,10 @@
     };
 
     struct Observers {
-        std::function<void(const LoadReport &)> onLoad;
-        /// The backend server takes no new work.
-        std::function<void()> onLeaving;
-        /// A connection was made (true), or could not be made or was lost (false).
-        std::function<void(bool)> onReachable;
+        /// The load of the backend server, with the incarnation of its agent.
+        std::function<void(std::uint64_t, const LoadReport &)> onLoad;
+        /// Live after a greeting, Leaving when the agent takes no new work.
+        std::function<void(std::uint64_t, MemberState)> onState;
     };
 
     AgentLink(asio::io_context &context, Identity identity, tcp::endpoint endpoint, Observers observers);
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -1,7 +1,7 @@
 #include "entry/entryprogram.h"
 
 #include "config/configuration.h"
-#include "control/configurationfeed.h"
+#include "control/entrycontrol.h"
 #include "control/operatorserver.h"
 #include "entry/trafficthread.h"
 #include "logging/logging.h"
@@ -33,9 +33,11 @@
         : m_settings(settings)
         , m_signals(m_control, SIGTERM, SIGINT)
         , m_timer(m_control)
-        , m_feed(m_control,
-                 settings.platform,
-                 [this](std::shared_ptr<const Configuration> configuration) { apply(std::move(configuration)); })
+        , m_entryControl(m_control,
+                         settings,
+                         m_metrics,
+                         {[this](const std::shared_ptr<const Configuration> &configuration) { apply(configuration); },
+                          [this](const std::vector<ServerStatus> &servers) { takeServers(servers); }})
         , m_operator(m_control, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
     {
         const auto incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
@@ -50,7 +52,7 @@
             BOOST_OUTCOME_TRY(traffic->listen());
         }
         BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
-        m_feed.start();
+        BOOST_OUTCOME_TRY(m_entryControl.start());
         m_signals.async_wait([this](SystemError error, int) {
             if (!error) {
                 startDraining();
@@ -69,17 +71,24 @@
     }
 
 private:
-    void apply(std::shared_ptr<const Configuration> configuration)
+    void apply(const std::shared_ptr<const Configuration> &configuration)
     {
-        m_version = configuration->version();
         for (const auto &traffic : m_traffic) {
             asio::post(traffic->context(), [thread = traffic.get(), configuration] { thread->apply(configuration); });
         }
     }
 
+    void takeServers(const std::vector<ServerStatus> &servers)
+    {
+        for (const auto &traffic : m_traffic) {
+            asio::post(traffic->context(), [thread = traffic.get(), servers] { thread->takeServers(servers); });
+        }
+    }
+
     void startDraining()
     {
         m_isDraining = true;
+        m_entryControl.leave();
         logEvent(LogLevel::Info, "draining", {{"requests", requestCount()}});
         m_timer.expires_after(m_settings.drainGrace);
         m_timer.async_wait([this](SystemError) {
@@ -116,7 +125,7 @@
 
     bool isReady() const
     {
-        return m_feed.isReady() && !m_isDraining;
+        return m_entryControl.isReady() && !m_isDraining;
     }
 
     std::string status() const
@@ -125,7 +134,8 @@
                               {"failure_domain", m_settings.failureDomain.value()},
                               {"ready", isReady()},
                               {"draining", m_isDraining},
-                              {"configuration_version", m_version},
+                              {"configuration_version", m_entryControl.configurationVersion()},
+                              {"live_entry_hosts", m_entryControl.liveHostCount()},
                               {"requests", requestCount()}}
             .dump();
     }
@@ -136,9 +146,8 @@
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     asio::signal_set m_signals;
     asio::steady_timer m_timer;
-    ConfigurationFeed m_feed;
+    EntryControl m_entryControl;
     OperatorServer m_operator;
-    std::uint64_t m_version = 0;
     bool m_isDraining = false;
 };
 
--- a/src/entry/problem.cpp
+++ b/src/entry/problem.cpp
@@ -8,13 +8,16 @@
 std::string problemJson(const Problem &problem)
 {
     const std::string name(nameOf(problem.kind));
+    nlohmann::json document{{"type", "urn:cardamomhill:problem:" + name},
+                            {"title", name},
+                            {"status", problem.status},
+                            {"detail", problem.detail},
+                            {"outcome", problem.outcome}};
+    if (!problem.usableKey.empty()) {
+        document["idempotency_key"] = problem.usableKey;
+    }
     // Details may quote a caller's bytes, which need not be valid UTF-8.
-    return nlohmann::json{{"type", "urn:cardamomhill:problem:" + name},
-                          {"title", name},
-                          {"status", problem.status},
-                          {"detail", problem.detail},
-                          {"outcome", problem.outcome}}
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 Task<bool> sendProblem(HttpExchange &exchange, Problem problem)
--- a/src/entry/problem.h
+++ b/src/entry/problem.h
@@ -19,6 +19,8 @@
     std::string detail;
     /// When it makes sense to come back.
     std::optional<Seconds> retryAfter;
+    /// A new idempotency key whose owner can be reached, for a request that was not sent; else empty.
+    std::string usableKey = {};
 };
 
 /// The problem document (RFC 9457) in JSON.
--- a/src/entry/problemkind.h
+++ b/src/entry/problemkind.h
@@ -10,7 +10,7 @@
 /// The stable types of the problem documents (RFC 9457) that callers get.
 enum class ProblemKind : std::uint8_t {
     AnswerUnknown,
-    BackendServerFailed,
+    AttemptRejected,
     IdempotencyKeyInvalid,
     IdempotencyKeyMissing,
     IdempotencyKeyMismatch,
@@ -27,7 +27,7 @@
 {
     return std::to_array<NamedValue<ProblemKind>>({
         {ProblemKind::AnswerUnknown, "answer-unknown"},
-        {ProblemKind::BackendServerFailed, "backend-server-failed"},
+        {ProblemKind::AttemptRejected, "attempt-rejected"},
         {ProblemKind::IdempotencyKeyInvalid, "idempotency-key-invalid"},
         {ProblemKind::IdempotencyKeyMissing, "idempotency-key-missing"},
         {ProblemKind::IdempotencyKeyMismatch, "idempotency-key-mismatch"},
--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -1,12 +1,12 @@
 #include "entry/requesthandler.h"
 
+#include "config/configuration.h"
 #include "config/organisation.h"
 #include "config/profile.h"
 #include "config/service.h"
 #include "entry/agentlink.h"
-#include "entry/answerrelay.h"
 #include "entry/attemptchannel.h"
-#include "entry/problem.h"
+#include "entry/attemptproblem.h"
 #include "entry/requestparser.h"
 #include "entry/trafficthread.h"
 #include "logging/logging.h"
@@ -14,9 +14,37 @@
 #include "net/httpexchange.h"
 #include "net/steadynow.h"
 
+#include <nlohmann/json.hpp>
+
 namespace Cardamomhill
 {
 
+namespace
+{
+
+constexpr std::string_view KeysPath = "/v1/keys";
+
+Seconds roundedUp(Milliseconds time)
+{
+    return std::chrono::ceil<Seconds>(time);
+}
+
+AttemptResult resultOf(RelayEnd end, const std::optional<AttemptEvent> &failure)
+{
+    if (end == RelayEnd::Completed) {
+        return AttemptResult::Success;
+    }
+    if (end == RelayEnd::CallerGone) {
+        return AttemptResult::Neutral;
+    }
+    const auto *failed = failure ? std::get_if<AttemptFailed>(&*failure) : nullptr;
+    const bool isOrderlyRefusal = failed != nullptr && failed->outcome != AttemptOutcome::Unknown
+        && failed->reason != AttemptReason::EngineUnreachable;
+    return isOrderlyRefusal ? AttemptResult::Neutral : AttemptResult::Failure;
+}
+
+} // namespace
+
 RequestHandler::RequestHandler(TrafficThread &thread, HttpExchange &exchange)
     : m_thread(thread)
     , m_exchange(exchange)
@@ -26,20 +54,38 @@
 
 Task<> RequestHandler::run()
 {
+    if (m_exchange.request().target() == KeysPath) {
+        co_await issueKey();
+        co_return;
+    }
     auto parsed
         = parseCallerRequest(m_exchange.request(), m_thread.configuration(), m_thread.nextRequestId(), m_startedAt);
     if (parsed.has_error()) {
-        m_thread.metrics().counter("requests_total{outcome=\"refused\"}").add();
-        co_await sendProblem(m_exchange, parsed.error());
+        co_await refuse(parsed.error());
         co_return;
     }
     m_request = std::move(parsed.value());
+    auto keyProblem = findSlotOwner();
+    if (keyProblem) {
+        co_await refuse(std::move(*keyProblem));
+        co_return;
+    }
+    const auto admitted = m_thread.routing().admit(m_request);
+    if (admitted.has_error()) {
+        const auto &refusal = admitted.error();
+        Problem problem{
+            ProblemKind::Overloaded, refusal.httpStatus(), "not-sent", std::string(nameOf(refusal.code)), {}};
+        problem.retryAfter = roundedUp(refusal.retryAfter);
+        co_await refuse(std::move(problem));
+        co_return;
+    }
     m_thread.requestStarted();
-    co_await serve();
+    co_await serveAdmitted();
     m_thread.requestEnded();
+    m_thread.routing().release(m_request);
 }
 
-Task<> RequestHandler::serve()
+Task<> RequestHandler::serveAdmitted()
 {
     Next next = Next::Retry;
     while (next == Next::Retry) {
@@ -47,67 +93,135 @@
     }
 }
 
+Task<> RequestHandler::issueKey()
+{
+    const auto configuration = m_thread.configuration();
+    const auto *organisation = authenticate(m_exchange.request(), *configuration);
+    if (organisation == nullptr) {
+        co_await refuse({ProblemKind::TokenInvalid, 401, "not-sent", "no organisation has this bearer token", {}});
+        co_return;
+    }
+    const auto body = nlohmann::json::parse(m_exchange.request().body(), nullptr, false);
+    const auto name = body.is_object() ? body.value("service", std::string()) : std::string();
+    if (configuration->service(ServiceId(name)) == nullptr) {
+        co_await refuse({ProblemKind::ServiceUnknown, 404, "not-sent", R"(the body is {"service": "<name>"})", {}});
+        co_return;
+    }
+    const auto key = m_thread.routing().issueKey(ServiceId(name), organisation->id);
+    if (!key) {
+        co_await refuse(
+            {ProblemKind::NoBackendServer, 503, "not-sent", "no owner of a slot can be reached", Seconds(1)});
+        co_return;
+    }
+    const nlohmann::json answer{{"idempotency_key", key->toString()}, {"service", name}};
+    co_await m_exchange.sendWhole(201, "application/json", answer.dump());
+}
+
+std::optional<Problem> RequestHandler::findSlotOwner()
+{
+    if (m_request.isIdempotent) {
+        return std::nullopt;
+    }
+    if (m_request.idempotencyKey.empty()) {
+        return Problem{ProblemKind::IdempotencyKeyMissing,
+                       400,
+                       "not-sent",
+                       "a non-idempotent call needs the header Idempotency-Key with a UUIDv7 (RFC 9562)",
+                       {}};
+    }
+    const auto key = IdempotencyKey::parse(m_request.idempotencyKey);
+    if (key.has_error()) {
+        return Problem{ProblemKind::IdempotencyKeyInvalid, 400, "not-sent", std::string(nameOf(key.error().code)), {}};
+    }
+    m_slotOwner = m_thread.routing().slotOwner(m_request, key.value());
+    if (!m_slotOwner) {
+        return Problem{ProblemKind::NoBackendServer, 503, "not-sent", "the service has no slot table", Seconds(1)};
+    }
+    return std::nullopt;
+}
+
 Task<RequestHandler::Next> RequestHandler::attempt()
 {
-    const auto chosen = m_thread.chooseBackendServer(m_request, m_tried);
-    if (!chosen) {
-        co_await answerFailure(std::nullopt);
+    const auto decision = m_thread.routing().choose(m_request, m_tried, m_slotOwner);
+    if (decision.has_error()) {
+        co_await answerNotRouted(decision.error());
         co_return Next::Stop;
     }
-    m_tried.insert(chosen->server);
-    const auto link = chosen->link;
+    const auto &server = decision.value().server;
+    m_tried.push_back(server);
+    const auto link = m_thread.link(server);
     auto execute = m_thread.makeExecute(m_request);
     const auto id = execute.attempt;
+    const auto number = m_attempts.start();
+    m_thread.routing().attemptStarted(server);
     const auto channel = link->execute(std::move(execute));
     m_exchange.watchDisconnect([channel] { channel->abandon(); });
     AnswerRelay relay(m_exchange, *channel, [link, id] { link->acknowledge(id); });
     const auto end = co_await relay.run(m_request.deadline);
     m_exchange.stopWatching();
     link->release(id);
-    m_thread.attemptEnded(chosen->server, end);
+    m_thread.routing().attemptEnded(server, resultOf(end, relay.failure()));
+    m_attempts.end(number, outcomeOf(end, relay.failure()));
     if (relay.firstByteAt()) {
         m_thread.metrics().latency("first_byte_seconds").record(*relay.firstByteAt() - m_startedAt);
     }
-    if (end == RelayEnd::FailedBeforeAnswer) {
-        co_return co_await afterFailure(*relay.failure());
+    if (relay.failure()) {
+        co_return co_await afterFailure(*relay.failure(), end == RelayEnd::BrokenAnswer);
     }
     if (end == RelayEnd::TimedOut && !m_exchange.hasBegun()) {
-        Problem problem{ProblemKind::TimedOut, 504, "unknown", "the time limit of the request passed", std::nullopt};
+        Problem problem{ProblemKind::TimedOut, 504, "unknown", "the time limit of the request passed", {}};
         co_await sendProblem(m_exchange, std::move(problem));
     }
     finish(nameOf(end));
     co_return Next::Stop;
 }
 
-Task<RequestHandler::Next> RequestHandler::afterFailure(const AttemptEvent &failure)
+Task<RequestHandler::Next> RequestHandler::afterFailure(const AttemptEvent &failure, bool answerStarted)
 {
-    const auto *failed = std::get_if<AttemptFailed>(&failure);
-    m_mayHaveRun = m_mayHaveRun || (failed != nullptr && failed->outcome == AttemptOutcome::Unknown);
-    const bool hasTime = steadyNow() < m_request.deadline;
-    const bool mayRepeat = m_request.isIdempotent || !m_mayHaveRun;
-    if (hasTime && mayRepeat && m_thread.mayRetry()) {
+    const auto retry = m_thread.routing().mayRetry(m_request, m_attempts, answerStarted);
+    if (retry.has_value()) {
+        m_thread.metrics().counter("retries_total").add();
         co_return Next::Retry;
     }
-    co_await answerFailure(failure);
+    if (answerStarted) {
+        finish(nameOf(RelayEnd::BrokenAnswer));
+    } else {
+        co_await answerFailure(failure);
+    }
     co_return Next::Stop;
 }
 
-Task<> RequestHandler::answerFailure(const std::optional<AttemptEvent> &failure)
+Task<> RequestHandler::answerNotRouted(const RoutingError &error)
 {
-    const auto *failed = failure ? std::get_if<AttemptFailed>(&*failure) : nullptr;
+    const auto outcome = m_attempts.count() == 0 ? RequestOutcome::NotSent : m_attempts.outcome();
     Problem problem{
-        ProblemKind::NoBackendServer, 503, "not-sent", "no backend server can take the request", Seconds(1)};
-    if (m_mayHaveRun) {
-        problem = {ProblemKind::AnswerUnknown, 502, "unknown", "the answer was lost", Seconds(1)};
-    } else if (failed != nullptr) {
-        problem = {ProblemKind::NotRun, 503, std::string(nameOf(failed->outcome)), "", Seconds(1)};
+        ProblemKind::NoBackendServer, 503, std::string(nameOf(outcome)), std::string(nameOf(error.code)), {}};
+    problem.retryAfter = roundedUp(error.retryAfter);
+    if (m_slotOwner && outcome == RequestOutcome::NotSent) {
+        const auto key = m_thread.routing().issueKey(m_request.service->id, m_request.organisation->id);
+        problem.usableKey = key ? key->toString() : std::string();
     }
-    if (failed != nullptr) {
-        problem.detail = nameOf(failed->reason);
+    co_await sendProblem(m_exchange, std::move(problem));
+    finish(nameOf(outcome));
+}
+
+Task<> RequestHandler::answerFailure(const AttemptEvent &failure)
+{
+    const auto outcome = m_attempts.outcome();
+    auto problem = problemOfFailure(failure, outcome);
+    if (m_slotOwner && outcome == RequestOutcome::NotSent) {
+        const auto key = m_thread.routing().issueKey(m_request.service->id, m_request.organisation->id);
+        problem.usableKey = key ? key->toString() : std::string();
     }
-    const auto outcome = problem.outcome;
     co_await sendProblem(m_exchange, std::move(problem));
-    finish(outcome);
+    finish(nameOf(outcome));
+}
+
+Task<> RequestHandler::refuse(Problem problem)
+{
+    m_thread.metrics().counter("requests_total{outcome=\"refused\"}").add();
+    logEvent(LogLevel::Info, "request-refused", {{"problem", nameOf(problem.kind)}, {"detail", problem.detail}});
+    co_await sendProblem(m_exchange, std::move(problem));
 }
 
 void RequestHandler::finish(std::string_view outcome)
@@ -121,7 +235,7 @@
               {"organisation", m_request.organisation->id.value()},
               {"service", m_request.service->id.value()},
               {"outcome", outcome},
-              {"attempts", m_tried.size()},
+              {"attempts", m_attempts.count()},
               {"duration_us", duration.count()}});
 }
 
--- a/src/entry/requesthandler.h
+++ b/src/entry/requesthandler.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include "core/identifiers.h"
+#include "entry/answerrelay.h"
 #include "entry/attemptevent.h"
 #include "entry/callerrequest.h"
+#include "entry/problem.h"
 #include "net/asio.h"
+#include "routing/attemptlog.h"
+#include "routing/routingerror.h"
 
 #include <optional>
-#include <set>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -23,21 +27,26 @@
     Task<> run();
 
 private:
+    /// What comes after an attempt.
     enum class Next { Stop, Retry };
 
-    Task<> serve();
+    Task<> serveAdmitted();
+    Task<> issueKey();
+    std::optional<Problem> findSlotOwner();
     Task<Next> attempt();
-    Task<Next> afterFailure(const AttemptEvent &failure);
-    Task<> answerFailure(const std::optional<AttemptEvent> &failure);
+    Task<Next> afterFailure(const AttemptEvent &failure, bool answerStarted);
+    Task<> answerNotRouted(const RoutingError &error);
+    Task<> answerFailure(const AttemptEvent &failure);
+    Task<> refuse(Problem problem);
     void finish(std::string_view outcome);
 
     TrafficThread &m_thread;
     HttpExchange &m_exchange;
     CallerRequest m_request;
     SteadyTime m_startedAt;
-    std::set<BackendServerId> m_tried;
-    /// Some attempt may have been executed without a known answer.
-    bool m_mayHaveRun = false;
+    std::optional<BackendServerId> m_slotOwner;
+    std::vector<BackendServerId> m_tried;
+    AttemptLog m_attempts;
 };
 
 } // namespace Cardamomhill
--- a/src/entry/requestparser.cpp
+++ b/src/entry/requestparser.cpp
@@ -31,15 +31,6 @@
     return {kind, status, std::string(NotSent), std::move(detail), std::nullopt};
 }
 
-const Organisation *authenticate(const HttpRequest &request, const Configuration &configuration)
-{
-    const auto authorization = view(request[http::field::authorization]);
-    if (authorization.substr(0, BearerPrefix.size()) != BearerPrefix) {
-        return nullptr;
-    }
-    return configuration.organisationOfToken(authorization.substr(BearerPrefix.size()));
-}
-
 /// The shorter of the profile's time limit and the one that the caller asks for.
 Milliseconds timeoutOf(const HttpRequest &request, const Profile &profile)
 {
@@ -52,6 +43,15 @@
 
 } // namespace
 
+const Organisation *authenticate(const HttpRequest &request, const Configuration &configuration)
+{
+    const auto authorization = view(request[http::field::authorization]);
+    if (authorization.substr(0, BearerPrefix.size()) != BearerPrefix) {
+        return nullptr;
+    }
+    return configuration.organisationOfToken(authorization.substr(BearerPrefix.size()));
+}
+
 Result<CallerRequest, Problem> parseCallerRequest(const HttpRequest &request,
                                                   std::shared_ptr<const Configuration> configuration,
                                                   RequestId id,
--- a/src/entry/requestparser.h
+++ b/src/entry/requestparser.h
@@ -11,6 +11,10 @@
 {
 
 class Configuration;
+struct Organisation;
+
+/// The organisation whose bearer token the request carries, or null.
+const Organisation *authenticate(const HttpRequest &request, const Configuration &configuration);
 
 /// Checks a caller's HTTP request: path, token, service, headers.
 Result<CallerRequest, Problem> parseCallerRequest(const HttpRequest &request,
--- /dev/null
+++ b/src/entry/requestrouting.cpp
@@ -0,0 +1,255 @@
+#include "entry/requestrouting.h"
+
+#include "config/backendserver.h"
+#include "config/configuration.h"
+#include "config/organisation.h"
+#include "config/profile.h"
+#include "config/service.h"
+#include "entry/callerrequest.h"
+#include "logging/logging.h"
+#include "net/steadynow.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+AdmissionOptions admissionOptions(std::uint32_t concurrency)
+{
+    AdmissionOptions options;
+    options.nodeLimit = concurrency;
+    return options;
+}
+
+PriorityClass priorityOf(TrafficClass trafficClass)
+{
+    switch (trafficClass) {
+    case TrafficClass::Interactive:
+        return PriorityClass::Interactive;
+    case TrafficClass::Stream:
+        return PriorityClass::Standard;
+    case TrafficClass::Batch:
+        return PriorityClass::Batch;
+    }
+    return PriorityClass::Standard;
+}
+
+RoutedServer routedServer(const BackendServer &configured)
+{
+    RoutedServer server;
+    server.id = configured.id;
+    server.service = configured.service;
+    server.failureDomain = configured.failureDomain;
+    // Until membership says otherwise, a configured server is tried; a failing one is excluded by its health.
+    server.state = MemberState::Live;
+    server.capacityLimit = configured.capacity;
+    return server;
+}
+
+void logDecision(const CallerRequest &request, const RoutingDecision &decision)
+{
+    logEvent(LogLevel::Info,
+             "routed",
+             {{"request", request.id.value()},
+              {"organisation", request.organisation->id.value()},
+              {"service", request.service->id.value()},
+              {"profile", request.profile->id.value()},
+              {"server", decision.server.value()},
+              {"score", decision.score},
+              {"runner_up", decision.runnerUp ? decision.runnerUp->value() : std::string("none")},
+              {"runner_up_score", decision.runnerUpScore},
+              {"reason", nameOf(decision.reason)}});
+}
+
+void logRefusal(const CallerRequest &request, const RoutingError &error)
+{
+    logEvent(LogLevel::Warning,
+             "not-routed",
+             {{"request", request.id.value()},
+              {"organisation", request.organisation->id.value()},
+              {"service", request.service->id.value()},
+              {"profile", request.profile->id.value()},
+              {"reason", nameOf(error.code)}});
+}
+
+} // namespace
+
+RequestRouting::RequestRouting(FailureDomainId localDomain, std::uint32_t concurrency, std::uint64_t seed)
+    : m_localDomain(localDomain)
+    , m_router(m_table, std::move(localDomain))
+    , m_admission(admissionOptions(concurrency))
+    , m_random(seed)
+{
+}
+
+void RequestRouting::apply(const Configuration &configuration)
+{
+    std::set<ServiceId> services;
+    std::map<BackendServerId, ServiceId> present;
+    for (const auto *server : configuration.backendServers()) {
+        present[server->id] = server->service;
+        services.insert(server->service);
+        const bool isUnchanged = m_known.count(server->id) > 0 && m_known.at(server->id) == server->service;
+        if (!isUnchanged) {
+            m_table.upsert(routedServer(*server));
+        }
+    }
+    for (const auto &[id, service] : m_known) {
+        if (present.count(id) == 0) {
+            m_table.remove(id);
+        }
+    }
+    m_known = std::move(present);
+    for (const auto &service : services) {
+        applySlotTable(configuration, service);
+    }
+}
+
+void RequestRouting::applySlotTable(const Configuration &configuration, const ServiceId &service)
+{
+    const auto *json = configuration.slotTable(service);
+    if (json == nullptr) {
+        m_slots.erase(service);
+        return;
+    }
+    const auto found = m_slots.find(service);
+    if (found != m_slots.end() && found->second.json == *json) {
+        return;
+    }
+    auto table = SlotTable::fromJson(nlohmann::json::parse(*json, nullptr, false), 0);
+    if (table.has_error()) {
+        logEvent(LogLevel::Error, "slot-table-refused", {{"error", table.error().message()}});
+        return;
+    }
+    m_slots.insert_or_assign(service, ServiceSlots{*json, std::move(table.value())});
+}
+
+Result<AdmissionGrant, AdmissionRefusal> RequestRouting::admit(const CallerRequest &request)
+{
+    return m_admission.admit(shareOf(request), priorityOf(request.profile->trafficClass), steadyNow());
+}
+
+void RequestRouting::release(const CallerRequest &request)
+{
+    m_admission.release(request.organisation->id, steadyNow());
+}
+
+OrganisationShare RequestRouting::shareOf(const CallerRequest &request)
+{
+    return {request.organisation->id, request.organisation->weight, 0};
+}
+
+std::optional<BackendServerId> RequestRouting::slotOwner(const CallerRequest &request, const IdempotencyKey &key) const
+{
+    const auto found = m_slots.find(request.service->id);
+    if (found == m_slots.end()) {
+        return std::nullopt;
+    }
+    return found->second.table.entry(key.slot(request.organisation->id)).owner;
+}
+
+Result<RoutingDecision, RoutingError> RequestRouting::choose(const CallerRequest &request,
+                                                             const std::vector<BackendServerId> &tried,
+                                                             const std::optional<BackendServerId> &owner)
+{
+    RoutingRequest query;
+    query.service = request.service->id;
+    if (request.profile->prefixAffinity && request.service->kind == ServiceKind::Model) {
+        query.prompt = request.body;
+    }
+    query.tried = tried;
+    query.slotOwner = owner;
+    auto decision = m_router.choose(query, steadyNow(), m_random);
+    if (decision.has_error()) {
+        logRefusal(request, decision.error());
+    } else {
+        logDecision(request, decision.value());
+    }
+    return decision;
+}
+
+void RequestRouting::attemptStarted(const BackendServerId &server)
+{
+    m_table.started(server);
+}
+
+void RequestRouting::attemptEnded(const BackendServerId &server, AttemptResult result)
+{
+    m_table.finished(server, result, steadyNow());
+}
+
+Result<void, RetryRefusal>
+RequestRouting::mayRetry(const CallerRequest &request, const AttemptLog &attempts, bool answerStarted)
+{
+    auto &budget = m_budgets[request.service->id];
+    if (attempts.count() == 1) {
+        budget.recordFirstAttempt();
+    }
+    return m_retryPolicy.decide({request.isIdempotent, answerStarted, request.deadline}, attempts, budget, steadyNow());
+}
+
+bool RequestRouting::isAvailable(const BackendServerId &server) const
+{
+    const auto index = m_table.find(server);
+    return index && m_table.server(*index).state == MemberState::Live
+        && m_table.availability(*index, steadyNow()) == Availability::Available;
+}
+
+SlotSet RequestRouting::availableSlots(const SlotTable &table, bool localOnly) const
+{
+    SlotSet slots;
+    std::map<BackendServerId, bool> available;
+    for (std::size_t i = 0; i < slotCount; ++i) {
+        const auto &entry = table.entry(static_cast<SlotNumber>(i));
+        const auto known = available.find(entry.owner);
+        bool isUsable = false;
+        if (known != available.end()) {
+            isUsable = known->second;
+        } else {
+            const auto index = m_table.find(entry.owner);
+            const bool isLocal = index && m_table.server(*index).failureDomain == m_localDomain;
+            isUsable = isAvailable(entry.owner) && (isLocal || !localOnly);
+            available[entry.owner] = isUsable;
+        }
+        slots.set(i, isUsable && entry.state == SlotEntryState::Owned);
+    }
+    return slots;
+}
+
+std::optional<IdempotencyKey> RequestRouting::issueKey(const ServiceId &service, const OrganisationId &organisation)
+{
+    const auto found = m_slots.find(service);
+    if (found == m_slots.end()) {
+        return std::nullopt;
+    }
+    auto slots = availableSlots(found->second.table, true);
+    if (slots.none()) {
+        slots = availableSlots(found->second.table, false);
+    }
+    const auto key = IdempotencyKey::generate(organisation, slots, wallNow(), m_random);
+    if (key.has_error()) {
+        return std::nullopt;
+    }
+    return key.value();
+}
+
+void RequestRouting::takeReport(const BackendServerId &server,
+                                std::uint64_t incarnation,
+                                const LoadReport &report,
+                                ReportSource source)
+{
+    m_table.report(server, incarnation, report, source, steadyNow());
+}
+
+void RequestRouting::takeState(const BackendServerId &server, std::uint64_t incarnation, MemberState state)
+{
+    m_table.setState(server, incarnation, state);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/entry/requestrouting.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/loadreport.h"
+#include "core/memberstate.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "execution/idempotencykey.h"
+#include "execution/slottable.h"
+#include "routing/admissioncontrol.h"
+#include "routing/attemptlog.h"
+#include "routing/backendtable.h"
+#include "routing/retrybudget.h"
+#include "routing/retrypolicy.h"
+#include "routing/router.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+class Configuration;
+struct CallerRequest;
+
+/// What one traffic thread decides by: backend servers and their load, shares of organisations, retry budgets and slot
+/// tables.
+class RequestRouting
+{
+public:
+    RequestRouting(FailureDomainId localDomain, std::uint32_t concurrency, std::uint64_t seed);
+
+    void apply(const Configuration &configuration);
+
+    Result<AdmissionGrant, AdmissionRefusal> admit(const CallerRequest &request);
+    void release(const CallerRequest &request);
+
+    /// The agent that owns the slot of a key; nothing when the service has no slot table.
+    std::optional<BackendServerId> slotOwner(const CallerRequest &request, const IdempotencyKey &key) const;
+
+    /// Chooses a backend server and writes the log line of the decision.
+    Result<RoutingDecision, RoutingError> choose(const CallerRequest &request,
+                                                 const std::vector<BackendServerId> &tried,
+                                                 const std::optional<BackendServerId> &owner);
+
+    void attemptStarted(const BackendServerId &server);
+    void attemptEnded(const BackendServerId &server, AttemptResult result);
+
+    /// Whether a request whose last attempt failed is tried again; takes a token from the budget of its service.
+    Result<void, RetryRefusal> mayRetry(const CallerRequest &request, const AttemptLog &attempts, bool answerStarted);
+
+    /// A key whose slot belongs to an agent that can be reached, in the local failure domain if possible.
+    std::optional<IdempotencyKey> issueKey(const ServiceId &service, const OrganisationId &organisation);
+
+    void
+    takeReport(const BackendServerId &server, std::uint64_t incarnation, const LoadReport &report, ReportSource source);
+    void takeState(const BackendServerId &server, std::uint64_t incarnation, MemberState state);
+
+private:
+    struct ServiceSlots {
+        std::string json;
+        SlotTable table;
+    };
+
+    void applySlotTable(const Configuration &configuration, const ServiceId &service);
+    bool isAvailable(const BackendServerId &server) const;
+    SlotSet availableSlots(const SlotTable &table, bool localOnly) const;
+    static OrganisationShare shareOf(const CallerRequest &request);
+
+    FailureDomainId m_localDomain;
+    BackendTable m_table;
+    Router m_router;
+    AdmissionControl m_admission;
+    RetryPolicy m_retryPolicy;
+    std::map<ServiceId, RetryBudget> m_budgets;
+    std::map<ServiceId, ServiceSlots> m_slots;
+    std::map<BackendServerId, ServiceId> m_known;
+    Random m_random;
+};
+
+} // namespace Cardamomhill
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -5,10 +5,10 @@
 #include "config/organisation.h"
 #include "config/profile.h"
 #include "config/service.h"
+#include "control/serverstatus.h"
 #include "entry/agentlink.h"
 #include "entry/callerrequest.h"
 #include "entry/requesthandler.h"
-#include "logging/logging.h"
 #include "metrics/metricsregistry.h"
 #include "net/httpexchange.h"
 #include "net/steadynow.h"
@@ -16,17 +16,17 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include <algorithm>
+#include <random>
 #include <vector>
 
 namespace Cardamomhill
 {
 
-struct TrafficThread::Server {
+/// The link to the agent of a backend server, and the configuration that it was made for.
+struct LinkedServer {
     BackendServer configured;
     std::shared_ptr<AgentLink> link;
-    std::uint32_t inFlight = 0;
-    bool isLeaving = false;
-    bool isReachable = true;
 };
 
 TrafficThread::TrafficThread(const EntrySettings &settings,
@@ -44,6 +44,8 @@
                  co_await handler.run();
              })
     , m_configuration(std::make_shared<const Configuration>())
+    , m_routing(
+          settings.failureDomain, std::max(1U, settings.concurrency / settings.trafficThreads), std::random_device()())
 {
 }
 
@@ -73,50 +75,52 @@
 void TrafficThread::apply(std::shared_ptr<const Configuration> configuration)
 {
     m_configuration = std::move(configuration);
-    for (auto server = m_servers.begin(); server != m_servers.end();) {
-        const auto *configured = m_configuration->backendServer(server->first);
-        if (configured != nullptr && *configured == server->second->configured) {
-            ++server;
-            continue;
-        }
-        server->second->link->retire();
-        server = m_servers.erase(server);
-    }
+    m_routing.apply(*m_configuration);
+    retireChangedLinks();
     for (const auto *server : m_configuration->backendServers()) {
-        addServer(*server);
+        auto &linked = m_links[server->id];
+        if (!linked) {
+            linked = std::make_unique<LinkedServer>(LinkedServer{*server, makeLink(*server)});
+            linked->link->start();
+        }
     }
 }
 
-void TrafficThread::addServer(const BackendServer &server)
+void TrafficThread::retireChangedLinks()
 {
-    auto &entry = m_servers[server.id];
-    if (!entry) {
-        entry = std::make_unique<Server>();
-        entry->configured = server;
-        entry->link = makeLink(server);
-        entry->link->start();
-    }
+    std::erase_if(m_links, [this](const auto &entry) {
+        const auto *configured = m_configuration->backendServer(entry.first);
+        if (configured != nullptr && *configured == entry.second->configured) {
+            return false;
+        }
+        entry.second->link->retire();
+        return true;
+    });
 }
 
 std::shared_ptr<AgentLink> TrafficThread::makeLink(const BackendServer &server)
 {
-    const auto update = [this, id = server.id](auto change) {
-        const auto found = m_servers.find(id);
-        if (found != m_servers.end()) {
-            change(*found->second);
-        }
-    };
     AgentLink::Observers observers;
-    observers.onLoad = [](const LoadReport &) {};
-    observers.onLeaving = [update] { update([](Server &entry) { entry.isLeaving = true; }); };
-    observers.onReachable
-        = [update](bool reachable) { update([reachable](Server &entry) { entry.isReachable = reachable; }); };
+    observers.onLoad = [this, id = server.id](std::uint64_t incarnation, const LoadReport &report) {
+        m_routing.takeReport(id, incarnation, report, ReportSource::Reply);
+    };
+    observers.onState = [this, id = server.id](std::uint64_t incarnation, MemberState state) {
+        m_routing.takeState(id, incarnation, state);
+    };
     return std::make_shared<AgentLink>(m_context,
                                        AgentLink::Identity{m_peer, m_incarnation},
                                        tcp::endpoint(asio::ip::make_address(server.agentAddress), server.agentPort),
                                        std::move(observers));
 }
 
+void TrafficThread::takeServers(const std::vector<ServerStatus> &servers)
+{
+    for (const auto &status : servers) {
+        m_routing.takeState(status.server, status.load.incarnation, status.load.state);
+        m_routing.takeReport(status.server, status.load.incarnation, status.load.load, ReportSource::Gossip);
+    }
+}
+
 void TrafficThread::stopAccepting()
 {
     m_http.stopAccepting();
@@ -142,31 +146,15 @@
     return RequestId(m_peer + "/" + std::to_string(m_incarnation) + "/" + std::to_string(m_nextRequest++));
 }
 
-std::optional<TrafficThread::Chosen> TrafficThread::chooseBackendServer(const CallerRequest &request,
-                                                                        const std::set<BackendServerId> &tried)
+RequestRouting &TrafficThread::routing()
 {
-    Server *best = nullptr;
-    for (auto &[id, server] : m_servers) {
-        if (server->configured.service != request.service->id || server->isLeaving || tried.count(id) > 0) {
-            continue;
-        }
-        if (best == nullptr || server->inFlight < best->inFlight) {
-            best = server.get();
-        }
-    }
-    if (best == nullptr) {
-        return std::nullopt;
-    }
-    ++best->inFlight;
-    logEvent(LogLevel::Info,
-             "routed",
-             {{"request", request.id.value()},
-              {"organisation", request.organisation->id.value()},
-              {"service", request.service->id.value()},
-              {"profile", request.profile->id.value()},
-              {"server", best->configured.id.value()},
-              {"reason", "least-in-flight"}});
-    return Chosen{best->configured.id, best->link};
+    return m_routing;
+}
+
+std::shared_ptr<AgentLink> TrafficThread::link(const BackendServerId &server) const
+{
+    const auto found = m_links.find(server);
+    return found == m_links.end() ? nullptr : found->second->link;
 }
 
 Execute TrafficThread::makeExecute(const CallerRequest &request)
@@ -197,17 +185,4 @@
     --m_requestCount;
 }
 
-void TrafficThread::attemptEnded(const BackendServerId &server, RelayEnd)
-{
-    const auto found = m_servers.find(server);
-    if (found != m_servers.end() && found->second->inFlight > 0) {
-        --found->second->inFlight;
-    }
-}
-
-bool TrafficThread::mayRetry()
-{
-    return true;
-}
-
 } // namespace Cardamomhill
--- a/src/entry/trafficthread.h
+++ b/src/entry/trafficthread.h
@@ -2,9 +2,8 @@
 
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
-#include "core/random.h"
 #include "core/result.h"
-#include "entry/answerrelay.h"
+#include "entry/requestrouting.h"
 #include "net/asio.h"
 #include "net/httpserver.h"
 #include "net/neterror.h"
@@ -14,9 +13,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -27,16 +25,13 @@
 struct BackendServer;
 struct CallerRequest;
 struct EntrySettings;
+struct LinkedServer;
+struct ServerStatus;
 
 /// One traffic thread of an entry process with everything that it owns; nothing here is shared but the metrics.
 class TrafficThread
 {
 public:
-    struct Chosen {
-        BackendServerId server;
-        std::shared_ptr<AgentLink> link;
-    };
-
     TrafficThread(const EntrySettings &settings, unsigned index, std::uint64_t incarnation, MetricsRegistry &metrics);
     ~TrafficThread();
 
@@ -51,6 +46,9 @@
     /// Puts a configuration in force; called on this thread.
     void apply(std::shared_ptr<const Configuration> configuration);
 
+    /// Takes what membership knows of backend servers; called on this thread.
+    void takeServers(const std::vector<ServerStatus> &servers);
+
     /// Takes no new connections; called on this thread.
     void stopAccepting();
 
@@ -61,17 +59,15 @@
     std::shared_ptr<const Configuration> configuration() const;
     MetricsRegistry &metrics();
     RequestId nextRequestId();
-    std::optional<Chosen> chooseBackendServer(const CallerRequest &request, const std::set<BackendServerId> &tried);
+    RequestRouting &routing();
+    /// The connection to the agent of a backend server; null when it is no longer configured.
+    std::shared_ptr<AgentLink> link(const BackendServerId &server) const;
     Execute makeExecute(const CallerRequest &request);
     void requestStarted();
     void requestEnded();
-    void attemptEnded(const BackendServerId &server, RelayEnd end);
-    bool mayRetry();
 
 private:
-    struct Server;
-
-    void addServer(const BackendServer &server);
+    void retireChangedLinks();
     std::shared_ptr<AgentLink> makeLink(const BackendServer &server);
 
     const EntrySettings &m_settings;
@@ -81,7 +77,8 @@
     asio::io_context m_context;
     HttpServer m_http;
     std::shared_ptr<const Configuration> m_configuration;
-    std::map<BackendServerId, std::unique_ptr<Server>> m_servers;
+    RequestRouting m_routing;
+    std::map<BackendServerId, std::unique_ptr<LinkedServer>> m_links;
     std::uint64_t m_nextAttempt = 1;
     std::uint64_t m_nextRequest = 1;
     std::atomic<std::size_t> m_requestCount{0};
--- a/src/execution/executionregistry.cpp
+++ b/src/execution/executionregistry.cpp
@@ -145,6 +145,12 @@
     return finish(organisation, key, RecordState::Unknown, {});
 }
 
+Result<void, ExecutionError> ExecutionRegistry::completeNotRun(const OrganisationId &organisation,
+                                                               const IdempotencyKey &key)
+{
+    return finish(organisation, key, RecordState::Refused, {});
+}
+
 Result<void, ExecutionError> ExecutionRegistry::finish(const OrganisationId &organisation,
                                                        const IdempotencyKey &key,
                                                        RecordState state,
--- a/src/execution/executionregistry.h
+++ b/src/execution/executionregistry.h
@@ -49,8 +49,8 @@
     ExecutionRegistry(ExecutionRegistry &&) noexcept;
     ExecutionRegistry &operator=(ExecutionRegistry &&) noexcept;
 
-    /// Decides about an attempt. After Execute, the caller runs the request and calls complete() or
-    /// completeUnknown() exactly once, also if the engine failed or the caller disconnected.
+    /// Decides about an attempt. After Execute, the caller runs the request and calls complete(),
+    /// completeUnknown() or completeNotRun() exactly once, also if the engine failed or the caller disconnected.
     Decision decide(const ExecutionRequest &request, WallTime now);
 
     /// The request ran; keeps its answer for replays.
@@ -60,6 +60,9 @@
     /// The engine failed: the request may have run.
     Result<void, ExecutionError> completeUnknown(const OrganisationId &organisation, const IdempotencyKey &key);
 
+    /// The request provably never reached the engine: the key is refused for good.
+    Result<void, ExecutionError> completeNotRun(const OrganisationId &organisation, const IdempotencyKey &key);
+
     /// Drops up to `limit` records whose lifetime ended. decide() drops a few itself; the agent calls this once a
     /// second so that an idle registry shrinks too. Returns how many it dropped.
     std::size_t removeExpired(WallTime now, std::size_t limit);
--- a/src/metrics/latencysummary.cpp
+++ b/src/metrics/latencysummary.cpp
@@ -53,8 +53,9 @@
         return values;
     }
     const auto estimates = acc::extended_p_square(m_accumulator->set);
-    for (std::size_t i = 0; i < Probabilities.size(); ++i) {
-        values.quantiles.push_back({Probabilities.at(i), estimates[i]});
+    auto estimate = estimates.begin();
+    for (const double probability : Probabilities) {
+        values.quantiles.push_back({probability, *estimate++});
     }
     return values;
 }
--- a/src/cli/addresses.h
+++ b/src/net/address.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <string>
 
-namespace Cardamomhill::internal
+namespace Cardamomhill
 {
 
 /// Reads "address:port" with an IP address.
 std::optional<tcp::endpoint> parseAddress(const std::string &text);
 
-} // namespace Cardamomhill::internal
+} // namespace Cardamomhill
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -2,6 +2,7 @@
 
 // Sockets: HTTP server and client over Boost.Beast, and the framed connection between entry processes and agents.
 
+#include "net/address.h"
 #include "net/asio.h"
 #include "net/framedconnection.h"
 #include "net/httpcall.h"
--- a/src/routing/backendtable.cpp
+++ b/src/routing/backendtable.cpp
@@ -29,7 +29,7 @@
 {
 }
 
-void BackendTable::upsert(const BackendServer &server)
+void BackendTable::upsert(const RoutedServer &server)
 {
     const auto known = m_indices.find(server.id);
     if (known == m_indices.end()) {
@@ -192,7 +192,7 @@
     return known == m_indices.end() ? std::nullopt : std::optional<Index>(known->second);
 }
 
-const BackendServer &BackendTable::server(Index index) const
+const RoutedServer &BackendTable::server(Index index) const
 {
     return m_entries[index].server;
 }
@@ -313,7 +313,7 @@
     pool.meanScore = pool.live.empty() ? 0 : scores / static_cast<double>(pool.live.size());
 }
 
-BackendTable::Pool &BackendTable::poolOf(const BackendServer &server)
+BackendTable::Pool &BackendTable::poolOf(const RoutedServer &server)
 {
     auto &pools = m_pools[server.service];
     const auto known = std::find_if(
@@ -328,7 +328,7 @@
 
 void BackendTable::placeInPool(Index index)
 {
-    const BackendServer &server = m_entries[index].server;
+    const RoutedServer &server = m_entries[index].server;
     Pool &pool = poolOf(server);
     ++pool.servers;
     if (server.state == MemberState::Live) {
@@ -341,7 +341,7 @@
 
 void BackendTable::takeFromPool(Index index)
 {
-    const BackendServer &server = m_entries[index].server;
+    const RoutedServer &server = m_entries[index].server;
     auto &pools = m_pools[server.service];
     const auto pool = std::find_if(pools.begin(), pools.end(), [&](const Pool &candidate) {
         return candidate.failureDomain == server.failureDomain;
--- a/src/routing/backendtable.h
+++ b/src/routing/backendtable.h
@@ -3,9 +3,9 @@
 #include "core/clocktypes.h"
 #include "core/loadreport.h"
 #include "routing/attemptresult.h"
-#include "routing/backendserver.h"
 #include "routing/reportsource.h"
 #include "routing/reporttrust.h"
+#include "routing/routedserver.h"
 
 #include <cstddef>
 #include <map>
@@ -78,7 +78,7 @@
     explicit BackendTable(BackendTableOptions options = {});
 
     /// Adds a server. For a known one, takes over service, failure domain and limit, and its state as setState() does.
-    void upsert(const BackendServer &server);
+    void upsert(const RoutedServer &server);
     void remove(const BackendServerId &id);
 
     /// Takes a state of a server. Ignores older incarnations and any return from leaving within an incarnation. A
@@ -102,7 +102,7 @@
     bool isReachable(const FailureDomainId &domain) const;
 
     std::optional<Index> find(const BackendServerId &id) const;
-    const BackendServer &server(Index index) const;
+    const RoutedServer &server(Index index) const;
     std::uint64_t idHash(Index index) const;
     std::uint32_t inFlight(Index index) const;
     const std::optional<LoadReport> &lastReport(Index index) const;
@@ -125,7 +125,7 @@
 
 private:
     struct Entry {
-        BackendServer server;
+        RoutedServer server;
         std::uint64_t idHash = 0;
         std::optional<LoadReport> report;
         SteadyTime reportedAt{};
@@ -138,7 +138,7 @@
 
     void placeInPool(Index index);
     void takeFromPool(Index index);
-    Pool &poolOf(const BackendServer &server);
+    Pool &poolOf(const RoutedServer &server);
     void refreshMeans(const Pool &pool, SteadyTime now) const;
     double agedLoad(const Entry &entry, const Pool &pool, SteadyTime now) const;
     void learnTrust(const Entry &entry, const LoadReport &report, SteadyTime now);
--- a/src/routing/backendserver.h
+++ b/src/routing/routedserver.h
@@ -9,7 +9,7 @@
 {
 
 /// A backend server as configuration and membership describe it.
-struct BackendServer {
+struct RoutedServer {
     BackendServerId id;
     ServiceId service;
     FailureDomainId failureDomain;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -85,7 +85,7 @@
         const RoutingErrorCode code = RoutingErrorCode::SlotOwnerUnavailable;
         return failure(RoutingError{code, query.request.service, m_options.shortRetryAfter});
     }
-    const BackendServer &server = m_table.server(*owner);
+    const RoutedServer &server = m_table.server(*owner);
     RoutingDecision decision;
     decision.server = server.id;
     decision.failureDomain = server.failureDomain;
@@ -199,7 +199,7 @@
 
 RoutingDecision Router::decision(const Query &query, const Pool &pool, Pair pair, RoutingReason reason) const
 {
-    const BackendServer &chosen = m_table.server(*pair.first);
+    const RoutedServer &chosen = m_table.server(*pair.first);
     RoutingDecision decision;
     decision.server = chosen.id;
     decision.failureDomain = chosen.failureDomain;
--- a/src/settings/agentsettings.cpp
+++ b/src/settings/agentsettings.cpp
@@ -13,6 +13,7 @@
     settings.failureDomain = FailureDomainId(reader.text("failure_domain"));
     settings.listen = reader.endpoint("listen");
     settings.operatorListen = reader.endpoint("operator_listen");
+    settings.controlListen = reader.endpoint("control_listen");
     settings.engine = reader.endpoint("engine");
     settings.platform = reader.endpoint("platform");
     settings.seeds = reader.endpoints("seeds");
--- a/src/settings/agentsettings.h
+++ b/src/settings/agentsettings.h
@@ -21,6 +21,8 @@
     boost::asio::ip::tcp::endpoint listen;
     /// Health, readiness and metrics.
     boost::asio::ip::tcp::endpoint operatorListen;
+    /// Where entry processes answer to control messages.
+    boost::asio::ip::tcp::endpoint controlListen;
     /// The model engine or plain service on this host.
     boost::asio::ip::tcp::endpoint engine;
     boost::asio::ip::tcp::endpoint platform;
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -1,5 +1,7 @@
 #include "settings/settingsreader.h"
 
+#include "net/address.h"
+
 #include <charconv>
 #include <optional>
 
@@ -112,21 +114,11 @@
 
 Endpoint SettingsReader::parseEndpoint(const YAML::Node &node, const std::string &key)
 {
-    const std::string text = node.IsScalar() ? node.Scalar() : std::string();
-    const auto colon = text.rfind(':');
-    std::string address = text.substr(0, colon);
-    if (address.size() > 2 && address.front() == '[' && address.back() == ']') {
-        address = address.substr(1, address.size() - 2);
-    }
-    const std::string_view portText = colon == std::string::npos ? "" : std::string_view(text).substr(colon + 1);
-    const std::uint16_t port = parseNumber<std::uint16_t>(portText).value_or(0);
-    boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(address, error);
-    if (error || port == 0) {
+    const auto endpoint = node.IsScalar() ? parseAddress(node.Scalar()) : std::nullopt;
+    if (!endpoint) {
         addError(SettingsErrorCode::InvalidValue, lineOf(node), key, std::string(AcceptedEndpoint));
-        return {};
     }
-    return {ip, port};
+    return endpoint.value_or(Endpoint());
 }
 
 LogLevel SettingsReader::logLevel(const std::string &key)
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -28,7 +28,7 @@
     return BackendServerId("server-" + std::to_string(number));
 }
 
-BackendServer makeServer(int number, MemberState state = MemberState::Live)
+RoutedServer makeServer(int number, MemberState state = MemberState::Live)
 {
     return {serverId(number), SERVICE, number % 2 == 0 ? LOCAL : REMOTE, state, 1, CAPACITY_LIMIT};
 }
@@ -39,7 +39,7 @@
 public:
     void setState(const BackendServerId &id, std::uint64_t incarnation, MemberState state)
     {
-        const BackendServer server = this->server(find(id).value());
+        const RoutedServer server = this->server(find(id).value());
         if (server.state == MemberState::Leaving && incarnation == server.incarnation) {
             remove(id);
             upsert({id, server.service, server.failureDomain, state, incarnation, server.capacityLimit});
@@ -246,7 +246,7 @@
 {
     BackendTable table;
     for (const int number : {0, 2, 4, 6}) {
-        BackendServer server = makeServer(number);
+        RoutedServer server = makeServer(number);
         server.capacityLimit = 0;
         table.upsert(server);
     }
--- a/tests/standins/backendmain.cpp
+++ b/tests/standins/backendmain.cpp
@@ -1,6 +1,6 @@
 #include "standins/backendservice.h"
 
-#include "cli/addresses.h"
+#include "net/address.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -10,7 +10,7 @@
 {
     using namespace Cardamomhill;
 
-    const auto endpoint = argc == 3 ? internal::parseAddress(argv[1]) : std::nullopt;
+    const auto endpoint = argc == 3 ? parseAddress(argv[1]) : std::nullopt;
     const long stepTime = argc == 3 ? std::strtol(argv[2], nullptr, 10) : 0;
     if (!endpoint || stepTime <= 0) {
         std::cerr << "usage: standin-backend ADDRESS:PORT STEP_TIME_MS\n";
--- a/tests/standins/platformmain.cpp
+++ b/tests/standins/platformmain.cpp
@@ -1,6 +1,6 @@
 #include "standins/objectplatform.h"
 
-#include "cli/addresses.h"
+#include "net/address.h"
 
 #include <iostream>
 
@@ -9,7 +9,7 @@
 {
     using namespace Cardamomhill;
 
-    const auto endpoint = argc == 2 ? internal::parseAddress(argv[1]) : std::nullopt;
+    const auto endpoint = argc == 2 ? parseAddress(argv[1]) : std::nullopt;
     if (!endpoint) {
         std::cerr << "usage: standin-platform ADDRESS:PORT\n";
         return 2;
