--- /dev/null
+++ b/src/drain/leavereason.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// Why a process leaves.
+enum class LeaveReason : std::uint8_t {
+    /// It received SIGTERM.
+    Terminated,
+    /// The configuration retires it.
+    Retired,
+    /// The host list shows its host as leaving.
+    HostLeaving,
+};
+
+constexpr auto nameTable(LeaveReason)
+{
+    return std::to_array<NamedValue<LeaveReason>>({
+        {LeaveReason::Terminated, "terminated"},
+        {LeaveReason::Retired, "retired"},
+        {LeaveReason::HostLeaving, "host-leaving"},
+    });
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/draintest.cpp
@@ -0,0 +1,250 @@
+#include "drain/drain.h"
+#include "core/random.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <string>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Faults seeded into the test's own shell around the state machines.
+struct ShellFaults {
+    /// Counts before the end of admission has reached the traffic thread, and says the contrary.
+    bool countsTooEarly = false;
+    /// Starts afresh when the host list shows the host as live again.
+    bool followsHostList = false;
+    /// Loses every notice after the first.
+    bool sendsNoticeOnce = false;
+};
+
+/// An agent with its traffic thread and entry processes; time passes in ticks of 50 ms.
+class AgentShell
+{
+public:
+    AgentShell(ShellFaults faults, std::uint64_t connections)
+        : m_faults(faults)
+        , m_connections(connections)
+    {
+        for (AgentDrain::ConnectionId connection = 0; connection < connections; ++connection) {
+            drain.onConnected(connection, now);
+        }
+    }
+
+    /// One random event, then a tick. Returns the violated requirement, or nothing.
+    std::string step(int event, std::uint64_t connection)
+    {
+        if (event == 0) {
+            drain.onTerminate(now);
+        } else if (event == 1) {
+            drain.onRetired(now);
+        } else if (event == 2) {
+            drain.onHostList(MemberState::Leaving, now);
+        } else if (event == 3) {
+            drain.onHostList(std::nullopt, now);
+        } else if (event == 4) {
+            drain.onHostList(MemberState::Live, now);
+            if (m_faults.followsHostList) {
+                drain = AgentDrain();
+            }
+        } else if (event == 5 && m_known.contains(connection)) {
+            drain.onAcknowledged(connection);
+            m_acknowledged.insert(connection);
+        } else if (event == 6 && m_running > 0) {
+            --m_running;
+        } else if (event >= 7 && m_admits && !m_exited) {
+            ++m_running;
+        }
+        return tick();
+    }
+
+    std::string tick()
+    {
+        now += Milliseconds(50);
+        drain.onTick(now);
+        if (drain.isLeaving() && !m_leftAt) {
+            m_leftAt = now;
+        }
+        for (const auto connection : drain.takeNotices()) {
+            ++m_notices[connection];
+            m_known.insert(connection);
+        }
+        const bool admitted = m_admits;
+        // The traffic thread sees the decision up to two ticks late.
+        m_admits = m_leftAt ? m_lag-- > 0 : true;
+        drain.onRunning(m_running, m_faults.countsTooEarly ? true : !admitted && !m_admits);
+        m_exited = m_exited || drain.shouldExit();
+        return violated();
+    }
+
+    std::string violated() const
+    {
+        if (m_leftAt && drain.acceptsNewWork()) {
+            return "accepts new work after leaving";
+        }
+        if (m_exited && (m_running > 0 || m_admits)) {
+            return "exits while something runs or can be admitted";
+        }
+        for (AgentDrain::ConnectionId connection = 0; m_leftAt && connection < m_connections; ++connection) {
+            const auto count = m_notices.contains(connection) ? m_notices.at(connection) : 0;
+            const auto due = std::min<Microseconds>(now - *m_leftAt, AgentDrain::noticeLimit) / Milliseconds(250);
+            if (!m_acknowledged.contains(connection) && (m_faults.sendsNoticeOnce ? std::min(count, 1) : count) < due) {
+                return "a notice was not repeated";
+            }
+        }
+        return {};
+    }
+
+    /// Lets all requests finish and time pass.
+    std::string finish()
+    {
+        m_running = 0;
+        std::string violation;
+        for (int ticks = 0; ticks < 70 && violation.empty(); ++ticks) {
+            violation = tick();
+        }
+        if (violation.empty() && m_leftAt && !m_exited) {
+            return "does not exit although nothing runs";
+        }
+        return violation.empty() && !m_leftAt && m_exited ? "exits without leaving" : violation;
+    }
+
+    AgentDrain drain;
+    SteadyTime now{Seconds(1)};
+
+private:
+    ShellFaults m_faults;
+    std::uint64_t m_connections;
+    std::optional<SteadyTime> m_leftAt;
+    int m_lag = 2;
+    bool m_admits = true;
+    bool m_exited = false;
+    std::uint64_t m_running = 0;
+    std::map<AgentDrain::ConnectionId, int> m_notices;
+    std::set<AgentDrain::ConnectionId> m_known;
+    std::set<AgentDrain::ConnectionId> m_acknowledged;
+};
+
+std::string runAgent(ShellFaults faults, const std::vector<std::pair<int, int>> &events)
+{
+    // Without entry processes nothing delays the exit.
+    AgentShell shell(faults, events.size() % 4);
+    for (const auto &[event, connection] : events) {
+        std::string violation = shell.step(event, static_cast<std::uint64_t>(connection));
+        if (!violation.empty()) {
+            return violation;
+        }
+    }
+    return shell.finish();
+}
+
+auto anyEvents()
+{
+    return rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(0, 3)));
+}
+
+bool findsViolation(ShellFaults faults)
+{
+    Random random(1);
+    for (std::size_t run = 0; run < 200; ++run) {
+        std::vector<std::pair<int, int>> events(60 + run % 4);
+        for (auto &event : events) {
+            event = {static_cast<int>(random() % 10), static_cast<int>(random() % 3)};
+        }
+        if (!runAgent(faults, events).empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("the agent checker finds early counts, a decision taken back and notices that are not repeated")
+{
+    CHECK(findsViolation({.countsTooEarly = true}));
+    CHECK(findsViolation({.followsHostList = true}));
+    CHECK(findsViolation({.sendsNoticeOnce = true}));
+}
+
+TEST_CASE("a leaving agent takes no new work, tells everyone and cuts nothing off")
+{
+    CHECK(rc::check("signals in any order and number, lagging or missing host list",
+                    [] { RC_ASSERT(runAgent({}, *anyEvents()) == std::string()); }));
+}
+
+TEST_CASE("a host list that lags behind a restart does not make the new incarnation leave at once")
+{
+    LeaveDecision decision;
+    SteadyTime now{Seconds(1)};
+    decision.onHostList(MemberState::Leaving, now);
+    CHECK_FALSE(decision.isLeaving());
+    decision.onHostList(MemberState::Leaving, now + LeaveDecision::staleListLimit);
+    CHECK(decision.reason() == LeaveReason::HostLeaving);
+    LeaveDecision other;
+    other.onHostList(MemberState::Live, now);
+    other.onHostList(std::nullopt, now);
+    CHECK_FALSE(other.isLeaving());
+    other.onHostList(MemberState::Leaving, now);
+    other.onReason(LeaveReason::Terminated, now + Seconds(1));
+    CHECK(other.reason() == LeaveReason::HostLeaving);
+    CHECK(other.since() == now);
+}
+
+TEST_CASE("an entry process is first not ready, then closes, and exits after its last stream")
+{
+    constexpr Microseconds grace = Seconds(2);
+    // Returns the violated requirement. Streams start while connections are accepted, also unready ones.
+    const auto run = [grace](bool countsTooEarly, const std::vector<int> &events) -> std::string {
+        EntryDrain drain(grace);
+        SteadyTime now{Seconds(1)};
+        std::optional<SteadyTime> leftAt;
+        std::uint64_t streams = 0;
+        bool listens = true;
+        for (std::size_t index = 0; index < events.size() + 60; ++index) {
+            const int event = index < events.size() ? events[index] : 5;
+            if (event == 0) {
+                drain.onTerminate(now);
+            } else if (event == 1) {
+                drain.onRetired(now);
+            } else if (event == 2) {
+                drain.onHostList(index % 2 == 0 ? MemberState::Live : MemberState::Leaving, now);
+            } else if (event <= 4 && listens) {
+                ++streams;
+            } else if (event == 5 && streams > 0) {
+                --streams;
+            }
+            now += Milliseconds(100);
+            drain.onTick(now);
+            leftAt = leftAt || !drain.isLeaving() ? leftAt : std::optional(now - Milliseconds(100));
+            const bool closedBefore = !listens;
+            listens = listens && drain.acceptsConnections();
+            drain.onStreams(countsTooEarly && !closedBefore ? 0 : streams, true);
+            if (leftAt && drain.isReady()) {
+                return "ready although leaving";
+            }
+            if (drain.acceptsConnections() != (!leftAt || now - *leftAt < grace)) {
+                return "does not close exactly after the grace period";
+            }
+            if (drain.shouldExit() && (streams > 0 || listens)) {
+                return "exits with a stream open";
+            }
+        }
+        return leftAt && streams == 0 && now - *leftAt > grace && !drain.shouldExit() ? "does not exit" : "";
+    };
+    CHECK_FALSE(run(true, {2, 2, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 0, 3, 4, 3, 4, 3, 4, 3,
+                           4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4, 3, 4})
+                    .empty());
+    CHECK(rc::check("any order of signals and streams", [&run] {
+        const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+        RC_ASSERT(run(false, events) == std::string());
+    }));
+}
+
+} // namespace Cardamomhill
