--- a/src/group/coordinatoroptions.h
+++ b/src/group/coordinatoroptions.h
@@ -22,7 +22,9 @@
     /// First and longest delay before unanswered requests are sent again. The first is above three round
     /// trips at 1.5 ms one way, so nothing is sent twice when nothing fails.
     Microseconds retry = Milliseconds(10);
-    Microseconds retryLimit = Milliseconds(500);
+    Microseconds retryLimit = Milliseconds(100);
+    /// Longest delay while weights are staged, which takes seconds to minutes and holds nobody back.
+    Microseconds stagingRetryLimit = Seconds(5);
     /// A switch that is not prepared yet is given up when a rank does not answer for this long.
     Microseconds silenceLimit = Seconds(10);
     /// Longest time to wait until all ranks have staged the weights.
--- a/src/group/rankparticipant.cpp
+++ b/src/group/rankparticipant.cpp
@@ -47,6 +47,7 @@
     m_order.reset();
     m_waiting.clear();
     m_staged.clear();
+    m_stageRequests.clear();
     m_refused.reset();
     m_sessionBallot.reset();
     m_session = (*m_random)();
@@ -253,6 +254,7 @@
     if (m_staged.contains(request.map) || m_record.map == request.map) {
         m_output.messages.push_back(answerTo(message, Staged{request.map}));
     } else {
+        m_stageRequests.insert_or_assign(message.coordinatorRank, message);
         m_output.stage.push_back(request.map);
     }
 }
@@ -396,9 +398,18 @@
 
 void RankParticipant::onStaged(std::uint64_t incarnation, const ExpertMapId &map)
 {
-    if (m_engine && incarnation == m_engine->incarnation) {
-        m_staged.insert(map);
+    if (!m_engine || incarnation != m_engine->incarnation) {
+        return;
     }
+    m_staged.insert(map);
+    std::erase_if(m_stageRequests, [this, &map](const auto &entry) {
+        const GroupMessage &message = entry.second;
+        const bool isAnswered = std::get<StageRequest>(message.body).map == map;
+        if (isAnswered && m_status == ParticipantStatus::Member) {
+            m_output.messages.push_back(answerTo(message, Staged{map}));
+        }
+        return isAnswered;
+    });
 }
 
 void RankParticipant::delayTakeover(SteadyTime now)
--- a/src/group/rankparticipant.h
+++ b/src/group/rankparticipant.h
@@ -8,6 +8,7 @@
 #include "group/participantstatus.h"
 
 #include <deque>
+#include <map>
 #include <set>
 
 namespace Cardamomhill
@@ -92,6 +93,8 @@
     /// coordinator may have aborted on the refusal.
     std::optional<Refused> m_refused;
     std::set<ExpertMapId> m_staged;
+    /// Requests to answer when the weights are loaded; one for each coordinator that asked last.
+    std::map<std::uint32_t, GroupMessage> m_stageRequests;
     std::optional<PendingOrder> m_order;
     Backoff m_orderRetry;
     std::deque<GroupMessage> m_waiting;
--- a/src/group/switchcoordinator.cpp
+++ b/src/group/switchcoordinator.cpp
@@ -60,6 +60,7 @@
     m_phaseStart = now;
     m_lastProgress = now;
     m_answered.assign(m_options.ranks, false);
+    m_retry = Backoff(m_options.retry, phase == Phase::Staging ? m_options.stagingRetryLimit : m_options.retryLimit);
     m_retry.restart(now);
     sendToSilent();
 }
--- a/tests/support/groupsimulation.h
+++ b/tests/support/groupsimulation.h
@@ -237,6 +237,8 @@
     std::uint64_t takeoverCommits = 0;
     std::uint64_t takeoverAborts = 0;
     std::uint64_t bytes = 0;
+    /// Called for each message before it is sent.
+    std::function<void(const GroupMessage &)> onSend;
     /// Time that ranks spent waiting beyond the step time and injected stalls.
     Microseconds waited{0};
 
@@ -409,6 +411,9 @@
 
     void send(const GroupMessage &message, std::uint32_t to)
     {
+        if (onSend) {
+            onSend(message);
+        }
         const std::string packed = packGroupMessage(message);
         ++messages;
         bytes += packed.size();
