--- a/src/membership/agentreporter.cpp
+++ b/src/membership/agentreporter.cpp
@@ -15,7 +15,9 @@
 {
 
 constexpr std::size_t TargetCount = 2;
-constexpr Seconds ReportPeriod(10);
+// The regular reports go to the two entry hosts in turn. When both have died, a change of the configuration is due 5 s
+// later: this time, the attempts, and the repair by the next entry host.
+constexpr Milliseconds ReportPeriod(3000);
 constexpr Milliseconds ChangeInterval(1000);
 constexpr Milliseconds RetryTime(300);
 // While no entry host answers at all.
@@ -89,9 +91,10 @@
     m_lastTick = now;
     join(now);
     chooseTargets(now);
+    const auto regular = regularTarget(now);
     for (std::size_t rank = 0; rank < m_targets.size(); ++rank) {
         auto &target = m_targets.at(rank);
-        if (m_isUrgent || isReportDue(target, now)) {
+        if (m_isUrgent || regular == rank || isReportDue(target, now)) {
             if (target.isAnswered) {
                 target.attempts = 0;
             }
@@ -149,7 +152,7 @@
 void AgentReporter::handle(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now)
 {
     for (auto &target : m_targets) {
-        if (target.host.address == from && answer.number != 0 && answer.number == target.number) {
+        if (target.host.address == from && answer.number >= target.firstNumber && answer.number <= target.number) {
             target.isAnswered = true;
             target.attempts = 0;
             target.knowsLeaving = static_cast<MemberState>(answer.state) == MemberState::Leaving;
@@ -255,6 +258,9 @@
 {
     auto message = agentReport(rank);
     target.number = message.number;
+    if (target.attempts == 0) {
+        target.firstNumber = message.number;
+    }
     target.sent = now;
     target.isAnswered = false;
     target.reported = m_row.load();
@@ -265,7 +271,7 @@
 bool AgentReporter::isReportDue(const Target &target, SteadyTime now) const
 {
     const auto silence = now - target.sent;
-    if (target.sent == SteadyTime() || silence >= ReportPeriod) {
+    if (target.sent == SteadyTime()) {
         return true;
     }
     if (!target.isAnswered) {
@@ -274,6 +280,17 @@
     return silence >= ChangeInterval && isSignificant(target.reported, m_row.load());
 }
 
+std::optional<std::size_t> AgentReporter::regularTarget(SteadyTime now) const
+{
+    const auto earlier = [](const Target &left, const Target &right) { return left.sent < right.sent; };
+    const auto latest = std::max_element(m_targets.begin(), m_targets.end(), earlier);
+    if (latest == m_targets.end() || now - latest->sent < ReportPeriod) {
+        return std::nullopt;
+    }
+    const auto earliest = std::min_element(m_targets.begin(), m_targets.end(), earlier);
+    return static_cast<std::size_t>(earliest - m_targets.begin());
+}
+
 void AgentReporter::requestRepair(const NodeAddress &to)
 {
     auto request = internal::fullRepairRequest(m_store, DigestScope::WithoutOrganisations);
--- a/src/membership/agentreporter.h
+++ b/src/membership/agentreporter.h
@@ -72,6 +72,8 @@
 
         EntryHost host;
         LoadReport reported;
+        /// Numbers of the first and the last attempt; an answer to any of them counts.
+        std::uint64_t firstNumber = 1;
         std::uint64_t number = 0;
         SteadyTime sent;
         std::size_t attempts = 0;
@@ -88,6 +90,7 @@
     bool isUnresponsive(const NodeAddress &address, SteadyTime now) const;
     void report(Target &target, std::uint8_t rank, SteadyTime now);
     bool isReportDue(const Target &target, SteadyTime now) const;
+    std::optional<std::size_t> regularTarget(SteadyTime now) const;
     void requestRepair(const NodeAddress &to);
     ConfigurationSummary summary() const;
     AgentReport agentReport(std::uint8_t rank);
--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t GossipRowBytes = 520;
 constexpr std::size_t AnswerRowBytes = 60;
 // An answer arrives within a few milliseconds. Three unanswered probes are no accident at 5% loss (1 in 1,000).
-constexpr Milliseconds ProbeTime(400);
+constexpr Milliseconds ProbeTime(300);
 constexpr std::size_t ProbeAttempts = 3;
 // Ticks come every 100 ms; after a longer gap the process was paused.
 constexpr Milliseconds PauseThreshold(2000);
@@ -270,12 +270,15 @@
     const bool isNew
         = !before.has_value() || before->incarnation != after->incarnation || before->state != after->state;
     // One of the agent's two entry hosts announces it, and both announce that it leaves.
-    if (isNew && (isLeaving || message.rank == 0)) {
+    if (isNew && (isLeaving || message.rank == 0) && message.number != 0) {
         BroadcastMessage notice;
         notice.servers.push_back(*after);
         broadcast(std::move(notice), now, random);
     }
-    m_agents.reported(from, message, now);
+    // An agent that has just started asks all hosts, but reports to two.
+    if (message.number != 0) {
+        m_agents.reported(from, message, now);
+    }
     AgentAnswer answer;
     answer.number = message.number;
     answer.host = m_identity.host.value();
@@ -409,7 +412,7 @@
     }
     for (const auto server : m_agents.takeSilent(now)) {
         auto row = m_table.serverRow(server, now);
-        if (row.has_value() && stateOf(row->state) == MemberState::Live) {
+        if (row.has_value() && stateOf(row->state) == MemberState::Live && !m_table.hasRecentReport(server, now)) {
             row->state = stateValue(MemberState::Suspect);
             m_table.mergeServer(*row, now);
             BroadcastMessage notice;
@@ -661,12 +664,7 @@
 
 std::uint64_t GossipNode::hostAt(const NodeAddress &address) const
 {
-    for (const auto &row : m_table.hosts()) {
-        if (row.address == address.value()) {
-            return MemberTable::hashOf(HostId(row.name));
-        }
-    }
-    return hash64(address.value());
+    return m_table.hostAt(address).value_or(hash64(address.value()));
 }
 
 void GossipNode::send(const NodeAddress &to, const MembershipMessage &message)
--- a/src/membership/joinprogress.cpp
+++ b/src/membership/joinprogress.cpp
@@ -26,7 +26,8 @@
     const bool becameReady = isReady && !entry.isReady;
     entry.isReady = entry.isReady || isReady;
     entry.lastAnswer = now;
-    if (isEqual) {
+    const bool isLate = entry.isReady && !isReady;
+    if (isEqual && !isLate) {
         entry.progress = Progress::Received;
     } else if (entry.progress == Progress::Silent || becameReady) {
         entry.progress = Progress::Answered;
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -21,6 +21,7 @@
 // Loads are announced at least this often; a server that missed four announcements has no agent that reports.
 constexpr Seconds AnnouncementTime(30);
 constexpr Seconds SilenceTime(120);
+constexpr Seconds RecentTime(40);
 // A change below one eighth of the capacity hardly changes the choice between two servers, but would fill the messages.
 constexpr std::uint32_t SignificantFraction = 8;
 constexpr double TransmissionsPerDoubling = 3.0;
@@ -109,6 +110,7 @@
     if (changed) {
         host.changed = now;
         host.sent = 0;
+        m_addresses[host.row.address] = found->first;
     }
     return changed;
 }
@@ -150,6 +152,12 @@
     return rows;
 }
 
+std::optional<std::uint64_t> MemberTable::hostAt(const NodeAddress &address) const
+{
+    const auto found = m_addresses.find(address.value());
+    return found == m_addresses.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::size_t MemberTable::hostCount() const
 {
     return m_hosts.size();
@@ -176,6 +184,12 @@
     return found == m_servers.end() ? std::nullopt : std::optional(agedRow(found->second, now));
 }
 
+bool MemberTable::hasRecentReport(std::uint64_t server, SteadyTime now) const
+{
+    const auto found = m_servers.find(server);
+    return found != m_servers.end() && now - found->second.refreshed < RecentTime;
+}
+
 MemberRows MemberTable::rowsToSend(std::size_t byteBudget, SteadyTime now)
 {
     MemberRows rows;
@@ -223,6 +237,7 @@
         const bool isGone = isState(state, MemberState::Dead) || isState(state, MemberState::Leaving);
         return isGone && now - entry.second.changed > ForgetTime;
     });
+    std::erase_if(m_addresses, [this](const auto &entry) { return m_hosts.count(entry.second) == 0; });
     expireServers(now);
     return died;
 }
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -3,12 +3,14 @@
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "membership/memberrows.h"
+#include "membership/nodeaddress.h"
 #include "membership/serverload.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace Cardamomhill
@@ -33,6 +35,9 @@
 
     std::vector<HostRow> hosts() const;
 
+    /// The hash of the host with this address, if known.
+    std::optional<std::uint64_t> hostAt(const NodeAddress &address) const;
+
     std::size_t hostCount() const;
 
     std::size_t serverCount() const;
@@ -42,6 +47,9 @@
     /// The row of the server with its age at this moment, if known.
     std::optional<ServerRow> serverRow(std::uint64_t server, SteadyTime now) const;
 
+    /// Whether a report of the server has come from anywhere in the last 40 s, in which its load is announced once.
+    bool hasRecentReport(std::uint64_t server, SteadyTime now) const;
+
     /// Chooses rows for a message: first those sent the fewest times, and among these the freshest. Each row is sent
     /// 3 * log2(n + 1) times after a change. Space that is left goes to one further row, in turn.
     MemberRows rowsToSend(std::size_t byteBudget, SteadyTime now);
@@ -90,6 +98,7 @@
     // Keyed by the hash of the name.
     std::map<std::uint64_t, Host> m_hosts;
     std::map<std::uint64_t, Server> m_servers;
+    std::map<std::string, std::uint64_t> m_addresses;
     std::uint64_t m_fillerCursor = 0;
 };
 
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -1,5 +1,8 @@
 #include "support/fleet.h"
 
+#include <algorithm>
+#include <numeric>
+
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -55,15 +58,19 @@
 }
 
 // A change in force is held by three hosts, so it survives two of them; more failures at once lose it by design.
-bool mayCrash(const Fleet &fleet, std::size_t target)
+bool mayFail(const Fleet &fleet, std::size_t target)
 {
     const auto &member = fleet.members.at(target);
-    return member.isAgent || (member.isReady() && fleet.readyHosts(member.domain) > Hosts - 2);
+    if (member.isAgent) {
+        return member.isRunning();
+    }
+    const bool isAvailable = member.isReady() && !fleet.isPaused(member);
+    return isAvailable && fleet.readyHosts(member.domain) > Hosts - 2;
 }
 
 void crash(Fleet &fleet, std::size_t target)
 {
-    if (mayCrash(fleet, target)) {
+    if (mayFail(fleet, target)) {
         fleet.crash(target);
     }
 }
@@ -97,7 +104,7 @@
         restartAll(fleet);
         break;
     case Action::Pause:
-        if (fleet.members.at(event.target).isRunning()) {
+        if (mayFail(fleet, event.target)) {
             fleet.pause(event.target, Seconds(30));
         }
         break;
@@ -184,6 +191,129 @@
     }));
 }
 
+TEST_CASE("leaving reaches all entry hosts within 3 s although the host list lags, and is final")
+{
+    CHECK(rc::check("leaving notices", [] {
+        auto fleet = startedFleet(*rc::gen::arbitrary<std::uint32_t>());
+        const auto number = [](int limit) { return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, limit)); };
+        // An entry host that is replaced, paused or dead is none of those that must know; the others must.
+        const auto failing = static_cast<std::size_t>(*number(Hosts));
+        fleet.crash(failing);
+        fleet.run(Milliseconds(*number(3000)));
+        fleet.pause((failing + 1) % Hosts, Seconds(30));
+        fleet.run(Milliseconds(*number(3000)));
+        auto &leaving = fleet.members.at(Hosts);
+        const BackendServerId server(leaving.name);
+        leaving.agent->leave();
+        const auto incarnation = leaving.agent->row().incarnation;
+        fleet.run(Seconds(3));
+        for (std::size_t index = 0; index < Hosts; ++index) {
+            const auto &member = fleet.members.at(index);
+            if (member.isReady() && !fleet.isPaused(member)) {
+                RC_ASSERT(member.node->members().server(server)->state == MemberState::Leaving);
+            }
+        }
+        fleet.start(failing);
+        fleet.run(Seconds(40));
+        for (std::size_t index = 0; index < Hosts; ++index) {
+            const auto known = fleet.members.at(index).node->members().server(server);
+            RC_ASSERT(known.has_value() && known->incarnation >= incarnation);
+            RC_ASSERT(known->state == MemberState::Leaving);
+        }
+    }));
+}
+
+TEST_CASE("a host that was paused for 30 s refutes its death, and one that restarts after leaving is live again")
+{
+    auto fleet = startedFleet(5);
+    const auto stateOnPeer = [&] {
+        for (const auto &row : fleet.members.at(0).node->members().hosts()) {
+            if (row.name == fleet.members.at(1).name) {
+                return static_cast<MemberState>(row.state);
+            }
+        }
+        return MemberState::Dead;
+    };
+    for (int repetition = 0; repetition < 2; ++repetition) {
+        fleet.pause(1, Seconds(30));
+        fleet.run(Seconds(20));
+        CHECK(stateOnPeer() == MemberState::Dead);
+        fleet.run(Seconds(15));
+        CHECK(stateOnPeer() == MemberState::Live);
+    }
+    fleet.members.at(1).node->leave(fleet.now, fleet.random);
+    fleet.run(Seconds(3));
+    CHECK(stateOnPeer() == MemberState::Leaving);
+    fleet.crash(1);
+    fleet.run(Seconds(3));
+    fleet.start(1);
+    fleet.run(Seconds(5));
+    CHECK(stateOnPeer() == MemberState::Live);
+}
+
+TEST_CASE("the first two live hosts watch the platform, and the next two while these cannot reach it")
+{
+    auto fleet = startedFleet(6);
+    const auto followers = [&] {
+        std::vector<std::size_t> chosen;
+        for (std::size_t index = 0; index < Hosts; ++index) {
+            if (fleet.members.at(index).node->shouldFollow(fleet.now)) {
+                chosen.push_back(index);
+            }
+        }
+        return chosen;
+    };
+    const auto first = followers();
+    CHECK(first.size() == RelaySelection::RelayCount);
+    for (const auto index : first) {
+        fleet.members.at(index).node->setPlatformContact(false, fleet.now);
+    }
+    CHECK(RelaySelection::relays(FailureDomainId("domain-0"), {}).empty());
+    fleet.cutFromPlatform(0, true);
+    fleet.run(Seconds(8));
+    CHECK(followers().size() == 2 * RelaySelection::RelayCount);
+    fleet.cutFromPlatform(0, false);
+    fleet.run(Seconds(8));
+    CHECK(followers() == first);
+}
+
+TEST_CASE("a fan-out tree serves each member once and keeps the branches equal")
+{
+    for (const std::size_t count : {0U, 1U, 8U, 9U, 78U, 300U}) {
+        std::vector<std::uint64_t> members(count);
+        std::iota(members.begin(), members.end(), 1);
+        std::vector<std::uint64_t> served;
+        std::size_t largest = 0;
+        for (const auto &branch : FanOutTree::split(members)) {
+            served.push_back(branch.child);
+            served.insert(served.end(), branch.rest.begin(), branch.rest.end());
+            largest = std::max(largest, branch.rest.size());
+        }
+        std::sort(served.begin(), served.end());
+        CHECK(served == members);
+        CHECK(largest <= count / FanOutTree::FanOut);
+    }
+}
+
+TEST_CASE("messages that cannot be read are refused with a typed error and change nothing")
+{
+    CHECK(rc::check("random and truncated bytes", [] {
+        auto bytes = encode(GossipMessage());
+        bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+        RC_ASSERT(!decodeMembershipMessage(bytes).has_value());
+        const auto noise = *rc::gen::arbitrary<std::string>();
+        GossipNode node(HostIdentity{HostId("a"), FailureDomainId("d"), NodeAddress("192.0.2.1:1"), WallTime()});
+        Random random(1);
+        if (!node.onMessage(NodeAddress("192.0.2.2:1"), noise, SteadyTime(), random)) {
+            RC_ASSERT(node.members().hostCount() == 1U);
+        }
+    }));
+    Random random(1);
+    GossipNode node(HostIdentity{HostId("a"), FailureDomainId("d"), NodeAddress("192.0.2.1:1"), WallTime()});
+    const auto foreign = node.onMessage(NodeAddress("192.0.2.2:1"), encode(GossipMessage()), SteadyTime(), random);
+    CHECK(foreign.error().code == MembershipErrorCode::WrongDomain);
+}
+
 TEST_CASE("the checker of configuration finds seeded faults")
 {
     CHECK(findsViolation(SeededFault::MergeByArrival, 0.05, "steps back"));
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -11,7 +11,7 @@
 constexpr Seconds InForceLimit(5);
 // Three seconds for hosts that do not answer a joining one, then the platform or the other hosts.
 constexpr Seconds ReadyLimit(10);
-const std::vector<std::string> Kinds{"profiles", "organisations"};
+const std::vector<std::string> Kinds{"profiles", "services", "organisations"};
 
 bool isRepairInService(const std::string &bytes)
 {
@@ -209,7 +209,7 @@
 std::size_t Fleet::readyHosts(std::size_t domain) const
 {
     return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](const Member &member) {
-        return member.domain == domain && !member.isAgent && member.isReady();
+        return member.domain == domain && !member.isAgent && member.isReady() && !isPaused(member);
     }));
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -87,6 +87,7 @@
     std::uint64_t write(const ObjectKey &key);
 
     bool isPaused(const Member &member) const;
+    /// Entry hosts that are ready and not paused.
     std::size_t readyHosts(std::size_t domain) const;
     /// What is wrong, or nothing: steps back, and writes that are not in force in time.
     const std::string &violation() const;
