Let an excluded server be tried while long streams still run on it

After an exclusion one request at a time tries a server, but any own request in flight counted as that trial, so a stream of minutes that began before the failures kept its server out. Only requests started after the exclusion began count now. routingtest fails with the old condition and passes with the new one.

--- a/src/routing/backendtable.cpp
+++ b/src/routing/backendtable.cpp
@@ -145,6 +145,7 @@
     if (entry.inFlight > 0) {
         --entry.inFlight;
     }
+    entry.inFlightBeforeTrial = std::min(entry.inFlightBeforeTrial, entry.inFlight);
     if (result == AttemptResult::Success) {
         entry.consecutiveFailures = 0;
         entry.excludedUntil = {};
@@ -170,6 +171,7 @@
         exclusion *= 2;
     }
     entry.excludedUntil = now + std::min(exclusion, m_options.longestExclusion);
+    entry.inFlightBeforeTrial = entry.inFlight;
 }
 
 void BackendTable::setReachable(const FailureDomainId &domain, bool reachable)
@@ -207,11 +209,6 @@
     return m_entries[index].inFlight;
 }
 
-const std::optional<LoadReport> &BackendTable::lastReport(Index index) const
-{
-    return m_entries[index].report;
-}
-
 const std::vector<BackendTable::Pool> &BackendTable::pools(const ServiceId &service) const
 {
     static const std::vector<Pool> NONE;
@@ -225,9 +222,10 @@
     if (entry.server.state == MemberState::Leaving || entry.server.state == MemberState::Dead) {
         return Availability::NotLive;
     }
-    // After an exclusion one request at a time tries the server, until one succeeds.
+    // After an exclusion one request at a time tries the server, until one succeeds. Long streams from before do not
+    // delay it.
     const bool onTrial = entry.consecutiveFailures >= m_options.failuresBeforeExclusion;
-    if (now < entry.excludedUntil || (onTrial && entry.inFlight > 0)) {
+    if (now < entry.excludedUntil || (onTrial && entry.inFlight > entry.inFlightBeforeTrial)) {
         return Availability::Excluded;
     }
     if (entry.report && entry.report->capacity == 0) {
--- a/src/routing/backendtable.h
+++ b/src/routing/backendtable.h
@@ -8,11 +8,10 @@
 #include "routing/reporttrust.h"
 
 #include <cstddef>
-#include <map>
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
-#include <utility>
 #include <vector>
 
 namespace Cardamomhill
@@ -105,7 +104,6 @@
     const BackendServer &server(Index index) const;
     std::uint64_t idHash(Index index) const;
     std::uint32_t inFlight(Index index) const;
-    const std::optional<LoadReport> &lastReport(Index index) const;
 
     /// The pools of a service; empty for an unknown one.
     const std::vector<Pool> &pools(const ServiceId &service) const;
@@ -133,6 +131,8 @@
         std::uint32_t inFlight = 0;
         std::uint32_t inFlightAtReport = 0;
         std::uint32_t consecutiveFailures = 0;
+        /// Of the attempts in flight when the last exclusion began, those that may still be.
+        std::uint32_t inFlightBeforeTrial = 0;
         SteadyTime excludedUntil{};
     };
 
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -274,6 +274,8 @@
         table.started(serverId(0));
         table.finished(serverId(0), AttemptResult::Failure, at(time));
     };
+    // A long stream that outlasts the exclusion.
+    table.started(serverId(0));
     fail(Milliseconds(1));
     fail(Milliseconds(2));
     CHECK(table.availability(index, at(Milliseconds(2))) == Availability::Available);
@@ -287,6 +289,7 @@
     CHECK(table.excludedUntil(index) == at(Milliseconds(503)));
     fail(Milliseconds(600));
     CHECK(table.excludedUntil(index) == at(Milliseconds(1600)));
+    CHECK(table.availability(index, at(Seconds(2))) == Availability::Available);
     table.started(serverId(0));
     CHECK(table.availability(index, at(Seconds(2))) == Availability::Excluded);
     table.finished(serverId(0), AttemptResult::Success, at(Seconds(2)));
