Let a coordinator take over while it stages another map

Cause: staging takes minutes; while it lasted, takeOver() answered "busy". When the only rank with an unresolved proposal shared its agent with that coordinator, the group would have waited at the held step until staging ended. Change: a takeover interrupts staging and staging goes on afterwards. Conclusion: a takeover never waits for staging.

--- a/src/group/switchcoordinator.cpp
+++ b/src/group/switchcoordinator.cpp
@@ -32,6 +32,11 @@
 
 Result<void, GroupError> SwitchCoordinator::takeOver(SteadyTime now)
 {
+    if (m_phase == Phase::Staging) {
+        m_interrupted = std::exchange(m_map, std::nullopt);
+        promise(now);
+        return success();
+    }
     return start(std::nullopt, now);
 }
 
@@ -81,6 +86,9 @@
         resolve(next, now);
     } else if (m_map) {
         prepare(now);
+    } else if (m_interrupted) {
+        m_map = std::exchange(m_interrupted, std::nullopt);
+        enter(Phase::Staging, now);
     } else {
         finish(SwitchResultKind::TakenOver);
     }
@@ -187,6 +195,7 @@
 void SwitchCoordinator::finish(SwitchResultKind kind)
 {
     m_phase = Phase::Idle;
+    m_interrupted.reset();
     m_messages.clear();
     m_work.kind = kind;
     m_result = std::exchange(m_work, {});
--- a/src/group/switchcoordinator.h
+++ b/src/group/switchcoordinator.h
@@ -23,7 +23,8 @@
     void onIncarnation(std::uint64_t incarnation);
     /// Starts a switch to the map.
     Result<void, GroupError> propose(const ExpertMapId &map, SteadyTime now);
-    /// Starts to resolve whatever an earlier coordinator left unresolved.
+    /// Starts to resolve whatever an earlier coordinator left unresolved. A switch that is still staging, which can
+    /// take minutes, waits for it and then goes on.
     Result<void, GroupError> takeOver(SteadyTime now);
     /// An answer of a rank.
     void onMessage(const GroupMessage &message, SteadyTime now);
@@ -74,6 +75,8 @@
     std::uint64_t m_id;
     Phase m_phase = Phase::Idle;
     std::optional<ExpertMapId> m_map;
+    /// The map whose staging was interrupted by a takeover.
+    std::optional<ExpertMapId> m_interrupted;
     std::optional<Proposal> m_proposal;
     std::vector<Promised> m_promises;
     /// When the last rank promised.
--- a/tests/grouptest.cpp
+++ b/tests/grouptest.cpp
@@ -178,6 +178,25 @@
     }));
 }
 
+TEST_CASE("a coordinator that stages for minutes still takes over, so ranks do not wait for its staging")
+{
+    Random random(1);
+    const SteadyTime now{Seconds(1)};
+    CoordinatorOptions options;
+    options.ranks = 1;
+    SwitchCoordinator coordinator(GroupId("g"), options, random);
+    coordinator.onIncarnation(1);
+    REQUIRE(coordinator.propose({2, 2}, now));
+    REQUIRE(coordinator.takeOver(now));
+    const Ballot ballot = std::get<PromiseRequest>(coordinator.takeMessages().back().body).ballot;
+    const Proposal found{{1, 1}, {2, 9}, 50};
+    coordinator.onMessage({GroupId("g"), 1, 0, 0, Promised{ballot, 1, 10, {1, 1}, found, {}}}, now);
+    const auto request = std::get<ResolveRequest>(coordinator.takeMessages().back().body);
+    CHECK(request.resolution == Resolution{found, SwitchOutcome::Commit});
+    coordinator.onMessage({GroupId("g"), 1, 0, 0, Resolved{ballot, found.ballot}}, now);
+    CHECK(std::get<StageRequest>(coordinator.takeMessages().back().body).map == ExpertMapId{2, 2});
+}
+
 TEST_CASE("all ranks use one map in every step, whatever fails")
 {
     Coverage coverage;
