--- /dev/null
+++ b/bench/placement/loadtrace.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include "core/random.h"
+#include "placement/groupshape.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <numbers>
+#include <numeric>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// Time between two ticks: each rank reports once in it.
+inline constexpr double tickSeconds = 10;
+inline constexpr double stepsPerSecond = 30;
+/// Expert assignments that each rank routes in a step: 128 sequences, 8 experts for a token.
+inline constexpr double tokensPerRankAndStep = 1024;
+/// Time of a rank for one token in one layer: 1,024 tokens take 0.5 ms, so 60 layers take 30 ms.
+inline constexpr double microsecondsPerToken = 500.0 / tokensPerRankAndStep;
+// Standard deviation of an expert's log popularity: the most popular of 256 gets about seven times the mean.
+inline constexpr double popularityDeviation = 0.8;
+inline constexpr double flashFactor = 10;
+inline constexpr double stallFactor = 3;
+inline constexpr double secondsPerDay = 86400;
+
+/// What a load trace does to the group. Times in seconds.
+struct TraceOptions {
+    std::string name;
+    double duration = 0;
+    /// Amplitude of the daily cycle of an expert's log popularity.
+    double dailyAmplitude = 0;
+    /// Standard deviation of the bursts of an expert's log popularity, and how long they last. 0: only the noise of
+    /// drawing tokens remains.
+    double burstDeviation = 0;
+    double burstTime = 45;
+    /// Number of sudden redraws of all popularities, spread evenly.
+    int suddenChanges = 0;
+    /// Every so often one expert of each layer gets ten times its tokens.
+    double flashInterval = 0;
+    double flashTime = 180;
+    /// One rank runs at this speed in the middle half of the trace.
+    double slowRankSpeed = 1;
+    /// Every so often one rank takes three times as long.
+    double stallInterval = 0;
+    double stallTime = 30;
+};
+
+/// Load and rank speeds, tick by tick, from a seed. Every policy of a comparison sees the same values.
+class LoadTrace
+{
+public:
+    LoadTrace(const TraceOptions &options, const GroupShape &shape, std::uint64_t seed);
+
+    /// Goes on to the tick that ends at `time`.
+    void advance(double time);
+
+    /// Mean tokens for each step and (layer, expert) of the tick, as the routers count them.
+    const std::vector<double> &countedTokens() const;
+    /// Tokens of one step of the tick.
+    const std::vector<double> &stepTokens() const;
+    /// Time of each rank for a token, relative to the normal one.
+    const std::vector<double> &slowdowns() const;
+
+private:
+    void drawPopularity();
+    void updateFlash(double time);
+    void updateRanks(double time);
+    void updateTokens(double time);
+
+    TraceOptions m_options;
+    GroupShape m_shape;
+    Random m_random;
+    std::normal_distribution<double> m_normal;
+    std::vector<double> m_popularity;
+    std::vector<double> m_phase;
+    std::vector<double> m_burst;
+    std::vector<double> m_weights;
+    std::vector<double> m_counted;
+    std::vector<double> m_step;
+    std::vector<double> m_slowdowns;
+    std::vector<std::size_t> m_flashed;
+    double m_flashStart = 0;
+    double m_flashEnd = 0;
+    std::size_t m_slowRank = 0;
+    std::size_t m_stalledRank = 0;
+    double m_stallStart = 0;
+    double m_stallEnd = 0;
+    int m_changesDone = 0;
+};
+
+inline LoadTrace::LoadTrace(const TraceOptions &options, const GroupShape &shape, std::uint64_t seed)
+    : m_options(options)
+    , m_shape(shape)
+    , m_random(seed)
+    , m_popularity(shape.cells())
+    , m_phase(shape.cells())
+    , m_burst(shape.cells(), 0)
+    , m_weights(shape.cells())
+    , m_counted(shape.cells())
+    , m_step(shape.cells())
+    , m_slowdowns(shape.ranks, 1)
+    , m_flashed(shape.layers)
+    , m_flashStart(options.flashInterval)
+    , m_flashEnd(options.flashInterval + options.flashTime)
+    , m_slowRank(m_random() % shape.ranks)
+    , m_stallStart(options.stallInterval)
+    , m_stallEnd(options.stallInterval + options.stallTime)
+{
+    drawPopularity();
+    for (auto &phase : m_phase) {
+        phase = std::uniform_real_distribution<double>(0, 2 * std::numbers::pi)(m_random);
+    }
+    for (auto &burst : m_burst) {
+        burst = m_options.burstDeviation * m_normal(m_random);
+    }
+    for (auto &expert : m_flashed) {
+        expert = m_random() % m_shape.experts;
+    }
+}
+
+inline const std::vector<double> &LoadTrace::countedTokens() const
+{
+    return m_counted;
+}
+
+inline const std::vector<double> &LoadTrace::stepTokens() const
+{
+    return m_step;
+}
+
+inline const std::vector<double> &LoadTrace::slowdowns() const
+{
+    return m_slowdowns;
+}
+
+inline void LoadTrace::drawPopularity()
+{
+    for (auto &value : m_popularity) {
+        value = popularityDeviation * m_normal(m_random);
+    }
+}
+
+inline void LoadTrace::advance(double time)
+{
+    const double changeInterval = m_options.duration / (m_options.suddenChanges + 1);
+    if (m_changesDone < m_options.suddenChanges && time >= changeInterval * (m_changesDone + 1)) {
+        ++m_changesDone;
+        drawPopularity();
+    }
+    updateFlash(time);
+    updateRanks(time);
+    updateTokens(time);
+}
+
+inline void LoadTrace::updateFlash(double time)
+{
+    if (m_options.flashInterval > 0 && time >= m_flashEnd) {
+        m_flashStart += m_options.flashInterval;
+        m_flashEnd = m_flashStart + m_options.flashTime;
+        for (auto &expert : m_flashed) {
+            expert = m_random() % m_shape.experts;
+        }
+    }
+}
+
+inline void LoadTrace::updateRanks(double time)
+{
+    std::fill(m_slowdowns.begin(), m_slowdowns.end(), 1.0);
+    if (m_options.slowRankSpeed < 1 && time >= m_options.duration / 4 && time < m_options.duration * 3 / 4) {
+        m_slowdowns[m_slowRank] = 1 / m_options.slowRankSpeed;
+    }
+    if (m_options.stallInterval <= 0) {
+        return;
+    }
+    if (time >= m_stallEnd) {
+        m_stallStart += m_options.stallInterval;
+        m_stallEnd = m_stallStart + m_options.stallTime;
+        m_stalledRank = m_random() % m_shape.ranks;
+    }
+    if (time >= m_stallStart) {
+        m_slowdowns[m_stalledRank] = stallFactor;
+    }
+}
+
+inline void LoadTrace::updateTokens(double time)
+{
+    const double keep = std::exp(-tickSeconds / m_options.burstTime);
+    const double renew = m_options.burstDeviation * std::sqrt(1 - keep * keep);
+    const bool flashing = m_options.flashInterval > 0 && time >= m_flashStart;
+    for (std::size_t cell = 0; cell < m_shape.cells(); ++cell) {
+        double logWeight = m_popularity[cell];
+        if (m_options.dailyAmplitude > 0) {
+            logWeight
+                += m_options.dailyAmplitude * std::sin(2 * std::numbers::pi * time / secondsPerDay + m_phase[cell]);
+        }
+        if (m_options.burstDeviation > 0) {
+            m_burst[cell] = keep * m_burst[cell] + renew * m_normal(m_random);
+            logWeight += m_burst[cell];
+        }
+        m_weights[cell] = std::exp(logWeight);
+    }
+    const double tokens = tokensPerRankAndStep * static_cast<double>(m_shape.ranks);
+    for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
+        const auto begin = m_weights.begin() + static_cast<std::ptrdiff_t>(layer * m_shape.experts);
+        if (flashing) {
+            begin[static_cast<std::ptrdiff_t>(m_flashed[layer])] *= flashFactor;
+        }
+        const double scale = tokens / std::accumulate(begin, begin + static_cast<std::ptrdiff_t>(m_shape.experts), 0.0);
+        for (std::size_t expert = 0; expert < m_shape.experts; ++expert) {
+            const auto cell = layer * m_shape.experts + expert;
+            const double mean = m_weights[cell] * scale;
+            // Normal approximation of the Poisson distribution.
+            const double deviation = std::sqrt(mean);
+            m_step[cell] = std::max(0.0, std::round(mean + deviation * m_normal(m_random)));
+            m_counted[cell]
+                = std::max(0.0, mean + deviation / std::sqrt(tickSeconds * stepsPerSecond) * m_normal(m_random));
+        }
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/placement/layerbalancer.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "placement/expertmap.h"
+#include "placement/movehistory.h"
+
+#include <boost/container/static_vector.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace Cardamomhill::internal
+{
+
+/// Moves that belong together, with the state of the layer after them.
+struct BalanceStep {
+    /// Each prefix keeps every expert served and every rank within its slots.
+    boost::container::static_vector<ReplicaMove, 4> moves;
+    std::size_t transfers = 0;
+    /// Load of the slowest rank after the step, in tokens at normal speed.
+    double slowest = 0;
+};
+
+/// Improves the placement of one layer step by step. Each step takes load from the slowest rank: it moves one of the
+/// rank's experts, adds a replica of it elsewhere, swaps it for a smaller one, or drops a replica that others can
+/// replace.
+class LayerBalancer
+{
+public:
+    LayerBalancer(const ExpertMap &map,
+                  LayerIndex layer,
+                  std::span<const double> tokens,
+                  std::span<const double> speeds,
+                  std::vector<std::ptrdiff_t> freeSlots,
+                  const MoveHistory &history,
+                  SteadyTime now);
+
+    double slowest() const;
+
+    /// Applies the step that lowers the sum of squared rank loads most for each transfer, and returns it; nothing when
+    /// no allowed step lowers the load of the slowest rank.
+    std::optional<BalanceStep> improve();
+
+    /// Steps that were passed over because they undo recent moves.
+    std::size_t coolingSteps() const;
+    std::vector<std::ptrdiff_t> freeSlots() const;
+
+private:
+    /// Replica change of one expert: an added rank, a dropped one, or both.
+    struct Change {
+        static constexpr std::size_t noRank = static_cast<std::size_t>(-1);
+        std::size_t expert = 0;
+        std::size_t addTo = noRank;
+        std::size_t dropFrom = noRank;
+    };
+    struct Candidate {
+        boost::container::static_vector<Change, 2> changes;
+        double benefit = 0;
+    };
+
+    double share(std::size_t expert) const;
+    bool holds(std::size_t expert, std::size_t rank) const;
+    void tryTarget(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
+    void trySwap(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
+    void tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
+    void consider(std::initializer_list<Change> changes, std::size_t from, Candidate &best);
+    /// Decrease of the sum of squared loads, or a negative value when a touched rank ends at the load of `from` or
+    /// above.
+    double decrease(std::initializer_list<Change> changes, std::size_t from);
+    void accumulate(const Change &change);
+    void touch(std::size_t rank, double load);
+    boost::container::static_vector<ReplicaMove, 4> movesFor(std::span<const Change> changes) const;
+    bool allowed(std::span<const ReplicaMove> moves);
+    void apply(const Change &change);
+    void selectTargets();
+
+    LayerIndex m_layer;
+    std::span<const double> m_tokens;
+    std::span<const double> m_speeds;
+    std::vector<std::ptrdiff_t> m_freeSlots;
+    const MoveHistory &m_history;
+    SteadyTime m_now;
+    std::vector<ExpertMap::RankList> m_replicas;
+    std::vector<std::vector<std::size_t>> m_expertsOfRank;
+    std::vector<double> m_load;
+    std::vector<std::size_t> m_targets;
+    std::vector<std::pair<std::size_t, double>> m_touched;
+    std::vector<ReplicaMove> m_done;
+    std::size_t m_coolingSteps = 0;
+};
+
+} // namespace Cardamomhill::internal
--- /dev/null
+++ b/src/placement/loadestimator.cpp
@@ -0,0 +1,242 @@
+#include "placement/loadestimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+// Report interval that is assumed for the first fold, when no earlier one tells the interval.
+constexpr double firstFoldSeconds = 10;
+// Median of the absolute value of a normal variable, relative to its standard deviation.
+constexpr double medianOfAbsoluteNormal = 0.6745;
+
+double secondsBetween(SteadyTime from, SteadyTime to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+/// Weight of a new value that stands for `elapsed` seconds. A young average is the plain mean of its values.
+double averageWeight(double elapsed, double observed, Seconds timeConstant)
+{
+    const double steady = 1 - std::exp(-elapsed / static_cast<double>(timeConstant.count()));
+    return std::max(steady, elapsed / observed);
+}
+
+bool fellBack(const std::vector<std::uint64_t> &before, const std::vector<std::uint64_t> &now)
+{
+    return !std::equal(before.begin(), before.end(), now.begin(), std::less_equal<>());
+}
+
+} // namespace
+
+LoadEstimator::LoadEstimator(const GroupShape &shape, const LoadEstimatorOptions &options)
+    : m_shape(shape)
+    , m_options(options)
+    , m_ranks(shape.ranks)
+    , m_pending(shape.ranks)
+    , m_windows(shape.ranks)
+    , m_windowTokens(shape.cells(), 0)
+    , m_fast(shape.cells(), 0)
+    , m_slow(shape.cells(), 0)
+    , m_layers(shape.layers)
+{
+}
+
+Result<ReportOutcome, PlacementError> LoadEstimator::observe(const RankReport &report)
+{
+    if (report.rank >= m_shape.ranks) {
+        return failure(PlacementError{PlacementErrorCode::UnknownRank, 0, 0, report.rank});
+    }
+    if (report.tokens.size() != m_shape.cells()) {
+        return failure(PlacementError{PlacementErrorCode::WrongShape, m_shape.layers, m_shape.experts, report.rank});
+    }
+    auto &state = m_ranks[report.rank];
+    if (state.known
+        && (report.incarnation < state.incarnation
+            || (report.incarnation == state.incarnation && report.sequence <= state.sequence))) {
+        return ReportOutcome::Stale;
+    }
+    if (!state.known || report.incarnation > state.incarnation || report.steps < state.steps
+        || report.busyTime < state.busyTime || fellBack(state.tokens, report.tokens)) {
+        startFrom(state, report);
+        return ReportOutcome::Restarted;
+    }
+    count(state, report);
+    return ReportOutcome::Counted;
+}
+
+void LoadEstimator::startFrom(RankState &state, const RankReport &report)
+{
+    state.known = true;
+    state.incarnation = report.incarnation;
+    state.sequence = report.sequence;
+    state.receivedAt = report.receivedAt;
+    state.steps = report.steps;
+    state.busyTime = report.busyTime;
+    state.tokens = report.tokens;
+}
+
+void LoadEstimator::count(RankState &state, const RankReport &report)
+{
+    const auto steps = report.steps - state.steps;
+    if (steps == 0) {
+        // Nothing ran; the next report covers this window as well.
+        state.sequence = report.sequence;
+        return;
+    }
+    const auto stepCount = static_cast<double>(steps);
+    state.tokensPerStep.resize(m_shape.cells());
+    for (std::size_t cell = 0; cell < m_shape.cells(); ++cell) {
+        state.tokensPerStep[cell]
+            = static_cast<float>(static_cast<double>(report.tokens[cell] - state.tokens[cell]) / stepCount);
+    }
+    const double elapsed = secondsBetween(state.receivedAt, report.receivedAt);
+    if (elapsed > 0) {
+        state.stepsPerSecond = stepCount / elapsed;
+    }
+    state.hasRate = true;
+    m_pending[report.rank]
+        = RankWindow{true, static_cast<double>((report.busyTime - state.busyTime).count()) / stepCount};
+    startFrom(state, report);
+    m_newestReport = std::max(m_newestReport, report.receivedAt);
+}
+
+bool LoadEstimator::advance(SteadyTime now)
+{
+    if (std::none_of(m_pending.begin(), m_pending.end(), [](const RankWindow &window) { return window.fresh; })) {
+        return false;
+    }
+    const bool first = m_observedSeconds == 0;
+    const double elapsed = first ? firstFoldSeconds : secondsBetween(m_lastFold, now);
+    if (elapsed <= 0) {
+        return false;
+    }
+    if (first) {
+        m_firstFold = now;
+    }
+    m_observedSeconds += elapsed;
+    m_lastFold = now;
+    m_windows = std::exchange(m_pending, std::vector<RankWindow>(m_shape.ranks));
+    sumWindows(now);
+    const double fastWeight = averageWeight(elapsed, m_observedSeconds, m_options.fastTime);
+    const double slowWeight = averageWeight(elapsed, m_observedSeconds, m_options.slowTime);
+    for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
+        updateLayer(layer, fastWeight, slowWeight, slowWeight, now);
+    }
+    return true;
+}
+
+void LoadEstimator::sumWindows(SteadyTime now)
+{
+    std::fill(m_windowTokens.begin(), m_windowTokens.end(), 0.0);
+    double ranksWithRate = 0;
+    double stepsPerSecond = 0;
+    for (const auto &state : m_ranks) {
+        if (!state.hasRate || now - state.receivedAt > m_options.rateLifetime) {
+            continue;
+        }
+        ++ranksWithRate;
+        stepsPerSecond += state.stepsPerSecond;
+        for (std::size_t cell = 0; cell < m_shape.cells(); ++cell) {
+            m_windowTokens[cell] += state.tokensPerStep[cell];
+        }
+    }
+    // Ranks without a usable rate are taken to route like the others.
+    ranksWithRate = std::max(ranksWithRate, 1.0);
+    const double scale = static_cast<double>(m_shape.ranks) / ranksWithRate;
+    for (auto &tokens : m_windowTokens) {
+        tokens *= scale;
+    }
+    m_stepsPerSecond = stepsPerSecond / ranksWithRate;
+}
+
+void LoadEstimator::updateLayer(
+    std::size_t layer, double fastWeight, double slowWeight, double noiseWeight, SteadyTime now)
+{
+    const auto begin = layer * m_shape.experts;
+    double layerTokens = 0;
+    for (auto cell = begin; cell < begin + m_shape.experts; ++cell) {
+        m_fast[cell] += fastWeight * (m_windowTokens[cell] - m_fast[cell]);
+        layerTokens += m_windowTokens[cell];
+    }
+    const double noise = standardDeviation(layer);
+    const double changeTokens = m_options.changeShare * layerTokens / static_cast<double>(m_shape.ranks);
+    for (auto cell = begin; cell < begin + m_shape.experts; ++cell) {
+        const double follow = followWeight(cell, noise);
+        if (follow >= 1 && std::abs(m_fast[cell] - m_slow[cell]) > changeTokens && m_lastFold != m_firstFold) {
+            m_layers[layer].lastChange = now;
+        }
+        // The slow average catches up with a change at the speed of the fast one.
+        const double weight = slowWeight + follow * std::max(0.0, fastWeight - slowWeight);
+        m_slow[cell] += weight * (m_windowTokens[cell] - m_slow[cell]);
+    }
+    m_layers[layer].noise += noiseWeight * (typicalDeviation(layer) - m_layers[layer].noise);
+}
+
+double LoadEstimator::followWeight(std::size_t cell, double noise) const
+{
+    const double base = std::max(m_slow[cell], 1e-9);
+    const double deviations = std::abs(m_fast[cell] - m_slow[cell]) / (base * noise);
+    return std::clamp((deviations - m_options.followFrom) / (m_options.followFully - m_options.followFrom), 0.0, 1.0);
+}
+
+double LoadEstimator::typicalDeviation(std::size_t layer) const
+{
+    std::vector<float> deviations(m_shape.experts);
+    for (std::size_t expert = 0; expert < m_shape.experts; ++expert) {
+        const auto cell = layer * m_shape.experts + expert;
+        const double base = std::max(m_slow[cell], 1e-9);
+        deviations[expert] = static_cast<float>(std::abs(m_fast[cell] - m_slow[cell]) / base);
+    }
+    const auto middle = deviations.begin() + static_cast<std::ptrdiff_t>(deviations.size() / 2);
+    std::nth_element(deviations.begin(), middle, deviations.end());
+    return static_cast<double>(*middle) / medianOfAbsoluteNormal;
+}
+
+double LoadEstimator::standardDeviation(std::size_t layer) const
+{
+    return std::max(m_layers[layer].noise, m_options.minimumNoise);
+}
+
+std::span<const double> LoadEstimator::windowTokens() const
+{
+    return m_windowTokens;
+}
+
+std::span<const RankWindow> LoadEstimator::windows() const
+{
+    return m_windows;
+}
+
+LoadEstimate LoadEstimator::estimate(SteadyTime now) const
+{
+    LoadEstimate result;
+    result.shape = m_shape;
+    result.tokensPerStep.resize(m_shape.cells());
+    result.layers.resize(m_shape.layers);
+    result.stepsPerSecond = m_stepsPerSecond;
+    result.observedFor = Seconds(static_cast<std::int64_t>(m_observedSeconds));
+    result.newestReport = m_newestReport;
+    // Noise of the slow average, relative to that of the fast one, for noise that is shorter than the fast average.
+    const double reduction = std::sqrt(2.0 * static_cast<double>(m_options.fastTime.count())
+                                       / static_cast<double>(m_options.slowTime.count()));
+    for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
+        const double noise = standardDeviation(layer);
+        for (std::size_t expert = 0; expert < m_shape.experts; ++expert) {
+            const auto cell = layer * m_shape.experts + expert;
+            result.tokensPerStep[cell] = m_slow[cell] + followWeight(cell, noise) * (m_fast[cell] - m_slow[cell]);
+        }
+        const auto since = std::max(m_firstFold, m_layers[layer].lastChange);
+        const auto age = std::chrono::duration_cast<Seconds>(now - since);
+        // A load that has lasted for some time is expected to last as long again.
+        result.layers[layer].expectedDuration = std::clamp(age, m_options.minimumDuration, m_options.maximumDuration);
+        result.layers[layer].relativeError = m_layers[layer].noise * std::min(1.0, reduction);
+    }
+    return result;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,26 @@
+#pragma once
+
+// When moving experts between the ranks of a group is worth its cost, and which moves.
+
+#include "placement/expertmap.h"
+#include "placement/groupshape.h"
+#include "placement/keepmap.h"
+#include "placement/layertimes.h"
+#include "placement/loadestimate.h"
+#include "placement/loadestimator.h"
+#include "placement/loadestimatoroptions.h"
+#include "placement/placementdecision.h"
+#include "placement/placementerror.h"
+#include "placement/placementlimits.h"
+#include "placement/placementplan.h"
+#include "placement/placementweights.h"
+#include "placement/planner.h"
+#include "placement/planneroptions.h"
+#include "placement/rankreport.h"
+#include "placement/rankwindow.h"
+#include "placement/rebalancer.h"
+#include "placement/replicamove.h"
+#include "placement/reportoutcome.h"
+#include "placement/skewclassifier.h"
+#include "placement/skewclassifieroptions.h"
+#include "placement/skewdiagnosis.h"
--- /dev/null
+++ b/src/placement/placementweights.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace Cardamomhill
+{
+
+/// How a profile weighs step-time skew against the cost of rebalancing. Only the ratio matters.
+struct PlacementWeights {
+    double skew = 1;
+    double cost = 1;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/placement/replicamove.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/nametable.h"
+#include "placement/groupshape.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+enum class MoveKind : std::uint8_t { Add, Drop };
+
+constexpr auto nameTable(MoveKind)
+{
+    return std::to_array<NamedValue<MoveKind>>({{MoveKind::Add, "add"}, {MoveKind::Drop, "drop"}});
+}
+
+/// Adds a replica of an expert to a rank, or drops one. Only an addition transfers weights.
+struct ReplicaMove {
+    MoveKind kind = MoveKind::Add;
+    LayerIndex layer = 0;
+    ExpertIndex expert = 0;
+    RankIndex rank = 0;
+
+    bool operator==(const ReplicaMove &) const = default;
+};
+
+} // namespace Cardamomhill
