Count the variation of steps in placement plans, and plan faster

Cause: replicas even out bursts, but the planner saw only mean loads; 60 layers took 16 to 84 ms of processor time. Change: a rank's load is its mean plus the expected maximum of its variation; swaps only where single moves fail; fewer targets far from balance; a shared limit of transfers for each layer; loads younger than ten minutes need less gain.

--- a/bench/placement/loadtrace.h
+++ b/bench/placement/loadtrace.h
@@ -24,6 +24,7 @@
 inline constexpr double microsecondsPerToken = 500.0 / tokensPerRankAndStep;
 // Standard deviation of an expert's log popularity: the most popular of 256 gets about seven times the mean.
 inline constexpr double popularityDeviation = 0.8;
+inline constexpr double eventJitterSeconds = 60;
 inline constexpr double flashFactor = 10;
 inline constexpr double stallFactor = 3;
 inline constexpr double secondsPerDay = 86400;
@@ -67,6 +68,8 @@
     const std::vector<double> &slowdowns() const;
 
 private:
+    /// Keeps events from falling always on the same point of the repack period.
+    double jitter();
     void drawPopularity();
     void updateFlash(double time);
     void updateRanks(double time);
@@ -84,13 +87,16 @@
     std::vector<double> m_step;
     std::vector<double> m_slowdowns;
     std::vector<std::size_t> m_flashed;
+    double m_nextFlash = 0;
     double m_flashStart = 0;
     double m_flashEnd = 0;
     std::size_t m_slowRank = 0;
     std::size_t m_stalledRank = 0;
+    double m_nextStall = 0;
     double m_stallStart = 0;
     double m_stallEnd = 0;
     int m_changesDone = 0;
+    double m_changeJitter = 0;
 };
 
 inline LoadTrace::LoadTrace(const TraceOptions &options, const GroupShape &shape, std::uint64_t seed)
@@ -105,13 +111,10 @@
     , m_step(shape.cells())
     , m_slowdowns(shape.ranks, 1)
     , m_flashed(shape.layers)
-    , m_flashStart(options.flashInterval)
-    , m_flashEnd(options.flashInterval + options.flashTime)
     , m_slowRank(m_random() % shape.ranks)
-    , m_stallStart(options.stallInterval)
-    , m_stallEnd(options.stallInterval + options.stallTime)
 {
     drawPopularity();
+    m_changeJitter = jitter();
     for (auto &phase : m_phase) {
         phase = std::uniform_real_distribution<double>(0, 2 * std::numbers::pi)(m_random);
     }
@@ -138,6 +141,11 @@
     return m_slowdowns;
 }
 
+inline double LoadTrace::jitter()
+{
+    return std::uniform_real_distribution<double>(0, eventJitterSeconds)(m_random);
+}
+
 inline void LoadTrace::drawPopularity()
 {
     for (auto &value : m_popularity) {
@@ -148,8 +156,9 @@
 inline void LoadTrace::advance(double time)
 {
     const double changeInterval = m_options.duration / (m_options.suddenChanges + 1);
-    if (m_changesDone < m_options.suddenChanges && time >= changeInterval * (m_changesDone + 1)) {
+    if (m_changesDone < m_options.suddenChanges && time >= changeInterval * (m_changesDone + 1) + m_changeJitter) {
         ++m_changesDone;
+        m_changeJitter = jitter();
         drawPopularity();
     }
     updateFlash(time);
@@ -160,7 +169,8 @@
 inline void LoadTrace::updateFlash(double time)
 {
     if (m_options.flashInterval > 0 && time >= m_flashEnd) {
-        m_flashStart += m_options.flashInterval;
+        m_nextFlash += m_options.flashInterval;
+        m_flashStart = m_nextFlash + jitter();
         m_flashEnd = m_flashStart + m_options.flashTime;
         for (auto &expert : m_flashed) {
             expert = m_random() % m_shape.experts;
@@ -178,11 +188,12 @@
         return;
     }
     if (time >= m_stallEnd) {
-        m_stallStart += m_options.stallInterval;
+        m_nextStall += m_options.stallInterval;
+        m_stallStart = m_nextStall + jitter();
         m_stallEnd = m_stallStart + m_options.stallTime;
         m_stalledRank = m_random() % m_shape.ranks;
     }
-    if (time >= m_stallStart) {
+    if (m_stallStart > 0 && time >= m_stallStart) {
         m_slowdowns[m_stalledRank] = stallFactor;
     }
 }
@@ -191,7 +202,7 @@
 {
     const double keep = std::exp(-tickSeconds / m_options.burstTime);
     const double renew = m_options.burstDeviation * std::sqrt(1 - keep * keep);
-    const bool flashing = m_options.flashInterval > 0 && time >= m_flashStart;
+    const bool flashing = m_options.flashInterval > 0 && m_flashStart > 0 && time >= m_flashStart;
     for (std::size_t cell = 0; cell < m_shape.cells(); ++cell) {
         double logWeight = m_popularity[cell];
         if (m_options.dailyAmplitude > 0) {
--- a/bench/placement/policies.h
+++ b/bench/placement/policies.h
@@ -2,6 +2,7 @@
 
 #include "fullrepack.h"
 #include "loadtrace.h"
+#include "measures.h"
 #include "placement/placement.h"
 
 #include <memory>
@@ -13,8 +14,10 @@
 namespace Cardamomhill
 {
 
-/// All policies decide this often.
-inline constexpr int ticksPerDecision = 6;
+/// Period of the repacks, in ticks.
+inline constexpr int ticksPerRepack = 6;
+/// The adaptive policy decides this often, in ticks. A decision to do nothing costs little.
+inline constexpr int ticksPerDecision = 2;
 inline constexpr std::uint64_t expertBytes = 44'040'192; // three matrices of 7168 x 2048 at 8 bits
 inline constexpr std::uint64_t storeBytesPerSecond = 2'000'000'000;
 
@@ -49,6 +52,11 @@
     virtual void observe(int tick, const LoadTrace &trace, const std::vector<double> &busyTimes) = 0;
     /// The map from the next tick on, when it changes now.
     virtual std::optional<ExpertMap> decide(int tick) = 0;
+    /// Ticks between two decisions.
+    virtual int period() const
+    {
+        return ticksPerRepack;
+    }
 
     void use(ExpertMap map)
     {
@@ -109,16 +117,9 @@
 private:
     double skewOf(const std::vector<double> &tokens) const
     {
-        const std::vector<double> speeds(m_shape.ranks, 1);
-        double slowest = 0;
-        double ideal = 0;
-        for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
-            const std::span<const double> all(tokens);
-            const auto times = layerTimes(map(), layer, all.subspan(layer * m_shape.experts, m_shape.experts), speeds);
-            slowest += times.slowest;
-            ideal += times.ideal;
-        }
-        return slowest / ideal;
+        const std::vector<double> slowdowns(m_shape.ranks, 1);
+        const auto times = stepTimes(map(), tokens, slowdowns);
+        return times.step / times.mean;
     }
 
     FullRepack m_repack;
@@ -177,6 +178,12 @@
         if (!decision) {
             throw std::runtime_error(decision.error().message());
         }
+        if (std::getenv("DBG") && (tick < 90 || std::get_if<PlacementPlan>(&decision.value()))) {
+            fprintf(stderr, "%s t=%d %s\n", name().c_str(), tick * 10, logLine(decision.value()).c_str());
+            if (const auto *plan = std::get_if<PlacementPlan>(&decision.value()))
+                for (auto &l : plan->layers) fprintf(stderr, "   layer %d tr %zu %.1f -> %.1f  noise %.4f burst %.4f dur %ld\n", l.layer, l.transfers, l.slowestBeforeMicroseconds, l.slowestAfterMicroseconds,
+                    m_rebalancer.estimate(timeOfTick(tick)).layers[l.layer].relativeError, m_rebalancer.estimate(timeOfTick(tick)).layers[l.layer].burstDeviation, (long)m_rebalancer.estimate(timeOfTick(tick)).layers[l.layer].expectedDuration.count());
+        }
         if (const auto *plan = std::get_if<PlacementPlan>(&decision.value())) {
             const auto after = m_rebalancer.start(*plan, timeOfTick(tick));
             if (!after) {
@@ -189,6 +196,11 @@
         return std::nullopt;
     }
 
+    int period() const override
+    {
+        return ticksPerDecision;
+    }
+
     const Rebalancer &rebalancer() const
     {
         return m_rebalancer;
--- a/bench/placementbench.cpp
+++ b/bench/placementbench.cpp
@@ -79,7 +79,7 @@
     list.push_back(
         std::make_unique<AdaptivePolicy>("skew-weighted", shape, limits, PlacementWeights{1, 1}, RebalancerOptions{}));
     list.push_back(
-        std::make_unique<AdaptivePolicy>("cost-weighted", shape, limits, PlacementWeights{1, 20}, RebalancerOptions{}));
+        std::make_unique<AdaptivePolicy>("cost-weighted", shape, limits, PlacementWeights{1, 5}, RebalancerOptions{}));
     return list;
 }
 
@@ -96,7 +96,7 @@
             auto &measures = results[index].measures;
             measures.addStep(stepTimes(policy.map(), trace.stepTokens(), trace.slowdowns()));
             policy.observe(tick, trace, stepTimes(policy.map(), trace.countedTokens(), trace.slowdowns()).ranks);
-            if (tick % ticksPerDecision != 0) {
+            if (tick % policy.period() != 0) {
                 continue;
             }
             const double start = threadMilliseconds();
--- a/src/placement/layerbalancer.cpp
+++ b/src/placement/layerbalancer.cpp
@@ -11,8 +11,15 @@
 namespace
 {
 
-// Lightest ranks that are tried as targets of a step. More than six found no better steps in the tuning traces.
+// Lightest ranks that are tried as targets of a step. As long as the slowest rank is far from the mean, the lightest ones
+// are nearly always the best targets; more of them only cost time.
 constexpr std::size_t targetCount = 6;
+constexpr std::size_t targetCountFar = 2;
+// A new replica takes load from several ranks, so it matters less which of the lightest ranks receives it.
+constexpr std::size_t replicaTargetCount = 2;
+constexpr double farFromMean = 1.1;
+// The variation that moves with an expert's tokens is taken to raise the benefit of a move by at most this factor.
+constexpr double shareOfVariation = 1.5;
 // A step without a transfer is counted as this many transfers when steps are compared.
 constexpr double costOfDrop = 0.3;
 // A step must lower the slowest rank by this part; keeps rounding errors from counting as gains.
@@ -24,27 +31,55 @@
                              LayerIndex layer,
                              std::span<const double> tokens,
                              std::span<const double> speeds,
+                             const StepVariation &variation,
                              std::vector<std::ptrdiff_t> freeSlots,
                              const MoveHistory &history,
                              SteadyTime now)
     : m_layer(layer)
     , m_tokens(tokens)
     , m_speeds(speeds)
+    , m_variation(variation)
     , m_freeSlots(std::move(freeSlots))
     , m_history(history)
     , m_now(now)
     , m_expertsOfRank(speeds.size())
+    , m_share(tokens.size())
+    , m_shareVariance(tokens.size())
+    , m_mean(speeds.size(), 0)
+    , m_variance(speeds.size(), 0)
     , m_load(speeds.size(), 0)
-    , m_targets(speeds.size())
 {
     m_replicas.reserve(tokens.size());
     for (std::size_t expert = 0; expert < tokens.size(); ++expert) {
         m_replicas.push_back(map.replicas(layer, expert));
+        updateShare(expert);
         for (const auto rank : m_replicas.back()) {
             m_expertsOfRank[rank].push_back(expert);
-            m_load[rank] += share(expert) / m_speeds[rank];
+            m_mean[rank] += m_share[expert] / m_speeds[rank];
+            m_variance[rank] += m_shareVariance[expert] / (m_speeds[rank] * m_speeds[rank]);
         }
     }
+    for (std::size_t rank = 0; rank < m_load.size(); ++rank) {
+        m_load[rank] = expectedLoad(m_mean[rank], m_variance[rank]);
+    }
+}
+
+double LayerBalancer::variance(std::size_t expert) const
+{
+    return m_variation.varianceOf(m_tokens[expert]);
+}
+
+double LayerBalancer::expectedLoad(double mean, double variance) const
+{
+    // Rounding can leave a variance just below 0.
+    return mean + m_variation.maximumDeviations * std::sqrt(std::max(0.0, variance));
+}
+
+void LayerBalancer::updateShare(std::size_t expert)
+{
+    const auto count = static_cast<double>(m_replicas[expert].size());
+    m_share[expert] = m_tokens[expert] / count;
+    m_shareVariance[expert] = variance(expert) / (count * count);
 }
 
 double LayerBalancer::slowest() const
@@ -62,11 +97,6 @@
     return m_freeSlots;
 }
 
-double LayerBalancer::share(std::size_t expert) const
-{
-    return m_tokens[expert] / static_cast<double>(m_replicas[expert].size());
-}
-
 bool LayerBalancer::holds(std::size_t expert, std::size_t rank) const
 {
     const auto &ranks = m_replicas[expert];
@@ -76,18 +106,22 @@
 std::optional<BalanceStep> LayerBalancer::improve()
 {
     const auto from = static_cast<std::size_t>(std::max_element(m_load.begin(), m_load.end()) - m_load.begin());
-    selectTargets();
+    selectTargets(from);
     Candidate best;
     for (const auto expert : m_expertsOfRank[from]) {
         if (m_replicas[expert].size() > 1) {
             consider({Change{expert, Change::noRank, from}}, from, best);
         }
-        for (const auto target : m_targets) {
-            if (target != from && !holds(expert, target)) {
-                tryTarget(expert, from, target, best);
+        for (std::size_t position = 0; position < m_targets.size(); ++position) {
+            if (m_targets[position] != from && !holds(expert, m_targets[position])) {
+                tryTarget(expert, from, position, best);
             }
         }
     }
+    if (best.changes.empty()) {
+        // A swap costs two transfers, so it is left for where single moves are too coarse.
+        trySwaps(from, best);
+    }
     if (best.changes.empty()) {
         return std::nullopt;
     }
@@ -104,30 +138,52 @@
     return step;
 }
 
-void LayerBalancer::selectTargets()
+void LayerBalancer::selectTargets(std::size_t from)
 {
     m_targets.resize(m_load.size());
     std::iota(m_targets.begin(), m_targets.end(), std::size_t{0});
-    const auto count = std::min(targetCount, m_targets.size());
+    const double mean = std::accumulate(m_load.begin(), m_load.end(), 0.0) / static_cast<double>(m_load.size());
+    const auto wanted = m_load[from] > farFromMean * mean ? targetCountFar : targetCount;
+    const auto count = std::min(wanted, m_targets.size());
     std::partial_sort(m_targets.begin(),
                       m_targets.begin() + static_cast<std::ptrdiff_t>(count),
                       m_targets.end(),
                       [this](std::size_t left, std::size_t right) {
-                          return std::pair(m_load[left], left) < std::pair(m_load[right], right);
+                          return m_load[left] < m_load[right] || (m_load[left] == m_load[right] && left < right);
                       });
     m_targets.resize(count);
 }
 
-void LayerBalancer::tryTarget(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+void LayerBalancer::tryTarget(std::size_t expert, std::size_t from, std::size_t position, Candidate &best)
 {
+    const auto target = m_targets[position];
+    const bool replicate = position < replicaTargetCount;
     if (m_freeSlots[target] > 0) {
-        consider({Change{expert, target, from}}, from, best);
-        consider({Change{expert, target, Change::noRank}}, from, best);
-    } else {
+        tryRelocation(expert, from, target, best);
+        if (replicate) {
+            consider({Change{expert, target, Change::noRank}}, from, best);
+        }
+    } else if (replicate) {
         tryEviction(expert, from, target, best);
     }
-    if (m_freeSlots[target] > 0 || m_freeSlots[from] > 0) {
-        trySwap(expert, from, target, best);
+}
+
+void LayerBalancer::tryRelocation(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    if (canExceed(best.benefit, from, target, m_share[expert])
+        && decreaseOfExchange(from, target, m_share[expert], m_shareVariance[expert]) > best.benefit) {
+        consider({Change{expert, target, from}}, from, best);
+    }
+}
+
+void LayerBalancer::trySwaps(std::size_t from, Candidate &best)
+{
+    for (const auto expert : m_expertsOfRank[from]) {
+        for (const auto target : m_targets) {
+            if (target != from && (m_freeSlots[target] > 0 || m_freeSlots[from] > 0) && !holds(expert, target)) {
+                trySwap(expert, from, target, best);
+            }
+        }
     }
 }
 
@@ -135,20 +191,26 @@
 {
     // Moving this many tokens, less those that come back, evens out both ranks.
     const double wanted = (m_load[from] - m_load[target]) / (1 / m_speeds[from] + 1 / m_speeds[target]);
-    const double shareBack = share(expert) - wanted;
+    const double shareBack = m_share[expert] - wanted;
     if (shareBack <= 0) {
         return;
     }
     auto closest = m_tokens.size();
     double distance = std::numeric_limits<double>::infinity();
     for (const auto other : m_expertsOfRank[target]) {
-        const double off = std::abs(share(other) - shareBack);
+        const double off = std::abs(m_share[other] - shareBack);
         if (off < distance && !holds(other, from)) {
             closest = other;
             distance = off;
         }
     }
-    if (closest < m_tokens.size()) {
+    if (closest == m_tokens.size()) {
+        return;
+    }
+    const double share = m_share[expert] - m_share[closest];
+    const double variance = m_shareVariance[expert] - m_shareVariance[closest];
+    if (canExceed(2 * best.benefit, from, target, share)
+        && decreaseOfExchange(from, target, share, variance) / 2 > best.benefit) {
         consider({Change{expert, target, from}, Change{closest, from, target}}, from, best);
     }
 }
@@ -157,7 +219,7 @@
 {
     auto lightest = m_tokens.size();
     for (const auto other : m_expertsOfRank[target]) {
-        if (m_replicas[other].size() > 1 && (lightest == m_tokens.size() || share(other) < share(lightest))) {
+        if (m_replicas[other].size() > 1 && (lightest == m_tokens.size() || m_share[other] < m_share[lightest])) {
             lightest = other;
         }
     }
@@ -168,6 +230,35 @@
     }
 }
 
+bool LayerBalancer::canExceed(double benefit, std::size_t from, std::size_t target, double tokens) const
+{
+    const double fromTokens = tokens / m_speeds[from];
+    const double targetTokens = tokens / m_speeds[target];
+    const double ofMeans = fromTokens * (2 * m_load[from] - fromTokens) - targetTokens * (2 * m_load[target] + targetTokens);
+    return ofMeans * shareOfVariation > benefit;
+}
+
+double
+LayerBalancer::decreaseOfExchange(std::size_t from, std::size_t target, double tokens, double variance) const
+{
+    const double limit = m_load[from] * (1 - leastImprovement);
+    const double targetMean = m_mean[target] + tokens / m_speeds[target];
+    // The variation only adds to the mean, so most targets that end too high need no square root.
+    if (targetMean >= limit) {
+        return -1;
+    }
+    const double targetSquare = m_speeds[target] * m_speeds[target];
+    const double fromSquare = m_speeds[from] * m_speeds[from];
+    const double targetAfter = expectedLoad(targetMean, m_variance[target] + variance / targetSquare);
+    const double fromAfter =
+        expectedLoad(m_mean[from] - tokens / m_speeds[from], m_variance[from] - variance / fromSquare);
+    if (targetAfter >= limit || fromAfter >= limit) {
+        return -1;
+    }
+    return m_load[from] * m_load[from] + m_load[target] * m_load[target] - fromAfter * fromAfter
+        - targetAfter * targetAfter;
+}
+
 void LayerBalancer::consider(std::initializer_list<Change> changes, std::size_t from, Candidate &best)
 {
     double cost = 0;
@@ -194,12 +285,14 @@
     }
     const double limit = m_load[from] * (1 - leastImprovement);
     double sum = 0;
-    for (const auto &[rank, difference] : m_touched) {
-        const double after = m_load[rank] + difference;
+    for (const auto &touched : m_touched) {
+        const double before = m_load[touched.rank];
+        const double after =
+            expectedLoad(m_mean[touched.rank] + touched.load, m_variance[touched.rank] + touched.variance);
         if (after >= limit) {
             return -1;
         }
-        sum += m_load[rank] * m_load[rank] - after * after;
+        sum += before * before - after * after;
     }
     return sum;
 }
@@ -207,31 +300,35 @@
 void LayerBalancer::accumulate(const Change &change)
 {
     const auto &ranks = m_replicas[change.expert];
-    const auto after
-        = ranks.size() + (change.addTo != Change::noRank ? 1 : 0) - (change.dropFrom != Change::noRank ? 1 : 0);
-    const double before = share(change.expert);
-    const double later = m_tokens[change.expert] / static_cast<double>(after);
+    const auto before = static_cast<double>(ranks.size());
+    const double after
+        = before + (change.addTo != Change::noRank ? 1 : 0) - (change.dropFrom != Change::noRank ? 1 : 0);
+    const double share = m_share[change.expert];
+    const double shareVariance = m_shareVariance[change.expert];
+    const double ratio = before / after;
     for (const auto rank : ranks) {
         if (rank == change.dropFrom) {
-            touch(rank, -before / m_speeds[rank]);
-        } else if (after != ranks.size()) {
-            touch(rank, (later - before) / m_speeds[rank]);
+            touch(rank, -share, -shareVariance);
+        } else if (after != before) {
+            touch(rank, share * (ratio - 1), shareVariance * (ratio * ratio - 1));
         }
     }
     if (change.addTo != Change::noRank) {
-        touch(change.addTo, later / m_speeds[change.addTo]);
+        touch(change.addTo, share * ratio, shareVariance * ratio * ratio);
     }
 }
 
-void LayerBalancer::touch(std::size_t rank, double load)
+void LayerBalancer::touch(std::size_t rank, double load, double variance)
 {
-    for (auto &entry : m_touched) {
-        if (entry.first == rank) {
-            entry.second += load;
+    const double speed = m_speeds[rank];
+    for (auto &touched : m_touched) {
+        if (touched.rank == rank) {
+            touched.load += load / speed;
+            touched.variance += variance / (speed * speed);
             return;
         }
     }
-    m_touched.emplace_back(rank, load);
+    m_touched.push_back({rank, load / speed, variance / (speed * speed)});
 }
 
 boost::container::static_vector<ReplicaMove, 4> LayerBalancer::movesFor(std::span<const Change> changes) const
@@ -278,8 +375,10 @@
 {
     m_touched.clear();
     accumulate(change);
-    for (const auto &[rank, difference] : m_touched) {
-        m_load[rank] += difference;
+    for (const auto &touched : m_touched) {
+        m_mean[touched.rank] += touched.load;
+        m_variance[touched.rank] += touched.variance;
+        m_load[touched.rank] = expectedLoad(m_mean[touched.rank], m_variance[touched.rank]);
     }
     auto &ranks = m_replicas[change.expert];
     if (change.addTo != Change::noRank) {
@@ -292,6 +391,7 @@
         std::erase(m_expertsOfRank[change.dropFrom], change.expert);
         ++m_freeSlots[change.dropFrom];
     }
+    updateShare(change.expert);
 }
 
-} // namespace Cardamomhill::internal
+} // namespace Cardamomhill::internal
--- a/src/placement/layertimes.cpp
+++ b/src/placement/layertimes.cpp
@@ -1,5 +1,7 @@
 #include "placement/layertimes.h"
 
+#include <boost/math/distributions/normal.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -8,26 +10,59 @@
 namespace Cardamomhill
 {
 
-LayerTimes
-layerTimes(const ExpertMap &map, std::size_t layer, std::span<const double> tokens, std::span<const double> speeds)
+StepVariation stepVariation(double burstDeviation, std::size_t ranks)
+{
+    StepVariation variation;
+    variation.burstDeviation = burstDeviation;
+    if (ranks > 1) {
+        // Blom's approximation of the expected maximum of independent normal variables.
+        const auto count = static_cast<double>(ranks);
+        variation.maximumDeviations
+            = boost::math::quantile(boost::math::normal_distribution<double>(), (count - 0.375) / (count + 0.25));
+    }
+    return variation;
+}
+
+LayerTimes layerTimes(const ExpertMap &map,
+                      std::size_t layer,
+                      std::span<const double> tokens,
+                      std::span<const double> speeds,
+                      const StepVariation &variation,
+                      std::size_t slots)
 {
     std::vector<double> loads(speeds.size(), 0);
+    std::vector<double> variances(speeds.size(), 0);
     double total = 0;
     double squares = 0;
+    double deviations = 0;
     for (std::size_t expert = 0; expert < tokens.size(); ++expert) {
         const auto &ranks = map.replicas(layer, expert);
-        const double share = tokens[expert] / static_cast<double>(ranks.size());
+        const auto count = static_cast<double>(ranks.size());
+        const double share = tokens[expert] / count;
+        const double variance = variation.varianceOf(tokens[expert]);
         for (const auto rank : ranks) {
-            const double load = share / speeds[rank];
-            loads[rank] += load;
-            squares += load * load;
+            loads[rank] += share / speeds[rank];
+            variances[rank] += variance / (count * count * speeds[rank] * speeds[rank]);
         }
+        squares += share * share * count;
         total += tokens[expert];
+        deviations += std::sqrt(variance);
     }
     LayerTimes times;
-    times.slowest = *std::max_element(loads.begin(), loads.end());
+    for (std::size_t rank = 0; rank < speeds.size(); ++rank) {
+        times.slowest = std::max(times.slowest, loads[rank] + variation.maximumDeviations * std::sqrt(variances[rank]));
+    }
+    const auto ranks = static_cast<double>(speeds.size());
     times.ideal = total / std::accumulate(speeds.begin(), speeds.end(), 0.0);
-    times.errorFactor = std::sqrt(squares / static_cast<double>(speeds.size()));
+    double distances = 0;
+    for (const auto load : loads) {
+        distances += (load - times.ideal) * (load - times.ideal);
+    }
+    times.spread = std::sqrt(distances / ranks);
+    // The mean of the ranks' variances is least when the replicas of an expert are in proportion to its deviation.
+    times.bound
+        = times.ideal + variation.maximumDeviations * deviations / std::sqrt(ranks * static_cast<double>(slots));
+    times.errorFactor = std::sqrt(squares / ranks);
     return times;
 }
 
--- a/src/placement/loadestimate.h
+++ b/src/placement/loadestimate.h
@@ -12,6 +12,8 @@
 struct LayerOutlook {
     /// Standard error of an expert's load, relative to the load.
     double relativeError = 0;
+    /// Standard deviation of an expert's load in one report window around its mean, relative to the mean.
+    double burstDeviation = 0;
     /// How long the load is expected to stay as it is.
     Seconds expectedDuration{0};
 };
--- a/src/placement/loadestimator.cpp
+++ b/src/placement/loadestimator.cpp
@@ -174,7 +174,8 @@
         const double weight = slowWeight + follow * std::max(0.0, fastWeight - slowWeight);
         m_slow[cell] += weight * (m_windowTokens[cell] - m_slow[cell]);
     }
-    m_layers[layer].noise += noiseWeight * (typicalDeviation(layer) - m_layers[layer].noise);
+    m_layers[layer].noise += noiseWeight * (typicalDeviation(layer, m_fast) - m_layers[layer].noise);
+    m_layers[layer].burst += noiseWeight * (typicalDeviation(layer, m_windowTokens) - m_layers[layer].burst);
 }
 
 double LoadEstimator::followWeight(std::size_t cell, double noise) const
@@ -184,17 +185,25 @@
     return std::clamp((deviations - m_options.followFrom) / (m_options.followFully - m_options.followFrom), 0.0, 1.0);
 }
 
-double LoadEstimator::typicalDeviation(std::size_t layer) const
+double LoadEstimator::typicalDeviation(std::size_t layer, std::span<const double> values) const
 {
     std::vector<float> deviations(m_shape.experts);
+    const auto median = [&] {
+        const auto middle = deviations.begin() + static_cast<std::ptrdiff_t>(deviations.size() / 2);
+        std::nth_element(deviations.begin(), middle, deviations.end());
+        return *middle;
+    };
     for (std::size_t expert = 0; expert < m_shape.experts; ++expert) {
         const auto cell = layer * m_shape.experts + expert;
         const double base = std::max(m_slow[cell], 1e-9);
-        deviations[expert] = static_cast<float>(std::abs(m_fast[cell] - m_slow[cell]) / base);
+        deviations[expert] = static_cast<float>((values[cell] - m_slow[cell]) / base);
     }
-    const auto middle = deviations.begin() + static_cast<std::ptrdiff_t>(deviations.size() / 2);
-    std::nth_element(deviations.begin(), middle, deviations.end());
-    return static_cast<double>(*middle) / medianOfAbsoluteNormal;
+    // A shift that all experts share does not change the balance, so it is no noise.
+    const float shift = median();
+    for (auto &deviation : deviations) {
+        deviation = std::abs(deviation - shift);
+    }
+    return static_cast<double>(median()) / medianOfAbsoluteNormal;
 }
 
 double LoadEstimator::standardDeviation(std::size_t layer) const
@@ -221,9 +230,12 @@
     result.stepsPerSecond = m_stepsPerSecond;
     result.observedFor = Seconds(static_cast<std::int64_t>(m_observedSeconds));
     result.newestReport = m_newestReport;
-    // Noise of the slow average, relative to that of the fast one, for noise that is shorter than the fast average.
-    const double reduction = std::sqrt(2.0 * static_cast<double>(m_options.fastTime.count())
-                                       / static_cast<double>(m_options.slowTime.count()));
+    // Errors of both averages for noise with an exponential autocorrelation. A young slow average is a plain mean,
+    // whose error is that of an average with half the time constant.
+    const double slowTime = std::min(static_cast<double>(m_options.slowTime.count()), m_observedSeconds / 2);
+    const auto burstTime = static_cast<double>(m_options.burstTime.count());
+    const auto fastTime = static_cast<double>(m_options.fastTime.count());
+    const double reduction = std::sqrt((burstTime + fastTime) / (burstTime + slowTime));
     for (std::size_t layer = 0; layer < m_shape.layers; ++layer) {
         const double noise = standardDeviation(layer);
         for (std::size_t expert = 0; expert < m_shape.experts; ++expert) {
@@ -235,6 +247,7 @@
         // A load that has lasted for some time is expected to last as long again.
         result.layers[layer].expectedDuration = std::clamp(age, m_options.minimumDuration, m_options.maximumDuration);
         result.layers[layer].relativeError = m_layers[layer].noise * std::min(1.0, reduction);
+        result.layers[layer].burstDeviation = m_layers[layer].burst;
     }
     return result;
 }
--- a/src/placement/loadestimator.h
+++ b/src/placement/loadestimator.h
@@ -53,6 +53,7 @@
     };
     struct LayerState {
         double noise = 0;
+        double burst = 0;
         SteadyTime lastChange{};
     };
 
@@ -62,8 +63,9 @@
     void updateLayer(std::size_t layer, double fastWeight, double slowWeight, double noiseWeight, SteadyTime now);
     /// 0: the slow average, 1: the fast one.
     double followWeight(std::size_t cell, double noise) const;
-    /// The relative deviation between both averages that half of the layer's experts exceed, as a standard deviation.
-    double typicalDeviation(std::size_t layer) const;
+    /// The relative deviation of the values from the slow average that half of the layer's experts exceed, as a
+    /// standard deviation. The median keeps one popular expert from counting as noise.
+    double typicalDeviation(std::size_t layer, std::span<const double> values) const;
     double standardDeviation(std::size_t layer) const;
 
     GroupShape m_shape;
--- a/src/placement/loadestimatoroptions.h
+++ b/src/placement/loadestimatoroptions.h
@@ -7,14 +7,15 @@
 
 struct LoadEstimatorOptions {
     /// Time constant of the average that follows changes.
-    Seconds fastTime{60};
-    /// Time constant of the average that suppresses noise. At 600 s, bursts that last 45 s leave a quarter of their
-    /// spread in the estimate.
-    Seconds slowTime{600};
+    Seconds fastTime{10};
+    /// Time constant of the average that suppresses noise. At 300 s its error is steady after ten minutes.
+    Seconds slowTime{300};
+    /// Bursts that last up to this time count as noise.
+    Seconds burstTime{60};
     /// The estimate starts to leave the slow average when the fast one differs by this many standard deviations...
-    double followFrom = 3;
+    double followFrom = 4;
     /// ...and equals the fast one from here on.
-    double followFully = 6;
+    double followFully = 8;
     /// Lower limit of the relative standard deviation, so that a load without noise does not make each slow drift
     /// look like a change.
     double minimumNoise = 0.05;
@@ -24,7 +25,7 @@
     /// A rank that is silent for longer no longer counts with its last rate.
     Seconds rateLifetime{120};
     Seconds minimumDuration{60};
-    Seconds maximumDuration{1800};
+    Seconds maximumDuration{600};
 };
 
 } // namespace Cardamomhill
--- a/src/placement/movehistory.cpp
+++ b/src/placement/movehistory.cpp
@@ -24,10 +24,12 @@
 {
 }
 
-void MoveHistory::record(const ReplicaMove &move, SteadyTime now)
+void MoveHistory::record(std::span<const ReplicaMove> moves, SteadyTime now)
 {
     forgetBefore(now - m_cooldown);
-    m_moves[keyOf(move, move.kind)] = now;
+    for (const auto &move : moves) {
+        m_moves[keyOf(move, move.kind)] = now;
+    }
 }
 
 bool MoveHistory::undoesRecent(const ReplicaMove &move, SteadyTime now) const
--- a/src/placement/movehistory.h
+++ b/src/placement/movehistory.h
@@ -4,6 +4,7 @@
 #include "placement/replicamove.h"
 
 #include <cstdint>
+#include <span>
 #include <unordered_map>
 
 namespace Cardamomhill::internal
@@ -15,7 +16,7 @@
 public:
     explicit MoveHistory(Seconds cooldown);
 
-    void record(const ReplicaMove &move, SteadyTime now);
+    void record(std::span<const ReplicaMove> moves, SteadyTime now);
     /// True when the move would reverse one that is younger than the cooldown.
     bool undoesRecent(const ReplicaMove &move, SteadyTime now) const;
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -169,11 +169,13 @@
             return keep(KeepReason::Balanced);
         }
         std::stable_sort(m_triggered.begin(), m_triggered.end(), [](const Excess &left, const Excess &right) {
-            return left.times.slowest - left.floor > right.times.slowest - right.floor;
+            return left.times.slowest - left.times.bound > right.times.slowest - right.times.bound;
         });
         MemoryBook memory(m_map, m_limits);
-        for (const auto &excess : m_triggered) {
-            planLayer(excess, memory);
+        for (std::size_t index = 0; index < m_triggered.size(); ++index) {
+            // The first moves of a layer gain most, so no layer uses up the transfers of the others.
+            const auto layersLeft = m_triggered.size() - index;
+            planLayer(m_triggered[index], (transfersLeft() + layersLeft - 1) / layersLeft, memory);
         }
         return m_plan.moves.empty() ? keep(reasonWithoutMoves()) : finish();
     }
@@ -182,8 +184,9 @@
     struct Excess {
         std::size_t layer = 0;
         LayerTimes times;
-        /// What the slowest rank takes in perfect balance when noise is added; less cannot be promised.
-        double floor = 0;
+        StepVariation variation;
+        /// Gain that errors of the estimate alone can suggest.
+        double noise = 0;
     };
     /// The first steps of a layer, as far as they pay.
     struct Prefix {
@@ -196,21 +199,43 @@
 
     void measure(std::size_t layer)
     {
+        const auto &outlook = m_load.layers[layer];
+        const auto &shape = m_map.shape();
         Excess excess;
         excess.layer = layer;
-        excess.times = layerTimes(m_map, layer, layerOf(m_load, layer), m_diagnosis.speeds);
-        const double ranks = static_cast<double>(m_map.shape().ranks);
-        // Expected maximum of independent normal errors, from above.
-        const double maximumOfNormals = std::sqrt(2 * std::log(ranks));
-        excess.floor = excess.times.ideal
-            + m_options.noiseMargin * maximumOfNormals * m_load.layers[layer].relativeError * excess.times.errorFactor;
+        excess.variation = stepVariation(outlook.burstDeviation, shape.ranks);
+        excess.times = layerTimes(m_map,
+                                  layer,
+                                  layerOf(m_load, layer),
+                                  m_diagnosis.speeds,
+                                  excess.variation,
+                                  shape.ranks * m_limits.slotsPerRankAndLayer);
+        const double error = outlook.relativeError * excess.times.errorFactor;
+        excess.noise = isSignificant(excess.times, error)
+            ? 0
+            : m_options.noiseMargin * excess.variation.maximumDeviations * error;
         m_slowest += excess.times.slowest;
         m_ideal += excess.times.ideal;
-        if (excess.times.slowest > excess.floor + m_options.triggerBand * excess.times.ideal) {
+        if (excess.times.slowest - excess.times.bound > requiredGain(excess)) {
             m_triggered.push_back(excess);
         }
     }
 
+    /// True when the spread over all ranks exceeds what errors of the estimate explain: those of the present estimate,
+    /// and those of the estimate that the map was made for.
+    bool isSignificant(const LayerTimes &times, double error) const
+    {
+        const double degreesOfFreedom = std::max(1.0, static_cast<double>(m_map.shape().ranks) - 1);
+        const double limit = 2 * error * error * (1 + m_options.significance * std::sqrt(2 / degreesOfFreedom));
+        return times.spread * times.spread > limit;
+    }
+
+    double requiredGain(const Excess &excess) const
+    {
+        const bool young = m_load.layers[excess.layer].expectedDuration < m_options.youngLoad;
+        return excess.noise + (young ? m_options.requiredGainYoung : m_options.requiredGain) * excess.times.ideal;
+    }
+
     std::optional<KeepReason> reasonToWait() const
     {
         if (m_load.observedFor < m_options.warmUp || m_diagnosis.microsecondsPerToken <= 0) {
@@ -255,23 +280,23 @@
         return possible - std::min(possible, m_transfers);
     }
 
-    void planLayer(const Excess &excess, MemoryBook &memory)
+    void planLayer(const Excess &excess, std::size_t transferLimit, MemoryBook &memory)
     {
         internal::LayerBalancer balancer(m_map,
                                          static_cast<LayerIndex>(excess.layer),
                                          layerOf(m_load, excess.layer),
                                          m_diagnosis.speeds,
+                                         excess.variation,
                                          memory.freeSlots(excess.layer),
                                          m_planner.m_history,
                                          m_now);
         std::vector<internal::BalanceStep> steps;
         Prefix reached;
         Prefix best;
-        const auto limit = transfersLeft();
         while (steps.size() < m_options.maximumStepsPerLayer
-               && balancer.slowest() > excess.times.ideal * (1 + m_options.settleBand)) {
+               && balancer.slowest() > excess.times.bound + m_options.settleBand * excess.times.ideal) {
             const auto step = balancer.improve();
-            if (!step || reached.transfers + step->transfers > limit) {
+            if (!step || reached.transfers + step->transfers > transferLimit) {
                 break;
             }
             steps.push_back(*step);
@@ -279,8 +304,10 @@
             reached.transfers += step->transfers;
             reached.slowest = step->slowest;
             rate(excess, reached);
-            if (reached.score > best.score) {
+            if (reached.score > best.score && excess.times.slowest - reached.slowest > requiredGain(excess)) {
                 best = reached;
+            } else if (steps.size() > best.steps + m_options.stepsWithoutGain) {
+                break;
             }
         }
         m_coolingMoves += balancer.coolingSteps();
@@ -293,7 +320,7 @@
 
     void rate(const Excess &excess, Prefix &prefix) const
     {
-        const double tokens = excess.times.slowest - std::max(prefix.slowest, excess.floor);
+        const double tokens = excess.times.slowest - prefix.slowest - excess.noise;
         const double delay = backlogSeconds() + transferSeconds(m_transfers + prefix.transfers);
         const auto expected = static_cast<double>(m_load.layers[excess.layer].expectedDuration.count());
         const double stepsLeft = m_load.stepsPerSecond * std::max(0.0, expected - delay);
@@ -414,9 +441,7 @@
 
 void Planner::adopted(const PlacementPlan &plan, const ExpertMap &before, const ExpertMap &after, SteadyTime now)
 {
-    for (const auto &move : plan.moves) {
-        m_history.record(move, now);
-    }
+    m_history.record(plan.moves, now);
     m_storeBusyUntil = std::max(m_storeBusyUntil, now) + plan.transferTime;
     // One promise at a time bounds the memory to two maps.
     if (!m_promise) {
@@ -432,8 +457,11 @@
     }
     double tokens = 0;
     for (std::size_t layer = 0; layer < load.shape.layers; ++layer) {
-        tokens += layerTimes(m_promise->before, layer, layerOf(load, layer), diagnosis.speeds).slowest;
-        tokens -= layerTimes(m_promise->after, layer, layerOf(load, layer), diagnosis.speeds).slowest;
+        const auto variation = stepVariation(load.layers[layer].burstDeviation, load.shape.ranks);
+        const auto slowest = [&](const ExpertMap &map) {
+            return layerTimes(map, layer, layerOf(load, layer), diagnosis.speeds, variation, 1).slowest;
+        };
+        tokens += slowest(m_promise->before) - slowest(m_promise->after);
     }
     const double actual = tokens * diagnosis.microsecondsPerToken;
     const double ratio = m_promise->microsecondsPerStep > 0 ? actual / m_promise->microsecondsPerStep : 1;
