Search wider where single moves of experts are stuck

Cause: with full slots the local search of a layer ended well above the bound on drifting load. Change: exchanges between full ranks, and a search over all ranks when the six lightest give no step.

--- a/bench/placement/policies.h
+++ b/bench/placement/policies.h
@@ -178,7 +178,7 @@
         if (!decision) {
             throw std::runtime_error(decision.error().message());
         }
-        if (std::getenv("DBG") && (tick < 90 || std::get_if<PlacementPlan>(&decision.value()))) {
+        if (std::getenv("DBG") && (tick < 90 || tick > 3000 || std::get_if<PlacementPlan>(&decision.value()))) {
             fprintf(stderr, "%s t=%d %s\n", name().c_str(), tick * 10, logLine(decision.value()).c_str());
             if (const auto *plan = std::get_if<PlacementPlan>(&decision.value()))
                 for (auto &l : plan->layers) fprintf(stderr, "   layer %d tr %zu %.1f -> %.1f  noise %.4f burst %.4f dur %ld\n", l.layer, l.transfers, l.slowestBeforeMicroseconds, l.slowestAfterMicroseconds,
--- a/src/placement/layerbalancer.cpp
+++ b/src/placement/layerbalancer.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-// Lightest ranks that are tried as targets of a step. As long as the slowest rank is far from the mean, the lightest ones
-// are nearly always the best targets; more of them only cost time.
+// Lightest ranks that are tried as targets of a step. As long as the slowest rank is far from the mean, the lightest
+// ones are nearly always the best targets; more of them only cost time.
 constexpr std::size_t targetCount = 6;
 constexpr std::size_t targetCountFar = 2;
 // A new replica takes load from several ranks, so it matters less which of the lightest ranks receives it.
@@ -106,22 +106,18 @@
 std::optional<BalanceStep> LayerBalancer::improve()
 {
     const auto from = static_cast<std::size_t>(std::max_element(m_load.begin(), m_load.end()) - m_load.begin());
-    selectTargets(from);
     Candidate best;
-    for (const auto expert : m_expertsOfRank[from]) {
-        if (m_replicas[expert].size() > 1) {
-            consider({Change{expert, Change::noRank, from}}, from, best);
-        }
-        for (std::size_t position = 0; position < m_targets.size(); ++position) {
-            if (m_targets[position] != from && !holds(expert, m_targets[position])) {
-                tryTarget(expert, from, position, best);
-            }
-        }
-    }
+    const double mean = std::accumulate(m_load.begin(), m_load.end(), 0.0) / static_cast<double>(m_load.size());
+    trySingleMoves(from, m_load[from] > farFromMean * mean ? targetCountFar : targetCount, replicaTargetCount, best);
     if (best.changes.empty()) {
         // A swap costs two transfers, so it is left for where single moves are too coarse.
         trySwaps(from, best);
     }
+    if (best.changes.empty()) {
+        // Only a wider search, which costs more time, can go on from here.
+        trySingleMoves(from, m_load.size(), m_load.size(), best);
+        trySwaps(from, best);
+    }
     if (best.changes.empty()) {
         return std::nullopt;
     }
@@ -138,12 +134,25 @@
     return step;
 }
 
-void LayerBalancer::selectTargets(std::size_t from)
+void LayerBalancer::trySingleMoves(std::size_t from, std::size_t targets, std::size_t replicaTargets, Candidate &best)
+{
+    selectTargets(targets);
+    for (const auto expert : m_expertsOfRank[from]) {
+        if (m_replicas[expert].size() > 1) {
+            consider({Change{expert, Change::noRank, from}}, from, best);
+        }
+        for (std::size_t position = 0; position < m_targets.size(); ++position) {
+            if (m_targets[position] != from && !holds(expert, m_targets[position])) {
+                tryTarget(expert, from, m_targets[position], position < replicaTargets, best);
+            }
+        }
+    }
+}
+
+void LayerBalancer::selectTargets(std::size_t wanted)
 {
     m_targets.resize(m_load.size());
     std::iota(m_targets.begin(), m_targets.end(), std::size_t{0});
-    const double mean = std::accumulate(m_load.begin(), m_load.end(), 0.0) / static_cast<double>(m_load.size());
-    const auto wanted = m_load[from] > farFromMean * mean ? targetCountFar : targetCount;
     const auto count = std::min(wanted, m_targets.size());
     std::partial_sort(m_targets.begin(),
                       m_targets.begin() + static_cast<std::ptrdiff_t>(count),
@@ -154,10 +163,8 @@
     m_targets.resize(count);
 }
 
-void LayerBalancer::tryTarget(std::size_t expert, std::size_t from, std::size_t position, Candidate &best)
+void LayerBalancer::tryTarget(std::size_t expert, std::size_t from, std::size_t target, bool replicate, Candidate &best)
 {
-    const auto target = m_targets[position];
-    const bool replicate = position < replicaTargetCount;
     if (m_freeSlots[target] > 0) {
         tryRelocation(expert, from, target, best);
         if (replicate) {
@@ -180,7 +187,7 @@
 {
     for (const auto expert : m_expertsOfRank[from]) {
         for (const auto target : m_targets) {
-            if (target != from && (m_freeSlots[target] > 0 || m_freeSlots[from] > 0) && !holds(expert, target)) {
+            if (target != from && !holds(expert, target)) {
                 trySwap(expert, from, target, best);
             }
         }
@@ -189,40 +196,43 @@
 
 void LayerBalancer::trySwap(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
 {
-    // Moving this many tokens, less those that come back, evens out both ranks.
-    const double wanted = (m_load[from] - m_load[target]) / (1 / m_speeds[from] + 1 / m_speeds[target]);
-    const double shareBack = m_share[expert] - wanted;
-    if (shareBack <= 0) {
-        return;
-    }
-    auto closest = m_tokens.size();
-    double distance = std::numeric_limits<double>::infinity();
+    const bool room = m_freeSlots[target] > 0 || m_freeSlots[from] > 0;
     for (const auto other : m_expertsOfRank[target]) {
-        const double off = std::abs(m_share[other] - shareBack);
-        if (off < distance && !holds(other, from)) {
-            closest = other;
-            distance = off;
+        const double share = m_share[expert] - m_share[other];
+        const double variance = m_shareVariance[expert] - m_shareVariance[other];
+        if (!canExceed(2 * best.benefit, from, target, share) || holds(other, from)
+            || decreaseOfExchange(from, target, share, variance) / 2 <= best.benefit) {
+            continue;
+        }
+        const Change there{expert, target, from};
+        const Change back{other, from, target};
+        if (room) {
+            consider({there, back}, from, best);
+            continue;
+        }
+        // Both ranks are full; a replica that can be spared makes room for the exchange.
+        const auto spare = lightestRedundant(target, other);
+        if (spare < m_tokens.size()) {
+            consider({Change{spare, Change::noRank, target}, there, back}, from, best);
         }
-    }
-    if (closest == m_tokens.size()) {
-        return;
-    }
-    const double share = m_share[expert] - m_share[closest];
-    const double variance = m_shareVariance[expert] - m_shareVariance[closest];
-    if (canExceed(2 * best.benefit, from, target, share)
-        && decreaseOfExchange(from, target, share, variance) / 2 > best.benefit) {
-        consider({Change{expert, target, from}, Change{closest, from, target}}, from, best);
     }
 }
 
-void LayerBalancer::tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+std::size_t LayerBalancer::lightestRedundant(std::size_t rank, std::size_t except) const
 {
     auto lightest = m_tokens.size();
-    for (const auto other : m_expertsOfRank[target]) {
-        if (m_replicas[other].size() > 1 && (lightest == m_tokens.size() || m_share[other] < m_share[lightest])) {
-            lightest = other;
+    for (const auto expert : m_expertsOfRank[rank]) {
+        if (expert != except && m_replicas[expert].size() > 1
+            && (lightest == m_tokens.size() || m_share[expert] < m_share[lightest])) {
+            lightest = expert;
         }
     }
+    return lightest;
+}
+
+void LayerBalancer::tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    const auto lightest = lightestRedundant(target, m_tokens.size());
     if (lightest < m_tokens.size()) {
         const Change eviction{lightest, Change::noRank, target};
         consider({eviction, Change{expert, target, from}}, from, best);
@@ -234,12 +244,12 @@
 {
     const double fromTokens = tokens / m_speeds[from];
     const double targetTokens = tokens / m_speeds[target];
-    const double ofMeans = fromTokens * (2 * m_load[from] - fromTokens) - targetTokens * (2 * m_load[target] + targetTokens);
+    const double ofMeans
+        = fromTokens * (2 * m_load[from] - fromTokens) - targetTokens * (2 * m_load[target] + targetTokens);
     return ofMeans * shareOfVariation > benefit;
 }
 
-double
-LayerBalancer::decreaseOfExchange(std::size_t from, std::size_t target, double tokens, double variance) const
+double LayerBalancer::decreaseOfExchange(std::size_t from, std::size_t target, double tokens, double variance) const
 {
     const double limit = m_load[from] * (1 - leastImprovement);
     const double targetMean = m_mean[target] + tokens / m_speeds[target];
@@ -250,8 +260,8 @@
     const double targetSquare = m_speeds[target] * m_speeds[target];
     const double fromSquare = m_speeds[from] * m_speeds[from];
     const double targetAfter = expectedLoad(targetMean, m_variance[target] + variance / targetSquare);
-    const double fromAfter =
-        expectedLoad(m_mean[from] - tokens / m_speeds[from], m_variance[from] - variance / fromSquare);
+    const double fromAfter
+        = expectedLoad(m_mean[from] - tokens / m_speeds[from], m_variance[from] - variance / fromSquare);
     if (targetAfter >= limit || fromAfter >= limit) {
         return -1;
     }
@@ -287,8 +297,8 @@
     double sum = 0;
     for (const auto &touched : m_touched) {
         const double before = m_load[touched.rank];
-        const double after =
-            expectedLoad(m_mean[touched.rank] + touched.load, m_variance[touched.rank] + touched.variance);
+        const double after
+            = expectedLoad(m_mean[touched.rank] + touched.load, m_variance[touched.rank] + touched.variance);
         if (after >= limit) {
             return -1;
         }
@@ -331,9 +341,9 @@
     m_touched.push_back({rank, load / speed, variance / (speed * speed)});
 }
 
-boost::container::static_vector<ReplicaMove, 4> LayerBalancer::movesFor(std::span<const Change> changes) const
+boost::container::static_vector<ReplicaMove, 6> LayerBalancer::movesFor(std::span<const Change> changes) const
 {
-    boost::container::static_vector<ReplicaMove, 4> moves;
+    boost::container::static_vector<ReplicaMove, 6> moves;
     const auto append = [&](const Change &change) {
         const auto expert = static_cast<ExpertIndex>(change.expert);
         if (change.addTo != Change::noRank) {
--- a/src/placement/layerbalancer.h
+++ b/src/placement/layerbalancer.h
@@ -19,7 +19,7 @@
 /// Moves that belong together, with the state of the layer after them.
 struct BalanceStep {
     /// Each prefix keeps every expert served and every rank within its slots.
-    boost::container::static_vector<ReplicaMove, 4> moves;
+    boost::container::static_vector<ReplicaMove, 6> moves;
     std::size_t transfers = 0;
     /// Expected load of the slowest rank after the step, in tokens at normal speed.
     double slowest = 0;
@@ -65,7 +65,7 @@
         double variance = 0;
     };
     struct Candidate {
-        boost::container::static_vector<Change, 2> changes;
+        boost::container::static_vector<Change, 3> changes;
         double benefit = 0;
     };
 
@@ -73,10 +73,14 @@
     double expectedLoad(double mean, double variance) const;
     void updateShare(std::size_t expert);
     bool holds(std::size_t expert, std::size_t rank) const;
-    void tryTarget(std::size_t expert, std::size_t from, std::size_t position, Candidate &best);
+    void trySingleMoves(std::size_t from, std::size_t targets, std::size_t replicaTargets, Candidate &best);
+    void tryTarget(std::size_t expert, std::size_t from, std::size_t target, bool replicate, Candidate &best);
     void tryRelocation(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
     void trySwaps(std::size_t from, Candidate &best);
     void trySwap(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
+    /// The expert of a rank with the least share that has another replica, other than `except`; the number of experts
+    /// when there is none.
+    std::size_t lightestRedundant(std::size_t rank, std::size_t except) const;
     void tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
     void consider(std::initializer_list<Change> changes, std::size_t from, Candidate &best);
     /// Decrease of the sum of squared loads, or a negative value when a touched rank ends at the load of `from` or
@@ -88,10 +92,11 @@
     double decreaseOfExchange(std::size_t from, std::size_t target, double tokens, double variance) const;
     void accumulate(const Change &change);
     void touch(std::size_t rank, double load, double variance);
-    boost::container::static_vector<ReplicaMove, 4> movesFor(std::span<const Change> changes) const;
+    boost::container::static_vector<ReplicaMove, 6> movesFor(std::span<const Change> changes) const;
     bool allowed(std::span<const ReplicaMove> moves);
     void apply(const Change &change);
-    void selectTargets(std::size_t from);
+    /// The lightest ranks, in ascending order of load.
+    void selectTargets(std::size_t wanted);
 
     LayerIndex m_layer;
     std::span<const double> m_tokens;
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -107,8 +107,9 @@
     }
 }
 
-/// Cuts the moves into runs that can be staged as a whole: drops free memory only when their run has ended.
-std::vector<std::size_t>
+/// Where the runs of moves end that can be staged as a whole: drops free memory only when their run has ended. Nothing
+/// when a move does not fit at all.
+std::optional<std::vector<std::size_t>>
 switchEndsOf(const std::vector<ReplicaMove> &moves, const ExpertMap &map, const PlacementLimits &limits)
 {
     MemoryBook memory(map, limits);
@@ -127,12 +128,48 @@
             }
             dropped.clear();
         }
+        if (memory.free(move.layer, move.rank) <= 0) {
+            return std::nullopt;
+        }
         applyTo(memory, move);
     }
     ends.push_back(moves.size());
     return ends;
 }
 
+/// The moves with the first run of every layer in front, then the second runs, and so on. Layers have slots of their
+/// own, so this needs as many switches as the layer with most runs, not the sum over the layers.
+std::vector<ReplicaMove>
+runsOfLayersTogether(const std::vector<ReplicaMove> &moves, const ExpertMap &map, const PlacementLimits &limits)
+{
+    MemoryBook memory(map, limits);
+    std::vector<std::size_t> runOfLayer(map.shape().layers, 0);
+    std::vector<std::vector<ReplicaMove>> dropped(map.shape().layers);
+    std::vector<std::vector<ReplicaMove>> runs;
+    for (const auto &move : moves) {
+        auto &run = runOfLayer[move.layer];
+        if (move.kind == MoveKind::Add && memory.free(move.layer, move.rank) <= 0) {
+            ++run;
+            for (const auto &drop : dropped[move.layer]) {
+                applyTo(memory, drop);
+            }
+            dropped[move.layer].clear();
+        }
+        if (move.kind == MoveKind::Add) {
+            applyTo(memory, move);
+        } else {
+            dropped[move.layer].push_back(move);
+        }
+        runs.resize(std::max(runs.size(), run + 1));
+        runs[run].push_back(move);
+    }
+    std::vector<ReplicaMove> ordered;
+    for (const auto &run : runs) {
+        ordered.insert(ordered.end(), run.begin(), run.end());
+    }
+    return ordered;
+}
+
 } // namespace
 
 /// One decision in the making.
@@ -213,7 +250,8 @@
         const double error = outlook.relativeError * excess.times.errorFactor;
         excess.noise = isSignificant(excess.times, error)
             ? 0
-            : m_options.noiseMargin * excess.variation.maximumDeviations * error;
+            : (isYoung(layer) ? m_options.noiseMarginYoung : m_options.noiseMargin) * excess.variation.maximumDeviations
+                * error;
         m_slowest += excess.times.slowest;
         m_ideal += excess.times.ideal;
         if (excess.times.slowest - excess.times.bound > requiredGain(excess)) {
@@ -230,10 +268,15 @@
         return times.spread * times.spread > limit;
     }
 
+    bool isYoung(std::size_t layer) const
+    {
+        return m_load.layers[layer].expectedDuration < m_options.youngLoad;
+    }
+
     double requiredGain(const Excess &excess) const
     {
-        const bool young = m_load.layers[excess.layer].expectedDuration < m_options.youngLoad;
-        return excess.noise + (young ? m_options.requiredGainYoung : m_options.requiredGain) * excess.times.ideal;
+        return excess.noise
+            + (isYoung(excess.layer) ? m_options.requiredGainYoung : m_options.requiredGain) * excess.times.ideal;
     }
 
     std::optional<KeepReason> reasonToWait() const
@@ -375,7 +418,15 @@
 
     PlacementDecision finish()
     {
-        m_plan.switchEnds = switchEndsOf(m_plan.moves, m_map, m_limits);
+        // With a limit on the bytes of all layers, the order by runs may not fit; the order of planning always does.
+        auto together = runsOfLayersTogether(m_plan.moves, m_map, m_limits);
+        auto ends = switchEndsOf(together, m_map, m_limits);
+        if (ends) {
+            m_plan.moves = std::move(together);
+        } else {
+            ends = switchEndsOf(m_plan.moves, m_map, m_limits);
+        }
+        m_plan.switchEnds = ends.value();
         m_plan.cause = m_diagnosis.kind == SkewKind::None ? SkewKind::PopularExperts : m_diagnosis.kind;
         m_plan.slowestBeforeMicroseconds = m_slowest * m_diagnosis.microsecondsPerToken;
         m_plan.slowestAfterMicroseconds = (m_slowest + m_slowestAfterChange) * m_diagnosis.microsecondsPerToken;
--- a/src/placement/planneroptions.h
+++ b/src/placement/planneroptions.h
@@ -10,18 +10,19 @@
 struct PlannerOptions {
     /// The moves of a layer must lower its slowest rank by this part of the ideal, and by what errors of the estimate
     /// can suggest. Without a lower limit, a small change after a plan would call for the next one.
-    double requiredGain = 0.03;
-    /// The same for a load that is younger than `youngLoad`. The longer it has lasted, the longer it is expected to last,
-    /// so moves that were not worth their cost become so; what is left after that time is not.
+    double requiredGain = 0.015;
+    /// The same for a load that is younger than `youngLoad`. The longer it has lasted, the longer it is expected to
+    /// last, so moves that were not worth their cost become so; what is left after that time is not.
     double requiredGainYoung = 0.005;
     Seconds youngLoad{570};
     /// A layer is left when its slowest rank is this close to the ideal.
     double settleBand = 0.005;
     /// Multiplies the expected maximum of the ranks' estimate errors, which is what a single rank must exceed.
-    double noiseMargin = 2.5;
+    double noiseMargin = 3;
+    double noiseMarginYoung = 1;
     /// How many standard deviations the ranks' mean squared distance from balance must exceed its expectation, for all
     /// ranks together to show an imbalance that no single one shows.
-    double significance = 8;
+    double significance = 10;
     std::size_t maximumStepsPerLayer = 96;
     /// Several ranks can share the greatest load, so steps without a gain are followed for a while.
     std::size_t stepsWithoutGain = 12;
