--- a/src/placement/layerbalancer.cpp
+++ b/src/placement/layerbalancer.cpp
@@ -34,7 +34,8 @@
                              const StepVariation &variation,
                              std::vector<std::ptrdiff_t> freeSlots,
                              const MoveHistory &history,
-                             SteadyTime now)
+                             SteadyTime now,
+                             std::size_t wideSearches)
     : m_layer(layer)
     , m_tokens(tokens)
     , m_speeds(speeds)
@@ -42,6 +43,7 @@
     , m_freeSlots(std::move(freeSlots))
     , m_history(history)
     , m_now(now)
+    , m_wideSearches(wideSearches)
     , m_expertsOfRank(speeds.size())
     , m_share(tokens.size())
     , m_shareVariance(tokens.size())
@@ -92,9 +94,9 @@
     return m_coolingSteps;
 }
 
-std::vector<std::ptrdiff_t> LayerBalancer::freeSlots() const
+std::size_t LayerBalancer::wideSearchesLeft() const
 {
-    return m_freeSlots;
+    return m_wideSearches;
 }
 
 bool LayerBalancer::holds(std::size_t expert, std::size_t rank) const
@@ -113,10 +115,13 @@
         // A swap costs two transfers, so it is left for where single moves are too coarse.
         trySwaps(from, best);
     }
-    if (best.changes.empty()) {
+    if (best.changes.empty() && m_wideSearches > 0) {
         // Only a wider search, which costs more time, can go on from here.
+        --m_wideSearches;
+        m_wide = true;
         trySingleMoves(from, m_load.size(), m_load.size(), best);
         trySwaps(from, best);
+        m_wide = false;
     }
     if (best.changes.empty()) {
         return std::nullopt;
@@ -232,9 +237,22 @@
 
 void LayerBalancer::tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
 {
-    const auto lightest = lightestRedundant(target, m_tokens.size());
-    if (lightest < m_tokens.size()) {
-        const Change eviction{lightest, Change::noRank, target};
+    if (!m_wide) {
+        tryEvictionOf(lightestRedundant(target, m_tokens.size()), expert, from, target, best);
+        return;
+    }
+    for (const auto other : m_expertsOfRank[target]) {
+        if (m_replicas[other].size() > 1) {
+            tryEvictionOf(other, expert, from, target, best);
+        }
+    }
+}
+
+void LayerBalancer::tryEvictionOf(
+    std::size_t evicted, std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    if (evicted < m_tokens.size()) {
+        const Change eviction{evicted, Change::noRank, target};
         consider({eviction, Change{expert, target, from}}, from, best);
         consider({eviction, Change{expert, target, Change::noRank}}, from, best);
     }
--- a/src/placement/layerbalancer.h
+++ b/src/placement/layerbalancer.h
@@ -39,7 +39,8 @@
                   const StepVariation &variation,
                   std::vector<std::ptrdiff_t> freeSlots,
                   const MoveHistory &history,
-                  SteadyTime now);
+                  SteadyTime now,
+                  std::size_t wideSearches);
 
     double slowest() const;
 
@@ -49,7 +50,7 @@
 
     /// Steps that were passed over because they undo recent moves.
     std::size_t coolingSteps() const;
-    std::vector<std::ptrdiff_t> freeSlots() const;
+    std::size_t wideSearchesLeft() const;
 
 private:
     /// Replica change of one expert: an added rank, a dropped one, or both.
@@ -82,6 +83,7 @@
     /// when there is none.
     std::size_t lightestRedundant(std::size_t rank, std::size_t except) const;
     void tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
+    void tryEvictionOf(std::size_t evicted, std::size_t expert, std::size_t from, std::size_t target, Candidate &best);
     void consider(std::initializer_list<Change> changes, std::size_t from, Candidate &best);
     /// Decrease of the sum of squared loads, or a negative value when a touched rank ends at the load of `from` or
     /// above.
@@ -105,6 +107,8 @@
     std::vector<std::ptrdiff_t> m_freeSlots;
     const MoveHistory &m_history;
     SteadyTime m_now;
+    std::size_t m_wideSearches;
+    bool m_wide = false;
     std::vector<ExpertMap::RankList> m_replicas;
     std::vector<std::vector<std::size_t>> m_expertsOfRank;
     /// Tokens of each replica of an expert, and their variance.
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -191,6 +191,7 @@
         , m_limits(limits)
         , m_weights(weights)
         , m_now(now)
+        , m_wideSearches(m_options.wideSearches)
     {
     }
 
@@ -332,7 +333,8 @@
                                          excess.variation,
                                          memory.freeSlots(excess.layer),
                                          m_planner.m_history,
-                                         m_now);
+                                         m_now,
+                                         m_wideSearches);
         std::vector<internal::BalanceStep> steps;
         Prefix reached;
         Prefix best;
@@ -354,6 +356,7 @@
             }
         }
         m_coolingMoves += balancer.coolingSteps();
+        m_wideSearches = balancer.wideSearchesLeft();
         if (best.steps == 0) {
             noteRefused(reached);
             return;
@@ -460,6 +463,7 @@
     const PlacementLimits &m_limits;
     const PlacementWeights &m_weights;
     SteadyTime m_now;
+    std::size_t m_wideSearches;
     std::vector<Excess> m_triggered;
     PlacementPlan m_plan;
     std::size_t m_transfers = 0;
