--- a/bench/placement/resultwriter.h
+++ b/bench/placement/resultwriter.h
@@ -143,7 +143,7 @@
                "fill=\"white\"/>\n";
         for (std::size_t index = 0; index < shown.size(); ++index) {
             const auto column = static_cast<double>(index % columns);
-            const auto line = static_cast<double>(index / columns);
+            const auto line = std::floor(static_cast<double>(index) / columns);
             out << "<g transform=\"translate(" << column * width << ',' << line * height << ")\">\n";
             plotPanel(*shown[index], width, height, out);
             out << "</g>\n";
--- a/src/placement/planneroptions.h
+++ b/src/placement/planneroptions.h
@@ -18,11 +18,11 @@
     /// A layer is left when its slowest rank is this close to the ideal.
     double settleBand = 0.005;
     /// Multiplies the expected maximum of the ranks' estimate errors, which is what a single rank must exceed.
-    double noiseMargin = 3.5;
+    double noiseMargin = 4.5;
     double noiseMarginYoung = 1;
     /// How many standard deviations the ranks' mean squared distance from balance must exceed its expectation, for all
     /// ranks together to show an imbalance that no single one shows.
-    double significance = 12;
+    double significance = 16;
     std::size_t maximumStepsPerLayer = 96;
     /// Searches over all ranks in one decision; each takes up to 0.4 ms at 32 ranks.
     std::size_t wideSearches = 12;
--- a/tests/placementtest.cpp
+++ b/tests/placementtest.cpp
@@ -431,7 +431,7 @@
     skewPopularity(whole);
     skewPopularity(broken);
     auto old = broken.reports()[2];
-    for (int interval = 0; interval < 40; ++interval) {
+    for (std::int64_t interval = 0; interval < 40; ++interval) {
         whole.run();
         const std::vector<std::size_t> lost
             = interval % 4 == 1 ? std::vector<std::size_t>{1, 2, 5} : std::vector<std::size_t>{};
