--- /dev/null
+++ b/src/placement/layerbalancer.cpp
@@ -0,0 +1,425 @@
+#include "placement/layerbalancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+
+namespace Cardamomhill::internal
+{
+
+namespace
+{
+
+// Lightest ranks that are tried as targets of a step. As long as the slowest rank is far from the mean, the lightest
+// ones are nearly always the best targets; more of them only cost time.
+constexpr std::size_t targetCount = 6;
+constexpr std::size_t targetCountFar = 2;
+// A new replica takes load from several ranks, so it matters less which of the lightest ranks receives it.
+constexpr std::size_t replicaTargetCount = 2;
+constexpr double farFromMean = 1.1;
+// The variation that moves with an expert's tokens is taken to raise the benefit of a move by at most this factor.
+constexpr double shareOfVariation = 1.5;
+// A step without a transfer is counted as this many transfers when steps are compared.
+constexpr double costOfDrop = 0.3;
+// A step must lower the slowest rank by this part; keeps rounding errors from counting as gains.
+constexpr double leastImprovement = 1e-6;
+
+} // namespace
+
+LayerBalancer::LayerBalancer(const ExpertMap &map,
+                             LayerIndex layer,
+                             std::span<const double> tokens,
+                             std::span<const double> speeds,
+                             const StepVariation &variation,
+                             std::vector<std::ptrdiff_t> freeSlots,
+                             const MoveHistory &history,
+                             SteadyTime now,
+                             std::size_t wideSearches)
+    : m_layer(layer)
+    , m_tokens(tokens)
+    , m_speeds(speeds)
+    , m_variation(variation)
+    , m_freeSlots(std::move(freeSlots))
+    , m_history(history)
+    , m_now(now)
+    , m_wideSearches(wideSearches)
+    , m_expertsOfRank(speeds.size())
+    , m_share(tokens.size())
+    , m_shareVariance(tokens.size())
+    , m_mean(speeds.size(), 0)
+    , m_variance(speeds.size(), 0)
+    , m_load(speeds.size(), 0)
+{
+    m_replicas.reserve(tokens.size());
+    for (std::size_t expert = 0; expert < tokens.size(); ++expert) {
+        m_replicas.push_back(map.replicas(layer, expert));
+        updateShare(expert);
+        for (const auto rank : m_replicas.back()) {
+            m_expertsOfRank[rank].push_back(expert);
+            m_mean[rank] += m_share[expert] / m_speeds[rank];
+            m_variance[rank] += m_shareVariance[expert] / (m_speeds[rank] * m_speeds[rank]);
+        }
+    }
+    for (std::size_t rank = 0; rank < m_load.size(); ++rank) {
+        m_load[rank] = expectedLoad(m_mean[rank], m_variance[rank]);
+    }
+}
+
+double LayerBalancer::variance(std::size_t expert) const
+{
+    return m_variation.varianceOf(m_tokens[expert]);
+}
+
+double LayerBalancer::expectedLoad(double mean, double variance) const
+{
+    // Rounding can leave a variance just below 0.
+    return mean + m_variation.maximumDeviations * std::sqrt(std::max(0.0, variance));
+}
+
+void LayerBalancer::updateShare(std::size_t expert)
+{
+    const auto count = static_cast<double>(m_replicas[expert].size());
+    m_share[expert] = m_tokens[expert] / count;
+    m_shareVariance[expert] = variance(expert) / (count * count);
+}
+
+double LayerBalancer::slowest() const
+{
+    return *std::max_element(m_load.begin(), m_load.end());
+}
+
+std::size_t LayerBalancer::coolingSteps() const
+{
+    return m_coolingSteps;
+}
+
+std::size_t LayerBalancer::wideSearchesLeft() const
+{
+    return m_wideSearches;
+}
+
+bool LayerBalancer::holds(std::size_t expert, std::size_t rank) const
+{
+    const auto &ranks = m_replicas[expert];
+    return std::find(ranks.begin(), ranks.end(), rank) != ranks.end();
+}
+
+std::optional<BalanceStep> LayerBalancer::improve()
+{
+    const auto from = static_cast<std::size_t>(std::max_element(m_load.begin(), m_load.end()) - m_load.begin());
+    Candidate best;
+    const double mean = std::accumulate(m_load.begin(), m_load.end(), 0.0) / static_cast<double>(m_load.size());
+    trySingleMoves(from, m_load[from] > farFromMean * mean ? targetCountFar : targetCount, replicaTargetCount, best);
+    if (best.changes.empty()) {
+        // A swap costs two transfers, so it is left for where single moves are too coarse.
+        trySwaps(from, best);
+    }
+    if (best.changes.empty() && m_wideSearches > 0) {
+        // Only a wider search, which costs more time, can go on from here.
+        --m_wideSearches;
+        m_wide = true;
+        trySingleMoves(from, m_load.size(), m_load.size(), best);
+        trySwaps(from, best);
+        m_wide = false;
+    }
+    if (best.changes.empty()) {
+        return std::nullopt;
+    }
+    BalanceStep step;
+    step.moves = movesFor({best.changes.data(), best.changes.size()});
+    for (const auto &change : best.changes) {
+        apply(change);
+    }
+    for (const auto &move : step.moves) {
+        step.transfers += move.kind == MoveKind::Add ? 1 : 0;
+        m_done.push_back(move);
+    }
+    step.slowest = slowest();
+    return step;
+}
+
+void LayerBalancer::trySingleMoves(std::size_t from, std::size_t targets, std::size_t replicaTargets, Candidate &best)
+{
+    selectTargets(targets);
+    for (const auto expert : m_expertsOfRank[from]) {
+        if (m_replicas[expert].size() > 1) {
+            consider({Change{expert, Change::noRank, from}}, from, best);
+        }
+        for (std::size_t position = 0; position < m_targets.size(); ++position) {
+            if (m_targets[position] != from && !holds(expert, m_targets[position])) {
+                tryTarget(expert, from, m_targets[position], position < replicaTargets, best);
+            }
+        }
+    }
+}
+
+void LayerBalancer::selectTargets(std::size_t wanted)
+{
+    m_targets.resize(m_load.size());
+    std::iota(m_targets.begin(), m_targets.end(), std::size_t{0});
+    const auto count = std::min(wanted, m_targets.size());
+    std::partial_sort(m_targets.begin(),
+                      m_targets.begin() + static_cast<std::ptrdiff_t>(count),
+                      m_targets.end(),
+                      [this](std::size_t left, std::size_t right) {
+                          return m_load[left] < m_load[right] || (m_load[left] == m_load[right] && left < right);
+                      });
+    m_targets.resize(count);
+}
+
+void LayerBalancer::tryTarget(std::size_t expert, std::size_t from, std::size_t target, bool replicate, Candidate &best)
+{
+    if (m_freeSlots[target] > 0) {
+        tryRelocation(expert, from, target, best);
+        if (replicate) {
+            consider({Change{expert, target, Change::noRank}}, from, best);
+        }
+    } else if (replicate) {
+        tryEviction(expert, from, target, best);
+    }
+}
+
+void LayerBalancer::tryRelocation(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    if (canExceed(best.benefit, from, target, m_share[expert])
+        && decreaseOfExchange(from, target, m_share[expert], m_shareVariance[expert]) > best.benefit) {
+        consider({Change{expert, target, from}}, from, best);
+    }
+}
+
+void LayerBalancer::trySwaps(std::size_t from, Candidate &best)
+{
+    for (const auto expert : m_expertsOfRank[from]) {
+        for (const auto target : m_targets) {
+            if (target != from && !holds(expert, target)) {
+                trySwap(expert, from, target, best);
+            }
+        }
+    }
+}
+
+void LayerBalancer::trySwap(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    const bool room = m_freeSlots[target] > 0 || m_freeSlots[from] > 0;
+    for (const auto other : m_expertsOfRank[target]) {
+        const double share = m_share[expert] - m_share[other];
+        const double variance = m_shareVariance[expert] - m_shareVariance[other];
+        if (!canExceed(2 * best.benefit, from, target, share) || holds(other, from)
+            || decreaseOfExchange(from, target, share, variance) / 2 <= best.benefit) {
+            continue;
+        }
+        const Change there{expert, target, from};
+        const Change back{other, from, target};
+        if (room) {
+            consider({there, back}, from, best);
+            continue;
+        }
+        // Both ranks are full; a replica that can be spared makes room for the exchange.
+        const auto spare = lightestRedundant(target, other);
+        if (spare < m_tokens.size()) {
+            consider({Change{spare, Change::noRank, target}, there, back}, from, best);
+        }
+    }
+}
+
+std::size_t LayerBalancer::lightestRedundant(std::size_t rank, std::size_t except) const
+{
+    auto lightest = m_tokens.size();
+    for (const auto expert : m_expertsOfRank[rank]) {
+        if (expert != except && m_replicas[expert].size() > 1
+            && (lightest == m_tokens.size() || m_share[expert] < m_share[lightest])) {
+            lightest = expert;
+        }
+    }
+    return lightest;
+}
+
+void LayerBalancer::tryEviction(std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    if (!m_wide) {
+        tryEvictionOf(lightestRedundant(target, m_tokens.size()), expert, from, target, best);
+        return;
+    }
+    for (const auto other : m_expertsOfRank[target]) {
+        if (m_replicas[other].size() > 1) {
+            tryEvictionOf(other, expert, from, target, best);
+        }
+    }
+}
+
+void LayerBalancer::tryEvictionOf(
+    std::size_t evicted, std::size_t expert, std::size_t from, std::size_t target, Candidate &best)
+{
+    if (evicted < m_tokens.size()) {
+        const Change eviction{evicted, Change::noRank, target};
+        consider({eviction, Change{expert, target, from}}, from, best);
+        consider({eviction, Change{expert, target, Change::noRank}}, from, best);
+    }
+}
+
+bool LayerBalancer::canExceed(double benefit, std::size_t from, std::size_t target, double tokens) const
+{
+    const double fromTokens = tokens / m_speeds[from];
+    const double targetTokens = tokens / m_speeds[target];
+    const double ofMeans
+        = fromTokens * (2 * m_load[from] - fromTokens) - targetTokens * (2 * m_load[target] + targetTokens);
+    return ofMeans * shareOfVariation > benefit;
+}
+
+double LayerBalancer::decreaseOfExchange(std::size_t from, std::size_t target, double tokens, double variance) const
+{
+    const double limit = m_load[from] * (1 - leastImprovement);
+    const double targetMean = m_mean[target] + tokens / m_speeds[target];
+    // The variation only adds to the mean, so most targets that end too high need no square root.
+    if (targetMean >= limit) {
+        return -1;
+    }
+    const double targetSquare = m_speeds[target] * m_speeds[target];
+    const double fromSquare = m_speeds[from] * m_speeds[from];
+    const double targetAfter = expectedLoad(targetMean, m_variance[target] + variance / targetSquare);
+    const double fromAfter
+        = expectedLoad(m_mean[from] - tokens / m_speeds[from], m_variance[from] - variance / fromSquare);
+    if (targetAfter >= limit || fromAfter >= limit) {
+        return -1;
+    }
+    return m_load[from] * m_load[from] + m_load[target] * m_load[target] - fromAfter * fromAfter
+        - targetAfter * targetAfter;
+}
+
+void LayerBalancer::consider(std::initializer_list<Change> changes, std::size_t from, Candidate &best)
+{
+    double cost = 0;
+    for (const auto &change : changes) {
+        cost += change.addTo != Change::noRank ? 1 : 0;
+    }
+    const double benefit = decrease(changes, from) / std::max(cost, costOfDrop);
+    if (benefit <= best.benefit) {
+        return;
+    }
+    const auto moves = movesFor({changes.begin(), changes.size()});
+    if (!allowed({moves.data(), moves.size()})) {
+        return;
+    }
+    best.changes.assign(changes.begin(), changes.end());
+    best.benefit = benefit;
+}
+
+double LayerBalancer::decrease(std::initializer_list<Change> changes, std::size_t from)
+{
+    m_touched.clear();
+    for (const auto &change : changes) {
+        accumulate(change);
+    }
+    const double limit = m_load[from] * (1 - leastImprovement);
+    double sum = 0;
+    for (const auto &touched : m_touched) {
+        const double before = m_load[touched.rank];
+        const double after
+            = expectedLoad(m_mean[touched.rank] + touched.load, m_variance[touched.rank] + touched.variance);
+        if (after >= limit) {
+            return -1;
+        }
+        sum += before * before - after * after;
+    }
+    return sum;
+}
+
+void LayerBalancer::accumulate(const Change &change)
+{
+    const auto &ranks = m_replicas[change.expert];
+    const auto before = static_cast<double>(ranks.size());
+    const double after
+        = before + (change.addTo != Change::noRank ? 1 : 0) - (change.dropFrom != Change::noRank ? 1 : 0);
+    const double share = m_share[change.expert];
+    const double shareVariance = m_shareVariance[change.expert];
+    const double ratio = before / after;
+    for (const auto rank : ranks) {
+        if (rank == change.dropFrom) {
+            touch(rank, -share, -shareVariance);
+        } else if (after != before) {
+            touch(rank, share * (ratio - 1), shareVariance * (ratio * ratio - 1));
+        }
+    }
+    if (change.addTo != Change::noRank) {
+        touch(change.addTo, share * ratio, shareVariance * ratio * ratio);
+    }
+}
+
+void LayerBalancer::touch(std::size_t rank, double load, double variance)
+{
+    const double speed = m_speeds[rank];
+    for (auto &touched : m_touched) {
+        if (touched.rank == rank) {
+            touched.load += load / speed;
+            touched.variance += variance / (speed * speed);
+            return;
+        }
+    }
+    m_touched.push_back({rank, load / speed, variance / (speed * speed)});
+}
+
+boost::container::static_vector<ReplicaMove, 6> LayerBalancer::movesFor(std::span<const Change> changes) const
+{
+    boost::container::static_vector<ReplicaMove, 6> moves;
+    const auto append = [&](const Change &change) {
+        const auto expert = static_cast<ExpertIndex>(change.expert);
+        if (change.addTo != Change::noRank) {
+            moves.push_back({MoveKind::Add, m_layer, expert, static_cast<RankIndex>(change.addTo)});
+        }
+        if (change.dropFrom != Change::noRank) {
+            moves.push_back({MoveKind::Drop, m_layer, expert, static_cast<RankIndex>(change.dropFrom)});
+        }
+    };
+    // The first rank that receives needs a free slot. A swap therefore starts at the rank that has one.
+    const bool reversed
+        = changes.size() == 2 && changes.front().addTo != Change::noRank && m_freeSlots[changes.front().addTo] <= 0;
+    if (reversed) {
+        append(changes.back());
+        append(changes.front());
+    } else {
+        std::for_each(changes.begin(), changes.end(), append);
+    }
+    return moves;
+}
+
+bool LayerBalancer::allowed(std::span<const ReplicaMove> moves)
+{
+    for (const auto &move : moves) {
+        auto inverse = move;
+        inverse.kind = move.kind == MoveKind::Add ? MoveKind::Drop : MoveKind::Add;
+        if (std::find(m_done.begin(), m_done.end(), inverse) != m_done.end()) {
+            return false;
+        }
+        if (m_history.undoesRecent(move, m_now)) {
+            ++m_coolingSteps;
+            return false;
+        }
+    }
+    return true;
+}
+
+void LayerBalancer::apply(const Change &change)
+{
+    m_touched.clear();
+    accumulate(change);
+    for (const auto &touched : m_touched) {
+        m_mean[touched.rank] += touched.load;
+        m_variance[touched.rank] += touched.variance;
+        m_load[touched.rank] = expectedLoad(m_mean[touched.rank], m_variance[touched.rank]);
+    }
+    auto &ranks = m_replicas[change.expert];
+    if (change.addTo != Change::noRank) {
+        ranks.push_back(static_cast<RankIndex>(change.addTo));
+        m_expertsOfRank[change.addTo].push_back(change.expert);
+        --m_freeSlots[change.addTo];
+    }
+    if (change.dropFrom != Change::noRank) {
+        ranks.erase(std::find(ranks.begin(), ranks.end(), change.dropFrom));
+        std::erase(m_expertsOfRank[change.dropFrom], change.expert);
+        ++m_freeSlots[change.dropFrom];
+    }
+    updateShare(change.expert);
+}
+
+} // namespace Cardamomhill::internal
