--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -84,6 +84,7 @@
     releaseHeld(now, random);
     m_broadcaster.tick(now);
     flushBroadcasts();
+    chooseRelays();
 }
 
 Result<void, MembershipError>
@@ -157,8 +158,7 @@
 
 bool GossipNode::shouldFollow(SteadyTime now) const
 {
-    const bool mayFollow = m_isReady || m_join.needsPlatform(now);
-    return mayFollow && RelaySelection::isRelay(m_identity.host, m_identity.domain, m_table.hosts());
+    return m_isRelay && (m_isReady || m_join.needsPlatform(now));
 }
 
 bool GossipNode::hasConfiguration() const
@@ -306,6 +306,14 @@
     m_lastTick = now;
 }
 
+void GossipNode::chooseRelays()
+{
+    if (m_relaysChosenAt != m_table.hostChanges()) {
+        m_relaysChosenAt = m_table.hostChanges();
+        m_isRelay = RelaySelection::isRelay(m_identity.host, m_identity.domain, m_table.hosts());
+    }
+}
+
 void GossipNode::join(SteadyTime now, Random &random)
 {
     if (m_isReady) {
--- a/src/membership/gossipnode.h
+++ b/src/membership/gossipnode.h
@@ -102,6 +102,7 @@
     void handle(const NodeAddress &from, const AgentAnswer &message, SteadyTime now, Random &random);
 
     void noticePause(SteadyTime now);
+    void chooseRelays();
     void join(SteadyTime now, Random &random);
     void becomeReady(SteadyTime now, Random &random);
     void gossip(SteadyTime now, Random &random);
@@ -155,6 +156,8 @@
     std::uint64_t m_completeThrough = 0;
     std::size_t m_mismatches = 0;
     bool m_isReady = false;
+    bool m_isRelay = false;
+    std::uint64_t m_relaysChosenAt = 0;
     std::optional<SteadyTime> m_lastTick;
     SteadyTime m_nextGossip;
     std::vector<OutgoingMessage> m_messages;
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -111,6 +111,7 @@
         host.changed = now;
         host.sent = 0;
         m_addresses[host.row.address] = found->first;
+        ++m_hostChanges;
     }
     return changed;
 }
@@ -163,6 +164,11 @@
     return m_hosts.size();
 }
 
+std::uint64_t MemberTable::hostChanges() const
+{
+    return m_hostChanges;
+}
+
 std::size_t MemberTable::serverCount() const
 {
     return m_servers.size();
@@ -229,6 +235,7 @@
             host.row.state = static_cast<std::uint8_t>(MemberState::Dead);
             host.changed = now;
             host.sent = 0;
+            ++m_hostChanges;
             died.push_back(host.row);
         }
     }
--- a/src/membership/membertable.h
+++ b/src/membership/membertable.h
@@ -40,6 +40,9 @@
 
     std::size_t hostCount() const;
 
+    /// Grows with each change of a host's row.
+    std::uint64_t hostChanges() const;
+
     std::size_t serverCount() const;
 
     std::optional<ServerLoad> server(const BackendServerId &server) const;
@@ -100,6 +103,7 @@
     std::map<std::uint64_t, Server> m_servers;
     std::map<std::string, std::uint64_t> m_addresses;
     std::uint64_t m_fillerCursor = 0;
+    std::uint64_t m_hostChanges = 0;
 };
 
 } // namespace Cardamomhill
