State the time of wide searches and the limits of the figures

Cause: the timed plan does not search over all ranks, and decisions that do take longer. Conclusion: a limit by time instead of by count is open.

--- a/src/placement/planneroptions.h
+++ b/src/placement/planneroptions.h
@@ -24,7 +24,7 @@
     /// ranks together to show an imbalance that no single one shows.
     double significance = 16;
     std::size_t maximumStepsPerLayer = 96;
-    /// Searches over all ranks in one decision; each takes up to 0.4 ms at 32 ranks.
+    /// Searches over all ranks in one decision; each takes about 0.4 ms at 32 ranks and 3 ms at 8.
     std::size_t wideSearches = 12;
     /// Several ranks can share the greatest load, so steps without a gain are followed for a while.
     std::size_t stepsWithoutGain = 12;
