--- a/src/membership/configurationrepair.cpp
+++ b/src/membership/configurationrepair.cpp
@@ -10,7 +10,7 @@
 {
 
 // Keeps one answer short enough that it does not delay others on the connection for long; a value has at most 1 MB.
-constexpr std::size_t AnswerLimit = 512 * 1024;
+constexpr std::size_t AnswerLimit = 524288;
 constexpr std::size_t ObjectOverhead = 64;
 constexpr unsigned BucketShift = 58;
 
--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t StageLimit = 256;
 // A difference that a peer with an older copy shows is usually a change on its way.
 constexpr std::size_t ToleratedMismatches = 2;
-constexpr std::size_t BroadcastBytes = 256 * 1024;
+constexpr std::size_t BroadcastBytes = 262144;
 
 MemberState stateOf(std::uint8_t state)
 {
@@ -507,12 +507,12 @@
         m_mismatches = 0;
         m_completeThrough = std::max(m_completeThrough, theirs.completeThrough);
         m_gate.addHolderOfAll(hostAt(from));
-    } else if (!m_isReady) {
-        requestRepair(from, true);
-    } else if (theirs.highestRevision > m_store.highestRevision()) {
-        requestRepair(from, false);
-    } else if (theirs.digest != 0 && ++m_mismatches >= ToleratedMismatches) {
-        requestRepair(from, true);
+        return;
+    }
+    const bool isBehind = theirs.highestRevision > m_store.highestRevision();
+    const bool mayLack = isBehind || (theirs.digest != 0 && ++m_mismatches >= ToleratedMismatches);
+    if (!m_isReady || mayLack) {
+        requestRepair(from, !m_isReady || !isBehind);
     }
 }
 
