Do not wait for hosts that have left; notice two dead entry hosts sooner

A change came into force only when two peers held it, and peers that were leaving counted although their processes might be gone: with fewer than two live peers the change waited until they were forgotten (10 minutes). Only live peers count now; the new test failed before and passes after.

--- a/src/membership/agentdirectory.cpp
+++ b/src/membership/agentdirectory.cpp
@@ -6,8 +6,8 @@
 namespace
 {
 
-// Agents report at least every 6 s and repeat a report that was not answered. An agent may also have gone over to other
-// entry hosts, whose announcements of its load come every 30 s.
+// Agents report at least every 4.8 s and repeat a report that was not answered. An agent may also have gone over to
+// other entry hosts, whose announcements of its load come every 30 s.
 constexpr Seconds SilenceTime(45);
 // The other entry host sends first; a copy that still differs after this time was missed by both.
 constexpr Milliseconds ReminderTime(1000);
--- a/src/membership/agentreporter.cpp
+++ b/src/membership/agentreporter.cpp
@@ -17,12 +17,12 @@
 constexpr std::size_t TargetCount = 2;
 // The regular reports go to the two entry hosts in turn. When both have died, a change of the configuration is due 5 s
 // later: this time, the attempts, and the repair by the next entry host.
-constexpr Milliseconds ReportPeriod(3000);
+constexpr Milliseconds ReportPeriod(2400);
 constexpr Milliseconds ChangeInterval(1000);
 constexpr Milliseconds RetryTime(300);
 // While no entry host answers at all.
 constexpr Milliseconds SlowRetryTime(2000);
-constexpr std::size_t ReportAttempts = 4;
+constexpr std::size_t ReportAttempts = 3;
 // How long an entry host that did not answer is passed over.
 constexpr Seconds AvoidTime(10);
 constexpr Milliseconds PauseThreshold(2000);
--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -472,6 +472,13 @@
 std::vector<std::uint64_t> GossipNode::livePeers() const
 {
     auto peers = m_table.hostsIn(MemberState::Live);
+    std::erase(peers, m_self);
+    return peers;
+}
+
+std::vector<std::uint64_t> GossipNode::broadcastReceivers() const
+{
+    auto peers = livePeers();
     const auto leaving = m_table.hostsIn(MemberState::Leaving);
     peers.insert(peers.end(), leaving.begin(), leaving.end());
     std::erase(peers, m_self);
@@ -563,7 +570,7 @@
 
 void GossipNode::broadcast(BroadcastMessage message, SteadyTime now, Random &random)
 {
-    m_broadcaster.originate(std::move(message), livePeers(), now, random);
+    m_broadcaster.originate(std::move(message), broadcastReceivers(), now, random);
 }
 
 void GossipNode::broadcastHost(const HostRow &row, SteadyTime now, Random &random)
@@ -621,6 +628,7 @@
     if (m_gate.isEmpty()) {
         return;
     }
+    // Hosts that are leaving may be gone already, so no change waits for them.
     const auto required = std::min(internal::ForceGate::RequiredHolders, livePeers().size());
     std::vector<HeldObject> released;
     BroadcastMessage message;
--- a/src/membership/gossipnode.h
+++ b/src/membership/gossipnode.h
@@ -113,6 +113,7 @@
     void checkStages(SteadyTime now, Random &random);
     std::optional<std::uint64_t> nextPeer(Random &random);
     std::vector<std::uint64_t> livePeers() const;
+    std::vector<std::uint64_t> broadcastReceivers() const;
 
     void answerGossip(const NodeAddress &from, const GossipMessage &message, SteadyTime now);
     void compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now);
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -251,6 +251,21 @@
     CHECK(stateOnPeer() == MemberState::Live);
 }
 
+TEST_CASE("a change does not wait for hosts that have left, when fewer than two others are live")
+{
+    auto fleet = startedFleet(7);
+    for (const std::size_t index : {1U, 2U}) {
+        fleet.members.at(index).node->leave(fleet.now, fleet.random);
+        fleet.run(Seconds(3));
+        fleet.crash(index);
+    }
+    fleet.run(Seconds(6));
+    const auto version = fleet.write(Keys.front());
+    fleet.run(Seconds(5));
+    CHECK(fleet.members.at(0).inForce.at(Keys.front()) == version);
+    CHECK(fleet.members.at(3).inForce.at(Keys.front()) == version);
+}
+
 TEST_CASE("the first two live hosts watch the platform, and the next two while these cannot reach it")
 {
     auto fleet = startedFleet(6);
