--- a/src/membership/agentreporter.cpp
+++ b/src/membership/agentreporter.cpp
@@ -164,7 +164,7 @@
     if (answer.number != 0) {
         refuteSuspicion(answer);
     }
-    compareConfiguration(from, answer.configuration, now);
+    compareConfiguration(from, answer, now);
 }
 
 void AgentReporter::handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime)
@@ -186,11 +186,12 @@
     }
 }
 
-void AgentReporter::compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now)
+void AgentReporter::compareConfiguration(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now)
 {
+    const auto &theirs = answer.configuration;
     const bool isEqual = theirs.digest == m_store.digest(DigestScope::WithoutOrganisations);
     if (!m_isReady) {
-        m_join.answered(from, theirs.ready, isEqual, now);
+        m_join.answered(from, answer.hostIncarnation, theirs.ready, isEqual, now);
     }
     auto &lastRepair = m_repairs[from];
     if (!isEqual && now - lastRepair >= RepairInterval) {
--- a/src/membership/agentreporter.h
+++ b/src/membership/agentreporter.h
@@ -83,7 +83,7 @@
 
     void handle(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now);
     void handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime now);
-    void compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now);
+    void compareConfiguration(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now);
     void refuteSuspicion(const AgentAnswer &answer);
     void join(SteadyTime now);
     void chooseTargets(SteadyTime now);
--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -200,7 +200,7 @@
     } else {
         answerGossip(from, message, now);
     }
-    compareConfiguration(from, message.configuration, now);
+    compareConfiguration(from, message, now);
 }
 
 void GossipNode::handle(const NodeAddress &from, const RepairRequest &message, SteadyTime, Random &)
@@ -281,7 +281,7 @@
     }
     AgentAnswer answer;
     answer.number = message.number;
-    answer.host = m_identity.host.value();
+    answer.hostIncarnation = m_row.incarnation;
     answer.configuration = summary(DigestScope::WithoutOrganisations);
     answer.incarnation = after->incarnation;
     answer.state = after->state;
@@ -414,7 +414,7 @@
     const auto own = summary(DigestScope::WithoutOrganisations);
     for (const auto &address : m_agents.agentsToRemind(own.digest, now)) {
         AgentAnswer reminder;
-        reminder.host = m_identity.host.value();
+        reminder.hostIncarnation = m_row.incarnation;
         reminder.configuration = own;
         send(address, reminder);
     }
@@ -504,11 +504,12 @@
     send(from, answer);
 }
 
-void GossipNode::compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now)
+void GossipNode::compareConfiguration(const NodeAddress &from, const GossipMessage &message, SteadyTime now)
 {
+    const auto &theirs = message.configuration;
     const bool isEqual = theirs.digest == m_store.digest();
     if (!m_isReady) {
-        m_join.answered(from, theirs.ready, isEqual, now);
+        m_join.answered(from, message.sender.incarnation, theirs.ready, isEqual, now);
     }
     if (isEqual) {
         m_mismatches = 0;
--- a/src/membership/gossipnode.h
+++ b/src/membership/gossipnode.h
@@ -116,7 +116,7 @@
     std::vector<std::uint64_t> broadcastReceivers() const;
 
     void answerGossip(const NodeAddress &from, const GossipMessage &message, SteadyTime now);
-    void compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now);
+    void compareConfiguration(const NodeAddress &from, const GossipMessage &message, SteadyTime now);
     void requestRepair(const NodeAddress &from, bool full);
     void
     mergeRows(const std::vector<HostRow> &hosts, const std::vector<ServerRow> &servers, SteadyTime now, Random &random);
--- a/src/membership/joinprogress.cpp
+++ b/src/membership/joinprogress.cpp
@@ -19,9 +19,17 @@
     m_hosts.try_emplace(host);
 }
 
-void JoinProgress::answered(const NodeAddress &host, bool isReady, bool isEqual, SteadyTime now)
+void JoinProgress::answered(
+    const NodeAddress &host, std::uint64_t incarnation, bool isReady, bool isEqual, SteadyTime now)
 {
     auto &entry = m_hosts[host];
+    if (incarnation < entry.incarnation) {
+        return;
+    }
+    if (incarnation > entry.incarnation) {
+        // The process was restarted and may wait for this one in turn.
+        entry = Host{Progress::Silent, incarnation, false, entry.asked, now};
+    }
     // What was received from a host before it became ready may be only a part.
     const bool becameReady = isReady && !entry.isReady;
     entry.isReady = entry.isReady || isReady;
--- a/src/membership/joinprogress.h
+++ b/src/membership/joinprogress.h
@@ -3,6 +3,7 @@
 #include "core/clocktypes.h"
 #include "membership/nodeaddress.h"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -17,8 +18,8 @@
     /// Adds a host to ask.
     void expect(const NodeAddress &host);
 
-    /// The host answered; whether it has a configuration in force.
-    void answered(const NodeAddress &host, bool isReady, bool isEqual, SteadyTime now);
+    /// The host answered; whether it has a configuration in force. Answers of an earlier process there are ignored.
+    void answered(const NodeAddress &host, std::uint64_t incarnation, bool isReady, bool isEqual, SteadyTime now);
 
     /// All that the host held was received; whether it had a configuration in force then.
     void received(const NodeAddress &host, bool isReady);
@@ -39,6 +40,7 @@
     enum class Progress : std::uint8_t { Silent, Answered, Received };
     struct Host {
         Progress progress = Progress::Silent;
+        std::uint64_t incarnation = 0;
         bool isReady = false;
         SteadyTime asked;
         SteadyTime lastAnswer;
--- a/src/membership/membershipmessage.h
+++ b/src/membership/membershipmessage.h
@@ -128,7 +128,7 @@
 struct AgentAnswer {
     /// Number of the report, or 0 when sent unasked because the agent's copy differs.
     std::uint64_t number = 0;
-    std::string host;
+    std::uint64_t hostIncarnation = 0;
     ConfigurationSummary configuration;
     /// What the entry hosts know of the agent; it refutes a suspicion.
     std::uint64_t incarnation = 0;
@@ -136,7 +136,7 @@
     /// The entry host is leaving, so the agent should report to another one.
     bool isLeaving = false;
 
-    MSGPACK_DEFINE_ARRAY(number, host, configuration, incarnation, state, isLeaving)
+    MSGPACK_DEFINE_ARRAY(number, hostIncarnation, configuration, incarnation, state, isLeaving)
 };
 
 using MembershipMessage = std::variant<GossipMessage,
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -51,6 +51,7 @@
     const auto parts = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
         count, rc::gen::tuple(number(static_cast<int>(Action::Count)), number(Domains * DomainSize), number(3000)));
     std::vector<Event> events;
+    events.reserve(parts.size());
     for (const auto &[action, target, wait] : parts) {
         events.push_back(Event{static_cast<Action>(action), static_cast<std::size_t>(target), Milliseconds(wait)});
     }
