--- a/src/membership/agentreporter.cpp
+++ b/src/membership/agentreporter.cpp
@@ -17,12 +17,12 @@
 constexpr std::size_t TargetCount = 2;
 // The regular reports go to the two entry hosts in turn. When both have died, a change of the configuration is due 5 s
 // later: this time, the attempts, and the repair by the next entry host.
-constexpr Milliseconds ReportPeriod(3000);
+constexpr Milliseconds ReportPeriod(2400);
 constexpr Milliseconds ChangeInterval(1000);
 constexpr Milliseconds RetryTime(300);
 // While no entry host answers at all.
 constexpr Milliseconds SlowRetryTime(2000);
-constexpr std::size_t ReportAttempts = 4;
+constexpr std::size_t ReportAttempts = 3;
 // How long an entry host that did not answer is passed over.
 constexpr Seconds AvoidTime(10);
 constexpr Milliseconds PauseThreshold(2000);
@@ -164,7 +164,7 @@
     if (answer.number != 0) {
         refuteSuspicion(answer);
     }
-    compareConfiguration(from, answer.configuration, now);
+    compareConfiguration(from, answer, now);
 }
 
 void AgentReporter::handle(const NodeAddress &from, const ObjectsMessage &message, SteadyTime)
@@ -186,11 +186,12 @@
     }
 }
 
-void AgentReporter::compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now)
+void AgentReporter::compareConfiguration(const NodeAddress &from, const AgentAnswer &answer, SteadyTime now)
 {
+    const auto &theirs = answer.configuration;
     const bool isEqual = theirs.digest == m_store.digest(DigestScope::WithoutOrganisations);
     if (!m_isReady) {
-        m_join.answered(from, theirs.ready, isEqual, now);
+        m_join.answered(from, answer.hostIncarnation, theirs.ready, isEqual, now);
     }
     auto &lastRepair = m_repairs[from];
     if (!isEqual && now - lastRepair >= RepairInterval) {
--- a/src/membership/gossipnode.cpp
+++ b/src/membership/gossipnode.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t StageLimit = 256;
 // A difference that a peer with an older copy shows is usually a change on its way.
 constexpr std::size_t ToleratedMismatches = 2;
-constexpr std::size_t BroadcastBytes = 256 * 1024;
+constexpr std::size_t BroadcastBytes = 262144;
 
 MemberState stateOf(std::uint8_t state)
 {
@@ -200,7 +200,7 @@
     } else {
         answerGossip(from, message, now);
     }
-    compareConfiguration(from, message.configuration, now);
+    compareConfiguration(from, message, now);
 }
 
 void GossipNode::handle(const NodeAddress &from, const RepairRequest &message, SteadyTime, Random &)
@@ -281,7 +281,7 @@
     }
     AgentAnswer answer;
     answer.number = message.number;
-    answer.host = m_identity.host.value();
+    answer.hostIncarnation = m_row.incarnation;
     answer.configuration = summary(DigestScope::WithoutOrganisations);
     answer.incarnation = after->incarnation;
     answer.state = after->state;
@@ -414,7 +414,7 @@
     const auto own = summary(DigestScope::WithoutOrganisations);
     for (const auto &address : m_agents.agentsToRemind(own.digest, now)) {
         AgentAnswer reminder;
-        reminder.host = m_identity.host.value();
+        reminder.hostIncarnation = m_row.incarnation;
         reminder.configuration = own;
         send(address, reminder);
     }
@@ -472,6 +472,13 @@
 std::vector<std::uint64_t> GossipNode::livePeers() const
 {
     auto peers = m_table.hostsIn(MemberState::Live);
+    std::erase(peers, m_self);
+    return peers;
+}
+
+std::vector<std::uint64_t> GossipNode::broadcastReceivers() const
+{
+    auto peers = livePeers();
     const auto leaving = m_table.hostsIn(MemberState::Leaving);
     peers.insert(peers.end(), leaving.begin(), leaving.end());
     std::erase(peers, m_self);
@@ -497,22 +504,23 @@
     send(from, answer);
 }
 
-void GossipNode::compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now)
+void GossipNode::compareConfiguration(const NodeAddress &from, const GossipMessage &message, SteadyTime now)
 {
+    const auto &theirs = message.configuration;
     const bool isEqual = theirs.digest == m_store.digest();
     if (!m_isReady) {
-        m_join.answered(from, theirs.ready, isEqual, now);
+        m_join.answered(from, message.sender.incarnation, theirs.ready, isEqual, now);
     }
     if (isEqual) {
         m_mismatches = 0;
         m_completeThrough = std::max(m_completeThrough, theirs.completeThrough);
         m_gate.addHolderOfAll(hostAt(from));
-    } else if (!m_isReady) {
-        requestRepair(from, true);
-    } else if (theirs.highestRevision > m_store.highestRevision()) {
-        requestRepair(from, false);
-    } else if (theirs.digest != 0 && ++m_mismatches >= ToleratedMismatches) {
-        requestRepair(from, true);
+        return;
+    }
+    const bool isBehind = theirs.highestRevision > m_store.highestRevision();
+    const bool mayLack = isBehind || (theirs.digest != 0 && ++m_mismatches >= ToleratedMismatches);
+    if (!m_isReady || mayLack) {
+        requestRepair(from, !m_isReady || !isBehind);
     }
 }
 
@@ -563,7 +571,7 @@
 
 void GossipNode::broadcast(BroadcastMessage message, SteadyTime now, Random &random)
 {
-    m_broadcaster.originate(std::move(message), livePeers(), now, random);
+    m_broadcaster.originate(std::move(message), broadcastReceivers(), now, random);
 }
 
 void GossipNode::broadcastHost(const HostRow &row, SteadyTime now, Random &random)
@@ -621,6 +629,7 @@
     if (m_gate.isEmpty()) {
         return;
     }
+    // Hosts that are leaving may be gone already, so no change waits for them.
     const auto required = std::min(internal::ForceGate::RequiredHolders, livePeers().size());
     std::vector<HeldObject> released;
     BroadcastMessage message;
--- a/src/membership/gossipnode.h
+++ b/src/membership/gossipnode.h
@@ -113,9 +113,10 @@
     void checkStages(SteadyTime now, Random &random);
     std::optional<std::uint64_t> nextPeer(Random &random);
     std::vector<std::uint64_t> livePeers() const;
+    std::vector<std::uint64_t> broadcastReceivers() const;
 
     void answerGossip(const NodeAddress &from, const GossipMessage &message, SteadyTime now);
-    void compareConfiguration(const NodeAddress &from, const ConfigurationSummary &theirs, SteadyTime now);
+    void compareConfiguration(const NodeAddress &from, const GossipMessage &message, SteadyTime now);
     void requestRepair(const NodeAddress &from, bool full);
     void
     mergeRows(const std::vector<HostRow> &hosts, const std::vector<ServerRow> &servers, SteadyTime now, Random &random);
