--- a/src/control/entrycontrol.cpp
+++ b/src/control/entrycontrol.cpp
@@ -21,6 +21,8 @@
 
 constexpr Milliseconds TickPeriod{100};
 constexpr Milliseconds IdleFollowPeriod{200};
+/// One failed call is no outage; other hosts should not become relays because of it.
+constexpr std::size_t FailuresWithoutContact = 3;
 
 const std::vector<std::string> &followedKinds()
 {
@@ -142,12 +144,12 @@
         if (request) {
             const auto answer = co_await ask(*request);
             const auto number = std::visit([](const auto &sent) { return sent.request; }, *request);
-            m_node.setPlatformContact(answer.has_value(), steadyNow());
             if (answer) {
                 takeAnswer(m_follower.onAnswer(number, *answer));
             } else {
                 m_follower.onFailure(number, steadyNow(), m_random);
             }
+            m_node.setPlatformContact(m_follower.consecutiveFailures() < FailuresWithoutContact, steadyNow());
             continue;
         }
         timer.expires_after(IdleFollowPeriod);
