--- a/bench/configurationbench.cpp
+++ b/bench/configurationbench.cpp
@@ -1,6 +1,9 @@
 #include "config/config.h"
+#include "entry/trafficthread.h"
+#include "metrics/metricsregistry.h"
 #include "platform/objectstore.h"
 #include "platform/versionedobject.h"
+#include "settings/entrysettings.h"
 
 #include <chrono>
 #include <cstdio>
@@ -98,6 +101,24 @@
                 change / rebuild);
 }
 
+/// What one traffic thread adds for its links and routing state.
+void measureTrafficThread(std::uint64_t servers)
+{
+    const auto copy = makeCopy({0, servers});
+    EntrySettings settings;
+    settings.host = HostId("bench");
+    settings.failureDomain = FailureDomainId("domain-1");
+    MetricsRegistry metrics;
+    const double before = heapBytes();
+    TrafficThread thread(settings, 0, 1, metrics);
+    thread.apply(copy->snapshot);
+    const double bytes = heapBytes() - before;
+    std::printf("traffic thread with %5lu servers: %8.2f MB, %6.0f B for each server\n",
+                servers,
+                bytes / 1e6,
+                bytes / static_cast<double>(servers));
+}
+
 } // namespace
 
 int main()
@@ -109,5 +130,8 @@
         measure({0, servers});
     }
     measure({38'000, 4'700});
+    for (const std::uint64_t servers : {336, 1'000, 2'000, 4'700}) {
+        measureTrafficThread(servers);
+    }
     return 0;
 }
--- a/tests/wiretest.cpp
+++ b/tests/wiretest.cpp
@@ -31,7 +31,9 @@
         const auto bytes = encodeMessage(AttemptEnded{1, AttemptOutcome::NotRun, AttemptReason::Leaving, 5});
         auto changed = bytes;
         changed[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(value);
-        decodeMessage(changed);
+        const auto decoded = decodeMessage(changed);
+        const bool isTyped = decoded.has_value() || !decoded.error().message().empty();
+        RC_ASSERT(isTyped);
     }));
     const auto whole = encodeMessage(Heartbeat{300});
     for (std::size_t length = 0; length < whole.size(); ++length) {
