Give the agents of the relay benchmark their configuration

Cause: 298 of 360 streams and nearly all requests were refused, because an agent without configuration reports capacity 0 and is not used. Change: the benchmark hands the configuration to the agents too.

--- a/bench/relay/relayfleet.h
+++ b/bench/relay/relayfleet.h
@@ -71,7 +71,10 @@
             std::cerr << "a port between 28501 and 28505 is taken\n";
             return false;
         }
-        m_entry.apply(configuration());
+        const auto inForce = configuration();
+        m_engineAgent.apply(*inForce);
+        m_burstAgent.apply(*inForce);
+        m_entry.apply(inForce);
         for (auto *context : {&m_engineContext, &m_burstContext, &m_engineAgentContext, &m_burstAgentContext}) {
             m_threads.emplace_back([context] { context->run(); });
         }
