--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/attemptstream.h"
 #include "agent/enginecall.h"
+#include "agent/engineconnections.h"
 #include "agent/keyedexecutions.h"
 #include "config/backendserver.h"
 #include "config/configuration.h"
@@ -94,16 +95,16 @@
 
 AgentServer::AgentServer(asio::io_context &context,
                          Identity identity,
-                         tcp::endpoint engine,
+                         const tcp::endpoint &engine,
                          const tcp::endpoint &platform,
                          MetricsRegistry &metrics)
     : m_context(context)
     , m_identity(std::move(identity))
-    , m_engine(std::move(engine))
+    , m_connections(std::make_unique<EngineConnections>(context, engine))
     , m_metrics(metrics)
     , m_acceptor(context)
     , m_housekeepingTimer(context)
-    , m_keyed(std::make_unique<KeyedExecutions>(context, m_identity.backendServer, m_engine, platform, metrics))
+    , m_keyed(std::make_unique<KeyedExecutions>(context, m_identity.backendServer, engine, platform, metrics))
 {
 }
 
@@ -224,7 +225,7 @@
 void AgentServer::startEngineCall(Peer &peer, const Execute &execute, const std::shared_ptr<AttemptStream> &stream)
 {
     ++m_running;
-    const auto call = std::make_shared<EngineCall>(m_context, m_engine, execute, stream);
+    const auto call = std::make_shared<EngineCall>(*m_connections, execute, stream);
     const auto onEnd = [this, &peer, call, stream, request = execute.request](const std::exception_ptr &exception) {
         logException("attempt", exception);
         --m_running;
--- a/src/agent/agentserver.h
+++ b/src/agent/agentserver.h
@@ -17,6 +17,7 @@
 {
 
 class AttemptStream;
+class EngineConnections;
 class Configuration;
 class FramedConnection;
 class KeyedExecutions;
@@ -34,7 +35,7 @@
 
     AgentServer(asio::io_context &context,
                 Identity identity,
-                tcp::endpoint engine,
+                const tcp::endpoint &engine,
                 const tcp::endpoint &platform,
                 MetricsRegistry &metrics);
     ~AgentServer();
@@ -75,7 +76,7 @@
 
     asio::io_context &m_context;
     Identity m_identity;
-    tcp::endpoint m_engine;
+    std::unique_ptr<EngineConnections> m_connections;
     MetricsRegistry &m_metrics;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_housekeepingTimer;
--- a/src/agent/enginecall.cpp
+++ b/src/agent/enginecall.cpp
@@ -1,7 +1,9 @@
 #include "agent/enginecall.h"
 
 #include "agent/attemptstream.h"
+#include "agent/engineconnections.h"
 #include "agent/enginerequest.h"
+#include "net/httpcall.h"
 
 #include <algorithm>
 
@@ -20,18 +22,20 @@
 
 } // namespace
 
-EngineCall::EngineCall(asio::io_context &context,
-                       tcp::endpoint engine,
-                       Execute execute,
-                       std::shared_ptr<AttemptStream> stream)
-    : m_engine(std::move(engine))
+EngineCall::EngineCall(EngineConnections &connections, Execute execute, std::shared_ptr<AttemptStream> stream)
+    : m_connections(connections)
     , m_execute(std::move(execute))
     , m_stream(std::move(stream))
-    , m_call(context)
 {
-    m_stream->onCancel([this] { m_call.cancel(); });
+    m_stream->onCancel([this] {
+        if (m_call) {
+            m_call->cancel();
+        }
+    });
 }
 
+EngineCall::~EngineCall() = default;
+
 Task<> EngineCall::run()
 {
     const bool hasBegun = co_await begin();
@@ -39,22 +43,49 @@
         co_await relayBody();
     }
     m_stream->onCancel(nullptr);
-    m_call.cancel();
+    if (m_stream->state() == AttemptState::Completed) {
+        m_connections.giveBack(std::move(m_call));
+    }
 }
 
 Task<bool> EngineCall::begin()
 {
-    const auto connected = co_await m_call.connect(m_engine, std::min(m_stream->remaining(), ConnectTimeout));
+    bool isStarted = co_await tryIdleConnection();
+    if (!isStarted && m_stream->state() == AttemptState::Running) {
+        isStarted = co_await connect();
+    }
+    if (isStarted) {
+        m_stream->sendHead({static_cast<std::uint16_t>(m_call->status()), m_call->contentType(), false});
+    }
+    co_return isStarted;
+}
+
+Task<bool> EngineCall::tryIdleConnection()
+{
+    m_call = m_connections.takeIdle();
+    if (!m_call) {
+        co_return false;
+    }
+    // The engine may close an idle connection at any time. The call is idempotent, so it is simply made again on a new
+    // connection; a call that timed out has no time for that.
+    const auto started = co_await m_call->start(engineRequest(m_execute), m_stream->remaining());
+    co_return started.has_value();
+}
+
+Task<bool> EngineCall::connect()
+{
+    m_call = std::make_unique<HttpCall>(m_connections.context());
+    const auto timeout = std::min(m_stream->remaining(), ConnectTimeout);
+    const auto connected = co_await m_call->connect(m_connections.engine(), timeout);
     if (connected.has_error()) {
         m_stream->end(AttemptOutcome::NotRun, AttemptReason::EngineUnreachable);
         co_return false;
     }
-    const auto started = co_await m_call.start(engineRequest(m_execute), m_stream->remaining());
+    const auto started = co_await m_call->start(engineRequest(m_execute), m_stream->remaining());
     if (started.has_error()) {
         m_stream->end(AttemptOutcome::Unknown, reasonOf(started.error()));
         co_return false;
     }
-    m_stream->sendHead({static_cast<std::uint16_t>(m_call.status()), m_call.contentType(), false});
     co_return true;
 }
 
@@ -62,7 +93,7 @@
 {
     bool hasRoom = co_await m_stream->waitForRoom();
     while (hasRoom) {
-        auto piece = co_await m_call.readSome(m_stream->remaining());
+        auto piece = co_await m_call->readSome(m_stream->remaining());
         if (piece.has_error()) {
             m_stream->fail(reasonOf(piece.error()));
             co_return;
--- a/src/agent/enginecall.h
+++ b/src/agent/enginecall.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "net/asio.h"
-#include "net/httpcall.h"
 #include "wire/execute.h"
 
 #include <memory>
@@ -10,23 +9,28 @@
 {
 
 class AttemptStream;
+class EngineConnections;
+class HttpCall;
 
 /// Relays the answer of the backend server on this host to one idempotent attempt, piece by piece.
 class EngineCall
 {
 public:
-    EngineCall(asio::io_context &context, tcp::endpoint engine, Execute execute, std::shared_ptr<AttemptStream> stream);
+    EngineCall(EngineConnections &connections, Execute execute, std::shared_ptr<AttemptStream> stream);
+    ~EngineCall();
 
     Task<> run();
 
 private:
     Task<bool> begin();
+    Task<bool> tryIdleConnection();
+    Task<bool> connect();
     Task<> relayBody();
 
-    tcp::endpoint m_engine;
+    EngineConnections &m_connections;
     Execute m_execute;
     std::shared_ptr<AttemptStream> m_stream;
-    HttpCall m_call;
+    std::unique_ptr<HttpCall> m_call;
 };
 
 } // namespace Cardamomhill
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -35,7 +35,8 @@
 
 const Organisation *Configuration::organisation(const OrganisationId &id) const
 {
-    return lookUp(m_organisations, id);
+    const auto *found = m_organisations.find(id);
+    return found == nullptr ? nullptr : found->get();
 }
 
 const BackendServer *Configuration::backendServer(const BackendServerId &id) const
@@ -45,7 +46,8 @@
 
 const Organisation *Configuration::organisationOfToken(std::string_view token) const
 {
-    return lookUp(m_organisationsByToken, tokenHash(token));
+    const auto *found = m_organisationsByToken.find(tokenHash(token));
+    return found == nullptr ? nullptr : found->get();
 }
 
 std::vector<const BackendServer *> Configuration::backendServersOf(const ServiceId &id) const
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/copyonwritemap.h"
 #include "core/identifiers.h"
 
 #include <cstdint>
@@ -7,7 +8,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace Cardamomhill
@@ -48,9 +48,9 @@
 
     std::map<ServiceId, std::shared_ptr<const Service>> m_services;
     std::map<ProfileId, std::shared_ptr<const Profile>> m_profiles;
-    std::unordered_map<OrganisationId, std::shared_ptr<const Organisation>> m_organisations;
+    internal::CopyOnWriteMap<OrganisationId, std::shared_ptr<const Organisation>> m_organisations;
     std::map<BackendServerId, std::shared_ptr<const BackendServer>> m_backendServers;
-    std::unordered_map<std::string, std::shared_ptr<const Organisation>> m_organisationsByToken;
+    internal::CopyOnWriteMap<std::string, std::shared_ptr<const Organisation>> m_organisationsByToken;
     std::map<ServiceId, std::shared_ptr<const std::string>> m_slotTables;
     std::uint64_t m_version = 0;
 };
--- a/src/config/configurationbuilder.cpp
+++ b/src/config/configurationbuilder.cpp
@@ -4,6 +4,7 @@
 #include "config/organisation.h"
 #include "config/profile.h"
 #include "config/service.h"
+#include "platform/objectstore.h"
 #include "platform/versionedobject.h"
 
 #include <algorithm>
@@ -47,7 +48,7 @@
     if (handler == Handlers.end()) {
         return {};
     }
-    auto &version = m_versions[object.key.kind + "/" + object.key.name];
+    auto &version = m_versions[ObjectStore::keyHash(object.key)];
     if (object.version <= version) {
         return {};
     }
@@ -100,23 +101,24 @@
     }
     removeOrganisation(id);
     const auto organisation = std::make_shared<const Organisation>(std::move(parsed.value()));
-    m_configuration.m_organisations[id] = organisation;
+    m_configuration.m_organisations.assign(id, organisation);
     for (const auto &hash : organisation->tokenHashes) {
-        m_configuration.m_organisationsByToken[hash] = organisation;
+        m_configuration.m_organisationsByToken.assign(hash, organisation);
     }
     return {};
 }
 
 void ConfigurationBuilder::removeOrganisation(const OrganisationId &id)
 {
-    const auto found = m_configuration.m_organisations.find(id);
-    if (found == m_configuration.m_organisations.end()) {
+    const auto *found = m_configuration.m_organisations.find(id);
+    if (found == nullptr) {
         return;
     }
-    for (const auto &hash : found->second->tokenHashes) {
+    const auto organisation = *found;
+    for (const auto &hash : organisation->tokenHashes) {
         m_configuration.m_organisationsByToken.erase(hash);
     }
-    m_configuration.m_organisations.erase(found);
+    m_configuration.m_organisations.erase(id);
 }
 
 ConfigErrors checkObject(const std::string &kind, const std::string &name, std::string_view json)
--- a/src/config/configurationbuilder.h
+++ b/src/config/configurationbuilder.h
@@ -4,6 +4,7 @@
 #include "config/configuration.h"
 
 #include <memory>
+#include <unordered_map>
 
 namespace Cardamomhill
 {
@@ -30,7 +31,8 @@
     void removeOrganisation(const OrganisationId &id);
 
     Configuration m_configuration;
-    std::map<std::string, std::uint64_t> m_versions;
+    /// By the hash of the key; names would take three times the memory.
+    std::unordered_map<std::uint64_t, std::uint64_t> m_versions;
 };
 
 /// Checks the value of one object of any configuration kind, as the operator commands do before they write it.
