Test configuration in real processes under restarts, races, outage and a lost answer

Cause: that an accepted configuration never reverts was proved over the library only, not over the daemons. Change: tests/configurationtest.sh. Conclusion: both entry processes restarted in turn while the platform is away come back with the newest version.

--- /dev/null
+++ b/tests/configurationtest.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Configuration in real processes: time until it is in force, restarts while the platform is away, racing operators, a
+# write whose answer is lost. Guards against a step back to an older version and against a wrong verdict on a write.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+PORT_BASE=28600
+STEP_TIME_MS=5
+source scripts/fleet.sh
+source tests/support/expect.sh
+
+fleet_start
+fleet_configure token >/dev/null
+
+change() { "$PROGRAM" profile change desk --platform "$PLATFORM" --set "timeout_ms=$1"; }
+version_of_desk() { "$PROGRAM" profile list --platform "$PLATFORM" | sed -n 's/^desk version \([0-9]*\).*/\1/p'; }
+in_force() { "$PROGRAM" status --operator-port "$1" | sed -n 's/.*"configuration_version":\([0-9]*\).*/\1/p'; }
+# wait_in_force VERSION: whether all four processes have it within 5 s.
+wait_in_force() {
+    local deadline=$((SECONDS + 6)) operator
+    for operator in "$ENTRY_A_OPERATOR" "$ENTRY_B_OPERATOR" "$AGENT_ENGINE_OPERATOR" "$AGENT_PLAIN_OPERATOR"; do
+        until [ "$(in_force "$operator")" -ge "$1" ]; do
+            if [ "$SECONDS" -ge "$deadline" ]; then
+                echo late
+                return 0
+            fi
+            sleep 0.1
+        done
+    done
+    echo in-force
+}
+
+change 10001 >/dev/null
+expect "an accepted change is in force in all processes within 5 s" in-force "$(wait_in_force "$(version_of_desk)")"
+
+for i in 1 2 3 4 5 6; do
+    { change $((11000 + i)) >"$FLEET_DIRECTORY/change.$i" 2>"$FLEET_DIRECTORY/conflict.$i" && echo won || echo lost; } \
+        >"$FLEET_DIRECTORY/verdict.$i" &
+    change_pids[i]=$!
+done
+before="$(version_of_desk)"
+wait "${change_pids[@]}"
+won="$(cat "$FLEET_DIRECTORY"/verdict.* | grep -c won)"
+expect "of racing operators, each winner made one version" "$won" "$(sort -u "$FLEET_DIRECTORY"/change.* | grep -c version)"
+expect "each loser sees both versions" "$((6 - won))" \
+    "$(cat "$FLEET_DIRECTORY"/conflict.* | grep -c 'based on version [0-9]*, now at version [0-9]*' || true)"
+expect "at least one of them won" yes "$([ "$won" -ge 1 ] && [ "$before" -ge 1 ] && echo yes)"
+
+before="$(version_of_desk)"
+curl -sS "http://$PLATFORM/faults" -d '{"lose_write_answers":1}' >/dev/null
+expect "a write whose answer was lost is recognised as one's own" 0 "$(change 12000 >/dev/null; echo $?)"
+expect "and took effect once" $((before + 1)) "$(version_of_desk)"
+newest="$(version_of_desk)"
+expect "it is in force in all processes within 5 s" in-force "$(wait_in_force "$newest")"
+
+curl -sS "http://$PLATFORM/faults" -d '{"down":true}' >/dev/null
+expect "a write during an outage fails with status 1" 1 "$(change 13000 >/dev/null 2>&1; echo $?)"
+for round in 1 2; do
+    kill -KILL "$PID_entry_a"
+    fleet_restart_entry_a
+    expect "an entry process restarted while the platform is away has the newest version ($round)" "$newest" "$(in_force "$ENTRY_A_OPERATOR")"
+    kill -KILL "$PID_entry_b"
+    fleet_spawn entry-b "$PROGRAM" entry --settings "$FLEET_DIRECTORY/entry-b.yaml"
+    fleet_wait_ready "$ENTRY_B_OPERATOR"
+    expect "so has the other one, restarted after it ($round)" "$newest" "$(in_force "$ENTRY_B_OPERATOR")"
+done
+kill -KILL "$PID_agent_chat"
+fleet_spawn agent-chat "$PROGRAM" agent --settings "$FLEET_DIRECTORY/agent-chat-1.yaml"
+fleet_wait_ready "$AGENT_ENGINE_OPERATOR"
+expect "and a restarted agent serves with it" '{"text":"x-0 "}' \
+    "$(curl -sS --retry 5 --retry-all-errors --retry-delay 1 --fail "http://$ENTRY_A/v1/services/chat/generate" -H "Authorization: Bearer token" -d '{"prompt":"x","tokens":1}')"
+curl -sS "http://$PLATFORM/faults" -d '{"down":false}' >/dev/null
+change 14000 >/dev/null
+expect "after the outage a change is in force within 5 s" in-force "$(wait_in_force "$(version_of_desk)")"
+finish_expectations
