--- /dev/null
+++ b/src/cli/runtoend.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "cli/exitstatus.h"
+#include "net/asio.h"
+
+namespace Cardamomhill::internal
+{
+
+/// Runs the coroutine of a command to its end and returns its exit status.
+ExitStatus runToEnd(asio::io_context &context, Task<ExitStatus> command);
+
+} // namespace Cardamomhill::internal
--- a/src/cli/slotscommand.cpp
+++ b/src/cli/slotscommand.cpp
@@ -2,6 +2,7 @@
 
 #include "cli/commandoptions.h"
 #include "cli/operationid.h"
+#include "cli/runtoend.h"
 #include "config/backendserver.h"
 #include "control/platformclient.h"
 #include "execution/slottable.h"
@@ -40,11 +41,7 @@
 
     ExitStatus run()
     {
-        ExitStatus status = ExitStatus::RuntimeError;
-        asio::co_spawn(
-            m_context, dispatch(), [&status](const std::exception_ptr &, ExitStatus result) { status = result; });
-        m_context.run();
-        return status;
+        return internal::runToEnd(m_context, dispatch());
     }
 
 private:
--- a/src/cli/statuscommand.cpp
+++ b/src/cli/statuscommand.cpp
@@ -1,6 +1,7 @@
 #include "cli/statuscommand.h"
 
 #include "cli/commandoptions.h"
+#include "cli/runtoend.h"
 #include "net/address.h"
 #include "net/httpclient.h"
 
@@ -36,11 +37,7 @@
     }
     asio::io_context context;
     HttpClient client(context, *endpoint);
-    ExitStatus status = ExitStatus::RuntimeError;
-    asio::co_spawn(
-        context, printStatus(client), [&status](const std::exception_ptr &, ExitStatus result) { status = result; });
-    context.run();
-    return status;
+    return internal::runToEnd(context, printStatus(client));
 }
 
 } // namespace Cardamomhill
--- a/tests/atmostoncetest.sh
+++ b/tests/atmostoncetest.sh
@@ -7,31 +7,10 @@
 STEP_TIME_MS=5
 source scripts/fleet.sh
 source tests/support/expect.sh
+source tests/support/payments.sh
 
 fleet_start
 fleet_configure token >/dev/null
-auth=(-H "Authorization: Bearer token")
-
-new_key() { curl -sS "http://$ENTRY_A/v1/keys" "${auth[@]}" -d '{"service":"orders"}' | sed -n 's/.*"idempotency_key":"\([^"]*\)".*/\1/p'; }
-pay() { # ENTRY KEY BODY: prints the answer, then its status
-    curl -sS --max-time 20 -w ' %{http_code}' "http://$1/v1/services/orders/payments" "${auth[@]}" \
-        -H "Idempotency-Key: $2" -d "$3" || echo "no answer"
-}
-# Repeats with the same key while the outcome says that it may be repeated: not-sent or rejected.
-pay_until_definite() {
-    local answer
-    for _ in 1 2 3 4 5 6 7 8 9 10; do
-        answer="$(pay "$@")"
-        case "$(outcome "$answer")" in
-            not-sent | rejected) sleep 0.5 ;;
-            *) break ;;
-        esac
-    done
-    echo "$answer"
-}
-executions() { curl -sS "http://$PLAIN/executions" | grep -o "\"key\":\"$1\"" | wc -l; }
-outcome() { sed -n 's/.*"outcome":"\([^"]*\)".*/\1/p' <<<"$1"; }
-
 fleet_create_slots orders
 
 key="$(new_key)"
--- a/tests/silenttest.sh
+++ b/tests/silenttest.sh
@@ -7,6 +7,7 @@
 STEP_TIME_MS=10
 source scripts/fleet.sh
 source tests/support/expect.sh
+source tests/support/payments.sh
 
 fleet_start
 fleet_spawn proxy-chat "$BUILD_DIRECTORY/tests/standins/standin-proxy" "127.0.0.1:$((PORT_BASE + 30))" "127.0.0.1:$AGENT_ENGINE_PORT"
@@ -15,7 +16,6 @@
 AGENT_PLAIN_PORT=$((PORT_BASE + 31))
 fleet_configure token >/dev/null
 fleet_create_slots orders
-auth=(-H "Authorization: Bearer token")
 
 stream() { # PROMPT FILE
     curl -sS --max-time 60 "http://$ENTRY_A/v1/services/chat/generate" "${auth[@]}" \
@@ -40,18 +40,15 @@
 resumed="$(curl -sS "http://$AGENT_ENGINE_OPERATOR/metrics" | sed -n 's/^cardamomhill_attempts_resumed_total //p')"
 expect "the streams were resumed, not repeated" 3 "$resumed"
 
-new_key() { curl -sS "http://$ENTRY_A/v1/keys" "${auth[@]}" -d '{"service":"orders"}' | sed -n 's/.*"idempotency_key":"\([^"]*\)".*/\1/p'; }
-pay() { curl -sS --max-time 20 -w ' %{http_code}' "http://$ENTRY_A/v1/services/orders/payments" "${auth[@]}" -H "Idempotency-Key: $1" -d 1; }
-executions() { curl -sS "http://$PLAIN/executions" | grep -o "\"key\":\"$1\"" | wc -l; }
 key="$(new_key)"
-expect "a payment runs" 200 "$(pay "$key" | tail -c 3)"
+expect "a payment runs" 200 "$(pay "$ENTRY_A" "$key" 1 | tail -c 3)"
 kill -USR1 "$PID_proxy_orders"
 key="$(new_key)"
-expect "a payment that is sent over a silent connection gets its answer" 200 "$(pay "$key" | tail -c 3)"
+expect "a payment that is sent over a silent connection gets its answer" 200 "$(pay "$ENTRY_A" "$key" 1 | tail -c 3)"
 expect "and runs once" 1 "$(executions "$key")"
 curl -sS "http://$PLAIN/faults" -d '{"delay_ms":1000}' >/dev/null
 key="$(new_key)"
-pay "$key" >"$FLEET_DIRECTORY/silent.txt" &
+pay "$ENTRY_A" "$key" 1 >"$FLEET_DIRECTORY/silent.txt" &
 pay_pid=$!
 sleep 0.5
 kill -USR1 "$PID_proxy_orders"
