--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -300,9 +300,9 @@
     launch(member, member.agent != nullptr ? member.agent->takeMessages() : member.node->takeMessages());
 }
 
-void Fleet::launch(const Member &member, std::vector<OutgoingMessage> messages)
+void Fleet::launch(const Member &member, const std::vector<OutgoingMessage> &messages)
 {
-    for (auto &message : messages) {
+    for (const auto &message : messages) {
         if (message.channel == MessageChannel::Datagram && message.bytes.size() > DatagramLimit) {
             report("datagram too large");
         }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -79,9 +79,9 @@
     void step();
     void run(Milliseconds time);
 
-    void start(std::size_t member);
-    void crash(std::size_t member);
-    void pause(std::size_t member, Milliseconds time);
+    void start(std::size_t index);
+    void crash(std::size_t index);
+    void pause(std::size_t index, Milliseconds time);
     void cutFromPlatform(std::size_t domain, bool cut);
     void setPlatformDown(bool down);
     std::uint64_t write(const ObjectKey &key);
@@ -121,7 +121,7 @@
     void disturb(std::size_t domain);
     void deliver(const Flight &flight);
     void collect(Member &member);
-    void launch(const Member &member, std::vector<OutgoingMessage> messages);
+    void launch(const Member &member, const std::vector<OutgoingMessage> &messages);
     void apply(Member &member, const ObjectKey &key, std::uint64_t version);
     void checkRestart(Member &member, bool wasReady);
     void follow(Member &member);
