Measure the added latency of the relay without and with streams

Cause: it was not visible how much of the added latency comes from the streams. Change: bench/relaybench measures with 0, 90 and 360 streams.

--- a/bench/relaybench.cpp
+++ b/bench/relaybench.cpp
@@ -167,7 +167,7 @@
     return complete == BurstStreams ? tokens / seconds : 0;
 }
 
-void measureLatency()
+void measureLatency(unsigned streamCount)
 {
     const Way engineStreams{"relayed", RelayFleet::EntryPort, "/v1/services/chat"};
     const Way direct{"direct", RelayFleet::BurstPort, ""};
@@ -175,13 +175,13 @@
     std::atomic<bool> stop = false;
     std::atomic<unsigned> running = 0;
     asio::io_context streams;
-    for (unsigned i = 0; i < Streams; ++i) {
+    for (unsigned i = 0; i < streamCount; ++i) {
         const Milliseconds delay(7 * i);
         asio::co_spawn(streams, runStream(streams, engineStreams, delay, stop, running), asio::detached);
     }
     std::thread streamThread([&streams] { streams.run(); });
     std::this_thread::sleep_for(Seconds(5));
-    std::printf("streams running: %u of %u, one token each 33 ms\n", running.load(), Streams);
+    std::printf("streams running: %u of %u, one token each 33 ms\n", running.load(), streamCount);
     asio::io_context context;
     asio::co_spawn(context, timeRequests(context, direct, relayed), asio::detached);
     context.run();
@@ -205,7 +205,9 @@
     if (!fleet.start()) {
         return 1;
     }
-    measureLatency();
+    for (const unsigned streams : {0U, Streams / 4, Streams}) {
+        measureLatency(streams);
+    }
     measureThroughput();
     return 0;
 }
