--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Prints the measured figures of docs/CAPACITY.md again; takes about ten minutes on an idle machine.
+# Prints the measured figures of docs/CAPACITY.md again; takes some minutes on an idle machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
