Apply changed capacities of known backend servers; split the attempt of a request

Measured: tests/requestroutingtest failed first ('a changed capacity ...'), now 2 of 2 pass. Conclusion: operators' changes of capacity take force without a restart.

--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -147,33 +147,44 @@
         co_await answerNotRouted(decision.error());
         co_return Next::Stop;
     }
-    const auto &server = decision.value().server;
+    const auto server = decision.value().server;
     m_tried.push_back(server);
-    const auto link = m_thread.link(server);
-    auto execute = m_thread.makeExecute(m_request);
-    const auto id = execute.attempt;
     const auto number = m_attempts.start();
     m_thread.routing().attemptStarted(server);
+    const auto relayed = co_await relayFrom(m_thread.link(server));
+    m_thread.routing().attemptEnded(server, resultOf(relayed.end, relayed.failure));
+    m_attempts.end(number, outcomeOf(relayed.end, relayed.failure));
+    if (relayed.failure) {
+        co_return co_await afterFailure(*relayed.failure, relayed.end == RelayEnd::BrokenAnswer);
+    }
+    co_await endWithoutFailure(relayed.end);
+    co_return Next::Stop;
+}
+
+Task<RequestHandler::Relayed> RequestHandler::relayFrom(std::shared_ptr<AgentLink> link)
+{
+    auto execute = m_thread.makeExecute(m_request);
+    const auto id = execute.attempt;
     const auto channel = link->execute(std::move(execute));
     m_exchange.watchDisconnect([channel] { channel->abandon(); });
     AnswerRelay relay(m_exchange, *channel, [link, id] { link->acknowledge(id); });
     const auto end = co_await relay.run(m_request.deadline);
     m_exchange.stopWatching();
     link->release(id);
-    m_thread.routing().attemptEnded(server, resultOf(end, relay.failure()));
-    m_attempts.end(number, outcomeOf(end, relay.failure()));
     if (relay.firstByteAt()) {
         m_thread.metrics().latency("first_byte_seconds").record(*relay.firstByteAt() - m_startedAt);
     }
-    if (relay.failure()) {
-        co_return co_await afterFailure(*relay.failure(), end == RelayEnd::BrokenAnswer);
-    }
+    Relayed relayed{end, relay.failure()};
+    co_return relayed;
+}
+
+Task<> RequestHandler::endWithoutFailure(RelayEnd end)
+{
     if (end == RelayEnd::TimedOut && !m_exchange.hasBegun()) {
         Problem problem{ProblemKind::TimedOut, 504, "unknown", "the time limit of the request passed", {}};
         co_await sendProblem(m_exchange, std::move(problem));
     }
     finish(nameOf(end));
-    co_return Next::Stop;
 }
 
 Task<RequestHandler::Next> RequestHandler::afterFailure(const AttemptEvent &failure, bool answerStarted)
--- a/src/entry/requesthandler.h
+++ b/src/entry/requesthandler.h
@@ -9,12 +9,14 @@
 #include "routing/attemptlog.h"
 #include "routing/routingerror.h"
 
+#include <memory>
 #include <optional>
 #include <vector>
 
 namespace Cardamomhill
 {
 
+class AgentLink;
 class HttpExchange;
 class TrafficThread;
 
@@ -30,10 +32,18 @@
     /// What comes after an attempt.
     enum class Next { Stop, Retry };
 
+    /// How the relay of one attempt ended; the failure is set when the attempt gave no whole answer.
+    struct Relayed {
+        RelayEnd end;
+        std::optional<AttemptEvent> failure;
+    };
+
     Task<> serveAdmitted();
     Task<> issueKey();
     std::optional<Problem> findSlotOwner();
     Task<Next> attempt();
+    Task<Relayed> relayFrom(std::shared_ptr<AgentLink> link);
+    Task<> endWithoutFailure(RelayEnd end);
     Task<Next> afterFailure(const AttemptEvent &failure, bool answerStarted);
     Task<> answerNotRouted(const RoutingError &error);
     Task<> answerFailure(const AttemptEvent &failure);
--- a/src/entry/requestrouting.cpp
+++ b/src/entry/requestrouting.cpp
@@ -89,16 +89,13 @@
 void RequestRouting::apply(const Configuration &configuration)
 {
     std::set<ServiceId> services;
-    std::map<BackendServerId, ServiceId> present;
+    std::set<BackendServerId> present;
     for (const auto *server : configuration.backendServers()) {
-        present[server->id] = server->service;
+        present.insert(server->id);
         services.insert(server->service);
-        const bool isUnchanged = m_known.count(server->id) > 0 && m_known.at(server->id) == server->service;
-        if (!isUnchanged) {
-            m_table.upsert(routedServer(*server));
-        }
+        m_table.upsert(routedServer(*server));
     }
-    for (const auto &[id, service] : m_known) {
+    for (const auto &id : m_known) {
         if (present.count(id) == 0) {
             m_table.remove(id);
         }
--- a/src/entry/requestrouting.h
+++ b/src/entry/requestrouting.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,7 +80,7 @@
     RetryPolicy m_retryPolicy;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<ServiceId, ServiceSlots> m_slots;
-    std::map<BackendServerId, ServiceId> m_known;
+    std::set<BackendServerId> m_known;
     Random m_random;
 };
 
--- /dev/null
+++ b/tests/requestroutingtest.cpp
@@ -0,0 +1,87 @@
+#include "entry/requestrouting.h"
+#include "config/config.h"
+#include "entry/callerrequest.h"
+#include "platform/versionedobject.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// A routing state with one model service and one backend server.
+class Fixture
+{
+public:
+    Fixture()
+    {
+        m_builder.apply({{"profiles", "p"}, 1, R"({"class":"interactive"})", false});
+        m_builder.apply({{"services", "s"}, 2, R"({"kind":"model","profile":"p"})", false});
+        m_builder.apply({{"organisations", "o"}, 3, "{}", false});
+    }
+
+    /// Puts the server in force with this capacity.
+    void setCapacity(std::uint64_t version, int capacity)
+    {
+        m_builder.apply({{"backendservers", "b"},
+                         version,
+                         R"({"service":"s","failure_domain":"d","agent_address":"127.0.0.1","agent_port":1,"capacity":)"
+                             + std::to_string(capacity) + "}",
+                         false});
+        m_configuration = m_builder.snapshot();
+        routing.apply(*m_configuration);
+    }
+
+    /// Whether one more request finds a server; it then occupies it.
+    bool occupy()
+    {
+        CallerRequest request;
+        request.configuration = m_configuration;
+        request.id = RequestId("r");
+        request.service = m_configuration->service(ServiceId("s"));
+        request.profile = m_configuration->profile(ProfileId("p"));
+        request.organisation = m_configuration->organisation(OrganisationId("o"));
+        const auto decision = routing.choose(request, {}, std::nullopt);
+        if (decision.has_value()) {
+            routing.attemptStarted(decision.value().server);
+        }
+        return decision.has_value();
+    }
+
+    RequestRouting routing{FailureDomainId("d"), 100, 1};
+
+private:
+    ConfigurationBuilder m_builder;
+    std::shared_ptr<const Configuration> m_configuration;
+};
+
+} // namespace
+
+TEST_CASE("a changed capacity of a backend server takes effect for servers that are already known")
+{
+    Fixture fixture;
+    fixture.setCapacity(4, 1);
+    CHECK(fixture.occupy());
+    CHECK_FALSE(fixture.occupy());
+    fixture.setCapacity(5, 2);
+    CHECK(fixture.occupy());
+    CHECK_FALSE(fixture.occupy());
+}
+
+TEST_CASE("a leaving notice stands when a later change of configuration names the server again")
+{
+    Fixture fixture;
+    fixture.setCapacity(4, 5);
+    fixture.routing.takeState(BackendServerId("b"), 7, MemberState::Live);
+    CHECK(fixture.occupy());
+    fixture.routing.takeState(BackendServerId("b"), 7, MemberState::Leaving);
+    fixture.setCapacity(5, 6);
+    CHECK_FALSE(fixture.occupy());
+}
+
+} // namespace Cardamomhill
