Give each link to an agent a name of its own

Cause: a change of a backend server makes a new link beside the retired one; both greeted the agent as the same peer, and each replaced the other's connection (agent log: 2 x 'superseded' in tests/configurationtest.sh). Ruled out: lost requests; all were resumed and answered before the fix as well. Change: the peer name carries the number of the link.

--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -30,7 +30,7 @@
 {
 public:
     struct Identity {
-        /// Name of this traffic thread, unique over all entry processes.
+        /// Name of this link, unique over all links of all entry processes.
         std::string peer;
         std::uint64_t incarnation = 0;
     };
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -107,8 +107,11 @@
     observers.onState = [this, id = server.id](std::uint64_t incarnation, MemberState state) {
         m_routing.takeState(id, incarnation, state);
     };
+    // A name for each link: an agent keeps only the newest connection of a peer, and a link that was retired by a
+    // change of its server still carries its last attempts beside the new one.
+    const auto peer = m_peer + "/" + std::to_string(m_nextLink++);
     return std::make_shared<AgentLink>(m_context,
-                                       AgentLink::Identity{m_peer, m_incarnation},
+                                       AgentLink::Identity{peer, m_incarnation},
                                        tcp::endpoint(asio::ip::make_address(server.agentAddress), server.agentPort),
                                        std::move(observers));
 }
--- a/src/entry/trafficthread.h
+++ b/src/entry/trafficthread.h
@@ -79,6 +79,7 @@
     std::shared_ptr<const Configuration> m_configuration;
     RequestRouting m_routing;
     std::map<BackendServerId, std::unique_ptr<LinkedServer>> m_links;
+    std::uint64_t m_nextLink = 1;
     std::uint64_t m_nextAttempt = 1;
     std::uint64_t m_nextRequest = 1;
     std::atomic<std::size_t> m_requestCount{0};
--- a/src/wire/hello.h
+++ b/src/wire/hello.h
@@ -10,7 +10,7 @@
 
 /// First message on a connection, from an entry process to an agent.
 struct Hello {
-    /// Host and traffic thread of the entry process; attempt ids are unique within it and its incarnation.
+    /// Host, traffic thread and link of the entry process; attempt ids are unique within it and its incarnation.
     std::string peer;
     /// Wall clock at the start of the entry process, in ms; a restarted process has a higher one.
     std::uint64_t incarnation = 0;
--- a/tests/configurationtest.sh
+++ b/tests/configurationtest.sh
@@ -52,6 +52,20 @@
 newest="$(version_of_desk)"
 expect "it is in force in all processes within 5 s" in-force "$(wait_in_force "$newest")"
 
+curl -sS --max-time 20 "http://$ENTRY_A/v1/services/chat/generate" -H "Authorization: Bearer token" \
+    -d '{"prompt":"y","tokens":600,"stream":true}' >"$FLEET_DIRECTORY/stream.txt" &
+stream_pid=$!
+sleep 0.5
+"$PROGRAM" backendserver change chat-1 --platform "$PLATFORM" --set capacity=65 >/dev/null
+newest="$("$PROGRAM" backendserver list --platform "$PLATFORM" | sed -n 's/^chat-1 version \([0-9]*\).*/\1/p')"
+wait_in_force "$newest" >/dev/null
+expect "while a stream runs, a request after a change of its backend server is answered" '{"text":"z-0 "}' \
+    "$(curl -sS --max-time 3 "http://$ENTRY_A/v1/services/chat/generate" -H "Authorization: Bearer token" -d '{"prompt":"z","tokens":1}')"
+wait "$stream_pid"
+expect "the connections before and after the change do not replace each other" 0 \
+    "$(grep -c 'superseded' "$FLEET_DIRECTORY/agent-chat.log" || true)"
+expect "and the stream arrives whole" 600 "$(grep -c '^data: y-' "$FLEET_DIRECTORY/stream.txt")"
+
 curl -sS "http://$PLATFORM/faults" -d '{"down":true}' >/dev/null
 expect "a write during an outage fails with status 1" 1 "$(change 13000 >/dev/null 2>&1; echo $?)"
 for round in 1 2; do
