Show a payment and its repetition in the demonstration

Cause: the demonstration did not show that a non-idempotent request runs once. Change: scripts/demo.sh issues a key and sends the payment through both entry processes. Conclusion: none needed.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,6 +28,16 @@
 curl -sS "http://$ENTRY_A/v1/services/orders/stock/paper" -H "Authorization: Bearer $token"
 echo
 
+say "a payment and its repetition through the other entry process: one execution, one answer"
+fleet_create_slots orders
+key="$(curl -sS "http://$ENTRY_A/v1/keys" -H "Authorization: Bearer $token" -d '{"service":"orders"}' |
+    sed -n 's/.*"idempotency_key":"\([^"]*\)".*/\1/p')"
+for entry in "$ENTRY_A" "$ENTRY_B"; do
+    curl -sS -i "http://$entry/v1/services/orders/payments" -H "Authorization: Bearer $token" \
+        -H "Idempotency-Key: $key" -d '{"amount":10}' | grep -iE '^HTTP|replayed|execution'
+    echo
+done
+
 say "a wrong token is refused"
 curl -sS "http://$ENTRY_A/v1/services/chat/generate" -H "Authorization: Bearer wrong" -d '{}'
 echo
