Return objects from the platform client as the platform stores them

Cause: the client interpreted 'retired' in each object, and two callers converted its objects back to what the platform stores. The rule stands in toVersionedObject already. The second reading also failed a whole list or watch because of one object whose 'retired' is no boolean. Change: the client returns PlatformObject; followers and commands use toVersionedObject; both converters and a third copy of its field list are gone. Conclusion: an unreadable object now costs only itself, as WatchFollower meant.

--- a/src/cli/objectcommand.cpp
+++ b/src/cli/objectcommand.cpp
@@ -127,13 +127,18 @@
         if (present.has_error()) {
             co_return runtimeError(present.error());
         }
-        const PlatformObject base{m_key, present.value().version, present.value().value};
+        const auto &base = present.value();
         if (verb == "retire") {
             co_return co_await put(R"({"retired":true})", base);
         }
-        auto value = nlohmann::json::parse(base.value, nullptr, false);
-        for (const auto *field : {"operation", "previousOperations", "retired"}) {
-            value.erase(field);
+        const auto object = toVersionedObject(base);
+        if (object.has_error()) {
+            std::cerr << object.error().message() << '\n';
+            co_return ExitStatus::SettingsError;
+        }
+        auto value = nlohmann::json::object();
+        if (!object.value().retired) {
+            value = nlohmann::json::parse(object.value().value);
         }
         co_return co_await write(std::move(value), base);
     }
@@ -145,8 +150,10 @@
             co_return runtimeError(objects.error());
         }
         for (const auto &object : objects.value().objects) {
+            const auto converted = toVersionedObject(object);
+            const bool isRetired = converted.has_value() && converted.value().retired;
             std::cout << object.key.name << " version " << object.version << ' '
-                      << (object.retired ? "retired" : object.value) << '\n';
+                      << (isRetired ? "retired" : object.value) << '\n';
         }
         co_return ExitStatus::Success;
     }
--- a/src/cli/slotscommand.cpp
+++ b/src/cli/slotscommand.cpp
@@ -72,10 +72,11 @@
     }
 
     /// Finds the configured and the retired servers of the service.
-    void sortServers(const std::vector<VersionedObject> &objects)
+    void sortServers(const std::vector<PlatformObject> &objects)
     {
         for (const auto &object : objects) {
-            if (object.retired) {
+            const auto converted = toVersionedObject(object);
+            if (converted.has_value() && converted.value().retired) {
                 m_retired.insert(BackendServerId(object.key.name));
                 continue;
             }
--- a/src/control/entrycontrol.cpp
+++ b/src/control/entrycontrol.cpp
@@ -35,18 +35,6 @@
     return {settings.host, settings.failureDomain, nodeAddress(settings.controlListen), wallNow()};
 }
 
-/// The platform client gives values without the fields of writers only where the value itself is typed; the follower
-/// wants them as they are.
-std::vector<PlatformObject> platformObjects(const std::vector<VersionedObject> &objects)
-{
-    std::vector<PlatformObject> converted;
-    converted.reserve(objects.size());
-    for (const auto &object : objects) {
-        converted.push_back({object.key, object.version, object.value});
-    }
-    return converted;
-}
-
 } // namespace
 
 EntryControl::EntryControl(asio::io_context &context,
@@ -187,7 +175,7 @@
         co_return std::nullopt;
     }
     answer.revision = objects.revision;
-    answer.objects = platformObjects(objects.objects);
+    answer.objects = std::move(objects.objects);
     co_return answer;
 }
 
--- a/src/control/objectwriter.cpp
+++ b/src/control/objectwriter.cpp
@@ -14,11 +14,6 @@
 namespace
 {
 
-PlatformObject platformObject(const VersionedObject &object)
-{
-    return {object.key, object.version, object.value};
-}
-
 Task<> sendPut(PlatformClient &client, ConditionalWriter &writer, const PutRequest &request, Random &random)
 {
     const auto written = co_await client.write(request.key, request.expectedVersion, request.value);
@@ -43,7 +38,7 @@
 {
     const auto object = co_await client.read(request.key);
     if (object.has_value()) {
-        writer.onRead(request.attempt, platformObject(object.value()), steadyNow(), random);
+        writer.onRead(request.attempt, object.value(), steadyNow(), random);
     } else if (object.error().code == PlatformCallErrorCode::NotFound) {
         writer.onRead(request.attempt, std::nullopt, steadyNow(), random);
     } else {
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -34,18 +34,16 @@
     }
 }
 
-VersionedObject objectOf(const nlohmann::json &json)
+PlatformObject objectOf(const nlohmann::json &json)
 {
-    VersionedObject object;
+    PlatformObject object;
     object.key = {json.at("kind").get<std::string>(), json.at("name").get<std::string>()};
     object.version = json.at("version").get<std::uint64_t>();
-    const auto &value = json.at("value");
-    object.retired = value.value("retired", false);
-    object.value = value.dump();
+    object.value = json.at("value").dump();
     return object;
 }
 
-Result<VersionedObject, PlatformCallError> parseObject(const std::string &body)
+Result<PlatformObject, PlatformCallError> parseObject(const std::string &body)
 {
     try {
         return objectOf(nlohmann::json::parse(body));
@@ -76,7 +74,7 @@
 {
 }
 
-Task<Result<VersionedObject, PlatformCallError>> PlatformClient::read(ObjectKey key)
+Task<Result<PlatformObject, PlatformCallError>> PlatformClient::read(ObjectKey key)
 {
     const auto body = co_await call(makeHttpRequest("GET", pathOf(key)), CallTimeout);
     if (body.has_error()) {
@@ -106,7 +104,7 @@
     co_return parseObjects(body.value());
 }
 
-Task<Result<VersionedObject, PlatformCallError>>
+Task<Result<PlatformObject, PlatformCallError>>
 PlatformClient::write(ObjectKey key, std::uint64_t expectedVersion, std::string value)
 {
     auto request = makeHttpRequest("PUT", pathOf(key), std::move(value));
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -5,7 +5,7 @@
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/httpclient.h"
-#include "platform/versionedobject.h"
+#include "platform/platformobject.h"
 
 #include <cstdint>
 #include <string>
@@ -21,12 +21,12 @@
     /// Objects together with the revision of the whole store at which they were read.
     struct Objects {
         std::uint64_t revision = 0;
-        std::vector<VersionedObject> objects;
+        std::vector<PlatformObject> objects;
     };
 
     PlatformClient(asio::io_context &context, const tcp::endpoint &endpoint);
 
-    Task<Result<VersionedObject, PlatformCallError>> read(ObjectKey key);
+    Task<Result<PlatformObject, PlatformCallError>> read(ObjectKey key);
 
     /// All objects of a kind, or of every kind when it is empty.
     Task<Result<Objects, PlatformCallError>> list(std::string kind);
@@ -35,7 +35,7 @@
     Task<Result<Objects, PlatformCallError>> watch(std::uint64_t since, Milliseconds timeout);
 
     /// Writes a JSON value if the object still has the given version; 0 means that it must not exist.
-    Task<Result<VersionedObject, PlatformCallError>>
+    Task<Result<PlatformObject, PlatformCallError>>
     write(ObjectKey key, std::uint64_t expectedVersion, std::string value);
 
 private:
--- a/tests/configurationtest.sh
+++ b/tests/configurationtest.sh
@@ -66,6 +66,11 @@
     "$(grep -c 'superseded' "$FLEET_DIRECTORY/agent-chat.log" || true)"
 expect "and the stream arrives whole" 600 "$(grep -c '^data: y-' "$FLEET_DIRECTORY/stream.txt")"
 
+curl -sS -X PUT "http://$PLATFORM/objects/profiles/damaged" -H 'If-None-Match: *' -d '{"retired":"yes"}' >/dev/null
+change 12500 >/dev/null
+newest="$(version_of_desk)"
+expect "one unreadable object on the platform does not hold up the changes of others" in-force "$(wait_in_force "$newest")"
+
 curl -sS "http://$PLATFORM/faults" -d '{"down":true}' >/dev/null
 expect "a write during an outage fails with status 1" 1 "$(change 13000 >/dev/null 2>&1; echo $?)"
 for round in 1 2; do
