Open listening sockets in one place; drop members that nothing calls

Cause: AgentServer and HttpServer had the same sequence of socket calls, and three accessors had no caller. Change: net/listen; queuedBytes, connectionCount and outstandingCount removed. Conclusion: no behaviour changed.

--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -10,6 +10,7 @@
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
 #include "net/framedconnection.h"
+#include "net/listen.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
 
@@ -112,20 +113,7 @@
 
 Result<void, NetError> AgentServer::listen(const tcp::endpoint &endpoint)
 {
-    SystemError error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return failure(NetError{NetErrorCode::AddressInUse, error.message()});
-    }
+    BOOST_OUTCOME_TRY(openListener(m_acceptor, endpoint, false));
     spawn(m_context.get_executor(), "agent-accept", acceptLoop());
     spawn(m_context.get_executor(), "agent-housekeeping", housekeepingLoop());
     m_keyed->start();
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -119,11 +119,6 @@
     m_wakeup.notify();
 }
 
-std::size_t AgentLink::outstandingCount() const
-{
-    return m_outstanding.size();
-}
-
 std::shared_ptr<AttemptChannel> AgentLink::execute(Execute execute)
 {
     const auto attempt = execute.attempt;
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -59,8 +59,6 @@
     /// Forgets an attempt. A running one is cancelled at the agent.
     void release(std::uint64_t attempt);
 
-    std::size_t outstandingCount() const;
-
 private:
     struct Outstanding;
     class MessageHandler;
--- a/src/net/framedconnection.cpp
+++ b/src/net/framedconnection.cpp
@@ -75,11 +75,6 @@
     return m_lastReceived;
 }
 
-std::size_t FramedConnection::queuedBytes() const
-{
-    return m_queued.size() + m_writing.size();
-}
-
 Task<> FramedConnection::readShared(std::shared_ptr<FramedConnection> self)
 {
     co_await self->readLoop();
--- a/src/net/framedconnection.h
+++ b/src/net/framedconnection.h
@@ -38,9 +38,6 @@
     /// When the last bytes arrived.
     SteadyTime lastReceived() const;
 
-    /// Bytes that were queued and have not been handed to the operating system.
-    std::size_t queuedBytes() const;
-
 private:
     // The loops keep the connection alive.
     static Task<> readShared(std::shared_ptr<FramedConnection> self);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/logexception.h"
 #include "net/httpexchange.h"
+#include "net/listen.h"
 #include "net/spawn.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -80,24 +81,7 @@
 
 Result<void, NetError> HttpServer::listen(const tcp::endpoint &endpoint, bool shared)
 {
-    SystemError error;
-    m_acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error && shared) {
-        using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-        m_acceptor.set_option(ReusePort(true), error);
-    }
-    if (!error) {
-        m_acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return failure(NetError{NetErrorCode::AddressInUse, error.message()});
-    }
+    BOOST_OUTCOME_TRY(openListener(m_acceptor, endpoint, shared));
     spawn(m_context.get_executor(), "http-accept", acceptLoop());
     return success();
 }
@@ -115,11 +99,6 @@
     }
 }
 
-std::size_t HttpServer::connectionCount() const
-{
-    return m_connectionCount;
-}
-
 Task<> HttpServer::acceptLoop()
 {
     while (m_acceptor.is_open()) {
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -23,14 +23,11 @@
     HttpServer(asio::io_context &context, HttpLimits limits, Handler handler);
     ~HttpServer();
 
-    /// Binds and listens. Several threads of a process may listen on one port; the kernel spreads connections.
     Result<void, NetError> listen(const tcp::endpoint &endpoint, bool shared);
 
     /// Takes no new connections, closes idle ones and ends the others after their present answer.
     void stopAccepting();
 
-    std::size_t connectionCount() const;
-
 private:
     struct Connection;
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -11,6 +11,7 @@
 #include "net/httplimits.h"
 #include "net/httpresponse.h"
 #include "net/httpserver.h"
+#include "net/listen.h"
 #include "net/neterror.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
