Read into a buffer that is kept, instead of clearing one for each read

Cause: FramedConnection grew its string by 64 KiB and HttpCall by 16 KiB before each read, and so cleared that much memory for a token of some 20 bytes. Change: both keep a chunk of 16 KiB and copy what arrived.

--- a/src/net/framedconnection.cpp
+++ b/src/net/framedconnection.cpp
@@ -12,12 +12,14 @@
 namespace
 {
 
-constexpr std::size_t ReadChunkBytes = 64 * 1024;
+/// An entry host has a connection to each server of its failure domain (336 at the target size), so this is kept small.
+constexpr std::size_t ReadChunkBytes = 16 * 1024;
 
 } // namespace
 
 FramedConnection::FramedConnection(tcp::socket socket)
     : m_socket(std::move(socket))
+    , m_chunk(ReadChunkBytes)
     , m_lastReceived(steadyNow())
 {
     SystemError ignored;
@@ -88,17 +90,14 @@
 Task<> FramedConnection::readLoop()
 {
     while (m_isOpen) {
-        const std::size_t used = m_received.size();
-        m_received.resize(used + ReadChunkBytes);
         SystemError error;
-        const std::size_t count = co_await m_socket.async_read_some(
-            asio::buffer(m_received.data() + used, ReadChunkBytes), storeError(error));
-        m_received.resize(used + count);
+        const std::size_t count = co_await m_socket.async_read_some(asio::buffer(m_chunk), storeError(error));
         if (error) {
             close({error == asio::error::eof ? NetErrorCode::Closed : NetErrorCode::ReadFailed, error.message()});
             co_return;
         }
         m_lastReceived = steadyNow();
+        m_received.append(m_chunk.data(), count);
         if (!handleBytes()) {
             co_return;
         }
--- a/src/net/framedconnection.h
+++ b/src/net/framedconnection.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -49,6 +50,8 @@
     tcp::socket m_socket;
     MessageHandler m_onMessage;
     CloseHandler m_onClose;
+    /// Where reads land. Growing m_received for each read instead would clear the whole chunk every time.
+    std::vector<char> m_chunk;
     std::string m_received;
     std::string m_queued;
     std::string m_writing;
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -24,6 +24,7 @@
 
 HttpCall::HttpCall(asio::io_context &context)
     : m_stream(context)
+    , m_chunk(ReadBytes)
 {
 }
 
@@ -72,14 +73,13 @@
 {
     std::string piece;
     while (piece.empty() && !m_parser->is_done()) {
-        piece.resize(ReadBytes);
         auto &body = m_parser->get().body();
-        body.data = piece.data();
-        body.size = piece.size();
+        body.data = m_chunk.data();
+        body.size = m_chunk.size();
         m_stream.expires_after(timeout);
         SystemError error;
         co_await http::async_read_some(m_stream, m_buffer, *m_parser, storeError(error));
-        piece.resize(ReadBytes - body.size);
+        piece.assign(m_chunk.data(), m_chunk.size() - body.size);
         if (error && error != http::error::need_buffer) {
             co_return failure(netError(NetErrorCode::ReadFailed, error));
         }
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -13,6 +13,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -49,6 +50,8 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    /// Where pieces of a body land before they are copied at their own size.
+    std::vector<char> m_chunk;
     std::optional<Parser> m_parser;
 };
 
