Pack and unpack messages in one place; drop state that nothing reads

Cause: three functions packed a value with the same lines and two had the same exception handling; Execute carried a slot table version that was never set, and the agent noted acknowledgements of its leaving that it never read. Conclusion: no behaviour changed but the unreleased wire format.

--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -35,7 +35,6 @@
     std::uint64_t incarnation = 0;
     std::uint64_t connectionNumber = 0;
     std::shared_ptr<FramedConnection> connection;
-    bool hasAcknowledgedLeaving = false;
 
     AttemptId attemptId(std::uint64_t attempt) const
     {
@@ -77,9 +76,9 @@
         m_server.sendLoad(m_peer, message.number);
     }
 
-    void operator()(const LeavingAcknowledged &message)
+    /// Nothing to do: the notice goes over TCP and is not repeated, and the agent leaves when nothing runs.
+    void operator()(const LeavingAcknowledged &)
     {
-        m_peer.hasAcknowledgedLeaving = message.incarnation == m_server.m_identity.incarnation;
     }
 
     /// Messages that only agents send.
@@ -167,7 +166,6 @@
     peer->incarnation = hello.incarnation;
     peer->connectionNumber = hello.connection;
     peer->connection = connection;
-    peer->hasAcknowledgedLeaving = false;
     connection->setHandlers(
         [this, current = peer.get()](const Message &message) { handleMessage(*current, message); },
         [name = hello.peer](const NetError &error) {
--- a/src/agent/keyedexecutions.cpp
+++ b/src/agent/keyedexecutions.cpp
@@ -11,6 +11,7 @@
 #include "metrics/metricsregistry.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
+#include "wire/packing.h"
 
 #include <nlohmann/json.hpp>
 
@@ -33,13 +34,6 @@
     return combineHashes(target, hash64(execute.body));
 }
 
-std::string encode(const RecordedAnswer &answer)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, answer);
-    return {buffer.data(), buffer.size()};
-}
-
 void sendAnswer(AttemptStream &stream, const RecordedAnswer &answer, bool replayed)
 {
     stream.sendHead({answer.status, answer.contentType, replayed});
@@ -184,9 +178,7 @@
         if (decision.reason == DecisionReason::AnswerNotKept) {
             sendAnswerNotKept(*stream);
         } else {
-            sendAnswer(*stream,
-                       msgpack::unpack(decision.answer.data(), decision.answer.size()).get().as<RecordedAnswer>(),
-                       true);
+            sendAnswer(*stream, unpacked<RecordedAnswer>(decision.answer).value(), true);
         }
         return;
     case DecisionKind::NotRun:
@@ -231,7 +223,7 @@
 
 void KeyedExecutions::complete(const ExecutionId &id, const RecordedAnswer &answer)
 {
-    const auto recorded = m_registry->complete(id.first, id.second, encode(answer));
+    const auto recorded = m_registry->complete(id.first, id.second, packed(answer));
     if (recorded.has_error()) {
         logEvent(LogLevel::Error, "execution-not-recorded", {{"error", recorded.error().message()}});
     }
--- a/src/wire/execute.h
+++ b/src/wire/execute.h
@@ -21,8 +21,6 @@
     std::string body;
     /// Empty for an idempotent request.
     std::string idempotencyKey;
-    /// Version of the slot table that the entry process routed by; 0 for an idempotent request.
-    std::uint64_t slotTableVersion = 0;
     /// Time that is left for the request, in ms.
     std::uint64_t remainingMs = 0;
     /// Priority class of the profile, 0 is the most urgent.
@@ -37,7 +35,6 @@
                          contentType,
                          body,
                          idempotencyKey,
-                         slotTableVersion,
                          remainingMs,
                          priority)
 };
--- a/src/wire/leavingnotice.h
+++ b/src/wire/leavingnotice.h
@@ -8,7 +8,7 @@
 namespace Cardamomhill
 {
 
-/// Tells an entry process that the backend server takes no new work; repeated until acknowledged.
+/// Tells an entry process that the backend server takes no new work.
 struct LeavingNotice {
     std::uint64_t incarnation = 0;
 
--- a/src/wire/messagecodec.cpp
+++ b/src/wire/messagecodec.cpp
@@ -1,5 +1,7 @@
 #include "wire/messagecodec.h"
 
+#include "wire/packing.h"
+
 #include <array>
 #include <utility>
 
@@ -78,15 +80,7 @@
 
 Result<Message, WireError> decodeMessage(std::string_view bytes)
 {
-    // msgpack reports bad input by exceptions; none may reach the connection's read loop.
-    try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
-        return decodeEnvelope(handle.get());
-    } catch (const msgpack::unpack_error &) {
-        return failure(WireError{WireErrorCode::Malformed, bytes.size()});
-    } catch (const msgpack::type_error &) {
-        return failure(WireError{WireErrorCode::Malformed, bytes.size()});
-    }
+    return unpackedWith<Message>(bytes, decodeEnvelope);
 }
 
 Result<std::size_t, WireError> decodeLength(std::string_view prefix)
--- /dev/null
+++ b/src/wire/packing.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/result.h"
+#include "wire/wireerror.h"
+
+#include <string>
+#include <string_view>
+
+#include <msgpack.hpp>
+
+namespace Cardamomhill
+{
+
+/// The msgpack bytes of a value.
+template<class T>
+std::string packed(const T &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+/// Calls the function with the msgpack object in the bytes. The exceptions by which msgpack reports bad input become an
+/// error, so that none reaches the read loop of a connection.
+template<class T, class Function>
+Result<T, WireError> unpackedWith(std::string_view bytes, Function function)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        return function(handle.get());
+    } catch (const msgpack::unpack_error &) {
+        return failure(WireError{WireErrorCode::Malformed, bytes.size()});
+    } catch (const msgpack::type_error &) {
+        return failure(WireError{WireErrorCode::Malformed, bytes.size()});
+    }
+}
+
+/// The value in msgpack bytes.
+template<class T>
+Result<T, WireError> unpacked(std::string_view bytes)
+{
+    return unpackedWith<T>(bytes, [](const msgpack::object &object) { return object.as<T>(); });
+}
+
+} // namespace Cardamomhill
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -5,4 +5,5 @@
 
 #include "wire/message.h"
 #include "wire/messagecodec.h"
+#include "wire/packing.h"
 #include "wire/wireerror.h"
