--- a/bench/configurationbench.cpp
+++ b/bench/configurationbench.cpp
@@ -1,8 +1,8 @@
 #include "config/config.h"
 #include "entry/trafficthread.h"
 #include "metrics/metricsregistry.h"
-#include "platform/objectstore.h"
-#include "platform/versionedobject.h"
+#include "objectstore/objectstore.h"
+#include "objectstore/versionedobject.h"
 #include "settings/entrysettings.h"
 
 #include <chrono>
--- a/bench/relay/relayfleet.h
+++ b/bench/relay/relayfleet.h
@@ -6,7 +6,7 @@
 #include "config/tokenhash.h"
 #include "entry/trafficthread.h"
 #include "metrics/metricsregistry.h"
-#include "platform/versionedobject.h"
+#include "objectstore/versionedobject.h"
 #include "settings/entrysettings.h"
 #include "standins/backendservice.h"
 
--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -2,10 +2,12 @@
 
 #include "agent/agentprogram.h"
 #include "cli/commandoptions.h"
+#include "cli/gatewaycommand.h"
 #include "cli/objectcommand.h"
 #include "cli/slotscommand.h"
 #include "cli/statuscommand.h"
 #include "entry/entryprogram.h"
+#include "gateway/gatewaysettings.h"
 #include "logging/logging.h"
 #include "settings/agentsettings.h"
 #include "settings/entrysettings.h"
@@ -29,6 +31,7 @@
 Processes:
   entry  --settings FILE            serve callers on an entry host
   agent  --settings FILE            serve entry processes on a backend server host
+  gateway --settings FILE           serve callers on an entry host of the users' platform
 
 Configuration (KIND is profile, service, organisation or backendserver):
   KIND create NAME --platform ADDRESS:PORT [--set FIELD=VALUE ...] [--file FILE]
@@ -44,6 +47,7 @@
 Checks:
   config check entry FILE           check the settings of an entry process
   config check agent FILE           check the settings of an agent
+  config check gateway FILE         check the settings of a gateway
   config check KIND NAME FILE       check the JSON value of a configuration object
   status --operator-port ADDRESS:PORT
                                     print the state of a process
@@ -96,6 +100,11 @@
     return runProcess(readAgentSettings(options.settingsFile), runAgent);
 }
 
+ExitStatus gatewayCommand(const CommandOptions &options)
+{
+    return runProcess(readGatewaySettings(options.settingsFile), runGatewayOnPlatform);
+}
+
 template<class Settings>
 ExitStatus checkSettings(const Result<Settings, SettingsErrors> &settings)
 {
@@ -111,6 +120,9 @@
     if (words.size() == 4 && words[1] == "check" && words[2] == "agent") {
         return checkSettings(readAgentSettings(words[3]));
     }
+    if (words.size() == 4 && words[1] == "check" && words[2] == "gateway") {
+        return checkSettings(readGatewaySettings(words[3]));
+    }
     if (words.size() == 5 && words[1] == "check") {
         return checkObjectFile(words[2], words[3], words[4]);
     }
@@ -119,7 +131,7 @@
 
 bool needsSettings(std::string_view command)
 {
-    return command == "entry" || command == "agent";
+    return command == "entry" || command == "agent" || command == "gateway";
 }
 
 } // namespace
@@ -144,6 +156,7 @@
         {"backendserver", &objectCommand},
         {"config", &configCommand},
         {"entry", &entryCommand},
+        {"gateway", &gatewayCommand},
         {"organisation", &objectCommand},
         {"profile", &objectCommand},
         {"service", &objectCommand},
--- /dev/null
+++ b/src/cli/gatewaycommand.cpp
@@ -0,0 +1,16 @@
+#include "cli/gatewaycommand.h"
+
+#include "gateway/gateway.h"
+#include "platform/platform.h"
+
+namespace Cardamomhill
+{
+
+Result<void, NetError> runGatewayOnPlatform(const GatewaySettings &settings)
+{
+    const Platform::CallHeaders callDialect;
+    const Platform::Store storeDialect;
+    return runGateway(settings, callDialect, storeDialect);
+}
+
+} // namespace Cardamomhill
--- a/src/config/configurationbuilder.cpp
+++ b/src/config/configurationbuilder.cpp
@@ -4,8 +4,8 @@
 #include "config/organisation.h"
 #include "config/profile.h"
 #include "config/service.h"
-#include "platform/objectstore.h"
-#include "platform/versionedobject.h"
+#include "objectstore/objectstore.h"
+#include "objectstore/versionedobject.h"
 
 #include <algorithm>
 
--- a/src/control/entrycontrol.cpp
+++ b/src/control/entrycontrol.cpp
@@ -149,10 +149,10 @@
 {
     m_metrics.counter("platform_calls_total").add();
     FollowAnswer answer;
-    PlatformClient::Objects objects;
+    ObjectPage objects;
     std::optional<PlatformCallError> error;
     if (const auto *watch = std::get_if<WatchRequest>(&request)) {
-        auto result = co_await m_platform.watch(watch->since, watch->timeout);
+        auto result = co_await m_platform.watch(std::string(), watch->since, watch->timeout);
         if (result.has_error()) {
             error = result.error();
         } else {
--- a/src/control/entrycontrol.h
+++ b/src/control/entrycontrol.h
@@ -7,7 +7,7 @@
 #include "core/random.h"
 #include "membership/gossipnode.h"
 #include "net/asio.h"
-#include "platform/watchfollower.h"
+#include "objectstore/watchfollower.h"
 
 #include <functional>
 #include <memory>
--- /dev/null
+++ b/src/control/kindfollower.cpp
@@ -0,0 +1,124 @@
+#include "control/kindfollower.h"
+
+#include "logging/logging.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+
+#include <random>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// A watch costs one call however long it waits; a silent connection is noticed by its probes.
+constexpr Milliseconds WatchWait{20'000};
+/// The store answers in milliseconds, or in some hundred when it is slow; a lost connection attempt must not delay the
+/// next one for long.
+constexpr Milliseconds CallTimeout{1500};
+constexpr Milliseconds FirstDelay{100};
+constexpr Milliseconds DelayLimit{1000};
+/// Collects changes that come in quick succession into one call.
+constexpr Milliseconds CallInterval{100};
+
+} // namespace
+
+KindFollower::KindFollower(asio::io_context &context,
+                           const tcp::endpoint &platform,
+                           std::shared_ptr<const ObjectApiDialect> dialect,
+                           std::string kind,
+                           Observers observers)
+    : m_context(context)
+    , m_client(context, platform, std::move(dialect), CallTimeout)
+    , m_kind(std::move(kind))
+    , m_observers(std::move(observers))
+    , m_random(std::random_device()())
+    , m_backoff(FirstDelay, DelayLimit)
+{
+}
+
+void KindFollower::start()
+{
+    spawn(m_context.get_executor(), "kind-follower", follow());
+}
+
+std::uint64_t KindFollower::revision() const
+{
+    return m_revision;
+}
+
+Task<> KindFollower::follow()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    while (!error) {
+        const auto startedAt = steadyNow();
+        bool succeeded = false;
+        if (m_mustList) {
+            succeeded = co_await list();
+        } else {
+            succeeded = co_await watch();
+        }
+        if (succeeded) {
+            m_backoff.reset();
+        }
+        const auto next = succeeded ? startedAt + CallInterval : steadyNow() + m_backoff.next(m_random);
+        timer.expires_at(next);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+Task<bool> KindFollower::list()
+{
+    const auto page = co_await m_client.list(m_kind);
+    if (page.has_error()) {
+        setContact(false, page.error().message());
+        co_return false;
+    }
+    setContact(true, "listed");
+    logEvent(LogLevel::Info,
+             "store-listed",
+             {{"kind", m_kind}, {"objects", page.value().objects.size()}, {"revision", page.value().revision}});
+    m_revision = page.value().revision;
+    m_mustList = false;
+    m_observers.onListed(page.value());
+    co_return true;
+}
+
+Task<bool> KindFollower::watch()
+{
+    const auto page = co_await m_client.watch(m_kind, m_revision, WatchWait);
+    if (page.has_error()) {
+        const bool isHistoryGone = page.error().code == PlatformCallErrorCode::HistoryGone;
+        m_mustList = isHistoryGone;
+        if (!isHistoryGone) {
+            setContact(false, page.error().message());
+        }
+        co_return isHistoryGone;
+    }
+    setContact(true, "watched");
+    if (page.value().revision < m_revision) {
+        logEvent(LogLevel::Error,
+                 "store-revision-went-back",
+                 {{"kind", m_kind}, {"known", m_revision}, {"revision", page.value().revision}});
+        m_mustList = true;
+        co_return true;
+    }
+    m_revision = page.value().revision;
+    m_observers.onChanged(page.value());
+    co_return true;
+}
+
+void KindFollower::setContact(bool contact, std::string_view cause)
+{
+    if (contact != m_hasContact) {
+        logEvent(contact ? LogLevel::Info : LogLevel::Warning,
+                 contact ? "store-regained" : "store-lost",
+                 {{"kind", m_kind}, {"cause", cause}, {"revision", m_revision}});
+    }
+    m_hasContact = contact;
+    m_observers.onContact(contact);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/control/objectpage.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "objectstore/platformobject.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// Objects, or changes of objects, together with the revision of the whole store at which they were read.
+struct ObjectPage {
+    std::uint64_t revision = 0;
+    std::vector<PlatformObject> objects;
+    /// Names of objects of the watched kind that no longer exist.
+    std::vector<std::string> removed;
+    /// A list goes on after its last object.
+    bool hasMore = false;
+};
+
+} // namespace Cardamomhill
--- a/src/control/objectwriter.cpp
+++ b/src/control/objectwriter.cpp
@@ -2,7 +2,7 @@
 
 #include "control/platformclient.h"
 #include "net/steadynow.h"
-#include "platform/conditionalwriter.h"
+#include "objectstore/conditionalwriter.h"
 
 #include <boost/asio/this_coro.hpp>
 
--- a/src/control/objectwriter.h
+++ b/src/control/objectwriter.h
@@ -4,9 +4,9 @@
 #include "core/random.h"
 #include "core/result.h"
 #include "net/asio.h"
-#include "platform/conditionalchange.h"
-#include "platform/platformerror.h"
-#include "platform/writeoutcome.h"
+#include "objectstore/conditionalchange.h"
+#include "objectstore/platformerror.h"
+#include "objectstore/writeoutcome.h"
 
 namespace Cardamomhill
 {
--- /dev/null
+++ b/src/control/ownobjectapi.cpp
@@ -0,0 +1,100 @@
+#include "control/ownobjectapi.h"
+
+#include "net/httpclient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+std::string pathOf(const ObjectKey &key)
+{
+    return "/objects/" + key.kind + "/" + key.name;
+}
+
+PlatformObject objectOf(const nlohmann::json &json)
+{
+    PlatformObject object;
+    object.key = {json.at("kind").get<std::string>(), json.at("name").get<std::string>()};
+    object.version = json.at("version").get<std::uint64_t>();
+    object.value = json.at("value").dump();
+    return object;
+}
+
+} // namespace
+
+HttpRequest OwnObjectApi::readCall(const ObjectKey &key) const
+{
+    return makeHttpRequest("GET", pathOf(key));
+}
+
+HttpRequest OwnObjectApi::listCall(const std::string &kind, const std::string & /*after*/) const
+{
+    return makeHttpRequest("GET", kind.empty() ? "/objects" : "/objects/" + kind);
+}
+
+HttpRequest OwnObjectApi::watchCall(const std::string & /*kind*/, std::uint64_t since, Milliseconds wait) const
+{
+    return makeHttpRequest(
+        "GET", "/watch?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(wait.count()));
+}
+
+HttpRequest
+OwnObjectApi::writeCall(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const
+{
+    auto request = makeHttpRequest("PUT", pathOf(key), value);
+    if (expectedVersion == 0) {
+        request.set(boost::beast::http::field::if_none_match, "*");
+    } else {
+        request.set(boost::beast::http::field::if_match, std::to_string(expectedVersion));
+    }
+    return request;
+}
+
+PlatformCallError OwnObjectApi::errorOf(const HttpResponse &response) const
+{
+    constexpr unsigned NotFound = 404;
+    constexpr unsigned Gone = 410;
+    constexpr unsigned PreconditionFailed = 412;
+    switch (response.status) {
+    case NotFound:
+        return {PlatformCallErrorCode::NotFound, ""};
+    case Gone:
+        return {PlatformCallErrorCode::HistoryGone, ""};
+    case PreconditionFailed:
+        return {PlatformCallErrorCode::Conflict, response.body};
+    default:
+        return {PlatformCallErrorCode::Unavailable, "status " + std::to_string(response.status)};
+    }
+}
+
+Result<PlatformObject, PlatformCallError> OwnObjectApi::readObject(const ObjectKey & /*key*/,
+                                                                   const std::string &body) const
+{
+    try {
+        return objectOf(nlohmann::json::parse(body));
+    } catch (const nlohmann::json::exception &error) {
+        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
+    }
+}
+
+Result<ObjectPage, PlatformCallError> OwnObjectApi::readPage(const std::string & /*kind*/,
+                                                             const std::string &body) const
+{
+    try {
+        const auto json = nlohmann::json::parse(body);
+        ObjectPage page;
+        page.revision = json.at("revision").get<std::uint64_t>();
+        for (const auto &object : json.at("objects")) {
+            page.objects.push_back(objectOf(object));
+        }
+        return page;
+    } catch (const nlohmann::json::exception &error) {
+        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
+    }
+}
+
+} // namespace Cardamomhill
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -1,15 +1,17 @@
 #pragma once
 
+#include "control/objectapidialect.h"
+#include "control/objectpage.h"
 #include "control/platformcallerror.h"
 #include "core/clocktypes.h"
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/httpclient.h"
-#include "platform/platformobject.h"
+#include "objectstore/platformobject.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
-#include <vector>
 
 namespace Cardamomhill
 {
@@ -18,29 +20,32 @@
 class PlatformClient
 {
 public:
-    /// Objects together with the revision of the whole store at which they were read.
-    struct Objects {
-        std::uint64_t revision = 0;
-        std::vector<PlatformObject> objects;
-    };
+    /// Longest time for a call that does not wait for changes.
+    static constexpr Milliseconds DefaultCallTimeout{5000};
 
-    PlatformClient(asio::io_context &context, const tcp::endpoint &endpoint);
+    PlatformClient(asio::io_context &context,
+                   const tcp::endpoint &endpoint,
+                   std::shared_ptr<const ObjectApiDialect> dialect = ownDialect(),
+                   Milliseconds callTimeout = DefaultCallTimeout);
 
     Task<Result<PlatformObject, PlatformCallError>> read(ObjectKey key);
 
-    /// All objects of a kind, or of every kind when it is empty.
-    Task<Result<Objects, PlatformCallError>> list(std::string kind);
+    /// All objects of a kind, or of every kind when it is empty, with the revision of the first page.
+    Task<Result<ObjectPage, PlatformCallError>> list(std::string kind);
 
     /// Waits for changes after a revision; returns none when the time is up.
-    Task<Result<Objects, PlatformCallError>> watch(std::uint64_t since, Milliseconds timeout);
+    Task<Result<ObjectPage, PlatformCallError>> watch(std::string kind, std::uint64_t since, Milliseconds wait);
 
     /// Writes a JSON value if the object still has the given version; 0 means that it must not exist.
     Task<Result<PlatformObject, PlatformCallError>>
     write(ObjectKey key, std::uint64_t expectedVersion, std::string value);
 
 private:
+    static std::shared_ptr<const ObjectApiDialect> ownDialect();
     Task<Result<std::string, PlatformCallError>> call(HttpRequest request, Milliseconds timeout);
 
+    std::shared_ptr<const ObjectApiDialect> m_dialect;
+    Milliseconds m_callTimeout;
     HttpClient m_client;
 };
 
--- a/src/entry/problem.cpp
+++ b/src/entry/problem.cpp
@@ -5,6 +5,20 @@
 namespace Cardamomhill
 {
 
+namespace
+{
+
+/// Whole seconds without a fraction, as RFC 9110 wants them; callers that asked for finer times accept decimals.
+std::string secondsText(Milliseconds time)
+{
+    constexpr std::int64_t MillisecondsPerSecond = 1000;
+    const auto whole = std::to_string(time.count() / MillisecondsPerSecond);
+    const auto rest = time.count() % MillisecondsPerSecond;
+    return rest == 0 ? whole : whole + "." + std::to_string(MillisecondsPerSecond + rest).substr(1);
+}
+
+} // namespace
+
 std::string problemJson(const Problem &problem)
 {
     const std::string name(nameOf(problem.kind));
@@ -24,7 +38,7 @@
 {
     HttpHeaders headers;
     if (problem.retryAfter) {
-        headers.emplace_back("Retry-After", std::to_string(problem.retryAfter->count()));
+        headers.emplace_back("Retry-After", secondsText(*problem.retryAfter));
     }
     co_return co_await exchange.sendWhole(
         problem.status, "application/problem+json", problemJson(problem), std::move(headers));
--- a/src/entry/problem.h
+++ b/src/entry/problem.h
@@ -18,7 +18,7 @@
     std::string outcome;
     std::string detail;
     /// When it makes sense to come back.
-    std::optional<Seconds> retryAfter;
+    std::optional<Milliseconds> retryAfter;
     /// A new idempotency key whose owner can be reached, for a request that was not sent; else empty.
     std::string usableKey = {};
 };
--- /dev/null
+++ b/src/gateway/attempt.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/result.h"
+#include "gateway/callstate.h"
+#include "net/asio.h"
+#include "net/neterror.h"
+#include "traffic/answerhead.h"
+#include "traffic/attemptend.h"
+#include "traffic/eventsplitter.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Cardamomhill
+{
+
+class GatewayThread;
+class HttpCall;
+class HttpExchange;
+
+/// One attempt of a call at one backend server: sends it, checks the answer and relays it to the caller.
+class Attempt
+{
+public:
+    Attempt(GatewayThread &thread, HttpExchange &exchange, CallState &state, BackendServerId server);
+    ~Attempt();
+
+    Task<AttemptEnd> run();
+
+    /// Ends the attempt, such as when the caller has left.
+    void cancel();
+
+    /// Why the attempt gave no whole answer; empty if it did.
+    const std::string &cause() const;
+
+private:
+    Task<bool> connect();
+    Task<AttemptEnd> send();
+    Task<AttemptEnd> relay();
+    Task<AttemptEnd> relayWhole();
+    Task<AttemptEnd> relayEvents();
+    Task<AttemptEnd> endEvents();
+    Task<bool> sendEvent(std::string_view bytes);
+    Task<bool> begin();
+    Task<Result<void, NetError>> skipForeignAnswers(Result<void, NetError> started);
+    AttemptEnd classify(const NetError &error);
+    AttemptEnd fail(std::string_view cause);
+    HttpHeaders answerHeaders() const;
+    Milliseconds left() const;
+    /// Time for the next sign of an answer, after which another server is tried if that is allowed.
+    Milliseconds patience(Milliseconds usual) const;
+    void keepConnection();
+
+    GatewayThread &m_thread;
+    HttpExchange &m_exchange;
+    CallState &m_state;
+    BackendServerId m_server;
+    std::unique_ptr<HttpCall> m_call;
+    AnswerHead m_answer;
+    EventSplitter m_events;
+    std::string m_cause;
+    bool m_isCancelled = false;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/callhandler.cpp
@@ -0,0 +1,272 @@
+#include "gateway/callhandler.h"
+
+#include "gateway/attempt.h"
+#include "gateway/calldialect.h"
+#include "gateway/gatewaythread.h"
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+#include "net/httpexchange.h"
+#include "net/steadynow.h"
+#include "routing/retrybudget.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusUnauthorized = 401;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+/// A process that has just started knows its configuration after some hundred milliseconds.
+constexpr Milliseconds StartRetryAfter{500};
+/// Time in which a full server ends some of its calls.
+constexpr Milliseconds FullRetryAfter{400};
+/// Time in which membership learns of other servers.
+constexpr Milliseconds NoServerRetryAfter{1000};
+/// Random part of a time to return, so that callers that were refused together do not return together.
+constexpr double RetryAfterSpread = 0.5;
+
+/// The service of a call, by the weights of its route.
+ServiceId pickService(const Route &route, Random &random)
+{
+    std::vector<double> weights;
+    weights.reserve(route.targets.size());
+    for (const auto &target : route.targets) {
+        weights.push_back(target.weight);
+    }
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    return route.targets.empty() ? ServiceId() : route.targets[pick(random)].service;
+}
+
+} // namespace
+
+CallHandler::CallHandler(GatewayThread &thread, HttpExchange &exchange)
+    : m_thread(thread)
+    , m_exchange(exchange)
+{
+    m_state.startedAt = steadyNow();
+}
+
+Task<> CallHandler::run()
+{
+    auto problem = prepare();
+    if (problem) {
+        co_await refuse(std::move(*problem));
+        co_return;
+    }
+    m_thread.callStarted();
+    m_exchange.watchDisconnect([this] {
+        m_state.isCallerGone = true;
+        if (m_attempt != nullptr) {
+            m_attempt->cancel();
+        }
+    });
+    co_await serve();
+    m_exchange.stopWatching();
+    m_thread.callEnded();
+}
+
+std::optional<Problem> CallHandler::prepare()
+{
+    m_state.configuration = m_thread.configuration();
+    auto head = m_thread.dialect().readCall(m_exchange.request());
+    if (head.has_error()) {
+        return Problem{ProblemKind::NotFound, StatusBadRequest, "not-sent", head.error().message(), {}};
+    }
+    m_state.head = std::move(head.value());
+    if (!m_state.configuration || !m_thread.servers().hasServers()) {
+        return Problem{
+            ProblemKind::NotReady, StatusUnavailable, "not-sent", "no configuration is known yet", StartRetryAfter};
+    }
+    const auto &configuration = *m_state.configuration;
+    m_state.route = configuration.route(m_state.head.hostName, m_state.head.path);
+    if (m_state.route == nullptr) {
+        return Problem{ProblemKind::NotFound, StatusNotFound, "not-sent", "no route for this host and path", {}};
+    }
+    const auto *holder = configuration.holderOf(m_state.head.key);
+    if (holder != nullptr) {
+        m_state.organisation = holder->organisation;
+    } else if (configuration.needsKeys() && !m_state.route->isPublic) {
+        return Problem{ProblemKind::TokenInvalid, StatusUnauthorized, "not-sent", "no organisation has this key", {}};
+    }
+    m_state.service = pickService(*m_state.route, m_thread.random());
+    m_state.lastEventId = m_state.head.lastEventId;
+    m_state.request = m_exchange.takeRequest();
+    auto limit = m_state.route->timeout;
+    if (m_state.head.patience) {
+        limit = std::min(limit, *m_state.head.patience);
+    }
+    m_state.deadline = m_state.startedAt + limit;
+    return std::nullopt;
+}
+
+Task<> CallHandler::serve()
+{
+    m_thread.budget(m_state.service).recordFirstAttempt();
+    while (true) {
+        const auto choice
+            = m_thread.servers().choose(m_state.service, m_state.tried, steadyNow(), m_thread.random());
+        if (!choice.hasServer()) {
+            co_await answerWithoutServer(choice);
+            co_return;
+        }
+        const auto end = co_await attempt(choice);
+        if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
+            finish(nameOf(end));
+            co_return;
+        }
+        if (!decideRetry(end)) {
+            co_await answerFailure();
+            co_return;
+        }
+    }
+}
+
+Task<AttemptEnd> CallHandler::attempt(const ServerChoice &choice)
+{
+    logEvent(LogLevel::Info,
+             "routed",
+             {{"request", m_state.head.id},
+              {"route", m_state.route->name},
+              {"configuration", m_state.configuration->version()},
+              {"service", m_state.service.value()},
+              {"server", choice.server.value()},
+              {"reason", nameOf(choice.reason)},
+              {"load", choice.load},
+              {"candidates", choice.candidates},
+              {"attempt", m_state.attempts.count() + 1},
+              {"left_ms", left().count()},
+              {"after_event", m_state.lastEventId}});
+    m_state.tried.push_back(choice.server);
+    m_thread.servers().started(choice.server);
+    Attempt attempt(m_thread, m_exchange, m_state, choice.server);
+    m_attempt = &attempt;
+    const auto end = co_await attempt.run();
+    m_attempt = nullptr;
+    m_thread.servers().ended(choice.server, end, steadyNow());
+    m_state.attempts.add(end);
+    if (end != AttemptEnd::Delivered) {
+        logEvent(LogLevel::Info,
+                 "attempt-ended",
+                 {{"request", m_state.head.id},
+                  {"server", choice.server.value()},
+                  {"end", nameOf(end)},
+                  {"cause", attempt.cause()},
+                  {"events", m_state.events},
+                  {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()}});
+    }
+    co_return end;
+}
+
+bool CallHandler::decideRetry(AttemptEnd end)
+{
+    auto &budget = m_thread.budget(m_state.service);
+    const auto verdict = m_state.attempts.retry(*m_state.route, left(), budget);
+    logEvent(LogLevel::Info,
+             "retry-decided",
+             {{"request", m_state.head.id},
+              {"after", nameOf(end)},
+              {"verdict", nameOf(verdict)},
+              {"sent", m_state.attempts.sentCount()},
+              {"limit", m_state.route->attemptLimit},
+              {"left_ms", left().count()}});
+    if (verdict == RetryVerdict::Retry) {
+        m_thread.metrics().counter("retries_total").add();
+    }
+    return verdict == RetryVerdict::Retry;
+}
+
+Task<> CallHandler::answerWithoutServer(const ServerChoice &choice)
+{
+    if (m_state.attempts.count() > 0) {
+        co_await answerFailure();
+        co_return;
+    }
+    const bool isFull = choice.reason == ChoiceReason::AllFull;
+    Problem problem{isFull ? ProblemKind::Overloaded : ProblemKind::NoBackendServer,
+                    StatusUnavailable,
+                    "not-sent",
+                    std::string(nameOf(choice.reason)),
+                    m_thread.spread(isFull ? FullRetryAfter : NoServerRetryAfter, RetryAfterSpread)};
+    co_await refuse(std::move(problem));
+}
+
+Task<> CallHandler::answerFailure()
+{
+    if (m_state.hasBegun) {
+        m_exchange.abort();
+        finish("cut");
+        co_return;
+    }
+    if (m_state.held) {
+        auto &held = *m_state.held;
+        co_await m_exchange.sendWhole(held.status, "", std::move(held.body), std::move(held.headers));
+        finish("server-error");
+        co_return;
+    }
+    if (m_state.attempts.isCertainlyNotRun()) {
+        Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
+        problem.retryAfter = m_thread.spread(FullRetryAfter, RetryAfterSpread);
+        co_await refuse(std::move(problem));
+        co_return;
+    }
+    const bool isTimeout = left() <= Milliseconds(1);
+    Problem problem{isTimeout ? ProblemKind::TimedOut : ProblemKind::AnswerUnknown,
+                    isTimeout ? StatusGatewayTimeout : StatusBadGateway,
+                    "unknown",
+                    "no whole answer came from a server",
+                    {}};
+    co_await sendProblem(m_exchange, std::move(problem));
+    finish(isTimeout ? "timed-out" : "unknown");
+}
+
+Task<> CallHandler::refuse(Problem problem)
+{
+    logEvent(LogLevel::Info,
+             "refused",
+             {{"request", m_state.head.id},
+              {"status", problem.status},
+              {"problem", nameOf(problem.kind)},
+              {"detail", problem.detail},
+              {"host", m_state.head.hostName},
+              {"path", m_state.head.path},
+              {"configuration", m_state.configuration ? m_state.configuration->version() : 0},
+              {"retry_after_ms", problem.retryAfter ? problem.retryAfter->count() : 0}});
+    m_thread.metrics().counter("calls_total{outcome=\"refused\"}").add();
+    co_await sendProblem(m_exchange, std::move(problem));
+}
+
+void CallHandler::finish(std::string_view outcome)
+{
+    const auto now = steadyNow();
+    const auto duration = now - m_state.startedAt;
+    m_thread.metrics().counter("calls_total{outcome=\"" + std::string(outcome) + "\"}").add();
+    m_thread.metrics().latency("call_seconds").record(duration);
+    const auto first = m_state.firstByteAt.value_or(now) - m_state.startedAt;
+    m_thread.metrics().latency("first_byte_seconds").record(first);
+    logEvent(LogLevel::Info,
+             "ended",
+             {{"request", m_state.head.id},
+              {"outcome", outcome},
+              {"organisation", m_state.organisation.value()},
+              {"attempts", m_state.attempts.count()},
+              {"events", m_state.events},
+              {"first_ms", std::chrono::duration_cast<Milliseconds>(first).count()},
+              {"total_ms", std::chrono::duration_cast<Milliseconds>(duration).count()}});
+}
+
+Milliseconds CallHandler::left() const
+{
+    const auto time = std::chrono::duration_cast<Milliseconds>(m_state.deadline - steadyNow());
+    return std::max(time, Milliseconds(0));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/gatewaycontrol.cpp
@@ -0,0 +1,163 @@
+#include "gateway/gatewaycontrol.h"
+
+#include "gateway/gatewaysettings.h"
+#include "gateway/storedialect.h"
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds TickPeriod{200};
+
+} // namespace
+
+GatewayControl::GatewayControl(asio::io_context &context,
+                               const GatewaySettings &settings,
+                               const StoreDialect &dialect,
+                               MetricsRegistry &metrics,
+                               Subscribers subscribers)
+    : m_context(context)
+    , m_dialect(dialect)
+    , m_metrics(metrics)
+    , m_subscribers(std::move(subscribers))
+    , m_configurationFollower(context,
+                              settings.platform,
+                              dialect.objectApi(),
+                              dialect.configurationKind(),
+                              {[this](const ObjectPage &page) { takeConfiguration(page); },
+                               [this](const ObjectPage &page) { takeConfiguration(page); },
+                               [](bool) {}})
+    , m_serverFollower(context,
+                       settings.platform,
+                       dialect.objectApi(),
+                       dialect.serverKind(),
+                       {[this](const ObjectPage &page) { takeServers(page); },
+                        [this](const ObjectPage &page) { takeServerChanges(page); },
+                        [this](bool contact) {
+                            contact ? m_registry.contactRegained(steadyNow()) : m_registry.contactLost();
+                        }})
+{
+}
+
+void GatewayControl::start()
+{
+    m_configurationFollower.start();
+    m_serverFollower.start();
+    spawn(m_context.get_executor(), "gateway-control-tick", tickLoop());
+}
+
+bool GatewayControl::isReady() const
+{
+    return m_version != 0 && m_hasServers;
+}
+
+std::uint64_t GatewayControl::configurationVersion() const
+{
+    return m_version;
+}
+
+std::size_t GatewayControl::serverCount() const
+{
+    return m_registry.size();
+}
+
+void GatewayControl::takeConfiguration(const ObjectPage &page)
+{
+    for (const auto &object : page.objects) {
+        if (object.key.name != m_dialect.configurationName()) {
+            continue;
+        }
+        auto configuration = m_dialect.readConfiguration(object);
+        if (configuration.has_error()) {
+            logEvent(LogLevel::Error, "configuration-rejected", {{"error", configuration.error().message()}});
+            m_metrics.counter("configurations_rejected_total").add();
+            continue;
+        }
+        const auto version = configuration.value()->version();
+        if (version <= m_version) {
+            continue;
+        }
+        m_version = version;
+        logEvent(LogLevel::Info,
+                 "configuration-in-force",
+                 {{"version", version},
+                  {"revision", object.version},
+                  {"routes", configuration.value()->routeCount()},
+                  {"services", configuration.value()->services().size()}});
+        m_subscribers.onConfiguration(configuration.value());
+    }
+}
+
+void GatewayControl::takeServers(const ObjectPage &page)
+{
+    m_registry.replaceAll(readServers(page), steadyNow());
+    m_hasServers = true;
+    publishServers();
+}
+
+void GatewayControl::takeServerChanges(const ObjectPage &page)
+{
+    for (const auto &server : readServers(page)) {
+        m_registry.put(server);
+    }
+    for (const auto &name : page.removed) {
+        m_registry.remove(BackendServerId(name), steadyNow());
+    }
+    publishServers();
+}
+
+std::vector<DiscoveredServer> GatewayControl::readServers(const ObjectPage &page)
+{
+    std::vector<DiscoveredServer> servers;
+    for (const auto &object : page.objects) {
+        auto server = m_dialect.readServer(object);
+        if (server.has_value()) {
+            servers.push_back(std::move(server.value()));
+        } else {
+            logEvent(LogLevel::Warning, "registration-rejected", {{"error", server.error().message()}});
+            m_metrics.counter("registrations_rejected_total").add();
+        }
+    }
+    return servers;
+}
+
+void GatewayControl::publishServers()
+{
+    const auto changes = m_registry.takeChanges();
+    if (changes.isEmpty()) {
+        return;
+    }
+    for (const auto &server : changes.present) {
+        logEvent(LogLevel::Info,
+                 server.isLeaving ? "server-leaving" : "server-present",
+                 {{"server", server.id.value()},
+                  {"service", server.service.value()},
+                  {"address", server.address},
+                  {"failure_domain", server.failureDomain.value()},
+                  {"revision", m_serverFollower.revision()}});
+    }
+    for (const auto &id : changes.gone) {
+        logEvent(LogLevel::Info, "server-gone", {{"server", id.value()}, {"revision", m_serverFollower.revision()}});
+    }
+    m_subscribers.onServers(changes);
+}
+
+Task<> GatewayControl::tickLoop()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    while (!error) {
+        m_registry.tick(steadyNow());
+        publishServers();
+        timer.expires_after(TickPeriod);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/gatewayprogram.cpp
@@ -0,0 +1,142 @@
+#include "gateway/gatewayprogram.h"
+
+#include "control/operatorserver.h"
+#include "gateway/gatewaycontrol.h"
+#include "gateway/gatewaysettings.h"
+#include "gateway/gatewaythread.h"
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds ExitCheckPeriod{20};
+
+/// The threads and parts of one process.
+class GatewayProgram
+{
+public:
+    GatewayProgram(const GatewaySettings &settings, const CallDialect &callDialect, const StoreDialect &storeDialect)
+        : m_settings(settings)
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+        , m_timer(m_context)
+        , m_traffic(settings, callDialect, m_metrics)
+        , m_control(m_context,
+                    settings,
+                    storeDialect,
+                    m_metrics,
+                    {[this](const std::shared_ptr<const TrafficConfiguration> &configuration) {
+                         asio::post(m_traffic.context(), [this, configuration] { m_traffic.apply(configuration); });
+                     },
+                     [this](const ServerChanges &changes) {
+                         asio::post(m_traffic.context(), [this, changes] { m_traffic.applyServers(changes); });
+                     }})
+        , m_operator(m_context, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
+    {
+    }
+
+    Result<void, NetError> run()
+    {
+        BOOST_OUTCOME_TRY(m_traffic.listen());
+        BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
+        m_control.start();
+        waitForSignal();
+        logEvent(LogLevel::Info,
+                 "started",
+                 {{"host", m_settings.host.value()}, {"failure_domain", m_settings.failureDomain.value()}});
+        std::thread traffic([this] { m_traffic.run(); });
+        m_context.run();
+        traffic.join();
+        return success();
+    }
+
+private:
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](SystemError error, int signal) {
+            if (error) {
+                return;
+            }
+            if (signal == SIGHUP) {
+                // All settings are addresses and limits of the process; they take effect at its next start.
+                logEvent(LogLevel::Info, "reload", {{"effect", "none"}});
+                waitForSignal();
+                return;
+            }
+            startDraining();
+        });
+    }
+
+    void startDraining()
+    {
+        m_isDraining = true;
+        logEvent(LogLevel::Info, "draining", {{"calls", m_traffic.callCount()}});
+        asio::post(m_traffic.context(), [this] { m_traffic.closeAfterAnswers(); });
+        m_timer.expires_after(m_settings.drainGrace);
+        m_timer.async_wait([this](SystemError) {
+            asio::post(m_traffic.context(), [this] { m_traffic.stopAccepting(); });
+            exitWhenIdle();
+        });
+    }
+
+    void exitWhenIdle()
+    {
+        m_timer.expires_after(ExitCheckPeriod);
+        m_timer.async_wait([this](SystemError) {
+            if (m_traffic.callCount() > 0) {
+                exitWhenIdle();
+                return;
+            }
+            logEvent(LogLevel::Info, "exit", {{"reason", "drained"}});
+            m_traffic.stop();
+            m_context.stop();
+        });
+    }
+
+    bool isReady() const
+    {
+        return m_control.isReady() && !m_isDraining;
+    }
+
+    std::string status() const
+    {
+        return nlohmann::json{{"host", m_settings.host.value()},
+                              {"failure_domain", m_settings.failureDomain.value()},
+                              {"ready", isReady()},
+                              {"draining", m_isDraining},
+                              {"configuration_version", m_control.configurationVersion()},
+                              {"servers", m_control.serverCount()},
+                              {"calls", m_traffic.callCount()}}
+            .dump();
+    }
+
+    const GatewaySettings &m_settings;
+    asio::io_context m_context;
+    MetricsRegistry m_metrics;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    GatewayThread m_traffic;
+    GatewayControl m_control;
+    OperatorServer m_operator;
+    bool m_isDraining = false;
+};
+
+} // namespace
+
+Result<void, NetError>
+runGateway(const GatewaySettings &settings, const CallDialect &callDialect, const StoreDialect &storeDialect)
+{
+    GatewayProgram program(settings, callDialect, storeDialect);
+    return program.run();
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/gatewaysettings.cpp
@@ -0,0 +1,37 @@
+#include "gateway/gatewaysettings.h"
+
+#include "settings/settingsreader.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr std::int64_t MaxDrainGraceMilliseconds = 60'000;
+constexpr std::int64_t MaxRetrySlack = 1'000'000;
+constexpr std::int64_t MaxCallsPerRetry = 1000;
+
+} // namespace
+
+Result<GatewaySettings, SettingsErrors> readGatewaySettings(const std::string &file)
+{
+    internal::SettingsReader reader(file);
+    GatewaySettings settings;
+    settings.host = HostId(reader.text("host"));
+    settings.failureDomain = FailureDomainId(reader.text("failure_domain"));
+    settings.listen = reader.endpoint("listen");
+    settings.operatorListen = reader.endpoint("operator_listen");
+    settings.peerListen = reader.endpoint("peer_listen");
+    settings.platform = reader.endpoint("platform");
+    settings.retrySlack
+        = static_cast<std::uint32_t>(reader.integer("retry_slack", settings.retrySlack, 0, MaxRetrySlack));
+    settings.callsPerRetry
+        = static_cast<std::uint32_t>(reader.integer("calls_per_retry", settings.callsPerRetry, 1, MaxCallsPerRetry));
+    settings.drainGrace
+        = Milliseconds(reader.integer("drain_grace_ms", settings.drainGrace.count(), 0, MaxDrainGraceMilliseconds));
+    settings.logLevel = reader.logLevel("log_level");
+    return reader.finish(std::move(settings));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/gatewaythread.cpp
@@ -0,0 +1,175 @@
+#include "gateway/gatewaythread.h"
+
+#include "gateway/callhandler.h"
+#include "gateway/gatewaysettings.h"
+#include "net/httpcall.h"
+#include "net/httpexchange.h"
+#include "net/httplimits.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds TickPeriod{1000};
+/// Entry hosts among which the slack of retries is divided.
+constexpr std::uint32_t AssumedHosts = 64;
+
+HttpLimits limitsOf(const CallerLimits &limits)
+{
+    HttpLimits http;
+    http.headerBytes = limits.headerBytes;
+    http.bodyBytes = limits.bodyBytes;
+    http.requestTimeout = limits.requestTimeout;
+    http.idleTimeout = limits.idleTimeout;
+    return http;
+}
+
+} // namespace
+
+GatewayThread::GatewayThread(const GatewaySettings &settings, const CallDialect &dialect, MetricsRegistry &metrics)
+    : m_settings(settings)
+    , m_dialect(dialect)
+    , m_metrics(metrics)
+    , m_http(m_context,
+             limitsOf(CallerLimits()),
+             [this](HttpExchange &exchange) -> Task<> {
+                 CallHandler handler(*this, exchange);
+                 co_await handler.run();
+             })
+    , m_random(std::random_device()())
+{
+}
+
+GatewayThread::~GatewayThread() = default;
+
+Result<void, NetError> GatewayThread::listen()
+{
+    BOOST_OUTCOME_TRY(m_http.listen(m_settings.listen, false));
+    spawn(m_context.get_executor(), "gateway-tick", tickLoop());
+    return success();
+}
+
+void GatewayThread::run()
+{
+    const auto guard = asio::make_work_guard(m_context);
+    m_context.run();
+}
+
+void GatewayThread::stop()
+{
+    m_context.stop();
+}
+
+asio::io_context &GatewayThread::context()
+{
+    return m_context;
+}
+
+void GatewayThread::apply(std::shared_ptr<const TrafficConfiguration> configuration)
+{
+    m_configuration = std::move(configuration);
+    m_http.setLimits(limitsOf(m_configuration->limits()));
+}
+
+void GatewayThread::applyServers(const ServerChanges &changes)
+{
+    m_servers.apply(changes);
+    for (const auto &id : changes.gone) {
+        m_pool.closeAll(id);
+    }
+}
+
+void GatewayThread::closeAfterAnswers()
+{
+    m_http.closeAfterAnswers();
+}
+
+void GatewayThread::stopAccepting()
+{
+    m_http.stopAccepting();
+}
+
+std::size_t GatewayThread::callCount() const
+{
+    return m_callCount;
+}
+
+void GatewayThread::callStarted()
+{
+    ++m_callCount;
+}
+
+void GatewayThread::callEnded()
+{
+    --m_callCount;
+}
+
+const std::shared_ptr<const TrafficConfiguration> &GatewayThread::configuration() const
+{
+    return m_configuration;
+}
+
+const CallDialect &GatewayThread::dialect() const
+{
+    return m_dialect;
+}
+
+MetricsRegistry &GatewayThread::metrics()
+{
+    return m_metrics;
+}
+
+ServerTable &GatewayThread::servers()
+{
+    return m_servers;
+}
+
+UpstreamPool &GatewayThread::pool()
+{
+    return m_pool;
+}
+
+Random &GatewayThread::random()
+{
+    return m_random;
+}
+
+RetryBudget &GatewayThread::budget(const ServiceId &service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end()) {
+        return found->second;
+    }
+    RetryBudgetOptions options;
+    options.attemptsPerRetry = m_settings.callsPerRetry;
+    options.burst = std::max(m_settings.retrySlack / AssumedHosts, 1U);
+    return m_budgets.emplace(service, RetryBudget(options)).first->second;
+}
+
+Milliseconds GatewayThread::spread(Milliseconds time, double part)
+{
+    std::uniform_real_distribution<double> factor(1, 1 + part);
+    return Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor(m_random)));
+}
+
+Task<> GatewayThread::tickLoop()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    while (!error) {
+        m_pool.tick(steadyNow());
+        timer.expires_after(TickPeriod);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/gatewaythread.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "gateway/upstreampool.h"
+#include "net/asio.h"
+#include "net/httpserver.h"
+#include "net/neterror.h"
+#include "routing/retrybudget.h"
+#include "traffic/servertable.h"
+#include "traffic/trafficconfiguration.h"
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <unordered_map>
+
+namespace Cardamomhill
+{
+
+class CallDialect;
+class MetricsRegistry;
+struct GatewaySettings;
+
+/// The thread that carries traffic, and all that it decides by.
+class GatewayThread
+{
+public:
+    GatewayThread(const GatewaySettings &settings, const CallDialect &dialect, MetricsRegistry &metrics);
+    ~GatewayThread();
+
+    Result<void, NetError> listen();
+    void run();
+    void stop();
+    asio::io_context &context();
+
+    void apply(std::shared_ptr<const TrafficConfiguration> configuration);
+    void applyServers(const ServerChanges &changes);
+    void closeAfterAnswers();
+    void stopAccepting();
+
+    /// Calls in progress. Any thread may ask.
+    std::size_t callCount() const;
+    void callStarted();
+    void callEnded();
+
+    const std::shared_ptr<const TrafficConfiguration> &configuration() const;
+    const CallDialect &dialect() const;
+    MetricsRegistry &metrics();
+    ServerTable &servers();
+    UpstreamPool &pool();
+    Random &random();
+    RetryBudget &budget(const ServiceId &service);
+
+    /// A time that is lengthened by a random part of itself.
+    Milliseconds spread(Milliseconds time, double part);
+
+private:
+    Task<> tickLoop();
+
+    const GatewaySettings &m_settings;
+    const CallDialect &m_dialect;
+    MetricsRegistry &m_metrics;
+    asio::io_context m_context;
+    HttpServer m_http;
+    std::shared_ptr<const TrafficConfiguration> m_configuration;
+    ServerTable m_servers;
+    UpstreamPool m_pool;
+    Random m_random;
+    std::unordered_map<ServiceId, RetryBudget> m_budgets;
+    std::atomic<std::size_t> m_callCount{0};
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/storedialect.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "control/objectapidialect.h"
+#include "core/result.h"
+#include "gateway/storereaderror.h"
+#include "objectstore/platformobject.h"
+#include "traffic/discoveredserver.h"
+#include "traffic/trafficconfiguration.h"
+
+#include <memory>
+#include <string>
+
+namespace Cardamomhill
+{
+
+/// Where a platform's store keeps the configuration and the registrations of servers, and how it spells them. Decides
+/// nothing.
+class StoreDialect
+{
+public:
+    virtual ~StoreDialect() = default;
+
+    virtual std::shared_ptr<const ObjectApiDialect> objectApi() const = 0;
+
+    virtual std::string configurationKind() const = 0;
+    /// The name of the object of that kind that holds the configuration.
+    virtual std::string configurationName() const = 0;
+    virtual std::string serverKind() const = 0;
+
+    virtual Result<std::shared_ptr<const TrafficConfiguration>, StoreReadError>
+    readConfiguration(const PlatformObject &object) const = 0;
+    virtual Result<DiscoveredServer, StoreReadError> readServer(const PlatformObject &object) const = 0;
+};
+
+} // namespace Cardamomhill
--- a/src/membership/agentreporter.h
+++ b/src/membership/agentreporter.h
@@ -9,7 +9,7 @@
 #include "membership/joinprogress.h"
 #include "membership/membershipmessage.h"
 #include "membership/outgoingmessage.h"
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/membership/configurationrepair.h
+++ b/src/membership/configurationrepair.h
@@ -2,7 +2,7 @@
 
 #include "membership/forcegate.h"
 #include "membership/membershipmessage.h"
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 #include <cstdint>
 #include <vector>
--- a/src/membership/forcegate.h
+++ b/src/membership/forcegate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/versionedobject.h"
+#include "objectstore/versionedobject.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/membership/gossipnode.h
+++ b/src/membership/gossipnode.h
@@ -11,7 +11,7 @@
 #include "membership/membershipmessage.h"
 #include "membership/membertable.h"
 #include "membership/outgoingmessage.h"
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -1,8 +1,12 @@
 #include "net/httpcall.h"
 
+#include "net/liveness.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
 #include <limits>
 
 namespace Cardamomhill
@@ -13,8 +17,6 @@
 namespace
 {
 
-constexpr std::size_t ReadBytes = 16 * 1024;
-
 NetError netError(NetErrorCode code, const SystemError &error)
 {
     return {error == beast::error::timeout ? NetErrorCode::TimedOut : code, error.message()};
@@ -22,9 +24,9 @@
 
 } // namespace
 
-HttpCall::HttpCall(asio::io_context &context)
+HttpCall::HttpCall(asio::io_context &context, std::size_t readBytes)
     : m_stream(context)
-    , m_chunk(ReadBytes)
+    , m_chunk(readBytes)
 {
 }
 
@@ -38,6 +40,7 @@
         co_return failure(netError(refused ? NetErrorCode::ConnectRefused : NetErrorCode::ConnectFailed, error));
     }
     m_stream.socket().set_option(tcp::no_delay(true), error);
+    detectSilence(m_stream.socket());
     co_return success();
 }
 
@@ -49,13 +52,36 @@
     if (error) {
         co_return failure(netError(NetErrorCode::WriteFailed, error));
     }
-    m_parser.emplace();
-    // Callers of readSome() bound what they keep.
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    co_await http::async_read_header(m_stream, m_buffer, *m_parser, storeError(error));
-    if (error) {
-        co_return failure(netError(NetErrorCode::ReadFailed, error));
+    m_hasBody = request.method() != http::verb::head;
+    co_return co_await readHead(timeout);
+}
+
+Task<Result<void, NetError>> HttpCall::skipAnswer(Milliseconds timeout)
+{
+    while (!m_parser->is_done()) {
+        auto piece = co_await readSome(timeout);
+        if (piece.has_error()) {
+            co_return failure(piece.error());
+        }
     }
+    co_return co_await readHead(timeout);
+}
+
+Task<Result<void, NetError>> HttpCall::readHead(Milliseconds timeout)
+{
+    constexpr unsigned FirstFinalStatus = 200;
+    m_stream.expires_after(timeout);
+    do {
+        m_parser.emplace();
+        m_parser->skip(!m_hasBody);
+        // Callers of readSome() bound what they keep.
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        SystemError error;
+        co_await http::async_read_header(m_stream, m_buffer, *m_parser, storeError(error));
+        if (error) {
+            co_return failure(netError(NetErrorCode::ReadFailed, error));
+        }
+    } while (m_parser->get().result_int() < FirstFinalStatus);
     co_return success();
 }
 
@@ -69,6 +95,11 @@
     return std::string(m_parser->get()[http::field::content_type]);
 }
 
+const HttpCall::Head &HttpCall::head() const
+{
+    return m_parser->get().base();
+}
+
 Task<Result<std::optional<std::string>, NetError>> HttpCall::readSome(Milliseconds timeout)
 {
     std::string piece;
@@ -97,7 +128,14 @@
 
 bool HttpCall::isReusable() const
 {
-    return m_parser && m_parser->is_done() && m_parser->keep_alive();
+    return m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+}
+
+bool HttpCall::isQuiet()
+{
+    char byte = 0;
+    const auto received = recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void HttpCall::reset()
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -22,7 +22,9 @@
 class HttpCall
 {
 public:
-    explicit HttpCall(asio::io_context &context);
+    using Head = boost::beast::http::header<false>;
+
+    explicit HttpCall(asio::io_context &context, std::size_t readBytes = DefaultReadBytes);
 
     /// Connects. A failure here means that nothing was sent.
     Task<Result<void, NetError>> connect(const tcp::endpoint &endpoint, Milliseconds timeout);
@@ -30,8 +32,13 @@
     /// Sends the request and waits for the head of the answer.
     Task<Result<void, NetError>> start(HttpRequest request, Milliseconds timeout);
 
+    /// Drops the rest of the present answer and waits for the head of the next one, such as after a server answered an
+    /// earlier request a second time.
+    Task<Result<void, NetError>> skipAnswer(Milliseconds timeout);
+
     unsigned status() const;
     std::string contentType() const;
+    const Head &head() const;
 
     /// The next piece of the body; nothing when the body ended properly.
     Task<Result<std::optional<std::string>, NetError>> readSome(Milliseconds timeout);
@@ -42,14 +49,22 @@
     /// The answer ended properly and the server keeps the connection open.
     bool isReusable() const;
 
+    /// Whether a kept connection is still open and nothing has arrived on it since its last answer.
+    bool isQuiet();
+
     /// Prepares the connection for another request.
     void reset();
 
 private:
+    static constexpr std::size_t DefaultReadBytes = 16 * 1024;
+
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    Task<Result<void, NetError>> readHead(Milliseconds timeout);
+
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    bool m_hasBody = true;
     /// Where pieces of a body land before they are copied at their own size.
     std::vector<char> m_chunk;
     std::optional<Parser> m_parser;
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -29,7 +29,7 @@
         response.set(http::field::content_type, contentType);
     }
     for (const auto &[name, value] : headers) {
-        response.set(name, value);
+        response.insert(name, value);
     }
 }
 
@@ -42,11 +42,13 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive)
+HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, const bool *closing)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_limits(limits)
-    , m_keepAlive(keepAlive && m_request.keep_alive())
+    , m_closing(closing)
+    , m_version(m_request.version())
+    , m_keepAlive(m_request.keep_alive())
 {
 }
 
@@ -55,11 +57,29 @@
     return m_request;
 }
 
+HttpRequest HttpExchange::takeRequest()
+{
+    return std::move(m_request);
+}
+
+void HttpExchange::abort()
+{
+    m_hasBegun = true;
+    m_isComplete = false;
+    m_stream.close();
+}
+
+bool HttpExchange::decideKeepAlive()
+{
+    m_keepAlive = m_keepAlive && m_closing != nullptr && !*m_closing;
+    return m_keepAlive;
+}
+
 Task<bool> HttpExchange::sendWhole(unsigned status, std::string contentType, std::string body, HttpHeaders headers)
 {
-    http::response<http::string_body> response(static_cast<http::status>(status), m_request.version());
+    http::response<http::string_body> response(static_cast<http::status>(status), m_version);
     setHeaders(response, contentType, headers);
-    response.keep_alive(m_keepAlive);
+    response.keep_alive(decideKeepAlive());
     response.body() = std::move(body);
     response.prepare_payload();
     m_hasBegun = true;
@@ -72,9 +92,9 @@
 
 Task<bool> HttpExchange::beginChunks(unsigned status, std::string contentType, HttpHeaders headers)
 {
-    http::response<http::empty_body> response(static_cast<http::status>(status), m_request.version());
+    http::response<http::empty_body> response(static_cast<http::status>(status), m_version);
     setHeaders(response, contentType, headers);
-    response.keep_alive(m_keepAlive);
+    response.keep_alive(decideKeepAlive());
     response.chunked(true);
     m_hasBegun = true;
     m_stream.expires_after(m_limits.writeTimeout);
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -26,10 +26,18 @@
 class HttpExchange
 {
 public:
-    HttpExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, bool keepAlive);
+    /// @param closing whether the server closes its connections after their answers, read when an answer begins;
+    /// without it this connection closes in any case
+    HttpExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, const bool *closing);
 
     const HttpRequest &request() const;
 
+    /// Hands the request over, so that its body is not copied.
+    HttpRequest takeRequest();
+
+    /// Ends the answer and the connection at once, so that the caller sees a broken answer.
+    void abort();
+
     /// Answers in one piece. Returns false when the caller is gone.
     Task<bool> sendWhole(unsigned status, std::string contentType, std::string body, HttpHeaders headers = {});
 
@@ -51,9 +59,14 @@
 private:
     struct Watch;
 
+    bool decideKeepAlive();
+
     beast::tcp_stream &m_stream;
     HttpRequest m_request;
     const HttpLimits &m_limits;
+    const bool *m_closing;
+    unsigned m_version;
+    /// Decided when the answer begins.
     bool m_keepAlive;
     bool m_hasBegun = false;
     bool m_isComplete = false;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -86,9 +86,20 @@
     return success();
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_limits = limits;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_closesAfterAnswers = true;
+}
+
 void HttpServer::stopAccepting()
 {
     m_isStopping = true;
+    m_closesAfterAnswers = true;
     SystemError ignored;
     m_acceptor.close(ignored);
     for (const auto &weak : m_connections) {
@@ -168,7 +179,7 @@
     const bool wasRead = !error;
     const unsigned status = wasRead ? 0 : statusOf(error);
     HttpExchange exchange(
-        connection.stream, wasRead ? parser.release() : HttpRequest(), m_limits, wasRead && !m_isStopping);
+        connection.stream, wasRead ? parser.release() : HttpRequest(), m_limits, wasRead ? &m_closesAfterAnswers : nullptr);
     if (wasRead) {
         co_await m_handler(exchange);
         exchange.stopWatching();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -25,6 +25,12 @@
 
     Result<void, NetError> listen(const tcp::endpoint &endpoint, bool shared);
 
+    /// Applies to requests that begin from now on.
+    void setLimits(const HttpLimits &limits);
+
+    /// Asks callers to close their connections after their next answer, and goes on taking new ones.
+    void closeAfterAnswers();
+
     /// Takes no new connections, closes idle ones and ends the others after their present answer.
     void stopAccepting();
 
@@ -42,6 +48,7 @@
     tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<Connection>> m_connections;
     std::size_t m_connectionCount = 0;
+    bool m_closesAfterAnswers = false;
     bool m_isStopping = false;
 };
 
--- a/src/platform/backoff.cpp
+++ b/src/objectstore/backoff.cpp
@@ -1,4 +1,4 @@
-#include "platform/backoff.h"
+#include "objectstore/backoff.h"
 
 #include <algorithm>
 
--- a/src/platform/conditionalwriter.cpp
+++ b/src/objectstore/conditionalwriter.cpp
@@ -1,6 +1,6 @@
-#include "platform/conditionalwriter.h"
+#include "objectstore/conditionalwriter.h"
 
-#include "platform/operationhistory.h"
+#include "objectstore/operationhistory.h"
 
 #include <algorithm>
 
--- a/src/platform/conditionalwriter.h
+++ b/src/objectstore/conditionalwriter.h
@@ -3,11 +3,11 @@
 #include "core/clocktypes.h"
 #include "core/random.h"
 #include "core/result.h"
-#include "platform/backoff.h"
-#include "platform/conditionalchange.h"
-#include "platform/platformerror.h"
-#include "platform/writeoutcome.h"
-#include "platform/writerequest.h"
+#include "objectstore/backoff.h"
+#include "objectstore/conditionalchange.h"
+#include "objectstore/platformerror.h"
+#include "objectstore/writeoutcome.h"
+#include "objectstore/writerequest.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/platform/followresult.h
+++ b/src/objectstore/followresult.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/platformerror.h"
-#include "platform/versionedobject.h"
+#include "objectstore/platformerror.h"
+#include "objectstore/versionedobject.h"
 
 #include <vector>
 
--- a/src/platform/objectstore.cpp
+++ b/src/objectstore/objectstore.cpp
@@ -1,4 +1,4 @@
-#include "platform/objectstore.h"
+#include "objectstore/objectstore.h"
 
 #include "core/hash.h"
 
--- a/src/platform/objectstore.h
+++ b/src/objectstore/objectstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/digestscope.h"
-#include "platform/versionedobject.h"
+#include "objectstore/digestscope.h"
+#include "objectstore/versionedobject.h"
 
 #include <array>
 #include <cstddef>
--- a/src/platform/operationhistory.cpp
+++ b/src/objectstore/operationhistory.cpp
@@ -1,4 +1,4 @@
-#include "platform/operationhistory.h"
+#include "objectstore/operationhistory.h"
 
 #include <algorithm>
 
--- a/src/platform/operationhistory.h
+++ b/src/objectstore/operationhistory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platformobject.h"
+#include "objectstore/platformobject.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/platform/platformerror.h
+++ b/src/objectstore/platformerror.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/nametable.h"
-#include "platform/objectkey.h"
+#include "objectstore/objectkey.h"
 
 #include <cstdint>
 #include <string>
--- a/src/platform/platformobject.cpp
+++ b/src/objectstore/platformobject.cpp
@@ -1,6 +1,6 @@
-#include "platform/platformobject.h"
+#include "objectstore/platformobject.h"
 
-#include "platform/operationhistory.h"
+#include "objectstore/operationhistory.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/platformobject.h
+++ b/src/objectstore/platformobject.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/result.h"
-#include "platform/platformerror.h"
-#include "platform/versionedobject.h"
+#include "objectstore/platformerror.h"
+#include "objectstore/versionedobject.h"
 
 #include <cstdint>
 #include <string>
--- a/src/platform/watchfollower.cpp
+++ b/src/objectstore/watchfollower.cpp
@@ -1,4 +1,4 @@
-#include "platform/watchfollower.h"
+#include "objectstore/watchfollower.h"
 
 #include <algorithm>
 
--- a/src/platform/watchfollower.h
+++ b/src/objectstore/watchfollower.h
@@ -2,10 +2,10 @@
 
 #include "core/clocktypes.h"
 #include "core/random.h"
-#include "platform/backoff.h"
-#include "platform/followanswer.h"
-#include "platform/followrequest.h"
-#include "platform/followresult.h"
+#include "objectstore/backoff.h"
+#include "objectstore/followanswer.h"
+#include "objectstore/followrequest.h"
+#include "objectstore/followresult.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/platform/writeoutcome.h
+++ b/src/objectstore/writeoutcome.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/nametable.h"
-#include "platform/platformobject.h"
+#include "objectstore/platformobject.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/platform/writerequest.h
+++ b/src/objectstore/writerequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/objectkey.h"
+#include "objectstore/objectkey.h"
 
 #include <cstdint>
 #include <string>
--- /dev/null
+++ b/src/traffic/attemptend.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+
+namespace Cardamomhill
+{
+
+/// How one attempt at a backend server ended.
+enum class AttemptEnd : std::uint8_t {
+    /// The whole answer was delivered.
+    Delivered,
+    CallerGone,
+    /// No connection was made, so nothing was sent.
+    NotSent,
+    /// The server states that it did not run the call.
+    NotRun,
+    /// The address belongs to another server now, which did not run the call.
+    OtherInstance,
+    /// The server ran the call and answered with an error.
+    ServerError,
+    /// The connection broke or the answer was unusable; the call may have run.
+    Broken,
+    /// The time limit of the call passed; it may have run.
+    TimedOut,
+};
+
+constexpr auto nameTable(AttemptEnd)
+{
+    return std::to_array<NamedValue<AttemptEnd>>({
+        {AttemptEnd::Delivered, "delivered"},
+        {AttemptEnd::CallerGone, "caller-gone"},
+        {AttemptEnd::NotSent, "not-sent"},
+        {AttemptEnd::NotRun, "not-run"},
+        {AttemptEnd::OtherInstance, "other-instance"},
+        {AttemptEnd::ServerError, "server-error"},
+        {AttemptEnd::Broken, "broken"},
+        {AttemptEnd::TimedOut, "timed-out"},
+    });
+}
+
+/// Whether the call certainly did not run in this attempt.
+constexpr bool didNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::NotSent || end == AttemptEnd::NotRun || end == AttemptEnd::OtherInstance;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/attempthistory.cpp
@@ -0,0 +1,76 @@
+#include "traffic/attempthistory.h"
+
+#include "routing/retrybudget.h"
+#include "traffic/route.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Attempts that reach no server of the service cost little, but must end some time.
+constexpr std::size_t MostAttempts = 6;
+/// With less time left, a server could not answer in time.
+constexpr Milliseconds ShortestAttempt{20};
+
+bool reachedServer(AttemptEnd end)
+{
+    return end != AttemptEnd::NotSent && end != AttemptEnd::OtherInstance;
+}
+
+} // namespace
+
+void AttemptHistory::add(AttemptEnd end)
+{
+    m_ends.push_back(end);
+}
+
+std::size_t AttemptHistory::count() const
+{
+    return m_ends.size();
+}
+
+std::size_t AttemptHistory::sentCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_ends.begin(), m_ends.end(), &reachedServer));
+}
+
+bool AttemptHistory::isCertainlyNotRun() const
+{
+    return std::all_of(m_ends.begin(), m_ends.end(), &didNotRun);
+}
+
+bool AttemptHistory::has(AttemptEnd end) const
+{
+    return std::find(m_ends.begin(), m_ends.end(), end) != m_ends.end();
+}
+
+bool AttemptHistory::mayAttempt(const Route &route, Milliseconds left) const
+{
+    return check(route, left) == RetryVerdict::Retry;
+}
+
+RetryVerdict AttemptHistory::retry(const Route &route, Milliseconds left, RetryBudget &budget) const
+{
+    const auto verdict = check(route, left);
+    if (verdict != RetryVerdict::Retry || m_ends.empty() || !reachedServer(m_ends.back())) {
+        return verdict;
+    }
+    return budget.takeRetry() ? RetryVerdict::Retry : RetryVerdict::BudgetEmpty;
+}
+
+RetryVerdict AttemptHistory::check(const Route &route, Milliseconds left) const
+{
+    if (!route.isRepeatable() && !isCertainlyNotRun()) {
+        return RetryVerdict::NotRepeatable;
+    }
+    if (sentCount() >= route.attemptLimit || count() >= MostAttempts) {
+        return RetryVerdict::AttemptsUsed;
+    }
+    return left < ShortestAttempt ? RetryVerdict::TooLate : RetryVerdict::Retry;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/discoveredserver.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Cardamomhill
+{
+
+/// A backend server as it is registered in the platform's store.
+struct DiscoveredServer {
+    BackendServerId id;
+    ServiceId service;
+    /// IP address and port.
+    std::string address;
+    FailureDomainId failureDomain;
+    std::uint32_t slots = 0;
+    /// Takes no new calls any more.
+    bool isLeaving = false;
+    /// When its process started, in Unix milliseconds; 0 if it is not stated.
+    std::uint64_t startedAt = 0;
+
+    bool operator==(const DiscoveredServer &) const = default;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/serverregistry.cpp
@@ -0,0 +1,99 @@
+#include "traffic/serverregistry.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Cardamomhill
+{
+
+ServerRegistry::ServerRegistry(ServerRegistryOptions options)
+    : m_options(options)
+{
+}
+
+void ServerRegistry::replaceAll(const std::vector<DiscoveredServer> &servers, SteadyTime now)
+{
+    std::set<BackendServerId> listed;
+    for (const auto &server : servers) {
+        listed.insert(server.id);
+        put(server);
+    }
+    std::vector<BackendServerId> missing;
+    for (const auto &[id, entry] : m_entries) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        remove(id, now);
+    }
+}
+
+void ServerRegistry::put(const DiscoveredServer &server)
+{
+    auto &entry = m_entries[server.id];
+    entry.goneAt = SteadyTime::max();
+    if (entry.server == server) {
+        return;
+    }
+    entry.server = server;
+    m_changes.present.push_back(server);
+    std::erase(m_changes.gone, server.id);
+}
+
+void ServerRegistry::remove(const BackendServerId &id, SteadyTime now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return;
+    }
+    // A server that had said that it leaves does not come back.
+    if (isInGrace(now) && !found->second.server.isLeaving) {
+        found->second.goneAt = std::min(found->second.goneAt, m_graceEnds);
+        return;
+    }
+    m_entries.erase(found);
+    m_changes.gone.push_back(id);
+}
+
+void ServerRegistry::contactLost()
+{
+    m_hasContact = false;
+}
+
+void ServerRegistry::contactRegained(SteadyTime now)
+{
+    if (!m_hasContact) {
+        m_hasContact = true;
+        m_graceEnds = now + m_options.returnGrace;
+    }
+}
+
+void ServerRegistry::tick(SteadyTime now)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        if (entry->second.goneAt <= now) {
+            m_changes.gone.push_back(entry->first);
+            entry = m_entries.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+ServerChanges ServerRegistry::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+std::size_t ServerRegistry::size() const
+{
+    return m_entries.size();
+}
+
+bool ServerRegistry::isInGrace(SteadyTime now) const
+{
+    return now < m_graceEnds;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/servertable.cpp
@@ -0,0 +1,214 @@
+#include "traffic/servertable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// What each end of an attempt says about the health of its server, in failures.
+double failureWeight(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Delivered:
+    case AttemptEnd::CallerGone:
+        return 0;
+    case AttemptEnd::ServerError:
+        return 0.3;
+    case AttemptEnd::NotRun:
+        return 0.4;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::OtherInstance:
+    case AttemptEnd::Broken:
+    case AttemptEnd::TimedOut:
+        return 1;
+    }
+    return 0;
+}
+
+} // namespace
+
+ServerTable::ServerTable(ServerTableOptions options)
+    : m_options(options)
+{
+}
+
+void ServerTable::apply(const ServerChanges &changes)
+{
+    for (const auto &server : changes.present) {
+        auto &entry = m_entries[server.id];
+        if (!entry.server.id.isEmpty() && entry.server.startedAt != server.startedAt) {
+            // Another process under the same id: what was seen of the earlier one does not hold.
+            entry.failures = 0;
+        }
+        if (entry.server.service != server.service) {
+            std::erase(m_services[entry.server.service], server.id);
+            m_services[server.service].push_back(server.id);
+        }
+        entry.server = server;
+        entry.isGone = false;
+    }
+    for (const auto &id : changes.gone) {
+        const auto found = m_entries.find(id);
+        if (found == m_entries.end()) {
+            continue;
+        }
+        std::erase(m_services[found->second.server.service], id);
+        found->second.isGone = true;
+        found->second.server.service = ServiceId();
+        if (found->second.inProgress == 0) {
+            m_entries.erase(found);
+        }
+    }
+}
+
+void ServerTable::setPeerLoads(ServerLoads loads)
+{
+    m_peerLoads = std::move(loads);
+}
+
+ServerChoice ServerTable::choose(const ServiceId &service,
+                                 const std::vector<BackendServerId> &tried,
+                                 SteadyTime now,
+                                 Random &random) const
+{
+    ServerChoice choice;
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return choice;
+    }
+    std::uniform_real_distribution<double> jitter(0, m_options.jitterCalls);
+    double best = std::numeric_limits<double>::max();
+    bool isBestAvoided = true;
+    bool sawFull = false;
+    for (const auto &id : found->second) {
+        const auto &entry = m_entries.at(id);
+        if (entry.server.isLeaving) {
+            continue;
+        }
+        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+            choice.reason = std::max(choice.reason, ChoiceReason::AllTried);
+            continue;
+        }
+        const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
+        const double load = loadOf(entry, now);
+        if (load >= slots * (1 + m_options.waitingPerSlot)) {
+            sawFull = true;
+            continue;
+        }
+        ++choice.candidates;
+        const double failures = failuresOf(entry, now);
+        const bool isAvoided = failures >= m_options.failuresToAvoid;
+        const double score = (load + failures * m_options.failurePenaltyCalls + jitter(random)) / slots;
+        if (std::pair(isAvoided, score) < std::pair(isBestAvoided, best)) {
+            best = score;
+            isBestAvoided = isAvoided;
+            choice.server = id;
+            choice.load = load / slots;
+        }
+    }
+    if (choice.hasServer()) {
+        choice.reason = isBestAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
+    } else if (sawFull) {
+        choice.reason = ChoiceReason::AllFull;
+    }
+    return choice;
+}
+
+const DiscoveredServer *ServerTable::server(const BackendServerId &id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() || found->second.isGone ? nullptr : &found->second.server;
+}
+
+bool ServerTable::hasServers() const
+{
+    return !m_entries.empty();
+}
+
+void ServerTable::started(const BackendServerId &id)
+{
+    ++m_entries[id].inProgress;
+}
+
+void ServerTable::ended(const BackendServerId &id, AttemptEnd end, SteadyTime now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return;
+    }
+    auto &entry = found->second;
+    --entry.inProgress;
+    if (entry.isGone) {
+        if (entry.inProgress == 0) {
+            m_entries.erase(found);
+        }
+        return;
+    }
+    const double weight = failureWeight(end);
+    entry.failures = weight == 0 && end == AttemptEnd::Delivered ? failuresOf(entry, now) / 2
+                                                                 : failuresOf(entry, now) + weight;
+    entry.failuresAt = now;
+}
+
+void ServerTable::takeLoad(const BackendServerId &id, const StatedLoad &load, SteadyTime now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return;
+    }
+    auto &entry = found->second;
+    entry.stated = load;
+    entry.statedAt = now;
+    entry.knownWhenStated = entry.inProgress + peerCalls(entry);
+}
+
+ServerLoads ServerTable::ownLoads() const
+{
+    ServerLoads loads;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.inProgress > 0) {
+            loads[id.value()] = entry.inProgress;
+        }
+    }
+    return loads;
+}
+
+std::uint32_t ServerTable::inProgress(const BackendServerId &id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? 0 : found->second.inProgress;
+}
+
+double ServerTable::failuresOf(const Entry &entry, SteadyTime now) const
+{
+    if (entry.failures == 0) {
+        return 0;
+    }
+    const auto age = std::chrono::duration<double>(now - entry.failuresAt);
+    const auto halfLife = std::chrono::duration<double>(m_options.failureHalfLife);
+    return entry.failures * std::exp2(-age / halfLife);
+}
+
+double ServerTable::loadOf(const Entry &entry, SteadyTime now) const
+{
+    const double counted = entry.inProgress + peerCalls(entry);
+    if (now - entry.statedAt > m_options.statedLoadLifetime) {
+        return counted;
+    }
+    // The server also sees calls of hosts that this one has not heard of.
+    const double stated = entry.stated.running + entry.stated.waiting;
+    return std::max(counted, stated + counted - entry.knownWhenStated);
+}
+
+std::uint32_t ServerTable::peerCalls(const Entry &entry) const
+{
+    const auto found = m_peerLoads.find(entry.server.id.value());
+    return found == m_peerLoads.end() ? 0 : found->second;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/servertable.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "core/random.h"
+#include "traffic/answerhead.h"
+#include "traffic/attemptend.h"
+#include "traffic/serverchanges.h"
+#include "traffic/serverchoice.h"
+#include "traffic/serverloads.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// Constants of ServerTable.
+struct ServerTableOptions {
+    /// Calls that may wait at a server for each of its slots before new ones are refused here.
+    double waitingPerSlot = 1.0;
+    /// Random part of the load that a choice sees, in calls, so that entry hosts with the same view spread out.
+    double jitterCalls = 0.8;
+    /// Load that a recent failure counts for, in calls, and the time in which it halves.
+    double failurePenaltyCalls = 6;
+    Microseconds failureHalfLife = Seconds(2);
+    /// Recent failures from which on a server is chosen only when no other is left.
+    double failuresToAvoid = 1.5;
+    /// A stated load counts for this long beside the calls that were counted.
+    Microseconds statedLoadLifetime = Milliseconds(300);
+};
+
+/// The backend servers that calls may be sent to, with what is known of their load and failures.
+class ServerTable
+{
+public:
+    explicit ServerTable(ServerTableOptions options = {});
+
+    void apply(const ServerChanges &changes);
+
+    /// Calls that other entry hosts have in progress.
+    void setPeerLoads(ServerLoads loads);
+
+    /// Chooses the least loaded server of a service that was not tried.
+    ServerChoice choose(const ServiceId &service,
+                        const std::vector<BackendServerId> &tried,
+                        SteadyTime now,
+                        Random &random) const;
+
+    /// Nothing if the server is gone.
+    const DiscoveredServer *server(const BackendServerId &id) const;
+    bool hasServers() const;
+
+    /// Counts a call on a server. Each is followed by one ended().
+    void started(const BackendServerId &id);
+    void ended(const BackendServerId &id, AttemptEnd end, SteadyTime now);
+    void takeLoad(const BackendServerId &id, const StatedLoad &load, SteadyTime now);
+
+    /// Own calls in progress.
+    ServerLoads ownLoads() const;
+    std::uint32_t inProgress(const BackendServerId &id) const;
+
+private:
+    struct Entry {
+        DiscoveredServer server;
+        std::uint32_t inProgress = 0;
+        /// Of the servers that left, only those with calls in progress are kept.
+        bool isGone = false;
+        double failures = 0;
+        SteadyTime failuresAt{};
+        StatedLoad stated;
+        SteadyTime statedAt{};
+        std::uint32_t knownWhenStated = 0;
+    };
+
+    double failuresOf(const Entry &entry, SteadyTime now) const;
+    double loadOf(const Entry &entry, SteadyTime now) const;
+    std::uint32_t peerCalls(const Entry &entry) const;
+
+    ServerTableOptions m_options;
+    std::unordered_map<BackendServerId, Entry> m_entries;
+    std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
+    ServerLoads m_peerLoads;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/traffic.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// Decisions of the direct path between callers and backend servers: routes, keys, choice of a server, event streams.
+
+#include "traffic/answerhead.h"
+#include "traffic/attemptend.h"
+#include "traffic/callhead.h"
+#include "traffic/eventsplitter.h"
+#include "traffic/servertable.h"
+#include "traffic/serverregistry.h"
+#include "traffic/trafficconfiguration.h"
+#include "traffic/trafficconfigurationbuilder.h"
--- /dev/null
+++ b/src/traffic/trafficconfiguration.cpp
@@ -0,0 +1,119 @@
+#include "traffic/trafficconfiguration.h"
+
+#include "traffic/trafficconfigurationbuilder.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Host names and paths contain no line feed.
+std::string placeOf(std::string_view hostName, std::string_view prefix)
+{
+    std::string place(hostName);
+    place += '\n';
+    place += prefix;
+    return place;
+}
+
+} // namespace
+
+std::uint64_t TrafficConfiguration::version() const
+{
+    return m_version;
+}
+
+const CallerLimits &TrafficConfiguration::limits() const
+{
+    return m_limits;
+}
+
+const Route *TrafficConfiguration::route(std::string_view hostName, std::string_view path) const
+{
+    auto end = path.rfind('/');
+    while (end != std::string_view::npos) {
+        const auto found = m_routesByPlace.find(placeOf(hostName, path.substr(0, end + 1)));
+        if (found != m_routesByPlace.end()) {
+            return &m_routes[found->second];
+        }
+        if (end == 0) {
+            break;
+        }
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const TrafficService *TrafficConfiguration::service(const ServiceId &id) const
+{
+    const auto found = m_services.find(id);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+const std::unordered_map<ServiceId, TrafficService> &TrafficConfiguration::services() const
+{
+    return m_services;
+}
+
+bool TrafficConfiguration::needsKeys() const
+{
+    return m_needsKeys;
+}
+
+const KeyHolder *TrafficConfiguration::holderOf(const std::string &key) const
+{
+    const auto found = m_holders.find(key);
+    return found == m_holders.end() ? nullptr : &found->second;
+}
+
+std::size_t TrafficConfiguration::routeCount() const
+{
+    return m_routes.size();
+}
+
+TrafficConfigurationBuilder &TrafficConfigurationBuilder::setVersion(std::uint64_t version)
+{
+    m_configuration.m_version = version;
+    return *this;
+}
+
+TrafficConfigurationBuilder &TrafficConfigurationBuilder::setLimits(const CallerLimits &limits)
+{
+    m_configuration.m_limits = limits;
+    return *this;
+}
+
+TrafficConfigurationBuilder &TrafficConfigurationBuilder::addRoute(Route route)
+{
+    auto &routes = m_configuration.m_routes;
+    m_configuration.m_routesByPlace[placeOf(route.hostName, route.pathPrefix)] = routes.size();
+    routes.push_back(std::move(route));
+    return *this;
+}
+
+TrafficConfigurationBuilder &TrafficConfigurationBuilder::addService(TrafficService service)
+{
+    const auto id = service.id;
+    m_configuration.m_services[id] = std::move(service);
+    return *this;
+}
+
+TrafficConfigurationBuilder &TrafficConfigurationBuilder::requireKeys()
+{
+    m_configuration.m_needsKeys = true;
+    return *this;
+}
+
+TrafficConfigurationBuilder &TrafficConfigurationBuilder::addKey(std::string key, KeyHolder holder)
+{
+    m_configuration.m_holders[std::move(key)] = std::move(holder);
+    return *this;
+}
+
+std::shared_ptr<const TrafficConfiguration> TrafficConfigurationBuilder::build()
+{
+    return std::make_shared<const TrafficConfiguration>(std::move(m_configuration));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/trafficservice.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "traffic/engineprofile.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace Cardamomhill
+{
+
+/// A service that routes lead to.
+struct TrafficService {
+    ServiceId id;
+    /// Connections that one server accepts from all entry hosts together; 0 means no limit.
+    std::uint32_t connectionLimit = 0;
+    /// Set for model engines.
+    std::optional<EngineProfile> engine;
+};
+
+} // namespace Cardamomhill
--- a/tests/conditionalwritertest.cpp
+++ b/tests/conditionalwritertest.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.h"
+#include "objectstore/objectstoremodule.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/configtest.cpp
+++ b/tests/configtest.cpp
@@ -1,5 +1,5 @@
 #include "config/config.h"
-#include "platform/versionedobject.h"
+#include "objectstore/versionedobject.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/objectstoretest.cpp
+++ b/tests/objectstoretest.cpp
@@ -1,6 +1,6 @@
 #include "core/hash.h"
 #include "core/random.h"
-#include "platform/platform.h"
+#include "objectstore/objectstoremodule.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/tests/requestroutingtest.cpp
+++ b/tests/requestroutingtest.cpp
@@ -1,7 +1,7 @@
 #include "entry/requestrouting.h"
 #include "config/config.h"
 #include "entry/callerrequest.h"
-#include "platform/versionedobject.h"
+#include "objectstore/versionedobject.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "membership/membership.h"
-#include "platform/platform.h"
+#include "objectstore/objectstoremodule.h"
 
 #include <functional>
 #include <map>
