--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "net/httpcall.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
@@ -10,6 +12,9 @@
 namespace
 {
 
+/// A server that is up accepts in milliseconds. A lost opening packet is sent again only after seconds, so a new attempt
+/// is sooner, however long the call itself may wait.
+constexpr Milliseconds ConnectTimeout{500};
 constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 
 Task<Result<HttpResponse, NetError>> readResponse(HttpCall &call, Milliseconds timeout)
@@ -46,7 +51,7 @@
     auto call = std::exchange(m_call, nullptr);
     if (!call) {
         call = std::make_unique<HttpCall>(m_context);
-        const auto connected = co_await call->connect(m_endpoint, timeout);
+        const auto connected = co_await call->connect(m_endpoint, std::min(timeout, ConnectTimeout));
         if (connected.has_error()) {
             co_return failure(HttpCallError{connected.error(), true});
         }
