List anew after each broken watch

Ruled out: the list (it is linearizable) and the connection (its probes were answered). Change: the follower lists after any failure of a watch.

--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -91,7 +91,8 @@
     const auto page = co_await m_client.watch(m_kind, m_revision, WatchWait);
     if (page.has_error()) {
         const bool isHistoryGone = page.error().code == PlatformCallErrorCode::HistoryGone;
-        m_mustList = isHistoryGone;
+        // A watch that is resumed from the old revision may wait without the changes that the broken one missed.
+        m_mustList = true;
         if (!isHistoryGone) {
             setContact(false, page.error().message());
         }
