--- a/src/cli/gatewaycommand.cpp
+++ b/src/cli/gatewaycommand.cpp
@@ -10,7 +10,8 @@
 {
     const Platform::CallHeaders callDialect;
     const Platform::Store storeDialect;
-    return runGateway(settings, callDialect, storeDialect);
+    const Platform::Engine engineDialect;
+    return runGateway(settings, callDialect, storeDialect, engineDialect);
 }
 
 } // namespace Cardamomhill
--- a/src/control/ownobjectapi.cpp
+++ b/src/control/ownobjectapi.cpp
@@ -36,14 +36,18 @@
     return makeHttpRequest("GET", kind.empty() ? "/objects" : "/objects/" + kind);
 }
 
+HttpRequest OwnObjectApi::staleListCall(const std::string &kind) const
+{
+    return listCall(kind, std::string());
+}
+
 HttpRequest OwnObjectApi::watchCall(const std::string & /*kind*/, std::uint64_t since, Milliseconds wait) const
 {
-    return makeHttpRequest(
-        "GET", "/watch?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(wait.count()));
+    return makeHttpRequest("GET",
+                           "/watch?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(wait.count()));
 }
 
-HttpRequest
-OwnObjectApi::writeCall(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const
+HttpRequest OwnObjectApi::writeCall(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const
 {
     auto request = makeHttpRequest("PUT", pathOf(key), value);
     if (expectedVersion == 0) {
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -61,6 +61,15 @@
     co_return all;
 }
 
+Task<Result<ObjectPage, PlatformCallError>> PlatformClient::listStale(std::string kind)
+{
+    const auto body = co_await call(m_dialect->staleListCall(kind), m_callTimeout);
+    if (body.has_error()) {
+        co_return failure(body.error());
+    }
+    co_return m_dialect->readPage(kind, body.value());
+}
+
 Task<Result<ObjectPage, PlatformCallError>>
 PlatformClient::watch(std::string kind, std::uint64_t since, Milliseconds wait)
 {
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -33,6 +33,9 @@
     /// All objects of a kind, or of every kind when it is empty, with the revision of the first page.
     Task<Result<ObjectPage, PlatformCallError>> list(std::string kind);
 
+    /// Objects of a kind as they were up to some seconds ago, at less cost; only the first page.
+    Task<Result<ObjectPage, PlatformCallError>> listStale(std::string kind);
+
     /// Waits for changes after a revision; returns none when the time is up.
     Task<Result<ObjectPage, PlatformCallError>> watch(std::string kind, std::uint64_t since, Milliseconds wait);
 
--- /dev/null
+++ b/src/coordinator/coordination.cpp
@@ -0,0 +1,232 @@
+#include "coordinator/coordination.h"
+
+#include "coordinator/groupcoordinator.h"
+#include "logging/logging.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+const std::string LeaseKind = "groupcoordinators";
+/// Half of the time in which a lease has to be renewed.
+constexpr Milliseconds TickPeriod{250};
+/// Leases of other hosts are looked at this often; a free one is taken some seconds after its holder stopped.
+constexpr Milliseconds ObserveInterval{1000};
+constexpr Milliseconds CallTimeout{1000};
+
+LeaseRecord recordOf(const PlatformObject &object)
+{
+    LeaseRecord record;
+    record.version = object.version;
+    const auto value = nlohmann::json::parse(object.value, nullptr, false);
+    if (value.is_object()) {
+        record.host = value.value("host", std::string());
+        record.incarnation = value.value("incarnation", std::string());
+    }
+    return record;
+}
+
+} // namespace
+
+Coordination::Coordination(asio::io_context &context,
+                           const tcp::endpoint &platform,
+                           std::shared_ptr<const ObjectApiDialect> objectApi,
+                           const EngineDialect &engineDialect,
+                           MetricsRegistry &metrics,
+                           std::string host)
+    : m_context(context)
+    , m_engineDialect(engineDialect)
+    , m_metrics(metrics)
+    , m_client(context, platform, std::move(objectApi), CallTimeout)
+    , m_random(std::random_device()())
+    , m_host(std::move(host))
+    , m_incarnation(std::to_string(m_random()))
+{
+}
+
+Coordination::~Coordination() = default;
+
+void Coordination::start()
+{
+    spawn(m_context.get_executor(), "coordination", run());
+}
+
+void Coordination::apply(std::shared_ptr<const TrafficConfiguration> configuration)
+{
+    m_configuration = std::move(configuration);
+}
+
+void Coordination::applyServers(const ServerChanges &changes)
+{
+    m_directory.apply(changes);
+    for (const auto &group : m_directory.groups()) {
+        const auto found = m_led.find(group.id);
+        const auto *engine = engineOf(group);
+        if (found != m_led.end() && found->second.coordinator && engine != nullptr) {
+            found->second.coordinator->update(group, *engine);
+        }
+    }
+}
+
+void Coordination::stop()
+{
+    m_isStopped = true;
+    for (auto &[group, led] : m_led) {
+        if (led.coordinator) {
+            led.coordinator->stop();
+        }
+    }
+}
+
+const EngineProfile *Coordination::engineOf(const GroupView &group) const
+{
+    const auto *service = m_configuration ? m_configuration->service(group.service) : nullptr;
+    const bool hasExperts = service != nullptr && service->engine && service->engine->expertLayers > 0;
+    return hasExperts ? &*service->engine : nullptr;
+}
+
+Coordination::Led &Coordination::ledOf(const GroupId &group)
+{
+    const auto found = m_led.find(group);
+    return found != m_led.end()
+        ? found->second
+        : m_led.emplace(group, Led{CoordinatorLease(m_host, m_incarnation), nullptr}).first->second;
+}
+
+Task<> Coordination::run()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    SteadyTime nextObservation{};
+    while (!error && !m_isStopped) {
+        const auto groups = m_directory.groups();
+        if (!groups.empty() && steadyNow() >= nextObservation) {
+            nextObservation = steadyNow() + ObserveInterval;
+            co_await observeLeases();
+        }
+        for (const auto &group : groups) {
+            const auto *engine = engineOf(group);
+            if (engine != nullptr && !m_isStopped) {
+                co_await keep(group, *engine);
+            }
+        }
+        timer.expires_after(TickPeriod);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+Task<> Coordination::observeLeases()
+{
+    const auto page = co_await m_client.listStale(LeaseKind);
+    if (page.has_error()) {
+        co_return;
+    }
+    std::map<GroupId, LeaseRecord> records;
+    for (const auto &object : page.value().objects) {
+        records[GroupId(object.key.name)] = recordOf(object);
+    }
+    for (const auto &group : m_directory.groups()) {
+        ledOf(group.id).lease.observe(records[group.id], steadyNow(), m_random);
+    }
+}
+
+Task<> Coordination::keep(GroupView group, EngineProfile engine)
+{
+    auto &led = ledOf(group.id);
+    if (led.coordinator && led.coordinator->isOver()) {
+        stepDown(group, led, "the group follows another coordinator or cannot be reached");
+    }
+    if (led.lease.shouldRenew(steadyNow())) {
+        co_await renew(group, led);
+    } else if (led.lease.shouldAcquire(steadyNow())) {
+        co_await acquire(group, led);
+        if (led.coordinator) {
+            led.coordinator->update(group, engine);
+            led.coordinator->start();
+        }
+    }
+}
+
+Task<> Coordination::acquire(const GroupView &group, Led &led)
+{
+    auto expected = led.lease.expectedVersion();
+    if (expected != 0) {
+        // What was seen may be old.
+        const ObjectKey key{LeaseKind, group.id.value()};
+        const auto object = co_await m_client.read(key);
+        if (object.has_error()) {
+            co_return;
+        }
+        if (object.value().version != expected) {
+            led.lease.observe(recordOf(object.value()), steadyNow(), m_random);
+            co_return;
+        }
+    }
+    const auto version = co_await write(group, expected);
+    if (!version) {
+        led.lease.lost(steadyNow(), m_random);
+        co_return;
+    }
+    led.lease.acquired(*version, steadyNow());
+    led.coordinator = std::make_shared<GroupCoordinator>(m_context, m_engineDialect, m_metrics, led.lease.term());
+    logEvent(LogLevel::Info, "coordinating", {{"group", group.id.value()}, {"term", led.lease.term()}});
+}
+
+Task<> Coordination::renew(const GroupView &group, Led &led)
+{
+    const auto version = co_await write(group, led.lease.expectedVersion());
+    if (version) {
+        led.lease.renewed(*version, steadyNow());
+        co_return;
+    }
+    // The write may have been done although its answer was lost; the tokens of the term protect the group.
+    const ObjectKey key{LeaseKind, group.id.value()};
+    const auto object = co_await m_client.read(key);
+    if (object.has_value()) {
+        const auto record = recordOf(object.value());
+        if (record.host == m_host && record.incarnation == m_incarnation) {
+            led.lease.renewed(record.version, steadyNow());
+        } else {
+            stepDown(group, led, "another host holds the lease");
+        }
+    } else {
+        led.lease.renewed(led.lease.expectedVersion(), steadyNow());
+    }
+}
+
+Task<std::optional<std::uint64_t>> Coordination::write(const GroupView &group, std::uint64_t expectedVersion)
+{
+    const nlohmann::json value{{"host", m_host}, {"incarnation", m_incarnation}, {"renewal", ++m_renewals}};
+    const ObjectKey key{LeaseKind, group.id.value()};
+    const std::string text = value.dump();
+    const auto written = co_await m_client.write(key, expectedVersion, text);
+    if (written.has_error()) {
+        logEvent(LogLevel::Info,
+                 "lease-not-written",
+                 {{"group", group.id.value()}, {"error", written.error().message().substr(0, 60)}});
+        co_return std::nullopt;
+    }
+    co_return written.value().version;
+}
+
+void Coordination::stepDown(const GroupView &group, Led &led, std::string_view cause)
+{
+    logEvent(LogLevel::Warning,
+             "coordination-ended",
+             {{"group", group.id.value()}, {"term", led.lease.term()}, {"cause", cause}});
+    if (led.coordinator) {
+        led.coordinator->stop();
+        led.coordinator.reset();
+    }
+    led.lease.lost(steadyNow(), m_random);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/coordinator/coordination.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "control/platformclient.h"
+#include "core/random.h"
+#include "net/asio.h"
+#include "rebalance/coordinatorlease.h"
+#include "rebalance/groupdirectory.h"
+#include "traffic/serverchanges.h"
+#include "traffic/trafficconfiguration.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Cardamomhill
+{
+
+class EngineDialect;
+class GroupCoordinator;
+class MetricsRegistry;
+
+/// Keeps one coordinator at work for each group of engines, by leases in the platform's store.
+class Coordination
+{
+public:
+    Coordination(asio::io_context &context,
+                 const tcp::endpoint &platform,
+                 std::shared_ptr<const ObjectApiDialect> objectApi,
+                 const EngineDialect &engineDialect,
+                 MetricsRegistry &metrics,
+                 std::string host);
+    ~Coordination();
+
+    void start();
+    void apply(std::shared_ptr<const TrafficConfiguration> configuration);
+    void applyServers(const ServerChanges &changes);
+
+    /// Gives up all leases, so that others go on at once.
+    void stop();
+
+private:
+    struct Led {
+        CoordinatorLease lease;
+        std::shared_ptr<GroupCoordinator> coordinator;
+    };
+
+    Task<> run();
+    Task<> observeLeases();
+    Task<> keep(GroupView group, EngineProfile engine);
+    Task<> acquire(const GroupView &group, Led &led);
+    Task<> renew(const GroupView &group, Led &led);
+    Task<std::optional<std::uint64_t>> write(const GroupView &group, std::uint64_t expectedVersion);
+    void stepDown(const GroupView &group, Led &led, std::string_view cause);
+    Led &ledOf(const GroupId &group);
+    const EngineProfile *engineOf(const GroupView &group) const;
+
+    asio::io_context &m_context;
+    const EngineDialect &m_engineDialect;
+    MetricsRegistry &m_metrics;
+    PlatformClient m_client;
+    Random m_random;
+    std::string m_host;
+    std::string m_incarnation;
+    std::shared_ptr<const TrafficConfiguration> m_configuration;
+    GroupDirectory m_directory;
+    std::map<GroupId, Led> m_led;
+    std::uint64_t m_renewals = 0;
+    bool m_isStopped = false;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/coordinator/engineclient.cpp
@@ -0,0 +1,75 @@
+#include "coordinator/engineclient.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Engines answer orders and reports in milliseconds. A held group waits for what is sent again after this.
+constexpr Milliseconds OrderTimeout{120};
+constexpr Milliseconds ReadTimeout{200};
+constexpr unsigned StatusOk = 200;
+
+} // namespace
+
+EngineClient::EngineClient(asio::io_context &context,
+                           const tcp::endpoint &endpoint,
+                           BackendServerId server,
+                           const EngineDialect &dialect)
+    : m_client(context, endpoint)
+    , m_server(std::move(server))
+    , m_dialect(dialect)
+{
+}
+
+Task<OrderAnswer> EngineClient::send(RankOrder order)
+{
+    const auto response = co_await m_client.call(m_dialect.orderCall(order, m_server), OrderTimeout);
+    if (response.has_error()) {
+        co_return OrderAnswer::Lost;
+    }
+    co_return m_dialect.readOrderAnswer(response.value().status);
+}
+
+Task<Result<RankState, EngineReadError>> EngineClient::readState()
+{
+    const auto body = co_await read(m_dialect.stateCall());
+    if (body.has_error()) {
+        co_return failure(body.error());
+    }
+    co_return m_dialect.readState(body.value());
+}
+
+Task<Result<ExpertCounts, EngineReadError>> EngineClient::readCounts()
+{
+    const auto body = co_await read(m_dialect.countsCall());
+    if (body.has_error()) {
+        co_return failure(body.error());
+    }
+    co_return m_dialect.readCounts(body.value());
+}
+
+Task<Result<HeldExperts, EngineReadError>> EngineClient::readHeldExperts()
+{
+    const auto body = co_await read(m_dialect.heldExpertsCall());
+    if (body.has_error()) {
+        co_return failure(body.error());
+    }
+    co_return m_dialect.readHeldExperts(body.value());
+}
+
+Task<Result<std::string, EngineReadError>> EngineClient::read(HttpRequest request)
+{
+    auto response = co_await m_client.call(std::move(request), ReadTimeout);
+    if (response.has_error()) {
+        co_return failure(EngineReadError{EngineReadErrorCode::Unreachable, response.error().error.message()});
+    }
+    if (response.value().status != StatusOk) {
+        co_return failure(
+            EngineReadError{EngineReadErrorCode::Refused, "status " + std::to_string(response.value().status)});
+    }
+    co_return std::move(response.value().body);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/coordinator/engineclient.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "coordinator/enginedialect.h"
+#include "core/identifiers.h"
+#include "net/asio.h"
+#include "net/httpclient.h"
+
+#include <memory>
+
+namespace Cardamomhill
+{
+
+/// Calls to the engine of one rank.
+class EngineClient
+{
+public:
+    EngineClient(asio::io_context &context,
+                 const tcp::endpoint &endpoint,
+                 BackendServerId server,
+                 const EngineDialect &dialect);
+
+    Task<OrderAnswer> send(RankOrder order);
+    Task<Result<RankState, EngineReadError>> readState();
+    Task<Result<ExpertCounts, EngineReadError>> readCounts();
+    Task<Result<HeldExperts, EngineReadError>> readHeldExperts();
+
+private:
+    Task<Result<std::string, EngineReadError>> read(HttpRequest request);
+
+    HttpClient m_client;
+    BackendServerId m_server;
+    const EngineDialect &m_dialect;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/coordinator/enginereaderror.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/nametable.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Cardamomhill
+{
+
+enum class EngineReadErrorCode : std::uint8_t {
+    MalformedAnswer,
+    Refused,
+    Unreachable,
+};
+
+constexpr auto nameTable(EngineReadErrorCode)
+{
+    return std::to_array<NamedValue<EngineReadErrorCode>>({
+        {EngineReadErrorCode::MalformedAnswer, "malformed-answer"},
+        {EngineReadErrorCode::Refused, "refused"},
+        {EngineReadErrorCode::Unreachable, "unreachable"},
+    });
+}
+
+/// Why an engine could not be read.
+struct EngineReadError {
+    EngineReadErrorCode code = EngineReadErrorCode::Unreachable;
+    std::string cause;
+
+    std::string message() const
+    {
+        return std::string(nameOf(code)) + (cause.empty() ? "" : ": " + cause);
+    }
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/coordinator/groupcoordinator.cpp
@@ -0,0 +1,311 @@
+#include "coordinator/groupcoordinator.h"
+
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+#include "net/address.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr Milliseconds TickPeriod{20};
+/// While nothing is to be done but to wait for the next counts.
+constexpr Milliseconds IdlePeriod{100};
+/// Time over which choices of experts are counted for a plan. Reading them is charged and pauses the group.
+constexpr Milliseconds CountInterval{700};
+/// A plan must lower the load of the slowest ranks by this part.
+constexpr double RequiredGain = 0.06;
+/// Weight of the newest interval in the load that is planned for.
+constexpr double NewestWeight = 0.7;
+/// Choices in an interval below which it says too little.
+constexpr std::uint64_t LeastChoices = 2000;
+/// Part by which copies may take longer than the link's rate says.
+constexpr double CopyMargin = 1.1;
+
+} // namespace
+
+GroupCoordinator::GroupCoordinator(asio::io_context &context,
+                                   const EngineDialect &dialect,
+                                   MetricsRegistry &metrics,
+                                   std::uint64_t term)
+    : m_context(context)
+    , m_dialect(dialect)
+    , m_metrics(metrics)
+    , m_tokens(term)
+    , m_random(std::random_device()())
+{
+}
+
+void GroupCoordinator::start()
+{
+    spawn(m_context.get_executor(), "group-coordinator", run());
+}
+
+void GroupCoordinator::update(const GroupView &group, const EngineProfile &engine)
+{
+    m_engine = engine;
+    const bool isSame = m_switch && group.epoch == m_switch->epoch() && group.isOpen
+        && group.ranks.size() == m_group.ranks.size()
+        && std::equal(group.ranks.begin(), group.ranks.end(), m_group.ranks.begin(), [](const auto &a, const auto &b) {
+                            return a.id == b.id && a.address == b.address;
+                        });
+    m_group = group;
+    if (!isSame && group.isOpen) {
+        startEpoch();
+    }
+}
+
+void GroupCoordinator::startEpoch()
+{
+    m_clients.clear();
+    for (const auto &rank : m_group.ranks) {
+        const auto endpoint = parseAddress(rank.address);
+        if (!endpoint) {
+            logEvent(LogLevel::Warning, "rank-unusable", {{"server", rank.id.value()}, {"address", rank.address}});
+            m_clients.clear();
+            m_switch.reset();
+            return;
+        }
+        m_clients.push_back(std::make_shared<EngineClient>(m_context, *endpoint, rank.id, m_dialect));
+    }
+    m_map.reset();
+    m_lastCounts.reset();
+    m_load.clear();
+    m_switch = std::make_shared<MapSwitch>(m_group.ranks.size(), m_group.epoch, m_tokens);
+    m_countedRank = m_random() % m_group.ranks.size();
+    logEvent(LogLevel::Info,
+             "group-opened",
+             {{"group", m_group.id.value()}, {"epoch", m_group.epoch}, {"ranks", m_group.ranks.size()}});
+}
+
+void GroupCoordinator::stop()
+{
+    m_isStopped = true;
+}
+
+bool GroupCoordinator::isOver() const
+{
+    return m_switch && (m_switch->phase() == SwitchPhase::Fenced || m_switch->phase() == SwitchPhase::Stuck);
+}
+
+Task<> GroupCoordinator::run()
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    while (!error && !m_isStopped) {
+        if (m_switch) {
+            co_await work();
+            logPhase();
+        }
+        const bool isBusy = m_switch && m_switch->phase() != SwitchPhase::Idle;
+        timer.expires_after(isBusy ? TickPeriod : IdlePeriod);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+Task<> GroupCoordinator::work()
+{
+    const auto now = steadyNow();
+    m_switch->tick(now);
+    if (m_switch->phase() == SwitchPhase::Idle) {
+        co_await considerSwitch();
+        co_return;
+    }
+    sendOrders();
+    if (m_switch->wantsReports(now)) {
+        co_await readStates();
+    }
+}
+
+void GroupCoordinator::sendOrders()
+{
+    for (auto &order : m_switch->takeOrders(steadyNow())) {
+        spawn(m_context.get_executor(), "rank-order", sendOrder(std::move(order)));
+    }
+}
+
+Task<> GroupCoordinator::sendOrder(RankOrder order)
+{
+    const auto self = shared_from_this();
+    // Both are replaced when the group opens anew.
+    const auto sentFor = m_switch;
+    const auto client = m_clients[order.rank];
+    const auto answer = co_await client->send(order);
+    if (answer != OrderAnswer::Accepted) {
+        logEvent(LogLevel::Info,
+                 "order-not-accepted",
+                 {{"group", m_group.id.value()},
+                  {"rank", order.rank},
+                  {"phase", nameOf(sentFor->phase())},
+                  {"answer", nameOf(answer)},
+                  {"token", order.token}});
+    }
+    m_metrics.counter("rank_orders_total{answer=\"" + std::string(nameOf(answer)) + "\"}").add();
+    sentFor->onAnswer(order, answer, steadyNow());
+    if (m_switch == sentFor) {
+        sendOrders();
+    }
+}
+
+Task<> GroupCoordinator::readStates()
+{
+    const auto readFor = m_switch;
+    const auto clients = m_clients;
+    std::vector<std::optional<RankState>> states(clients.size());
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        auto state = co_await clients[rank]->readState();
+        if (state.has_value()) {
+            states[rank] = state.value();
+        }
+    }
+    if (m_switch == readFor) {
+        m_switch->onReports(states, steadyNow());
+    }
+}
+
+Task<bool> GroupCoordinator::learnMap()
+{
+    const auto readFor = m_switch;
+    const auto clients = m_clients;
+    const GroupShape shape{clients.size(), m_engine.expertLayers, m_engine.expertsPerLayer};
+    auto map = std::make_shared<ExpertMap>(shape);
+    std::optional<std::uint64_t> version;
+    for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
+        auto held = co_await clients[rank]->readHeldExperts();
+        if (m_switch != readFor || held.has_error() || held.value().epoch != m_switch->epoch()
+            || held.value().experts.size() != shape.layers
+            || held.value().mapVersion != version.value_or(held.value().mapVersion)) {
+            co_return false;
+        }
+        version = held.value().mapVersion;
+        for (std::size_t layer = 0; layer < shape.layers; ++layer) {
+            for (const auto expert : held.value().experts[layer]) {
+                const ReplicaMove move{
+                    MoveKind::Add, static_cast<LayerIndex>(layer), expert, static_cast<RankIndex>(rank)};
+                if (map->apply(move).has_error()) {
+                    co_return false;
+                }
+            }
+        }
+    }
+    if (map->validate().has_error()) {
+        co_return false;
+    }
+    m_map = std::move(map);
+    logEvent(LogLevel::Info, "map-learned", {{"group", m_group.id.value()}, {"version", *version}});
+    co_return true;
+}
+
+Task<bool> GroupCoordinator::readLoad()
+{
+    const auto readFor = m_switch;
+    const auto client = m_clients[m_countedRank];
+    auto counts = co_await client->readCounts();
+    if (m_switch != readFor) {
+        co_return false;
+    }
+    const auto cells = static_cast<std::size_t>(m_engine.expertLayers) * m_engine.expertsPerLayer;
+    if (counts.has_error() || counts.value().counts.size() != cells) {
+        m_lastCounts.reset();
+        m_countedRank = (m_countedRank + 1) % m_clients.size();
+        co_return false;
+    }
+    const auto last = std::exchange(m_lastCounts, std::move(counts.value()));
+    if (!last || last->epoch != m_lastCounts->epoch) {
+        co_return false;
+    }
+    std::vector<double> load(cells, 0);
+    std::uint64_t choices = 0;
+    for (std::size_t cell = 0; cell < cells; ++cell) {
+        const auto before = last->counts[cell];
+        const auto after = m_lastCounts->counts[cell];
+        // A rank that started anew counts from zero.
+        const auto chosen = after >= before ? after - before : after;
+        choices += chosen;
+        load[cell] = static_cast<double>(chosen);
+    }
+    if (choices < LeastChoices) {
+        co_return false;
+    }
+    if (m_load.size() != cells) {
+        m_load = std::move(load);
+    } else {
+        for (std::size_t cell = 0; cell < cells; ++cell) {
+            m_load[cell] = (1 - NewestWeight) * m_load[cell] + NewestWeight * load[cell];
+        }
+    }
+    co_return true;
+}
+
+Task<> GroupCoordinator::considerSwitch()
+{
+    const auto now = steadyNow();
+    if (now < m_nextCount || m_engine.expertLayers == 0) {
+        co_return;
+    }
+    m_nextCount = now + CountInterval;
+    if (m_switch->mapInForce()) {
+        m_map = m_switch->mapInForce();
+    }
+    if (!m_map) {
+        const bool learned = co_await learnMap();
+        if (!learned) {
+            co_return;
+        }
+    }
+    const bool isKnown = co_await readLoad();
+    if (!isKnown || !m_switch || m_switch->phase() != SwitchPhase::Idle) {
+        co_return;
+    }
+    const std::vector<double> speeds(m_clients.size(), 1.0);
+    const auto plan = planSwitch(*m_map, m_load, speeds, {m_engine.placesPerRank, m_engine.copiesPerRank});
+    const bool isWorth = plan.skewAfter < plan.skewBefore * (1 - RequiredGain);
+    logEvent(LogLevel::Info,
+             isWorth ? "switch-planned" : "map-kept",
+             {{"group", m_group.id.value()},
+              {"skew", plan.skewBefore},
+              {"skew_after", plan.skewAfter},
+              {"copies", plan.mostCopies}});
+    if (isWorth) {
+        m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime(plan.mostCopies), steadyNow());
+        co_await work();
+    }
+}
+
+Microseconds GroupCoordinator::copyTime(std::size_t copies) const
+{
+    constexpr double BitsPerByte = 8;
+    if (m_engine.linkMegabitsPerSecond <= 0) {
+        return Microseconds(0);
+    }
+    const double seconds = CopyMargin * static_cast<double>(copies) * m_engine.expertMegabytes * BitsPerByte
+        / m_engine.linkMegabitsPerSecond;
+    return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(seconds));
+}
+
+void GroupCoordinator::logPhase()
+{
+    if (!m_switch || m_switch->phase() == m_loggedPhase) {
+        return;
+    }
+    m_loggedPhase = m_switch->phase();
+    logEvent(LogLevel::Info,
+             "switch-phase",
+             {{"group", m_group.id.value()},
+              {"epoch", m_switch->epoch()},
+              {"phase", nameOf(m_loggedPhase)},
+              {"version", m_switch->version()},
+              {"step", m_switch->step()},
+              {"switches", m_switch->switchCount()},
+              {"abandoned", m_switch->abandonedCount()}});
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/coordinator/groupcoordinator.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "coordinator/engineclient.h"
+#include "core/random.h"
+#include "net/asio.h"
+#include "placement/expertmap.h"
+#include "placement/switchplanner.h"
+#include "rebalance/groupview.h"
+#include "rebalance/mapswitch.h"
+#include "rebalance/ordertokens.h"
+#include "traffic/engineprofile.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+class MetricsRegistry;
+
+/// Coordinates one group for one term: reads which experts are chosen, plans maps, and switches to them.
+class GroupCoordinator : public std::enable_shared_from_this<GroupCoordinator>
+{
+public:
+    GroupCoordinator(asio::io_context &context,
+                     const EngineDialect &dialect,
+                     MetricsRegistry &metrics,
+                     std::uint64_t term);
+
+    void start();
+
+    /// The group, and what its engines can do, as the store shows them now.
+    void update(const GroupView &group, const EngineProfile &engine);
+
+    /// Takes no further step. Orders that are under way go on.
+    void stop();
+
+    /// The term has ended: another coordinator is in charge, or this one cannot reach the group.
+    bool isOver() const;
+
+private:
+    Task<> run();
+    Task<> work();
+    Task<> readStates();
+    void sendOrders();
+    Task<> sendOrder(RankOrder order);
+    Task<bool> learnMap();
+    Task<> considerSwitch();
+    Task<bool> readLoad();
+    void startEpoch();
+    void logPhase();
+    Microseconds copyTime(std::size_t copies) const;
+
+    asio::io_context &m_context;
+    const EngineDialect &m_dialect;
+    MetricsRegistry &m_metrics;
+    OrderTokens m_tokens;
+    Random m_random;
+    GroupView m_group;
+    EngineProfile m_engine;
+    /// Shared with calls that are under way when the group opens anew.
+    std::vector<std::shared_ptr<EngineClient>> m_clients;
+    std::shared_ptr<MapSwitch> m_switch;
+    std::shared_ptr<const ExpertMap> m_map;
+    std::optional<ExpertCounts> m_lastCounts;
+    std::vector<double> m_load;
+    std::size_t m_countedRank = 0;
+    SteadyTime m_nextCount{};
+    SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
+    bool m_isStopped = false;
+};
+
+} // namespace Cardamomhill
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -1,9 +1,11 @@
 #include "gateway/gatewayprogram.h"
 
 #include "control/operatorserver.h"
+#include "coordinator/coordination.h"
 #include "gateway/gatewaycontrol.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaythread.h"
+#include "gateway/storedialect.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
 
@@ -25,19 +27,26 @@
 class GatewayProgram
 {
 public:
-    GatewayProgram(const GatewaySettings &settings, const CallDialect &callDialect, const StoreDialect &storeDialect)
+    GatewayProgram(const GatewaySettings &settings,
+                   const CallDialect &callDialect,
+                   const StoreDialect &storeDialect,
+                   const EngineDialect &engineDialect)
         : m_settings(settings)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
         , m_traffic(settings, callDialect, m_metrics)
+        , m_coordination(
+              m_context, settings.platform, storeDialect.objectApi(), engineDialect, m_metrics, settings.host.value())
         , m_control(m_context,
                     settings,
                     storeDialect,
                     m_metrics,
                     {[this](const std::shared_ptr<const TrafficConfiguration> &configuration) {
+                         m_coordination.apply(configuration);
                          asio::post(m_traffic.context(), [this, configuration] { m_traffic.apply(configuration); });
                      },
                      [this](const ServerChanges &changes) {
+                         m_coordination.applyServers(changes);
                          asio::post(m_traffic.context(), [this, changes] { m_traffic.applyServers(changes); });
                      }})
         , m_operator(m_context, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
@@ -49,6 +58,9 @@
         BOOST_OUTCOME_TRY(m_traffic.listen());
         BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
         m_control.start();
+        if (m_settings.coordinatesGroups) {
+            m_coordination.start();
+        }
         waitForSignal();
         logEvent(LogLevel::Info,
                  "started",
@@ -79,6 +91,7 @@
     void startDraining()
     {
         m_isDraining = true;
+        m_coordination.stop();
         logEvent(LogLevel::Info, "draining", {{"calls", m_traffic.callCount()}});
         asio::post(m_traffic.context(), [this] { m_traffic.closeAfterAnswers(); });
         m_timer.expires_after(m_settings.drainGrace);
@@ -125,6 +138,7 @@
     asio::signal_set m_signals;
     asio::steady_timer m_timer;
     GatewayThread m_traffic;
+    Coordination m_coordination;
     GatewayControl m_control;
     OperatorServer m_operator;
     bool m_isDraining = false;
@@ -132,10 +146,12 @@
 
 } // namespace
 
-Result<void, NetError>
-runGateway(const GatewaySettings &settings, const CallDialect &callDialect, const StoreDialect &storeDialect)
+Result<void, NetError> runGateway(const GatewaySettings &settings,
+                                  const CallDialect &callDialect,
+                                  const StoreDialect &storeDialect,
+                                  const EngineDialect &engineDialect)
 {
-    GatewayProgram program(settings, callDialect, storeDialect);
+    GatewayProgram program(settings, callDialect, storeDialect, engineDialect);
     return program.run();
 }
 
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -30,6 +30,7 @@
         = static_cast<std::uint32_t>(reader.integer("calls_per_retry", settings.callsPerRetry, 1, MaxCallsPerRetry));
     settings.drainGrace
         = Milliseconds(reader.integer("drain_grace_ms", settings.drainGrace.count(), 0, MaxDrainGraceMilliseconds));
+    settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -31,6 +31,9 @@
     std::uint32_t callsPerRetry = 6;
     /// Time between readiness going false and closing the listening socket.
     Milliseconds drainGrace{3000};
+    /// Whether this host takes part in changing the expert maps of engine groups. Needs engines that refuse orders with
+    /// an old fencing token.
+    bool coordinatesGroups = false;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -20,7 +20,8 @@
 using SystemError = boost::system::error_code;
 
 /// A coroutine on an io_context. Never put co_await into a condition or a conditional expression: g++ 12 miscompiles
-/// some of them into an illegal instruction. Keep its result in a variable first.
+/// some of them into an illegal instruction. Keep its result in a variable first. Nor build an argument of the awaited
+/// call from a braced list in place: g++ 12 destroys some of them twice.
 template<class T = void>
 using Task = boost::asio::awaitable<T>;
 
--- /dev/null
+++ b/src/placement/switchplanner.cpp
@@ -0,0 +1,108 @@
+#include "placement/switchplanner.h"
+
+#include "placement/layerbalancer.h"
+#include "placement/movehistory.h"
+
+#include <algorithm>
+#include <numeric>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// A layer is left when its slowest rank is this close to the mean.
+constexpr double SettledSkew = 1.02;
+/// Bounds the time of a plan; each step takes microseconds.
+constexpr std::size_t MostStepsPerLayer = 64;
+constexpr std::size_t WideSearches = 4;
+/// A step that lowers the slowest rank by less than this part does not pay for its copies.
+constexpr double LeastGain = 0.004;
+
+/// Replicas that each rank would have to copy for a layer.
+std::vector<std::size_t> copiesOf(const ExpertMap &before, const ExpertMap &after, std::size_t layer)
+{
+    std::vector<std::size_t> copies(before.shape().ranks, 0);
+    for (std::size_t expert = 0; expert < before.shape().experts; ++expert) {
+        for (const auto rank : after.replicas(layer, expert)) {
+            copies[rank] += before.holds(layer, expert, rank) ? 0 : 1;
+        }
+    }
+    return copies;
+}
+
+double meanLoad(std::span<const double> tokens, std::span<const double> speeds)
+{
+    return std::accumulate(tokens.begin(), tokens.end(), 0.0) / std::accumulate(speeds.begin(), speeds.end(), 0.0);
+}
+
+} // namespace
+
+SwitchPlan planSwitch(const ExpertMap &map,
+                      std::span<const double> tokens,
+                      std::span<const double> speeds,
+                      const SwitchLimits &limits)
+{
+    const auto &shape = map.shape();
+    const internal::MoveHistory noHistory{Seconds(0)};
+    SwitchPlan plan{map, 0, 0, 0};
+    std::vector<std::size_t> totalCopies(shape.ranks, 0);
+    for (std::size_t layer = 0; layer < shape.layers; ++layer) {
+        const auto layerTokens = tokens.subspan(layer * shape.experts, shape.experts);
+        const double mean = meanLoad(layerTokens, speeds);
+        if (mean <= 0) {
+            plan.skewBefore += 1;
+            plan.skewAfter += 1;
+            continue;
+        }
+        std::vector<std::ptrdiff_t> free;
+        for (const auto held : map.replicasPerRank(layer)) {
+            free.push_back(static_cast<std::ptrdiff_t>(limits.placesPerRank) - static_cast<std::ptrdiff_t>(held));
+        }
+        internal::LayerBalancer balancer(map,
+                                         static_cast<LayerIndex>(layer),
+                                         layerTokens,
+                                         speeds,
+                                         StepVariation{},
+                                         std::move(free),
+                                         noHistory,
+                                         SteadyTime(),
+                                         WideSearches);
+        plan.skewBefore += balancer.slowest() / mean;
+        ExpertMap best = plan.map;
+        ExpertMap current = plan.map;
+        double bestLoad = balancer.slowest();
+        for (std::size_t i = 0; i < MostStepsPerLayer && bestLoad > SettledSkew * mean; ++i) {
+            const auto step = balancer.improve();
+            if (!step) {
+                break;
+            }
+            bool fits = true;
+            for (const auto &move : step->moves) {
+                fits = fits && current.apply(move).has_value();
+            }
+            const auto copies = copiesOf(map, current, layer);
+            if (!fits || *std::max_element(copies.begin(), copies.end()) > limits.copiesPerRank) {
+                break;
+            }
+            if (step->slowest < bestLoad * (1 - LeastGain)) {
+                best = current;
+                bestLoad = step->slowest;
+            }
+        }
+        plan.map = best;
+        plan.skewAfter += bestLoad / mean;
+        const auto copies = copiesOf(map, plan.map, layer);
+        for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
+            totalCopies[rank] += copies[rank];
+        }
+    }
+    plan.mostCopies = *std::max_element(totalCopies.begin(), totalCopies.end());
+    plan.skewBefore /= static_cast<double>(shape.layers);
+    plan.skewAfter /= static_cast<double>(shape.layers);
+    return plan;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/rebalance/coordinatorlease.cpp
@@ -0,0 +1,76 @@
+#include "rebalance/coordinatorlease.h"
+
+namespace Cardamomhill
+{
+
+CoordinatorLease::CoordinatorLease(std::string host, std::string incarnation, CoordinatorLeaseOptions options)
+    : m_host(std::move(host))
+    , m_incarnation(std::move(incarnation))
+    , m_options(options)
+{
+}
+
+void CoordinatorLease::observe(const LeaseRecord &record, SteadyTime now, Random &random)
+{
+    const bool isFirst = m_freeAt == SteadyTime::max();
+    if (m_isHeld || (!isFirst && record.version <= m_record.version)) {
+        return;
+    }
+    m_record = record;
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
+    const auto delay = Milliseconds(spread(random));
+    // An earlier process of this host has ended, so nobody renews its lease.
+    const bool isOwnRemnant = record.host == m_host && record.incarnation != m_incarnation;
+    if (isOwnRemnant) {
+        m_freeAt = now;
+    } else {
+        m_freeAt = now + (record.version == 0 ? Milliseconds(0) : m_options.lifetime) + delay;
+    }
+}
+
+bool CoordinatorLease::shouldAcquire(SteadyTime now) const
+{
+    return !m_isHeld && now >= m_freeAt;
+}
+
+bool CoordinatorLease::shouldRenew(SteadyTime now) const
+{
+    return m_isHeld && now >= m_renewAt;
+}
+
+std::uint64_t CoordinatorLease::expectedVersion() const
+{
+    return m_record.version;
+}
+
+void CoordinatorLease::acquired(std::uint64_t version, SteadyTime now)
+{
+    m_isHeld = true;
+    m_term = version;
+    renewed(version, now);
+}
+
+void CoordinatorLease::renewed(std::uint64_t version, SteadyTime now)
+{
+    m_record = {version, m_host, m_incarnation};
+    m_renewAt = now + m_options.renewInterval;
+}
+
+void CoordinatorLease::lost(SteadyTime now, Random &random)
+{
+    m_isHeld = false;
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
+    m_freeAt = now + m_options.lifetime + Milliseconds(spread(random));
+}
+
+bool CoordinatorLease::isHeld() const
+{
+    return m_isHeld;
+}
+
+std::uint64_t CoordinatorLease::term() const
+{
+    return m_term;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/rebalance/groupdirectory.cpp
@@ -0,0 +1,57 @@
+#include "rebalance/groupdirectory.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// No group is as large; a registration that says so was written by mistake.
+constexpr std::uint32_t MostRanks = 1024;
+
+} // namespace
+
+void GroupDirectory::apply(const ServerChanges &changes)
+{
+    for (const auto &server : changes.present) {
+        m_servers[server.id] = server;
+    }
+    for (const auto &id : changes.gone) {
+        m_servers.erase(id);
+    }
+}
+
+std::vector<GroupView> GroupDirectory::groups() const
+{
+    std::map<GroupId, GroupView> views;
+    for (const auto &[id, server] : m_servers) {
+        if (!server.seat || server.seat->rank >= server.seat->size || server.seat->size > MostRanks) {
+            continue;
+        }
+        const auto &seat = *server.seat;
+        auto &view = views[seat.group];
+        if (view.ranks.empty()) {
+            view = {seat.group, server.service, seat.epoch, true, {}};
+        }
+        view.ranks.resize(std::max<std::size_t>(view.ranks.size(), seat.size));
+        auto &place = view.ranks[seat.rank];
+        // A replaced rank and its successor may both be registered; the newer epoch is the one that runs.
+        if (place.seat && place.seat->epoch > seat.epoch) {
+            continue;
+        }
+        place = server;
+        view.epoch = std::max(view.epoch, seat.epoch);
+    }
+    std::vector<GroupView> groups;
+    for (auto &[id, view] : views) {
+        view.isOpen = std::all_of(view.ranks.begin(), view.ranks.end(), [&view = view](const DiscoveredServer &rank) {
+            return rank.seat && rank.seat->isOpen && rank.seat->epoch == view.epoch;
+        });
+        groups.push_back(std::move(view));
+    }
+    return groups;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/rebalance/groupview.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/identifiers.h"
+#include "placement/groupshape.h"
+#include "traffic/discoveredserver.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// A group of ranks as the store shows it.
+struct GroupView {
+    GroupId id;
+    ServiceId service;
+    std::uint64_t epoch = 0;
+    /// All ranks are registered, and all say that the group is open in this epoch.
+    bool isOpen = false;
+    /// By rank.
+    std::vector<DiscoveredServer> ranks;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/rebalance/mapswitch.cpp
@@ -0,0 +1,391 @@
+#include "rebalance/mapswitch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Weight of a new reading in the mean rate of steps.
+constexpr double RateWeight = 0.5;
+
+double secondsOf(SteadyTime::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+MapSwitch::MapSwitch(std::size_t ranks, std::uint64_t epoch, OrderTokens &tokens, MapSwitchOptions options)
+    : m_epoch(epoch)
+    , m_tokens(tokens)
+    , m_options(options)
+    , m_ranks(ranks)
+    , m_token(m_tokens.next())
+{
+}
+
+SwitchPhase MapSwitch::phase() const
+{
+    return m_phase;
+}
+
+std::uint64_t MapSwitch::epoch() const
+{
+    return m_epoch;
+}
+
+void MapSwitch::begin(std::shared_ptr<const ExpertMap> map, Microseconds copyTime, SteadyTime now)
+{
+    m_next = std::move(map);
+    m_version = m_tokens.next();
+    m_nextReports = now + copyTime;
+    m_stepPenalty = 0;
+    m_isRecovery = false;
+    enter(SwitchPhase::Preparing, now);
+}
+
+std::vector<RankOrder> MapSwitch::takeOrders(SteadyTime now)
+{
+    if (!m_hasStarted) {
+        m_hasStarted = true;
+        m_phaseSince = now;
+    }
+    std::vector<RankOrder> orders;
+    for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        auto &state = m_ranks[rank];
+        if (!isWanted(rank) || state.isDone || state.isInFlight || now < state.retryAt) {
+            continue;
+        }
+        state.isInFlight = true;
+        orders.push_back({m_nextOrder++, rank, m_token, m_epoch, actionFor(rank)});
+    }
+    return orders;
+}
+
+bool MapSwitch::isWanted(std::size_t rank) const
+{
+    switch (m_phase) {
+    case SwitchPhase::Fencing:
+    case SwitchPhase::Preparing:
+    case SwitchPhase::Arming:
+    case SwitchPhase::Disarming:
+        return true;
+    case SwitchPhase::Holding:
+    case SwitchPhase::Releasing:
+        return rank == m_holder;
+    case SwitchPhase::Abandoning:
+        // Ranks that an earlier coordinator held are released as well.
+        return rank == m_holder || m_ranks[rank].state.heldStep.has_value();
+    case SwitchPhase::Inspecting:
+    case SwitchPhase::Idle:
+    case SwitchPhase::EpochEnded:
+    case SwitchPhase::Fenced:
+    case SwitchPhase::Stuck:
+        return false;
+    }
+    return false;
+}
+
+OrderAction MapSwitch::actionFor(std::size_t rank) const
+{
+    switch (m_phase) {
+    case SwitchPhase::Preparing:
+        return PrepareMap{m_version, m_next};
+    case SwitchPhase::Holding:
+        return HoldStep{m_step};
+    case SwitchPhase::Arming:
+        return ArmMap{m_version, m_step};
+    case SwitchPhase::Releasing:
+        return ReleaseStep{m_step};
+    case SwitchPhase::Abandoning:
+        return ReleaseStep{rank == m_holder ? m_step : *m_ranks[rank].state.heldStep};
+    case SwitchPhase::Disarming: {
+        const auto &armed = m_ranks[rank].state.armed;
+        if (m_isRecovery) {
+            return DisarmMap{armed ? armed->version : m_token};
+        }
+        return DisarmMap{m_version};
+    }
+    default:
+        // No rank has this version: the order only shows the token.
+        return DisarmMap{m_token};
+    }
+}
+
+void MapSwitch::onAnswer(const RankOrder &order, OrderAnswer answer, SteadyTime now)
+{
+    auto &state = m_ranks[order.rank];
+    if (order.token != m_token) {
+        return;
+    }
+    state.isInFlight = false;
+    switch (answer) {
+    case OrderAnswer::Lost:
+        state.retryAt = now + m_options.retryInterval;
+        return;
+    case OrderAnswer::Fenced:
+        enter(SwitchPhase::Fenced, now);
+        return;
+    case OrderAnswer::Accepted:
+        onAccepted(order.rank, now);
+        return;
+    case OrderAnswer::Conflict:
+        onConflict(order.rank, now);
+        return;
+    }
+}
+
+void MapSwitch::onAccepted(std::size_t rank, SteadyTime now)
+{
+    m_ranks[rank].isDone = true;
+    if (allDone()) {
+        advance(now);
+    }
+}
+
+void MapSwitch::onConflict(std::size_t rank, SteadyTime now)
+{
+    switch (m_phase) {
+    case SwitchPhase::Preparing:
+        // The step of the switch before may not have begun yet. Or a copy of this order, thought lost, had been carried
+        // out; then the reports show it.
+        m_ranks[rank].retryAt = now + m_options.conflictInterval;
+        return;
+    case SwitchPhase::Holding:
+        if (m_isRecovery) {
+            // The step has begun, so what was read is out of date.
+            enter(SwitchPhase::Inspecting, now);
+            m_nextReports = now + m_options.reportLag;
+            return;
+        }
+        m_stepPenalty += 2 * m_options.stepMargin;
+        chooseStep(now);
+        return;
+    case SwitchPhase::Arming:
+        enter(SwitchPhase::Disarming, now);
+        return;
+    default:
+        // There is nothing to disarm, release or fence.
+        onAccepted(rank, now);
+        return;
+    }
+}
+
+void MapSwitch::advance(SteadyTime now)
+{
+    switch (m_phase) {
+    case SwitchPhase::Fencing:
+        enter(SwitchPhase::Inspecting, now);
+        m_nextReports = now + m_options.reportLag;
+        return;
+    case SwitchPhase::Holding:
+        enter(m_isRecovery ? SwitchPhase::Disarming : SwitchPhase::Arming, now);
+        return;
+    case SwitchPhase::Arming:
+        enter(SwitchPhase::Releasing, now);
+        return;
+    case SwitchPhase::Releasing:
+        m_inForce = m_next;
+        ++m_switches;
+        enter(SwitchPhase::Idle, now);
+        return;
+    case SwitchPhase::Disarming:
+        enter(SwitchPhase::Abandoning, now);
+        return;
+    case SwitchPhase::Abandoning:
+        ++m_abandoned;
+        if (m_isRecovery) {
+            // Another rank may be held or armed for another step.
+            enter(SwitchPhase::Inspecting, now);
+            m_nextReports = now + m_options.reportLag;
+        } else {
+            enter(SwitchPhase::Idle, now);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void MapSwitch::enter(SwitchPhase phase, SteadyTime now)
+{
+    m_phase = phase;
+    m_phaseSince = now;
+    // A higher token for each phase: what was sent in an earlier one has no effect after the first new order.
+    m_token = m_tokens.next();
+    for (auto &rank : m_ranks) {
+        rank.isDone = false;
+        rank.isInFlight = false;
+        rank.retryAt = now;
+    }
+}
+
+bool MapSwitch::allDone() const
+{
+    for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        if (isWanted(rank) && !m_ranks[rank].isDone) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool MapSwitch::wantsReports(SteadyTime now) const
+{
+    if (now < m_nextReports) {
+        return false;
+    }
+    return m_phase == SwitchPhase::Inspecting || m_phase == SwitchPhase::Preparing;
+}
+
+void MapSwitch::onReports(const std::vector<std::optional<RankState>> &states, SteadyTime now)
+{
+    m_nextReports = now + m_options.reportInterval;
+    bool isComplete = states.size() == m_ranks.size();
+    for (std::size_t rank = 0; rank < std::min(states.size(), m_ranks.size()); ++rank) {
+        m_ranks[rank].isKnown = states[rank].has_value();
+        isComplete = isComplete && states[rank].has_value();
+        if (!states[rank]) {
+            continue;
+        }
+        m_ranks[rank].state = *states[rank];
+        if (states[rank]->epoch != m_epoch) {
+            enter(SwitchPhase::EpochEnded, now);
+            return;
+        }
+    }
+    measureSteps(now);
+    if (!isComplete) {
+        return;
+    }
+    if (m_phase == SwitchPhase::Inspecting) {
+        inspect(now);
+    } else if (m_phase == SwitchPhase::Preparing) {
+        onPrepared(now);
+    }
+}
+
+void MapSwitch::measureSteps(SteadyTime now)
+{
+    std::uint64_t newest = 0;
+    for (const auto &rank : m_ranks) {
+        newest = std::max(newest, rank.isKnown ? rank.state.step : 0);
+    }
+    if (newest > m_lastStep && m_lastStep > 0 && now > m_lastStepAt) {
+        const double rate = static_cast<double>(newest - m_lastStep) / secondsOf(now - m_lastStepAt);
+        m_stepsPerSecond = m_stepsPerSecond == 0 ? rate : m_stepsPerSecond + RateWeight * (rate - m_stepsPerSecond);
+    }
+    if (newest > m_lastStep) {
+        m_lastStep = newest;
+        m_lastStepAt = now;
+    }
+}
+
+void MapSwitch::inspect(SteadyTime now)
+{
+    for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        const auto &state = m_ranks[rank].state;
+        if (!state.heldStep && !state.armed) {
+            continue;
+        }
+        m_holder = rank;
+        m_step = state.heldStep ? *state.heldStep : state.armed->step;
+        m_isRecovery = true;
+        enter(SwitchPhase::Holding, now);
+        return;
+    }
+    m_isRecovery = false;
+    m_holder = 0;
+    enter(SwitchPhase::Idle, now);
+}
+
+void MapSwitch::onPrepared(SteadyTime now)
+{
+    const bool ready = std::all_of(
+        m_ranks.begin(), m_ranks.end(), [this](const Rank &rank) { return rank.state.prepared == m_version; });
+    if (ready) {
+        enter(SwitchPhase::Holding, now);
+        chooseStep(now);
+    }
+}
+
+void MapSwitch::chooseStep(SteadyTime now)
+{
+    // A new step is a new order: a late copy of the one for the earlier step must not hold the group.
+    m_token = m_tokens.next();
+    for (auto &rank : m_ranks) {
+        rank.isDone = false;
+        rank.isInFlight = false;
+        rank.retryAt = now;
+    }
+    const auto ahead = secondsOf(now - m_lastStepAt + m_options.reportLag + m_options.armingTime);
+    const auto steps = static_cast<std::uint64_t>(std::ceil(ahead * m_stepsPerSecond));
+    m_step = m_lastStep + steps + m_options.stepMargin + m_stepPenalty;
+}
+
+void MapSwitch::tick(SteadyTime now)
+{
+    const auto age = now - m_phaseSince;
+    switch (m_phase) {
+    case SwitchPhase::Preparing:
+        if (age > m_options.prepareLimit) {
+            // A rank may still finish its copies; without an order to switch they have no effect.
+            ++m_abandoned;
+            enter(SwitchPhase::Idle, now);
+        }
+        return;
+    case SwitchPhase::Arming:
+        if (age > m_options.armingLimit) {
+            enter(SwitchPhase::Disarming, now);
+        }
+        return;
+    case SwitchPhase::Fencing:
+    case SwitchPhase::Inspecting:
+    case SwitchPhase::Holding:
+    case SwitchPhase::Releasing:
+    case SwitchPhase::Disarming:
+    case SwitchPhase::Abandoning:
+        if (age > m_options.stuckLimit && m_hasStarted) {
+            enter(SwitchPhase::Stuck, now);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+const std::shared_ptr<const ExpertMap> &MapSwitch::mapInForce() const
+{
+    return m_inForce;
+}
+
+std::uint64_t MapSwitch::version() const
+{
+    return m_version;
+}
+
+std::uint64_t MapSwitch::step() const
+{
+    return m_step;
+}
+
+std::size_t MapSwitch::switchCount() const
+{
+    return m_switches;
+}
+
+std::size_t MapSwitch::abandonedCount() const
+{
+    return m_abandoned;
+}
+
+double MapSwitch::stepsPerSecond() const
+{
+    return m_stepsPerSecond;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/rebalance/rankorder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "placement/expertmap.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <variant>
+
+namespace Cardamomhill
+{
+
+/// Copies the experts of a new map that the rank does not hold yet.
+struct PrepareMap {
+    std::uint64_t version = 0;
+    std::shared_ptr<const ExpertMap> map;
+};
+
+/// Switches to a prepared map as a step begins.
+struct ArmMap {
+    std::uint64_t version = 0;
+    std::uint64_t step = 0;
+};
+
+struct DisarmMap {
+    std::uint64_t version = 0;
+};
+
+/// Keeps the whole group from beginning a step.
+struct HoldStep {
+    std::uint64_t step = 0;
+};
+
+struct ReleaseStep {
+    std::uint64_t step = 0;
+};
+
+using OrderAction = std::variant<PrepareMap, ArmMap, DisarmMap, HoldStep, ReleaseStep>;
+
+/// An order to the engine of one rank. The engine refuses it if it has seen a higher token, or runs in another epoch.
+struct RankOrder {
+    /// Names the order towards the answer.
+    std::uint64_t id = 0;
+    std::size_t rank = 0;
+    std::uint64_t token = 0;
+    std::uint64_t epoch = 0;
+    OrderAction action;
+};
+
+} // namespace Cardamomhill
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -89,6 +89,21 @@
     return *number;
 }
 
+bool SettingsReader::boolean(const std::string &key, bool fallback)
+{
+    const std::string accepted = "true or false";
+    const auto node = find(key, false, accepted);
+    if (!node.IsDefined()) {
+        return fallback;
+    }
+    const auto value = node.IsScalar() ? node.Scalar() : std::string();
+    if (value != "true" && value != "false") {
+        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, accepted);
+        return fallback;
+    }
+    return value == "true";
+}
+
 Endpoint SettingsReader::endpoint(const std::string &key)
 {
     const auto node = find(key, true, std::string(AcceptedEndpoint));
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -23,6 +23,7 @@
 
     std::string text(const std::string &key);
     std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high);
+    bool boolean(const std::string &key, bool fallback);
     /// "address:port" with an IP address.
     boost::asio::ip::tcp::endpoint endpoint(const std::string &key);
     std::vector<boost::asio::ip::tcp::endpoint> endpoints(const std::string &key);
--- a/src/traffic/discoveredserver.h
+++ b/src/traffic/discoveredserver.h
@@ -2,8 +2,10 @@
 
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
+#include "traffic/groupseat.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Cardamomhill
@@ -22,6 +24,9 @@
     /// When its process started, in Unix milliseconds; 0 if it is not stated.
     std::uint64_t startedAt = 0;
 
+    /// Set for engines that run in a group.
+    std::optional<GroupSeat> seat;
+
     bool operator==(const DiscoveredServer &) const = default;
 };
 
--- a/src/traffic/engineprofile.h
+++ b/src/traffic/engineprofile.h
@@ -19,6 +19,15 @@
     /// Mean number of tokens of a prompt and of an answer.
     std::uint32_t usualPromptTokens = 0;
     std::uint32_t usualAnswerTokens = 0;
+    /// Layers of experts that are placed separately, experts in each, and replicas that a rank has room for in each;
+    /// 0 layers for engines without experts.
+    std::uint32_t expertLayers = 0;
+    std::uint32_t expertsPerLayer = 0;
+    std::uint32_t placesPerRank = 0;
+    /// Replicas that a rank can copy for one switch, in each layer.
+    std::uint32_t copiesPerRank = 0;
+    double expertMegabytes = 0;
+    double linkMegabitsPerSecond = 0;
 };
 
 } // namespace Cardamomhill
