Tell entry hosts which ranks are slow, and plan maps for their speed

Cause: one rank that is five times slower holds back its whole group; the plan gave it a full share of the experts and gateways a full share of the calls. Change: the plan divides loads by the ranks' speeds; the coordinator publishes slow ranks with its lease; a call counts there as many times more. The step of a switch is chosen nearer, and a refused one is tried later.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace Cardamomhill
@@ -22,16 +23,37 @@
 constexpr Milliseconds ObserveInterval{1000};
 constexpr Milliseconds CallTimeout{1000};
 
-LeaseRecord recordOf(const PlatformObject &object)
+std::string textOf(const LeaseValue &lease, std::uint64_t renewal)
 {
-    LeaseRecord record;
-    record.version = object.version;
-    const auto value = nlohmann::json::parse(object.value, nullptr, false);
-    if (value.is_object()) {
-        record.host = value.value("host", std::string());
-        record.incarnation = value.value("incarnation", std::string());
+    nlohmann::json value{{"host", lease.host}, {"incarnation", lease.incarnation}, {"renewal", renewal}};
+    for (const auto &[server, slowness] : lease.slowRanks) {
+        value["slow_ranks"][server.value()] = slowness;
     }
-    return record;
+    return value.dump();
+}
+
+/// The value of a lease; empty if another program wrote the object.
+LeaseValue valueOf(const PlatformObject &object)
+{
+    LeaseValue lease;
+    try {
+        const auto value = nlohmann::json::parse(object.value);
+        lease.host = value.at("host").get<std::string>();
+        lease.incarnation = value.at("incarnation").get<std::string>();
+        const auto slowRanks = value.value("slow_ranks", nlohmann::json::object());
+        for (const auto &[server, slowness] : slowRanks.items()) {
+            lease.slowRanks[BackendServerId(server)] = slowness.get<double>();
+        }
+    } catch (const nlohmann::json::exception &error) {
+        logEvent(LogLevel::Warning, "lease-unreadable", {{"group", object.key.name}, {"error", error.what()}});
+    }
+    return lease;
+}
+
+LeaseRecord recordOf(const PlatformObject &object)
+{
+    const auto value = valueOf(object);
+    return {object.version, value.host, value.incarnation};
 }
 
 } // namespace
@@ -41,13 +63,15 @@
                            std::shared_ptr<const ObjectApiDialect> objectApi,
                            const EngineDialect &engineDialect,
                            MetricsRegistry &metrics,
-                           std::string host)
+                           std::string host,
+                           SlownessObserver onSlowness)
     : m_context(context)
     , m_engineDialect(engineDialect)
     , m_metrics(metrics)
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_random(std::random_device()())
     , m_host(std::move(host))
+    , m_onSlowness(std::move(onSlowness))
     , m_incarnation(std::to_string(m_random()))
 {
 }
@@ -129,15 +153,28 @@
     if (page.has_error()) {
         co_return;
     }
+    std::map<GroupId, LeaseValue> leases;
     std::map<GroupId, LeaseRecord> records;
     for (const auto &object : page.value().objects) {
-        records[GroupId(object.key.name)] = recordOf(object);
+        const GroupId group(object.key.name);
+        leases[group] = valueOf(object);
+        records[group] = recordOf(object);
     }
+    publishSlowness(leases);
     for (const auto &group : m_directory.groups()) {
         ledOf(group.id).lease.observe(records[group.id], steadyNow(), m_random);
     }
 }
 
+void Coordination::publishSlowness(const std::map<GroupId, LeaseValue> &leases)
+{
+    ServerSlowness slowness;
+    for (const auto &[group, lease] : leases) {
+        slowness.insert(lease.slowRanks.begin(), lease.slowRanks.end());
+    }
+    m_onSlowness(slowness);
+}
+
 Task<> Coordination::keep(GroupView group, EngineProfile engine)
 {
     auto &led = ledOf(group.id);
@@ -204,9 +241,10 @@
 
 Task<std::optional<std::uint64_t>> Coordination::write(const GroupView &group, std::uint64_t expectedVersion)
 {
-    const nlohmann::json value{{"host", m_host}, {"incarnation", m_incarnation}, {"renewal", ++m_renewals}};
+    const auto &coordinator = ledOf(group.id).coordinator;
+    const LeaseValue value{m_host, m_incarnation, coordinator ? coordinator->slowRanks() : ServerSlowness()};
     const ObjectKey key{LeaseKind, group.id.value()};
-    const std::string text = value.dump();
+    const std::string text = textOf(value, ++m_renewals);
     const auto written = co_await m_client.write(key, expectedVersion, text);
     if (written.has_error()) {
         logEvent(LogLevel::Info,
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "control/platformclient.h"
+#include "coordinator/leasevalue.h"
 #include "core/random.h"
 #include "net/asio.h"
 #include "rebalance/coordinatorlease.h"
 #include "rebalance/groupdirectory.h"
 #include "traffic/serverchanges.h"
+#include "traffic/serverslowness.h"
 #include "traffic/trafficconfiguration.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,12 +27,16 @@
 class Coordination
 {
 public:
+    /// Takes how many times longer than usual the work of each slow rank takes.
+    using SlownessObserver = std::function<void(const ServerSlowness &)>;
+
     Coordination(asio::io_context &context,
                  const tcp::endpoint &platform,
                  std::shared_ptr<const ObjectApiDialect> objectApi,
                  const EngineDialect &engineDialect,
                  MetricsRegistry &metrics,
-                 std::string host);
+                 std::string host,
+                 SlownessObserver onSlowness);
     ~Coordination();
 
     void start();
@@ -47,6 +54,7 @@
 
     Task<> run();
     Task<> observeLeases();
+    void publishSlowness(const std::map<GroupId, LeaseValue> &leases);
     Task<> keep(GroupView group, EngineProfile engine);
     Task<> acquire(const GroupView &group, Led &led);
     Task<> renew(const GroupView &group, Led &led);
@@ -61,6 +69,7 @@
     PlatformClient m_client;
     Random m_random;
     std::string m_host;
+    SlownessObserver m_onSlowness;
     std::string m_incarnation;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
     GroupDirectory m_directory;
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -20,8 +20,21 @@
 constexpr Milliseconds IdlePeriod{100};
 /// Time over which choices of experts are counted for a plan. Reading them is charged and pauses the group.
 constexpr Milliseconds CountInterval{700};
-/// A plan must lower the load of the slowest ranks by this part.
-constexpr double RequiredGain = 0.06;
+/// The same while the group is not busy.
+constexpr Milliseconds IdleCountInterval{4000};
+/// Weight of the newest reading in the mean part of the slots in use.
+constexpr double UsageWeight = 0.5;
+/// Ranks that are slower than this part of the usual speed get fewer calls.
+constexpr double SlowSpeed = 0.8;
+/// A plan must lower the load of the slowest ranks by this part: less where requests wait for steps, more where they
+/// run in time anyway and a switch would only cost.
+constexpr double RequiredGainBusy = 0.08;
+constexpr double RequiredGainIdle = 0.3;
+/// Part of an engine's slots in use from which on the group counts as busy.
+constexpr double BusyPart = 0.6;
+/// What each copy must bring, in parts of the mean load of its layer.
+constexpr double GainPerCopyBusy = 0.02;
+constexpr double GainPerCopyIdle = 0.06;
 /// Weight of the newest interval in the load that is planned for.
 constexpr double NewestWeight = 0.7;
 /// Choices in an interval below which it says too little.
@@ -90,6 +103,17 @@
     m_isStopped = true;
 }
 
+ServerSlowness GroupCoordinator::slowRanks() const
+{
+    ServerSlowness slowness;
+    for (std::size_t rank = 0; rank < std::min(m_speeds.size(), m_group.ranks.size()); ++rank) {
+        if (m_speeds[rank] < SlowSpeed) {
+            slowness[m_group.ranks[rank].id] = 1 / m_speeds[rank];
+        }
+    }
+    return slowness;
+}
+
 bool GroupCoordinator::isOver() const
 {
     return m_switch && (m_switch->phase() == SwitchPhase::Fenced || m_switch->phase() == SwitchPhase::Stuck);
@@ -204,10 +228,49 @@
     co_return true;
 }
 
+Task<bool> GroupCoordinator::readUsage()
+{
+    const auto readFor = m_switch;
+    const auto clients = m_clients;
+    std::vector<double> speeds(clients.size(), 1.0);
+    double inUse = 0;
+    double known = 0;
+    for (std::size_t rank = 0; rank < clients.size(); ++rank) {
+        // A slow rank makes the whole group busy, so while it is not, one rank says enough.
+        if (!m_isBusy && rank != m_countedRank) {
+            continue;
+        }
+        const auto state = co_await clients[rank]->readState();
+        if (m_switch != readFor) {
+            co_return false;
+        }
+        if (state.has_error()) {
+            m_countedRank = rank == m_countedRank ? (m_countedRank + 1) % clients.size() : m_countedRank;
+            continue;
+        }
+        readFor->onState(rank, state.value(), steadyNow());
+        inUse += state.value().running + state.value().waiting;
+        known += m_engine.slots;
+        speeds[rank] = 1 / std::max(state.value().slowness, 1.0);
+    }
+    if (known > 0) {
+        m_usage += UsageWeight * (inUse / known - m_usage);
+        m_isBusy = m_usage >= BusyPart;
+    }
+    m_speeds = std::move(speeds);
+    co_return known > 0;
+}
+
 Task<bool> GroupCoordinator::readLoad()
 {
     const auto readFor = m_switch;
+    const bool isUsageKnown = co_await readUsage();
+    const auto now = steadyNow();
+    if (!isUsageKnown || m_switch != readFor || (!m_isBusy && now < m_nextIdleCount)) {
+        co_return false;
+    }
     const auto client = m_clients[m_countedRank];
+    m_nextIdleCount = now + IdleCountInterval;
     auto counts = co_await client->readCounts();
     if (m_switch != readFor) {
         co_return false;
@@ -242,7 +305,7 @@
             m_load[cell] = (1 - NewestWeight) * m_load[cell] + NewestWeight * load[cell];
         }
     }
-    co_return true;
+    co_return readFor->hasTakenEffect();
 }
 
 Task<> GroupCoordinator::considerSwitch()
@@ -265,15 +328,19 @@
     if (!isKnown || !m_switch || m_switch->phase() != SwitchPhase::Idle) {
         co_return;
     }
-    const std::vector<double> speeds(m_clients.size(), 1.0);
-    const auto plan = planSwitch(*m_map, m_load, speeds, {m_engine.placesPerRank, m_engine.copiesPerRank});
-    const bool isWorth = plan.skewAfter < plan.skewBefore * (1 - RequiredGain);
+    const SwitchLimits limits{
+        m_engine.placesPerRank, m_engine.copiesPerRank, m_isBusy ? GainPerCopyBusy : GainPerCopyIdle};
+    const auto plan = planSwitch(*m_map, m_load, m_speeds, limits);
+    const double required = m_isBusy ? RequiredGainBusy : RequiredGainIdle;
+    const bool isWorth = plan.skewAfter < plan.skewBefore * (1 - required);
     logEvent(LogLevel::Info,
              isWorth ? "switch-planned" : "map-kept",
              {{"group", m_group.id.value()},
               {"skew", plan.skewBefore},
               {"skew_after", plan.skewAfter},
-              {"copies", plan.mostCopies}});
+              {"busy", m_isBusy},
+              {"copies", plan.copies},
+              {"copies_of_one_rank", plan.mostCopies}});
     if (isWorth) {
         m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime(plan.mostCopies), steadyNow());
         co_await work();
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -9,6 +9,7 @@
 #include "rebalance/mapswitch.h"
 #include "rebalance/ordertokens.h"
 #include "traffic/engineprofile.h"
+#include "traffic/serverslowness.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,6 +39,9 @@
     /// Takes no further step. Orders that are under way go on.
     void stop();
 
+    /// The ranks that are slow now.
+    ServerSlowness slowRanks() const;
+
     /// The term has ended: another coordinator is in charge, or this one cannot reach the group.
     bool isOver() const;
 
@@ -49,6 +53,7 @@
     Task<> sendOrder(RankOrder order);
     Task<bool> learnMap();
     Task<> considerSwitch();
+    Task<bool> readUsage();
     Task<bool> readLoad();
     void startEpoch();
     void logPhase();
@@ -67,9 +72,15 @@
     std::shared_ptr<const ExpertMap> m_map;
     std::optional<ExpertCounts> m_lastCounts;
     std::vector<double> m_load;
+    /// By rank, 1 for the usual speed.
+    std::vector<double> m_speeds;
     std::size_t m_countedRank = 0;
     SteadyTime m_nextCount{};
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
+    /// Mean part of an engine's slots that is in use.
+    double m_usage = 0;
+    bool m_isBusy = false;
+    SteadyTime m_nextIdleCount{};
     bool m_isStopped = false;
 };
 
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -31,9 +31,23 @@
 constexpr Milliseconds FullRetryAfter{400};
 /// Time in which membership learns of other servers.
 constexpr Milliseconds NoServerRetryAfter{1000};
+/// A group that lost a rank gives up its steps after a second or two and then forms anew.
+constexpr Milliseconds GroupRetryAfter{2000};
 /// Random part of a time to return, so that callers that were refused together do not return together.
 constexpr double RetryAfterSpread = 0.5;
 
+Milliseconds retryAfterOf(ChoiceReason reason)
+{
+    switch (reason) {
+    case ChoiceReason::AllFull:
+        return FullRetryAfter;
+    case ChoiceReason::GroupsClosed:
+        return GroupRetryAfter;
+    default:
+        return NoServerRetryAfter;
+    }
+}
+
 /// The service of a call, by the weights of its route.
 ServiceId pickService(const Route &route, Random &random)
 {
@@ -112,8 +126,7 @@
 {
     m_thread.budget(m_state.service).recordFirstAttempt();
     while (true) {
-        const auto choice
-            = m_thread.servers().choose(m_state.service, m_state.tried, steadyNow(), m_thread.random());
+        const auto choice = m_thread.servers().choose(m_state.service, m_state.tried, steadyNow(), m_thread.random());
         if (!choice.hasServer()) {
             co_await answerWithoutServer(choice);
             co_return;
@@ -190,12 +203,9 @@
         co_await answerFailure();
         co_return;
     }
-    const bool isFull = choice.reason == ChoiceReason::AllFull;
-    Problem problem{isFull ? ProblemKind::Overloaded : ProblemKind::NoBackendServer,
-                    StatusUnavailable,
-                    "not-sent",
-                    std::string(nameOf(choice.reason)),
-                    m_thread.spread(isFull ? FullRetryAfter : NoServerRetryAfter, RetryAfterSpread)};
+    const auto kind = choice.reason == ChoiceReason::AllFull ? ProblemKind::Overloaded : ProblemKind::NoBackendServer;
+    Problem problem{kind, StatusUnavailable, "not-sent", std::string(nameOf(choice.reason)), {}};
+    problem.retryAfter = m_thread.spread(retryAfterOf(choice.reason), RetryAfterSpread);
     co_await refuse(std::move(problem));
 }
 
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -35,8 +35,16 @@
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
         , m_traffic(settings, callDialect, m_metrics)
-        , m_coordination(
-              m_context, settings.platform, storeDialect.objectApi(), engineDialect, m_metrics, settings.host.value())
+        , m_coordination(m_context,
+                         settings.platform,
+                         storeDialect.objectApi(),
+                         engineDialect,
+                         m_metrics,
+                         settings.host.value(),
+                         [this](const ServerSlowness &slowness) {
+                             asio::post(m_traffic.context(),
+                                        [this, slowness] { m_traffic.servers().setSlowness(slowness); });
+                         })
         , m_control(m_context,
                     settings,
                     storeDialect,
--- a/src/placement/switchplanner.cpp
+++ b/src/placement/switchplanner.cpp
@@ -14,12 +14,10 @@
 {
 
 /// A layer is left when its slowest rank is this close to the mean.
-constexpr double SettledSkew = 1.02;
+constexpr double SettledSkew = 1.04;
 /// Bounds the time of a plan; each step takes microseconds.
 constexpr std::size_t MostStepsPerLayer = 64;
 constexpr std::size_t WideSearches = 4;
-/// A step that lowers the slowest rank by less than this part does not pay for its copies.
-constexpr double LeastGain = 0.004;
 
 /// Replicas that each rank would have to copy for a layer.
 std::vector<std::size_t> copiesOf(const ExpertMap &before, const ExpertMap &after, std::size_t layer)
@@ -47,7 +45,7 @@
 {
     const auto &shape = map.shape();
     const internal::MoveHistory noHistory{Seconds(0)};
-    SwitchPlan plan{map, 0, 0, 0};
+    SwitchPlan plan{map, 0, 0, 0, 0};
     std::vector<std::size_t> totalCopies(shape.ranks, 0);
     for (std::size_t layer = 0; layer < shape.layers; ++layer) {
         const auto layerTokens = tokens.subspan(layer * shape.experts, shape.experts);
@@ -74,6 +72,7 @@
         ExpertMap best = plan.map;
         ExpertMap current = plan.map;
         double bestLoad = balancer.slowest();
+        std::size_t pendingCopies = 0;
         for (std::size_t i = 0; i < MostStepsPerLayer && bestLoad > SettledSkew * mean; ++i) {
             const auto step = balancer.improve();
             if (!step) {
@@ -87,7 +86,10 @@
             if (!fits || *std::max_element(copies.begin(), copies.end()) > limits.copiesPerRank) {
                 break;
             }
-            if (step->slowest < bestLoad * (1 - LeastGain)) {
+            pendingCopies += step->transfers;
+            const double gain = (bestLoad - step->slowest) / mean;
+            if (gain > limits.gainPerCopy * static_cast<double>(pendingCopies)) {
+                pendingCopies = 0;
                 best = current;
                 bestLoad = step->slowest;
             }
@@ -97,6 +99,7 @@
         const auto copies = copiesOf(map, plan.map, layer);
         for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
             totalCopies[rank] += copies[rank];
+            plan.copies += copies[rank];
         }
     }
     plan.mostCopies = *std::max_element(totalCopies.begin(), totalCopies.end());
--- a/src/placement/switchplanner.h
+++ b/src/placement/switchplanner.h
@@ -14,6 +14,8 @@
     std::size_t placesPerRank = 0;
     /// Replicas that a rank can copy for one switch in one layer.
     std::size_t copiesPerRank = 0;
+    /// Part of the mean load by which each copy must lower that of the slowest rank of its layer.
+    double gainPerCopy = 0;
 };
 
 /// A map for the present load, and what it would bring.
@@ -21,6 +23,8 @@
     ExpertMap map;
     /// Greatest number of replicas that one rank copies, over all layers.
     std::size_t mostCopies = 0;
+    /// Replicas that all ranks copy together.
+    std::size_t copies = 0;
     /// Load of the slowest rank over the mean, averaged over the layers.
     double skewBefore = 1;
     double skewAfter = 1;
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -162,7 +162,7 @@
             m_nextReports = now + m_options.reportLag;
             return;
         }
-        m_stepPenalty += 2 * m_options.stepMargin;
+        m_stepPenalty = 2 * m_stepPenalty + 2 * m_options.stepMargin;
         chooseStep(now);
         return;
     case SwitchPhase::Arming:
@@ -269,6 +269,22 @@
     }
 }
 
+void MapSwitch::onState(std::size_t rank, const RankState &state, SteadyTime now)
+{
+    m_ranks[rank].state = state;
+    m_ranks[rank].isKnown = true;
+    if (state.epoch != m_epoch) {
+        enter(SwitchPhase::EpochEnded, now);
+        return;
+    }
+    measureSteps(now);
+}
+
+bool MapSwitch::hasTakenEffect() const
+{
+    return !m_inForce || m_lastStep >= m_step;
+}
+
 void MapSwitch::measureSteps(SteadyTime now)
 {
     std::uint64_t newest = 0;
@@ -322,7 +338,7 @@
         rank.isInFlight = false;
         rank.retryAt = now;
     }
-    const auto ahead = secondsOf(now - m_lastStepAt + m_options.reportLag + m_options.armingTime);
+    const auto ahead = secondsOf(now - m_lastStepAt + m_options.stepLead);
     const auto steps = static_cast<std::uint64_t>(std::ceil(ahead * m_stepsPerSecond));
     m_step = m_lastStep + steps + m_options.stepMargin + m_stepPenalty;
 }
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -22,14 +22,14 @@
     /// Time between two tries of an order without an answer.
     Milliseconds retryInterval{20};
     Milliseconds conflictInterval{150};
-    /// Reports lag behind by some hundred milliseconds, so what they say of an order is known only later.
-    Milliseconds reportLag{400};
+    /// By which reports lag behind, so that what they say of an order is known only later.
+    Milliseconds reportLag{250};
     /// Time between two readings of the ranks while copies are made.
     Milliseconds reportInterval{150};
-    /// Time from the choice of the step until it begins, in which all ranks can be armed without delaying it.
-    Milliseconds armingTime{250};
-    /// Steps beyond that, against passes that get faster.
-    std::uint64_t stepMargin = 3;
+    /// Time from the last reading's step to the chosen one, beside the age of the reading. If the step has begun
+    /// already, the rank says so and a later one is tried.
+    Milliseconds stepLead{120};
+    std::uint64_t stepMargin = 1;
     /// Longest time in which all ranks must be armed; a held group makes no passes.
     Milliseconds armingLimit{900};
     Milliseconds prepareLimit{6000};
@@ -68,6 +68,12 @@
     /// What was read of each rank; nothing where the reading failed.
     void onReports(const std::vector<std::optional<RankState>> &states, SteadyTime now);
 
+    /// Takes a reading of one rank while idle, which keeps the rate of steps up to date.
+    void onState(std::size_t rank, const RankState &state, SteadyTime now);
+
+    /// Whether the step of the last switch has begun, as far as the readings show.
+    bool hasTakenEffect() const;
+
     /// Ends what takes too long.
     void tick(SteadyTime now);
 
--- a/src/rebalance/rankstate.h
+++ b/src/rebalance/rankstate.h
@@ -25,6 +25,11 @@
     std::optional<std::uint64_t> prepared;
     std::optional<ArmedMap> armed;
     std::optional<std::uint64_t> heldStep;
+    /// Requests that run and that wait at the rank.
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// How many times longer than usual the rank's work takes.
+    double slowness = 1;
 };
 
 } // namespace Cardamomhill
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -16,6 +16,8 @@
     /// All servers that are left were tried.
     AllTried,
     AllFull,
+    /// The groups of all engines are forming anew.
+    GroupsClosed,
 };
 
 constexpr auto nameTable(ChoiceReason)
@@ -26,6 +28,7 @@
         {ChoiceReason::NoServer, "no-server"},
         {ChoiceReason::AllTried, "all-tried"},
         {ChoiceReason::AllFull, "all-full"},
+        {ChoiceReason::GroupsClosed, "groups-closed"},
     });
 }
 
--- /dev/null
+++ b/src/traffic/serverslowness.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/identifiers.h"
+
+#include <unordered_map>
+
+namespace Cardamomhill
+{
+
+/// How many times longer than usual the work of a server takes; servers that are not named have the usual speed.
+using ServerSlowness = std::unordered_map<BackendServerId, double>;
+
+} // namespace Cardamomhill
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -71,6 +71,11 @@
     m_peerLoads = std::move(loads);
 }
 
+void ServerTable::setSlowness(ServerSlowness slowness)
+{
+    m_slowness = std::move(slowness);
+}
+
 ServerChoice ServerTable::choose(const ServiceId &service,
                                  const std::vector<BackendServerId> &tried,
                                  SteadyTime now,
@@ -85,6 +90,7 @@
     double best = std::numeric_limits<double>::max();
     bool isBestAvoided = true;
     bool sawFull = false;
+    bool sawClosed = false;
     for (const auto &id : found->second) {
         const auto &entry = m_entries.at(id);
         if (entry.server.isLeaving) {
@@ -94,6 +100,10 @@
             choice.reason = std::max(choice.reason, ChoiceReason::AllTried);
             continue;
         }
+        if (entry.server.seat && !entry.server.seat->isOpen) {
+            sawClosed = true;
+            continue;
+        }
         const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
         const double load = loadOf(entry, now);
         if (load >= slots * (1 + m_options.waitingPerSlot)) {
@@ -103,7 +113,10 @@
         ++choice.candidates;
         const double failures = failuresOf(entry, now);
         const bool isAvoided = failures >= m_options.failuresToAvoid;
-        const double score = (load + failures * m_options.failurePenaltyCalls + jitter(random)) / slots;
+        const auto slowness = m_slowness.find(id);
+        const double factor = slowness == m_slowness.end() ? 1 : slowness->second;
+        const double calls = load + 1 + failures * m_options.failurePenaltyCalls + jitter(random);
+        const double score = calls * factor / slots;
         if (std::pair(isAvoided, score) < std::pair(isBestAvoided, best)) {
             best = score;
             isBestAvoided = isAvoided;
@@ -115,6 +128,8 @@
         choice.reason = isBestAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
     } else if (sawFull) {
         choice.reason = ChoiceReason::AllFull;
+    } else if (sawClosed) {
+        choice.reason = ChoiceReason::GroupsClosed;
     }
     return choice;
 }
@@ -150,8 +165,8 @@
         return;
     }
     const double weight = failureWeight(end);
-    entry.failures = weight == 0 && end == AttemptEnd::Delivered ? failuresOf(entry, now) / 2
-                                                                 : failuresOf(entry, now) + weight;
+    entry.failures
+        = weight == 0 && end == AttemptEnd::Delivered ? failuresOf(entry, now) / 2 : failuresOf(entry, now) + weight;
     entry.failuresAt = now;
 }
 
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -8,6 +8,7 @@
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
+#include "traffic/serverslowness.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -42,11 +43,11 @@
     /// Calls that other entry hosts have in progress.
     void setPeerLoads(ServerLoads loads);
 
+    void setSlowness(ServerSlowness slowness);
+
     /// Chooses the least loaded server of a service that was not tried.
-    ServerChoice choose(const ServiceId &service,
-                        const std::vector<BackendServerId> &tried,
-                        SteadyTime now,
-                        Random &random) const;
+    ServerChoice
+    choose(const ServiceId &service, const std::vector<BackendServerId> &tried, SteadyTime now, Random &random) const;
 
     /// Nothing if the server is gone.
     const DiscoveredServer *server(const BackendServerId &id) const;
@@ -82,6 +83,7 @@
     std::unordered_map<BackendServerId, Entry> m_entries;
     std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
     ServerLoads m_peerLoads;
+    ServerSlowness m_slowness;
 };
 
 } // namespace Cardamomhill
