Count choices at two ranks; measure the rate of steps over half a second

Cause: reports of different ranks read in one round have different ages, which gave rates of 140 steps a second; one rank's choices follow a few prompts. Change: the rate is measured over 500 ms at least; counts come from two ranks.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -37,11 +37,30 @@
 constexpr double GainPerCopyIdle = 0.06;
 /// Weight of the newest interval in the load that is planned for.
 constexpr double NewestWeight = 0.7;
+/// Ranks whose choices are counted.
+constexpr std::size_t CountedRanks = 2;
 /// Choices in an interval below which it says too little.
 constexpr std::uint64_t LeastChoices = 2000;
 /// Part by which copies may take longer than the link's rate says.
 constexpr double CopyMargin = 1.1;
 
+/// Adds what a rank chose since it was read before; returns how many choices there were.
+std::uint64_t addChoices(const std::optional<ExpertCounts> &before, const ExpertCounts &after, std::vector<double> &load)
+{
+    if (!before || before->epoch != after.epoch) {
+        return 0;
+    }
+    std::uint64_t choices = 0;
+    for (std::size_t cell = 0; cell < load.size(); ++cell) {
+        const auto last = before->counts[cell];
+        // A rank that started anew counts from zero.
+        const auto chosen = after.counts[cell] >= last ? after.counts[cell] - last : after.counts[cell];
+        choices += chosen;
+        load[cell] += static_cast<double>(chosen);
+    }
+    return choices;
+}
+
 } // namespace
 
 GroupCoordinator::GroupCoordinator(asio::io_context &context,
@@ -89,7 +108,7 @@
         m_clients.push_back(std::make_shared<EngineClient>(m_context, *endpoint, rank.id, m_dialect));
     }
     m_map.reset();
-    m_lastCounts.reset();
+    m_lastCounts.clear();
     m_load.clear();
     m_switch = std::make_shared<MapSwitch>(m_group.ranks.size(), m_group.epoch, m_tokens);
     m_countedRank = m_random() % m_group.ranks.size();
@@ -269,31 +288,24 @@
     if (!isUsageKnown || m_switch != readFor || (!m_isBusy && now < m_nextIdleCount)) {
         co_return false;
     }
-    const auto client = m_clients[m_countedRank];
     m_nextIdleCount = now + IdleCountInterval;
-    auto counts = co_await client->readCounts();
-    if (m_switch != readFor) {
-        co_return false;
-    }
+    const auto clients = m_clients;
     const auto cells = static_cast<std::size_t>(m_engine.expertLayers) * m_engine.expertsPerLayer;
-    if (counts.has_error() || counts.value().counts.size() != cells) {
-        m_lastCounts.reset();
-        m_countedRank = (m_countedRank + 1) % m_clients.size();
-        co_return false;
-    }
-    const auto last = std::exchange(m_lastCounts, std::move(counts.value()));
-    if (!last || last->epoch != m_lastCounts->epoch) {
-        co_return false;
-    }
     std::vector<double> load(cells, 0);
     std::uint64_t choices = 0;
-    for (std::size_t cell = 0; cell < cells; ++cell) {
-        const auto before = last->counts[cell];
-        const auto after = m_lastCounts->counts[cell];
-        // A rank that started anew counts from zero.
-        const auto chosen = after >= before ? after - before : after;
-        choices += chosen;
-        load[cell] = static_cast<double>(chosen);
+    m_lastCounts.resize(clients.size());
+    for (std::size_t i = 0; i < std::min(CountedRanks, clients.size()); ++i) {
+        const auto rank = (m_countedRank + i) % clients.size();
+        auto counts = co_await clients[rank]->readCounts();
+        if (m_switch != readFor) {
+            co_return false;
+        }
+        if (counts.has_value() && counts.value().counts.size() == cells) {
+            choices += addChoices(m_lastCounts[rank], counts.value(), load);
+            m_lastCounts[rank] = std::move(counts.value());
+        } else {
+            m_lastCounts[rank].reset();
+        }
     }
     if (choices < LeastChoices) {
         co_return false;
@@ -338,7 +350,8 @@
              {{"group", m_group.id.value()},
               {"skew", plan.skewBefore},
               {"skew_after", plan.skewAfter},
-              {"busy", m_isBusy},
+              {"usage", m_usage},
+              {"steps_per_second", m_switch->stepsPerSecond()},
               {"copies", plan.copies},
               {"copies_of_one_rank", plan.mostCopies}});
     if (isWorth) {
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -70,7 +70,8 @@
     std::vector<std::shared_ptr<EngineClient>> m_clients;
     std::shared_ptr<MapSwitch> m_switch;
     std::shared_ptr<const ExpertMap> m_map;
-    std::optional<ExpertCounts> m_lastCounts;
+    /// By rank.
+    std::vector<std::optional<ExpertCounts>> m_lastCounts;
     std::vector<double> m_load;
     /// By rank, 1 for the usual speed.
     std::vector<double> m_speeds;
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -291,14 +291,19 @@
     for (const auto &rank : m_ranks) {
         newest = std::max(newest, rank.isKnown ? rank.state.step : 0);
     }
-    if (newest > m_lastStep && m_lastStep > 0 && now > m_lastStepAt) {
-        const double rate = static_cast<double>(newest - m_lastStep) / secondsOf(now - m_lastStepAt);
-        m_stepsPerSecond = m_stepsPerSecond == 0 ? rate : m_stepsPerSecond + RateWeight * (rate - m_stepsPerSecond);
-    }
     if (newest > m_lastStep) {
         m_lastStep = newest;
         m_lastStepAt = now;
     }
+    if (now - m_rateFrom < m_options.rateWindow) {
+        return;
+    }
+    if (m_rateFromStep > 0 && m_lastStep > m_rateFromStep) {
+        const double rate = static_cast<double>(m_lastStep - m_rateFromStep) / secondsOf(now - m_rateFrom);
+        m_stepsPerSecond = m_stepsPerSecond == 0 ? rate : m_stepsPerSecond + RateWeight * (rate - m_stepsPerSecond);
+    }
+    m_rateFrom = now;
+    m_rateFromStep = m_lastStep;
 }
 
 void MapSwitch::inspect(SteadyTime now)
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -30,6 +30,8 @@
     /// already, the rank says so and a later one is tried.
     Milliseconds stepLead{120};
     std::uint64_t stepMargin = 1;
+    /// Shortest time over which the rate of steps is measured; reports of different ranks have different ages.
+    Milliseconds rateWindow{500};
     /// Longest time in which all ranks must be armed; a held group makes no passes.
     Milliseconds armingLimit{900};
     Milliseconds prepareLimit{6000};
@@ -127,6 +129,8 @@
     SteadyTime m_nextReports{};
     std::uint64_t m_lastStep = 0;
     SteadyTime m_lastStepAt{};
+    SteadyTime m_rateFrom{};
+    std::uint64_t m_rateFromStep = 0;
     double m_stepsPerSecond = 0;
     std::size_t m_switches = 0;
     std::size_t m_abandoned = 0;
