Share calls in progress among entry hosts

Cause: each gateway saw only its own calls, a twentieth of the load, and what answers state every few seconds.

--- /dev/null
+++ b/src/control/hostdirectory.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "control/platformclient.h"
+#include "net/asio.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// Registers this entry host in the platform's store, and finds the others there.
+class HostDirectory
+{
+public:
+    using Observer = std::function<void(const std::vector<tcp::endpoint> &)>;
+
+    HostDirectory(asio::io_context &context,
+                  const tcp::endpoint &platform,
+                  std::shared_ptr<const ObjectApiDialect> objectApi,
+                  std::string host,
+                  tcp::endpoint address,
+                  Observer onHosts);
+
+    void start();
+
+private:
+    Task<> run();
+    Task<bool> enter();
+    Task<> list();
+
+    asio::io_context &m_context;
+    PlatformClient m_client;
+    std::string m_host;
+    tcp::endpoint m_address;
+    Observer m_onHosts;
+};
+
+} // namespace Cardamomhill
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewayprogram.h"
 
+#include "control/hostdirectory.h"
 #include "control/operatorserver.h"
 #include "coordinator/coordination.h"
 #include "gateway/gatewaycontrol.h"
@@ -57,6 +58,14 @@
                          m_coordination.applyServers(changes);
                          asio::post(m_traffic.context(), [this, changes] { m_traffic.applyServers(changes); });
                      }})
+        , m_hosts(m_context,
+                  settings.platform,
+                  storeDialect.objectApi(),
+                  settings.host.value(),
+                  settings.peerListen,
+                  [this](const std::vector<tcp::endpoint> &hosts) {
+                      asio::post(m_traffic.context(), [this, hosts] { m_traffic.setPeers(hosts); });
+                  })
         , m_operator(m_context, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
     {
     }
@@ -66,6 +75,7 @@
         BOOST_OUTCOME_TRY(m_traffic.listen());
         BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
         m_control.start();
+        m_hosts.start();
         if (m_settings.coordinatesGroups) {
             m_coordination.start();
         }
@@ -148,6 +158,7 @@
     GatewayThread m_traffic;
     Coordination m_coordination;
     GatewayControl m_control;
+    HostDirectory m_hosts;
     OperatorServer m_operator;
     bool m_isDraining = false;
 };
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -19,7 +19,8 @@
 namespace
 {
 
-constexpr Milliseconds TickPeriod{1000};
+constexpr Milliseconds TickPeriod{50};
+constexpr std::uint64_t TicksPerSweep = 20;
 /// Entry hosts among which the slack of retries is divided.
 constexpr std::uint32_t AssumedHosts = 64;
 
@@ -46,6 +47,7 @@
                  co_await handler.run();
              })
     , m_random(std::random_device()())
+    , m_peers(m_context, settings.host.value(), m_random(), m_servers, metrics)
 {
 }
 
@@ -54,6 +56,8 @@
 Result<void, NetError> GatewayThread::listen()
 {
     BOOST_OUTCOME_TRY(m_http.listen(m_settings.listen, false));
+    const auto &peer = m_settings.peerListen;
+    BOOST_OUTCOME_TRY(m_peers.listen({peer.address(), peer.port()}));
     spawn(m_context.get_executor(), "gateway-tick", tickLoop());
     return success();
 }
@@ -88,6 +92,16 @@
     }
 }
 
+void GatewayThread::setPeers(const std::vector<tcp::endpoint> &hosts)
+{
+    std::vector<asio::ip::udp::endpoint> peers;
+    peers.reserve(hosts.size());
+    for (const auto &host : hosts) {
+        peers.emplace_back(host.address(), host.port());
+    }
+    m_peers.setPeers(std::move(peers));
+}
+
 void GatewayThread::closeAfterAnswers()
 {
     m_http.closeAfterAnswers();
@@ -165,8 +179,12 @@
 {
     asio::steady_timer timer(m_context);
     SystemError error;
+    std::uint64_t ticks = 0;
     while (!error) {
-        m_pool.tick(steadyNow());
+        if (++ticks % TicksPerSweep == 0) {
+            m_pool.tick(steadyNow());
+        }
+        m_peers.tick();
         timer.expires_after(TickPeriod);
         co_await timer.async_wait(storeError(error));
     }
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -4,6 +4,7 @@
 #include "core/identifiers.h"
 #include "core/random.h"
 #include "core/result.h"
+#include "gateway/peerexchange.h"
 #include "gateway/upstreampool.h"
 #include "net/asio.h"
 #include "net/httpserver.h"
@@ -16,6 +17,7 @@
 #include <cstddef>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -38,6 +40,7 @@
 
     void apply(std::shared_ptr<const TrafficConfiguration> configuration);
     void applyServers(const ServerChanges &changes);
+    void setPeers(const std::vector<tcp::endpoint> &hosts);
     void closeAfterAnswers();
     void stopAccepting();
 
@@ -69,6 +72,7 @@
     ServerTable m_servers;
     UpstreamPool m_pool;
     Random m_random;
+    PeerExchange m_peers;
     std::unordered_map<ServiceId, RetryBudget> m_budgets;
     std::atomic<std::size_t> m_callCount{0};
 };
--- /dev/null
+++ b/src/gateway/peerexchange.cpp
@@ -0,0 +1,89 @@
+#include "gateway/peerexchange.h"
+
+#include "metrics/metricsregistry.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+#include "traffic/servertable.h"
+
+namespace Cardamomhill
+{
+
+using asio::ip::udp;
+
+PeerExchange::PeerExchange(asio::io_context &context,
+                           std::string host,
+                           std::uint64_t incarnation,
+                           ServerTable &servers,
+                           MetricsRegistry &metrics)
+    : m_socket(context)
+    , m_exchange(std::move(host), incarnation)
+    , m_servers(servers)
+    , m_metrics(metrics)
+{
+}
+
+Result<void, NetError> PeerExchange::listen(const udp::endpoint &endpoint)
+{
+    SystemError error;
+    m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+        m_socket.bind(endpoint, error);
+    }
+    if (!error) {
+        // A send that would block is dropped like one that the network loses.
+        m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return failure(NetError{NetErrorCode::AddressInUse, error.message()});
+    }
+    spawn(m_socket.get_executor(), "peer-exchange", receive());
+    return success();
+}
+
+void PeerExchange::setPeers(std::vector<udp::endpoint> peers)
+{
+    m_peers = std::move(peers);
+}
+
+void PeerExchange::tick()
+{
+    const auto now = steadyNow();
+    const auto notice = m_exchange.nextNotice(m_servers.ownLoads(), now);
+    if (notice) {
+        const auto bytes = packNotice(*notice);
+        for (const auto &peer : m_peers) {
+            SystemError error;
+            m_socket.send_to(asio::buffer(bytes), peer, 0, error);
+            if (error) {
+                m_metrics.counter("peer_notices_unsent_total").add();
+            }
+        }
+    }
+    m_servers.setPeerLoads(m_exchange.peerLoads(now));
+}
+
+std::size_t PeerExchange::hostCount() const
+{
+    return m_exchange.hostCount(steadyNow());
+}
+
+Task<> PeerExchange::receive()
+{
+    while (m_socket.is_open()) {
+        udp::endpoint from;
+        SystemError error;
+        const auto size = co_await m_socket.async_receive_from(asio::buffer(m_buffer), from, storeError(error));
+        if (error) {
+            // An earlier datagram met a closed port.
+            continue;
+        }
+        const auto notice = unpackNotice({m_buffer.data(), size});
+        if (!notice) {
+            m_metrics.counter("peer_notices_malformed_total").add();
+        } else if (m_exchange.take(*notice, steadyNow())) {
+            m_servers.setPeerLoads(m_exchange.peerLoads(steadyNow()));
+        }
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/peerexchange.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/result.h"
+#include "net/asio.h"
+#include "net/neterror.h"
+#include "traffic/loadexchange.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+class MetricsRegistry;
+class ServerTable;
+
+/// Sends this host's calls in progress to the other entry hosts over UDP, and hands theirs to the choice of servers.
+class PeerExchange
+{
+public:
+    PeerExchange(asio::io_context &context,
+                 std::string host,
+                 std::uint64_t incarnation,
+                 ServerTable &servers,
+                 MetricsRegistry &metrics);
+
+    Result<void, NetError> listen(const asio::ip::udp::endpoint &endpoint);
+    void setPeers(std::vector<asio::ip::udp::endpoint> peers);
+
+    /// Sends what has changed; to be called often.
+    void tick();
+
+    std::size_t hostCount() const;
+
+private:
+    /// A notice of a host with calls at 100 servers has about 1 kB.
+    static constexpr std::size_t MostBytes = 8 * 1024;
+
+    Task<> receive();
+
+    asio::ip::udp::socket m_socket;
+    LoadExchange m_exchange;
+    ServerTable &m_servers;
+    MetricsRegistry &m_metrics;
+    std::vector<asio::ip::udp::endpoint> m_peers;
+    std::array<char, MostBytes> m_buffer{};
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/loadexchange.cpp
@@ -0,0 +1,64 @@
+#include "traffic/loadexchange.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+LoadExchange::LoadExchange(std::string host, std::uint64_t incarnation, LoadExchangeOptions options)
+    : m_host(std::move(host))
+    , m_incarnation(incarnation)
+    , m_options(options)
+{
+}
+
+std::optional<LoadNotice> LoadExchange::nextNotice(const ServerLoads &own, SteadyTime now)
+{
+    const auto age = now - m_toldAt;
+    if (age < m_options.shortestInterval || (own == m_told && age < m_options.longestInterval)) {
+        return std::nullopt;
+    }
+    m_told = own;
+    m_toldAt = now;
+    LoadNotice notice;
+    notice.host = m_host;
+    notice.incarnation = m_incarnation;
+    notice.sequence = ++m_sequence;
+    notice.calls.assign(own.begin(), own.end());
+    return notice;
+}
+
+bool LoadExchange::take(const LoadNotice &notice, SteadyTime now)
+{
+    if (notice.host == m_host) {
+        return false;
+    }
+    auto &peer = m_peers[notice.host];
+    if (peer.notice.incarnation == notice.incarnation && peer.notice.sequence >= notice.sequence) {
+        return false;
+    }
+    peer = {notice, now};
+    return true;
+}
+
+ServerLoads LoadExchange::peerLoads(SteadyTime now)
+{
+    std::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heardAt > m_options.lifetime; });
+    ServerLoads loads;
+    for (const auto &[host, peer] : m_peers) {
+        for (const auto &[server, calls] : peer.notice.calls) {
+            loads[server] += calls;
+        }
+    }
+    return loads;
+}
+
+std::size_t LoadExchange::hostCount(SteadyTime now) const
+{
+    const auto live = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return now - entry.second.heardAt <= m_options.lifetime;
+    });
+    return static_cast<std::size_t>(live) + 1;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/loadexchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "traffic/loadnotice.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Cardamomhill
+{
+
+/// Constants of LoadExchange.
+struct LoadExchangeOptions {
+    /// Changes are told at most this often.
+    Milliseconds shortestInterval{150};
+    /// Unchanged calls are told again after this time, so that a lost notice is made up for.
+    Milliseconds longestInterval{1000};
+    /// Calls of a host that says nothing for this long are no longer counted: its process has ended.
+    Milliseconds lifetime{2500};
+};
+
+/// Adds up the calls that all entry hosts have in progress, from notices that they send each other.
+class LoadExchange
+{
+public:
+    LoadExchange(std::string host, std::uint64_t incarnation, LoadExchangeOptions options = {});
+
+    /// The notice to send now, if any.
+    std::optional<LoadNotice> nextNotice(const ServerLoads &own, SteadyTime now);
+
+    /// Takes a notice of another host. Returns false for an old or an own one.
+    bool take(const LoadNotice &notice, SteadyTime now);
+
+    /// Calls of all other hosts.
+    ServerLoads peerLoads(SteadyTime now);
+
+    /// Hosts that were heard lately, this one included.
+    std::size_t hostCount(SteadyTime now) const;
+
+private:
+    struct Peer {
+        LoadNotice notice;
+        SteadyTime heardAt{};
+    };
+
+    std::string m_host;
+    std::uint64_t m_incarnation;
+    LoadExchangeOptions m_options;
+    std::map<std::string, Peer> m_peers;
+    ServerLoads m_told;
+    std::uint64_t m_sequence = 0;
+    SteadyTime m_toldAt{};
+};
+
+} // namespace Cardamomhill
--- a/src/traffic/serverloads.h
+++ b/src/traffic/serverloads.h
@@ -1,13 +1,20 @@
 #pragma once
 
+#include "core/identifiers.h"
+
 #include <cstdint>
-#include <string>
 #include <unordered_map>
 
 namespace Cardamomhill
 {
 
-/// Calls in progress by backend server id.
-using ServerLoads = std::unordered_map<std::string, std::uint32_t>;
+/// A short name of a backend server in messages between entry hosts. Two servers with the same key look equally loaded,
+/// which costs some balance and nothing else.
+using ServerKey = std::uint32_t;
+
+ServerKey serverKey(const BackendServerId &id);
+
+/// Calls in progress by backend server.
+using ServerLoads = std::unordered_map<ServerKey, std::uint32_t>;
 
 } // namespace Cardamomhill
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -50,6 +50,7 @@
             m_services[server.service].push_back(server.id);
         }
         entry.server = server;
+        entry.key = serverKey(server.id);
         entry.isGone = false;
     }
     for (const auto &id : changes.gone) {
@@ -187,7 +188,7 @@
     ServerLoads loads;
     for (const auto &[id, entry] : m_entries) {
         if (entry.inProgress > 0) {
-            loads[id.value()] = entry.inProgress;
+            loads[entry.key] = entry.inProgress;
         }
     }
     return loads;
@@ -222,7 +223,7 @@
 
 std::uint32_t ServerTable::peerCalls(const Entry &entry) const
 {
-    const auto found = m_peerLoads.find(entry.server.id.value());
+    const auto found = m_peerLoads.find(entry.key);
     return found == m_peerLoads.end() ? 0 : found->second;
 }
 
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -65,6 +65,7 @@
 private:
     struct Entry {
         DiscoveredServer server;
+        ServerKey key = 0;
         std::uint32_t inProgress = 0;
         /// Of the servers that left, only those with calls in progress are kept.
         bool isGone = false;
