Tell of slow ranks in notices between entry hosts; move streams away from them

Change: notices between entry hosts carry slow ranks; streams on a rank that is twice as slow or more go on at another server, since they hold back all ranks of the group. Readings during a switch update the speeds too.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -23,37 +23,16 @@
 constexpr Milliseconds ObserveInterval{1000};
 constexpr Milliseconds CallTimeout{1000};
 
-std::string textOf(const LeaseValue &lease, std::uint64_t renewal)
-{
-    nlohmann::json value{{"host", lease.host}, {"incarnation", lease.incarnation}, {"renewal", renewal}};
-    for (const auto &[server, slowness] : lease.slowRanks) {
-        value["slow_ranks"][server.value()] = slowness;
-    }
-    return value.dump();
-}
-
-/// The value of a lease; empty if another program wrote the object.
-LeaseValue valueOf(const PlatformObject &object)
-{
-    LeaseValue lease;
-    try {
-        const auto value = nlohmann::json::parse(object.value);
-        lease.host = value.at("host").get<std::string>();
-        lease.incarnation = value.at("incarnation").get<std::string>();
-        const auto slowRanks = value.value("slow_ranks", nlohmann::json::object());
-        for (const auto &[server, slowness] : slowRanks.items()) {
-            lease.slowRanks[BackendServerId(server)] = slowness.get<double>();
-        }
-    } catch (const nlohmann::json::exception &error) {
-        logEvent(LogLevel::Warning, "lease-unreadable", {{"group", object.key.name}, {"error", error.what()}});
-    }
-    return lease;
-}
-
 LeaseRecord recordOf(const PlatformObject &object)
 {
-    const auto value = valueOf(object);
-    return {object.version, value.host, value.incarnation};
+    LeaseRecord record;
+    record.version = object.version;
+    const auto value = nlohmann::json::parse(object.value, nullptr, false);
+    if (value.is_object()) {
+        record.host = value.value("host", std::string());
+        record.incarnation = value.value("incarnation", std::string());
+    }
+    return record;
 }
 
 } // namespace
@@ -142,6 +121,7 @@
                 co_await keep(group, *engine);
             }
         }
+        publishSlowness();
         timer.expires_after(TickPeriod);
         co_await timer.async_wait(storeError(error));
     }
@@ -153,26 +133,26 @@
     if (page.has_error()) {
         co_return;
     }
-    std::map<GroupId, LeaseValue> leases;
     std::map<GroupId, LeaseRecord> records;
     for (const auto &object : page.value().objects) {
-        const GroupId group(object.key.name);
-        leases[group] = valueOf(object);
-        records[group] = recordOf(object);
+        records[GroupId(object.key.name)] = recordOf(object);
     }
-    publishSlowness(leases);
     for (const auto &group : m_directory.groups()) {
         ledOf(group.id).lease.observe(records[group.id], steadyNow(), m_random);
     }
 }
 
-void Coordination::publishSlowness(const std::map<GroupId, LeaseValue> &leases)
+void Coordination::publishSlowness()
 {
     ServerSlowness slowness;
-    for (const auto &[group, lease] : leases) {
-        slowness.insert(lease.slowRanks.begin(), lease.slowRanks.end());
+    for (const auto &[group, led] : m_led) {
+        const auto ranks = led.coordinator ? led.coordinator->slowRanks() : ServerSlowness();
+        slowness.insert(ranks.begin(), ranks.end());
+    }
+    if (slowness != m_published) {
+        m_published = slowness;
+        m_onSlowness(slowness);
     }
-    m_onSlowness(slowness);
 }
 
 Task<> Coordination::keep(GroupView group, EngineProfile engine)
@@ -241,10 +221,9 @@
 
 Task<std::optional<std::uint64_t>> Coordination::write(const GroupView &group, std::uint64_t expectedVersion)
 {
-    const auto &coordinator = ledOf(group.id).coordinator;
-    const LeaseValue value{m_host, m_incarnation, coordinator ? coordinator->slowRanks() : ServerSlowness()};
+    const nlohmann::json value{{"host", m_host}, {"incarnation", m_incarnation}, {"renewal", ++m_renewals}};
     const ObjectKey key{LeaseKind, group.id.value()};
-    const std::string text = textOf(value, ++m_renewals);
+    const std::string text = value.dump();
     const auto written = co_await m_client.write(key, expectedVersion, text);
     if (written.has_error()) {
         logEvent(LogLevel::Info,
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "control/platformclient.h"
-#include "coordinator/leasevalue.h"
 #include "core/random.h"
 #include "net/asio.h"
 #include "rebalance/coordinatorlease.h"
@@ -27,7 +26,7 @@
 class Coordination
 {
 public:
-    /// Takes how many times longer than usual the work of each slow rank takes.
+    /// Takes the slow ranks of the groups that this process coordinates.
     using SlownessObserver = std::function<void(const ServerSlowness &)>;
 
     Coordination(asio::io_context &context,
@@ -54,7 +53,7 @@
 
     Task<> run();
     Task<> observeLeases();
-    void publishSlowness(const std::map<GroupId, LeaseValue> &leases);
+    void publishSlowness();
     Task<> keep(GroupView group, EngineProfile engine);
     Task<> acquire(const GroupView &group, Led &led);
     Task<> renew(const GroupView &group, Led &led);
@@ -74,6 +73,7 @@
     std::shared_ptr<const TrafficConfiguration> m_configuration;
     GroupDirectory m_directory;
     std::map<GroupId, Led> m_led;
+    ServerSlowness m_published;
     std::uint64_t m_renewals = 0;
     bool m_isStopped = false;
 };
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -45,7 +45,8 @@
 constexpr double CopyMargin = 1.1;
 
 /// Adds what a rank chose since it was read before; returns how many choices there were.
-std::uint64_t addChoices(const std::optional<ExpertCounts> &before, const ExpertCounts &after, std::vector<double> &load)
+std::uint64_t
+addChoices(const std::optional<ExpertCounts> &before, const ExpertCounts &after, std::vector<double> &load)
 {
     if (!before || before->epoch != after.epoch) {
         return 0;
@@ -127,7 +128,7 @@
     ServerSlowness slowness;
     for (std::size_t rank = 0; rank < std::min(m_speeds.size(), m_group.ranks.size()); ++rank) {
         if (m_speeds[rank] < SlowSpeed) {
-            slowness[m_group.ranks[rank].id] = 1 / m_speeds[rank];
+            slowness[serverKey(m_group.ranks[rank].id)] = static_cast<float>(1 / m_speeds[rank]);
         }
     }
     return slowness;
@@ -209,9 +210,14 @@
             states[rank] = state.value();
         }
     }
-    if (m_switch == readFor) {
-        m_switch->onReports(states, steadyNow());
+    if (m_switch != readFor) {
+        co_return;
+    }
+    m_speeds.resize(states.size(), 1.0);
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        m_speeds[rank] = states[rank] ? 1 / std::max(states[rank]->slowness, 1.0) : m_speeds[rank];
     }
+    m_switch->onReports(states, steadyNow());
 }
 
 Task<bool> GroupCoordinator::learnMap()
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -69,7 +69,10 @@
 {
 }
 
-Attempt::~Attempt() = default;
+Attempt::~Attempt()
+{
+    m_thread.attempts().erase(this);
+}
 
 Task<AttemptEnd> Attempt::run()
 {
@@ -80,7 +83,9 @@
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
+    m_thread.attempts().insert(this);
     const auto end = co_await send();
+    m_thread.attempts().erase(this);
     co_return m_state.isCallerGone ? AttemptEnd::CallerGone : end;
 }
 
@@ -92,6 +97,22 @@
     }
 }
 
+void Attempt::moveAway(std::string_view cause)
+{
+    auto history = m_state.attempts;
+    history.add(AttemptEnd::Broken);
+    if (!m_isCancelled && m_call && history.mayAttempt(*m_state.route, left())
+        && m_thread.budget(m_state.service).hasRetry()) {
+        m_breakCause = cause;
+        m_call->cancel();
+    }
+}
+
+const BackendServerId &Attempt::server() const
+{
+    return m_server;
+}
+
 const std::string &Attempt::cause() const
 {
     return m_cause;
@@ -129,9 +150,8 @@
     call.remaining = left();
     call.lastEventId = m_state.lastEventId;
     m_thread.dialect().prepareForServer(request, call);
-    const auto usual = m_state.route->kind == CallKind::Stream
-        ? m_state.route->latencyObjective * FirstEventPatience
-        : m_state.route->timeout / AttemptPart;
+    const auto usual = m_state.route->kind == CallKind::Stream ? m_state.route->latencyObjective * FirstEventPatience
+                                                               : m_state.route->timeout / AttemptPart;
     const auto limit = patience(usual);
     auto started = co_await m_call->start(std::move(request), limit);
     started = co_await skipForeignAnswers(std::move(started));
@@ -294,7 +314,7 @@
 
 AttemptEnd Attempt::classify(const NetError &error)
 {
-    m_cause = error.message();
+    m_cause = m_breakCause.empty() ? error.message() : m_breakCause;
     return error.code == NetErrorCode::TimedOut ? AttemptEnd::TimedOut : AttemptEnd::Broken;
 }
 
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -33,6 +33,11 @@
     /// Ends the attempt, such as when the caller has left.
     void cancel();
 
+    /// Breaks the attempt off if the call may go on at another server.
+    void moveAway(std::string_view cause);
+
+    const BackendServerId &server() const;
+
     /// Why the attempt gave no whole answer; empty if it did.
     const std::string &cause() const;
 
@@ -62,6 +67,8 @@
     AnswerHead m_answer;
     EventSplitter m_events;
     std::string m_cause;
+    /// Why this process broke the attempt off itself.
+    std::string m_breakCause;
     bool m_isCancelled = false;
 };
 
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -43,8 +43,7 @@
                          m_metrics,
                          settings.host.value(),
                          [this](const ServerSlowness &slowness) {
-                             asio::post(m_traffic.context(),
-                                        [this, slowness] { m_traffic.servers().setSlowness(slowness); });
+                             asio::post(m_traffic.context(), [this, slowness] { m_traffic.setOwnSlowness(slowness); });
                          })
         , m_control(m_context,
                     settings,
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -1,7 +1,9 @@
 #include "gateway/gatewaythread.h"
 
+#include "gateway/attempt.h"
 #include "gateway/callhandler.h"
 #include "gateway/gatewaysettings.h"
+#include "logging/logging.h"
 #include "net/httpcall.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
@@ -21,6 +23,9 @@
 
 constexpr Milliseconds TickPeriod{50};
 constexpr std::uint64_t TicksPerSweep = 20;
+/// How many times longer than usual the work of a server takes from which on its streams go on elsewhere. The streams
+/// of one slow rank hold back those of all ranks of its group.
+constexpr double SlownessToLeave = 2;
 /// Entry hosts among which the slack of retries is divided.
 constexpr std::uint32_t AssumedHosts = 64;
 
@@ -47,7 +52,13 @@
                  co_await handler.run();
              })
     , m_random(std::random_device()())
-    , m_peers(m_context, settings.host.value(), m_random(), m_servers, metrics)
+    , m_peers(
+          m_context,
+          settings.host.value(),
+          m_random(),
+          m_servers,
+          [this](const ServerSlowness &slowness) { applySlowness(slowness); },
+          metrics)
 {
 }
 
@@ -92,6 +103,27 @@
     }
 }
 
+void GatewayThread::setOwnSlowness(const ServerSlowness &slowness)
+{
+    m_peers.setOwnSlowness(slowness);
+}
+
+void GatewayThread::applySlowness(const ServerSlowness &slowness)
+{
+    m_servers.setSlowness(slowness);
+    std::string slow;
+    for (const auto &[server, factor] : slowness) {
+        slow += (slow.empty() ? "" : ",") + m_servers.nameOf(server) + ":" + std::to_string(factor);
+    }
+    logEvent(LogLevel::Info, "slow-servers", {{"servers", slow}});
+    for (auto *const attempt : m_attempts) {
+        const auto found = slowness.find(serverKey(attempt->server()));
+        if (found != slowness.end() && found->second >= SlownessToLeave) {
+            attempt->moveAway("the server turned slow");
+        }
+    }
+}
+
 void GatewayThread::setPeers(const std::vector<tcp::endpoint> &hosts)
 {
     std::vector<asio::ip::udp::endpoint> peers;
@@ -147,6 +179,11 @@
     return m_servers;
 }
 
+std::unordered_set<Attempt *> &GatewayThread::attempts()
+{
+    return m_attempts;
+}
+
 UpstreamPool &GatewayThread::pool()
 {
     return m_pool;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -17,11 +17,13 @@
 #include <cstddef>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Cardamomhill
 {
 
+class Attempt;
 class CallDialect;
 class MetricsRegistry;
 struct GatewaySettings;
@@ -40,6 +42,8 @@
 
     void apply(std::shared_ptr<const TrafficConfiguration> configuration);
     void applyServers(const ServerChanges &changes);
+    /// Slow ranks that this process knows from its own reports.
+    void setOwnSlowness(const ServerSlowness &slowness);
     void setPeers(const std::vector<tcp::endpoint> &hosts);
     void closeAfterAnswers();
     void stopAccepting();
@@ -53,6 +57,8 @@
     const CallDialect &dialect() const;
     MetricsRegistry &metrics();
     ServerTable &servers();
+    /// The attempts that were sent and have not ended.
+    std::unordered_set<Attempt *> &attempts();
     UpstreamPool &pool();
     Random &random();
     RetryBudget &budget(const ServiceId &service);
@@ -62,6 +68,7 @@
 
 private:
     Task<> tickLoop();
+    void applySlowness(const ServerSlowness &slowness);
 
     const GatewaySettings &m_settings;
     const CallDialect &m_dialect;
@@ -74,6 +81,7 @@
     Random m_random;
     PeerExchange m_peers;
     std::unordered_map<ServiceId, RetryBudget> m_budgets;
+    std::unordered_set<Attempt *> m_attempts;
     std::atomic<std::size_t> m_callCount{0};
 };
 
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -14,10 +14,12 @@
                            std::string host,
                            std::uint64_t incarnation,
                            ServerTable &servers,
+                           std::function<void(const ServerSlowness &)> onSlowness,
                            MetricsRegistry &metrics)
     : m_socket(context)
     , m_exchange(std::move(host), incarnation)
     , m_servers(servers)
+    , m_onSlowness(std::move(onSlowness))
     , m_metrics(metrics)
 {
 }
@@ -40,6 +42,12 @@
     return success();
 }
 
+void PeerExchange::setOwnSlowness(ServerSlowness slowness)
+{
+    m_exchange.setOwnSlowness(std::move(slowness));
+    publish();
+}
+
 void PeerExchange::setPeers(std::vector<udp::endpoint> peers)
 {
     m_peers = std::move(peers);
@@ -59,7 +67,16 @@
             }
         }
     }
-    m_servers.setPeerLoads(m_exchange.peerLoads(now));
+    publish();
+}
+
+void PeerExchange::publish()
+{
+    m_servers.setPeerLoads(m_exchange.peerLoads(steadyNow()));
+    const auto slowness = m_exchange.slowness();
+    if (slowness != m_servers.slowness()) {
+        m_onSlowness(slowness);
+    }
 }
 
 std::size_t PeerExchange::hostCount() const
@@ -81,7 +98,7 @@
         if (!notice) {
             m_metrics.counter("peer_notices_malformed_total").add();
         } else if (m_exchange.take(*notice, steadyNow())) {
-            m_servers.setPeerLoads(m_exchange.peerLoads(steadyNow()));
+            publish();
         }
     }
 }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -26,9 +27,12 @@
                  std::string host,
                  std::uint64_t incarnation,
                  ServerTable &servers,
+                 std::function<void(const ServerSlowness &)> onSlowness,
                  MetricsRegistry &metrics);
 
     Result<void, NetError> listen(const asio::ip::udp::endpoint &endpoint);
+    /// Slow ranks that this host knows from its own reports.
+    void setOwnSlowness(ServerSlowness slowness);
     void setPeers(std::vector<asio::ip::udp::endpoint> peers);
 
     /// Sends what has changed; to be called often.
@@ -41,10 +45,12 @@
     static constexpr std::size_t MostBytes = 8 * 1024;
 
     Task<> receive();
+    void publish();
 
     asio::ip::udp::socket m_socket;
     LoadExchange m_exchange;
     ServerTable &m_servers;
+    std::function<void(const ServerSlowness &)> m_onSlowness;
     MetricsRegistry &m_metrics;
     std::vector<asio::ip::udp::endpoint> m_peers;
     std::array<char, MostBytes> m_buffer{};
--- a/src/traffic/loadexchange.cpp
+++ b/src/traffic/loadexchange.cpp
@@ -15,9 +15,11 @@
 std::optional<LoadNotice> LoadExchange::nextNotice(const ServerLoads &own, SteadyTime now)
 {
     const auto age = now - m_toldAt;
-    if (age < m_options.shortestInterval || (own == m_told && age < m_options.longestInterval)) {
+    const bool isUnchanged = own == m_told && !m_hasNews;
+    if (age < m_options.shortestInterval || (isUnchanged && age < m_options.longestInterval)) {
         return std::nullopt;
     }
+    m_hasNews = false;
     m_told = own;
     m_toldAt = now;
     LoadNotice notice;
@@ -25,9 +27,27 @@
     notice.incarnation = m_incarnation;
     notice.sequence = ++m_sequence;
     notice.calls.assign(own.begin(), own.end());
+    notice.slowRanks.assign(m_ownSlowness.begin(), m_ownSlowness.end());
     return notice;
 }
 
+void LoadExchange::setOwnSlowness(ServerSlowness slowness)
+{
+    m_ownSlowness = std::move(slowness);
+    m_hasNews = true;
+}
+
+ServerSlowness LoadExchange::slowness() const
+{
+    auto all = m_ownSlowness;
+    for (const auto &[host, peer] : m_peers) {
+        for (const auto &[server, factor] : peer.notice.slowRanks) {
+            all[server] = std::max(all[server], factor);
+        }
+    }
+    return all;
+}
+
 bool LoadExchange::take(const LoadNotice &notice, SteadyTime now)
 {
     if (notice.host == m_host) {
--- a/src/traffic/loadexchange.h
+++ b/src/traffic/loadexchange.h
@@ -2,6 +2,7 @@
 
 #include "core/clocktypes.h"
 #include "traffic/loadnotice.h"
+#include "traffic/serverslowness.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -31,12 +32,18 @@
     /// The notice to send now, if any.
     std::optional<LoadNotice> nextNotice(const ServerLoads &own, SteadyTime now);
 
+    /// Slow ranks that this host knows from its own reports.
+    void setOwnSlowness(ServerSlowness slowness);
+
     /// Takes a notice of another host. Returns false for an old or an own one.
     bool take(const LoadNotice &notice, SteadyTime now);
 
     /// Calls of all other hosts.
     ServerLoads peerLoads(SteadyTime now);
 
+    /// Slow servers that this or any other host tells of.
+    ServerSlowness slowness() const;
+
     /// Hosts that were heard lately, this one included.
     std::size_t hostCount(SteadyTime now) const;
 
@@ -50,7 +57,9 @@
     std::uint64_t m_incarnation;
     LoadExchangeOptions m_options;
     std::map<std::string, Peer> m_peers;
+    ServerSlowness m_ownSlowness;
     ServerLoads m_told;
+    bool m_hasNews = false;
     std::uint64_t m_sequence = 0;
     SteadyTime m_toldAt{};
 };
--- a/src/traffic/loadnotice.h
+++ b/src/traffic/loadnotice.h
@@ -14,7 +14,7 @@
 namespace Cardamomhill
 {
 
-/// What an entry host tells the others: its calls in progress.
+/// What an entry host tells the others: its calls in progress, and which servers are slow.
 struct LoadNotice {
     static constexpr std::uint8_t CurrentFormat = 1;
 
@@ -25,8 +25,10 @@
     /// Grows with each notice of an incarnation.
     std::uint64_t sequence = 0;
     std::vector<std::pair<ServerKey, std::uint32_t>> calls;
+    /// Slow ranks of the groups that the host coordinates, and how many times longer than usual their work takes.
+    std::vector<std::pair<ServerKey, float>> slowRanks;
 
-    MSGPACK_DEFINE_ARRAY(format, host, incarnation, sequence, calls)
+    MSGPACK_DEFINE_ARRAY(format, host, incarnation, sequence, calls, slowRanks)
 };
 
 std::string packNotice(const LoadNotice &notice);
--- a/src/traffic/serverslowness.h
+++ b/src/traffic/serverslowness.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/identifiers.h"
+#include "traffic/serverloads.h"
 
 #include <unordered_map>
 
@@ -8,6 +8,6 @@
 {
 
 /// How many times longer than usual the work of a server takes; servers that are not named have the usual speed.
-using ServerSlowness = std::unordered_map<BackendServerId, double>;
+using ServerSlowness = std::unordered_map<ServerKey, float>;
 
 } // namespace Cardamomhill
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -77,6 +77,11 @@
     m_slowness = std::move(slowness);
 }
 
+const ServerSlowness &ServerTable::slowness() const
+{
+    return m_slowness;
+}
+
 ServerChoice ServerTable::choose(const ServiceId &service,
                                  const std::vector<BackendServerId> &tried,
                                  SteadyTime now,
@@ -113,9 +118,9 @@
         }
         ++choice.candidates;
         const double failures = failuresOf(entry, now);
-        const bool isAvoided = failures >= m_options.failuresToAvoid;
-        const auto slowness = m_slowness.find(id);
-        const double factor = slowness == m_slowness.end() ? 1 : slowness->second;
+        const auto slowness = m_slowness.find(entry.key);
+        const double factor = slowness == m_slowness.end() ? 1.0 : slowness->second;
+        const bool isAvoided = failures >= m_options.failuresToAvoid || factor >= m_options.slownessToAvoid;
         const double calls = load + 1 + failures * m_options.failurePenaltyCalls + jitter(random);
         const double score = calls * factor / slots;
         if (std::pair(isAvoided, score) < std::pair(isBestAvoided, best)) {
@@ -135,6 +140,16 @@
     return choice;
 }
 
+std::string ServerTable::nameOf(ServerKey key) const
+{
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.key == key) {
+            return id.value();
+        }
+    }
+    return std::to_string(key);
+}
+
 const DiscoveredServer *ServerTable::server(const BackendServerId &id) const
 {
     const auto found = m_entries.find(id);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -11,6 +11,7 @@
 #include "traffic/serverslowness.h"
 
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +29,9 @@
     Microseconds failureHalfLife = Seconds(2);
     /// Recent failures from which on a server is chosen only when no other is left.
     double failuresToAvoid = 1.5;
+    /// How many times longer than usual a server's work takes from which on it is chosen only when no other is left. A
+    /// slow rank without calls of its own does not hold back its group.
+    double slownessToAvoid = 1.5;
     /// A stated load counts for this long beside the calls that were counted.
     Microseconds statedLoadLifetime = Milliseconds(300);
 };
@@ -44,11 +48,15 @@
     void setPeerLoads(ServerLoads loads);
 
     void setSlowness(ServerSlowness slowness);
+    const ServerSlowness &slowness() const;
 
     /// Chooses the least loaded server of a service that was not tried.
     ServerChoice
     choose(const ServiceId &service, const std::vector<BackendServerId> &tried, SteadyTime now, Random &random) const;
 
+    /// The id of a server, or the key as a number if it is not known here.
+    std::string nameOf(ServerKey key) const;
+
     /// Nothing if the server is gone.
     const DiscoveredServer *server(const BackendServerId &id) const;
     bool hasServers() const;
