Leave rotation when cut off; make fewer store calls

Change: entry hosts that hear hosts elsewhere but none of a failure domain take it as unreachable: no calls to its servers nor to groups with a rank there. A gateway that can reach no engine is not ready and asks its callers to connect again, so the platform sends them elsewhere. Store calls: changes of servers are collected for 400 ms, watches wait 30 s, leases are renewed every 1.5 s and looked at every 2 s.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -16,7 +16,7 @@
 constexpr Milliseconds CallTimeout{1500};
 constexpr Milliseconds EnterInterval{500};
 /// New hosts are known to the others after this time; until then their calls are not counted.
-constexpr Milliseconds ListInterval{3000};
+constexpr Milliseconds ListInterval{5000};
 
 std::string textOf(const tcp::endpoint &address)
 {
--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -13,14 +13,12 @@
 {
 
 /// A watch costs one call however long it waits; a silent connection is noticed by its probes.
-constexpr Milliseconds WatchWait{20'000};
+constexpr Milliseconds WatchWait{30'000};
 /// The store answers in milliseconds, or in some hundred when it is slow; a lost connection attempt must not delay the
 /// next one for long.
 constexpr Milliseconds CallTimeout{1500};
 constexpr Milliseconds FirstDelay{100};
 constexpr Milliseconds DelayLimit{1000};
-/// Collects changes that come in quick succession into one call.
-constexpr Milliseconds CallInterval{100};
 
 } // namespace
 
@@ -28,10 +26,12 @@
                            const tcp::endpoint &platform,
                            std::shared_ptr<const ObjectApiDialect> dialect,
                            std::string kind,
+                           Milliseconds callInterval,
                            Observers observers)
     : m_context(context)
     , m_client(context, platform, std::move(dialect), CallTimeout)
     , m_kind(std::move(kind))
+    , m_callInterval(callInterval)
     , m_observers(std::move(observers))
     , m_random(std::random_device()())
     , m_backoff(FirstDelay, DelayLimit)
@@ -63,7 +63,7 @@
         if (succeeded) {
             m_backoff.reset();
         }
-        const auto next = succeeded ? startedAt + CallInterval : steadyNow() + m_backoff.next(m_random);
+        const auto next = succeeded ? startedAt + m_callInterval : steadyNow() + m_backoff.next(m_random);
         timer.expires_at(next);
         co_await timer.async_wait(storeError(error));
     }
--- a/src/control/kindfollower.h
+++ b/src/control/kindfollower.h
@@ -31,6 +31,7 @@
                  const tcp::endpoint &platform,
                  std::shared_ptr<const ObjectApiDialect> dialect,
                  std::string kind,
+                 Milliseconds callInterval,
                  Observers observers);
 
     void start();
@@ -47,6 +48,8 @@
     asio::io_context &m_context;
     PlatformClient m_client;
     std::string m_kind;
+    /// Collects changes that come in quick succession into one call.
+    Milliseconds m_callInterval;
     Observers m_observers;
     Random m_random;
     Backoff m_backoff;
--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -20,7 +20,7 @@
 /// Half of the time in which a lease has to be renewed.
 constexpr Milliseconds TickPeriod{250};
 /// Leases of other hosts are looked at this often; a free one is taken some seconds after its holder stopped.
-constexpr Milliseconds ObserveInterval{1000};
+constexpr Milliseconds ObserveInterval{2000};
 constexpr Milliseconds CallTimeout{1000};
 
 LeaseRecord recordOf(const PlatformObject &object)
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -133,12 +133,18 @@
     if (m_call) {
         co_return true;
     }
+    const auto domain = server->failureDomain;
     m_call = std::make_unique<HttpCall>(m_thread.context(), ReadBytes);
     const auto connected = co_await m_call->connect(*endpoint, std::min(ConnectTimeout, left()));
-    if (connected.has_error()) {
+    const bool isMade = connected.has_value();
+    if (!isMade) {
         m_cause = connected.error().message();
     }
-    co_return connected.has_value();
+    // A refusal shows that the host was reached.
+    if (!m_isCancelled) {
+        m_thread.connected(domain, isMade || connected.error().code == NetErrorCode::ConnectRefused);
+    }
+    co_return isMade;
 }
 
 Task<AttemptEnd> Attempt::send()
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -14,6 +14,9 @@
 {
 
 constexpr Milliseconds TickPeriod{200};
+/// Each call to the store is charged. Changes have to be in force within two seconds.
+constexpr Milliseconds ConfigurationInterval{100};
+constexpr Milliseconds ServerInterval{400};
 
 } // namespace
 
@@ -30,18 +33,19 @@
                               settings.platform,
                               dialect.objectApi(),
                               dialect.configurationKind(),
+                              ConfigurationInterval,
                               {[this](const ObjectPage &page) { takeConfiguration(page); },
                                [this](const ObjectPage &page) { takeConfiguration(page); },
                                [](bool) {}})
-    , m_serverFollower(context,
-                       settings.platform,
-                       dialect.objectApi(),
-                       dialect.serverKind(),
-                       {[this](const ObjectPage &page) { takeServers(page); },
-                        [this](const ObjectPage &page) { takeServerChanges(page); },
-                        [this](bool contact) {
-                            contact ? m_registry.contactRegained(steadyNow()) : m_registry.contactLost();
-                        }})
+    , m_serverFollower(
+          context,
+          settings.platform,
+          dialect.objectApi(),
+          dialect.serverKind(),
+          ServerInterval,
+          {[this](const ObjectPage &page) { takeServers(page); },
+           [this](const ObjectPage &page) { takeServerChanges(page); },
+           [this](bool contact) { contact ? m_registry.contactRegained(steadyNow()) : m_registry.contactLost(); }})
 {
 }
 
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -110,7 +110,7 @@
         m_isDraining = true;
         m_coordination.stop();
         logEvent(LogLevel::Info, "draining", {{"calls", m_traffic.callCount()}});
-        asio::post(m_traffic.context(), [this] { m_traffic.closeAfterAnswers(); });
+        asio::post(m_traffic.context(), [this] { m_traffic.startDraining(); });
         m_timer.expires_after(m_settings.drainGrace);
         m_timer.async_wait([this](SystemError) {
             asio::post(m_traffic.context(), [this] { m_traffic.stopAccepting(); });
@@ -134,7 +134,7 @@
 
     bool isReady() const
     {
-        return m_control.isReady() && !m_isDraining;
+        return m_control.isReady() && m_traffic.canServe() && !m_isDraining;
     }
 
     std::string status() const
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -52,13 +52,14 @@
                  co_await handler.run();
              })
     , m_random(std::random_device()())
-    , m_peers(
-          m_context,
-          settings.host.value(),
-          m_random(),
-          m_servers,
-          [this](const ServerSlowness &slowness) { applySlowness(slowness); },
-          metrics)
+    , m_reachability(settings.failureDomain)
+    , m_peers(m_context,
+              settings,
+              m_random(),
+              m_servers,
+              metrics,
+              {[this](const ServerSlowness &slowness) { applySlowness(slowness); },
+               [this](const FailureDomainId &domain) { m_reachability.heard(domain, steadyNow()); }})
 {
 }
 
@@ -134,9 +135,51 @@
     m_peers.setPeers(std::move(peers));
 }
 
-void GatewayThread::closeAfterAnswers()
+void GatewayThread::startDraining()
 {
-    m_http.closeAfterAnswers();
+    m_isDraining = true;
+    m_http.setCloseAfterAnswers(true);
+}
+
+bool GatewayThread::canServe() const
+{
+    return m_canServe;
+}
+
+void GatewayThread::connected(const FailureDomainId &domain, bool success)
+{
+    m_reachability.connected(domain, success, steadyNow());
+}
+
+bool GatewayThread::servesEngines() const
+{
+    if (!m_configuration) {
+        return true;
+    }
+    const auto &services = m_configuration->services();
+    return std::all_of(services.begin(), services.end(), [this](const auto &entry) {
+        return !entry.second.engine || m_servers.canServe(entry.first);
+    });
+}
+
+void GatewayThread::checkReachability()
+{
+    auto unreachable = m_reachability.unreachable(steadyNow());
+    if (unreachable != m_servers.unreachable()) {
+        std::string names;
+        for (const auto &domain : unreachable) {
+            names += (names.empty() ? "" : ",") + domain.value();
+        }
+        logEvent(LogLevel::Warning, "unreachable-domains", {{"failure_domains", names}});
+        m_servers.setUnreachable(std::move(unreachable));
+    }
+    // Callers that cannot be served here are better off at a host that is not cut off.
+    const bool canServe = m_servers.unreachable().empty() || servesEngines();
+    if (canServe != m_canServe) {
+        logEvent(LogLevel::Warning, canServe ? "serving-again" : "cut-off", {{"calls", m_callCount.load()}});
+        m_canServe = canServe;
+        m_http.setCloseAfterAnswers(m_isDraining || !canServe);
+    }
 }
 
 void GatewayThread::stopAccepting()
@@ -222,6 +265,7 @@
             m_pool.tick(steadyNow());
         }
         m_peers.tick();
+        checkReachability();
         timer.expires_after(TickPeriod);
         co_await timer.async_wait(storeError(error));
     }
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -10,6 +10,7 @@
 #include "net/httpserver.h"
 #include "net/neterror.h"
 #include "routing/retrybudget.h"
+#include "traffic/reachability.h"
 #include "traffic/servertable.h"
 #include "traffic/trafficconfiguration.h"
 
@@ -45,9 +46,16 @@
     /// Slow ranks that this process knows from its own reports.
     void setOwnSlowness(const ServerSlowness &slowness);
     void setPeers(const std::vector<tcp::endpoint> &hosts);
-    void closeAfterAnswers();
+    /// The process ends soon: callers should connect elsewhere.
+    void startDraining();
     void stopAccepting();
 
+    /// Whether this host can serve at all, or is cut off from what it needs. Any thread may ask.
+    bool canServe() const;
+
+    /// A connection to a backend server was made, or not.
+    void connected(const FailureDomainId &domain, bool success);
+
     /// Calls in progress. Any thread may ask.
     std::size_t callCount() const;
     void callStarted();
@@ -68,6 +76,8 @@
 
 private:
     Task<> tickLoop();
+    void checkReachability();
+    bool servesEngines() const;
     void applySlowness(const ServerSlowness &slowness);
 
     const GatewaySettings &m_settings;
@@ -79,7 +89,10 @@
     ServerTable m_servers;
     UpstreamPool m_pool;
     Random m_random;
+    Reachability m_reachability;
     PeerExchange m_peers;
+    bool m_isDraining = false;
+    std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_budgets;
     std::unordered_set<Attempt *> m_attempts;
     std::atomic<std::size_t> m_callCount{0};
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peerexchange.h"
 
+#include "gateway/gatewaysettings.h"
 #include "metrics/metricsregistry.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
@@ -11,16 +12,16 @@
 using asio::ip::udp;
 
 PeerExchange::PeerExchange(asio::io_context &context,
-                           std::string host,
+                           const GatewaySettings &settings,
                            std::uint64_t incarnation,
                            ServerTable &servers,
-                           std::function<void(const ServerSlowness &)> onSlowness,
-                           MetricsRegistry &metrics)
+                           MetricsRegistry &metrics,
+                           Observers observers)
     : m_socket(context)
-    , m_exchange(std::move(host), incarnation)
+    , m_exchange(settings.host.value(), settings.failureDomain.value(), incarnation)
     , m_servers(servers)
-    , m_onSlowness(std::move(onSlowness))
     , m_metrics(metrics)
+    , m_observers(std::move(observers))
 {
 }
 
@@ -75,7 +76,7 @@
     m_servers.setPeerLoads(m_exchange.peerLoads(steadyNow()));
     const auto slowness = m_exchange.slowness();
     if (slowness != m_servers.slowness()) {
-        m_onSlowness(slowness);
+        m_observers.onSlowness(slowness);
     }
 }
 
@@ -98,6 +99,7 @@
         if (!notice) {
             m_metrics.counter("peer_notices_malformed_total").add();
         } else if (m_exchange.take(*notice, steadyNow())) {
+            m_observers.onHeard(FailureDomainId(notice->failureDomain));
             publish();
         }
     }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/identifiers.h"
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/neterror.h"
@@ -10,7 +11,6 @@
 #include <array>
 #include <cstddef>
 #include <functional>
-#include <string>
 #include <vector>
 
 namespace Cardamomhill
@@ -18,17 +18,25 @@
 
 class MetricsRegistry;
 class ServerTable;
+struct GatewaySettings;
 
 /// Sends this host's calls in progress to the other entry hosts over UDP, and hands theirs to the choice of servers.
 class PeerExchange
 {
 public:
+    struct Observers {
+        /// Which servers are slow, as this or another host knows.
+        std::function<void(const ServerSlowness &)> onSlowness;
+        /// A notice of a host in that failure domain arrived.
+        std::function<void(const FailureDomainId &)> onHeard;
+    };
+
     PeerExchange(asio::io_context &context,
-                 std::string host,
+                 const GatewaySettings &settings,
                  std::uint64_t incarnation,
                  ServerTable &servers,
-                 std::function<void(const ServerSlowness &)> onSlowness,
-                 MetricsRegistry &metrics);
+                 MetricsRegistry &metrics,
+                 Observers observers);
 
     Result<void, NetError> listen(const asio::ip::udp::endpoint &endpoint);
     /// Slow ranks that this host knows from its own reports.
@@ -50,8 +58,8 @@
     asio::ip::udp::socket m_socket;
     LoadExchange m_exchange;
     ServerTable &m_servers;
-    std::function<void(const ServerSlowness &)> m_onSlowness;
     MetricsRegistry &m_metrics;
+    Observers m_observers;
     std::vector<asio::ip::udp::endpoint> m_peers;
     std::array<char, MostBytes> m_buffer{};
 };
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -91,9 +91,9 @@
     m_limits = limits;
 }
 
-void HttpServer::closeAfterAnswers()
+void HttpServer::setCloseAfterAnswers(bool closes)
 {
-    m_closesAfterAnswers = true;
+    m_closesAfterAnswers = closes || m_isStopping;
 }
 
 void HttpServer::stopAccepting()
@@ -178,8 +178,10 @@
     timer->cancel();
     const bool wasRead = !error;
     const unsigned status = wasRead ? 0 : statusOf(error);
-    HttpExchange exchange(
-        connection.stream, wasRead ? parser.release() : HttpRequest(), m_limits, wasRead ? &m_closesAfterAnswers : nullptr);
+    HttpExchange exchange(connection.stream,
+                          wasRead ? parser.release() : HttpRequest(),
+                          m_limits,
+                          wasRead ? &m_closesAfterAnswers : nullptr);
     if (wasRead) {
         co_await m_handler(exchange);
         exchange.stopWatching();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -28,8 +28,8 @@
     /// Applies to requests that begin from now on.
     void setLimits(const HttpLimits &limits);
 
-    /// Asks callers to close their connections after their next answer, and goes on taking new ones.
-    void closeAfterAnswers();
+    /// Whether callers are asked to close their connections after their next answer. New ones are still taken.
+    void setCloseAfterAnswers(bool closes);
 
     /// Takes no new connections, closes idle ones and ends the others after their present answer.
     void stopAccepting();
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -12,9 +12,9 @@
 
 /// Constants of CoordinatorLease.
 struct CoordinatorLeaseOptions {
-    Milliseconds renewInterval{1000};
+    Milliseconds renewInterval{1500};
     /// A lease that was not renewed for this long, as seen here, is free.
-    Milliseconds lifetime{3500};
+    Milliseconds lifetime{4500};
     /// Random delay of an attempt, so that few hosts try at once.
     Milliseconds attemptSpread{3000};
 };
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -16,7 +16,7 @@
     /// All servers that are left were tried.
     AllTried,
     AllFull,
-    /// The groups of all engines are forming anew.
+    /// All servers are in groups that form anew, or cannot be reached.
     GroupsClosed,
 };
 
--- a/src/traffic/loadexchange.cpp
+++ b/src/traffic/loadexchange.cpp
@@ -5,8 +5,12 @@
 namespace Cardamomhill
 {
 
-LoadExchange::LoadExchange(std::string host, std::uint64_t incarnation, LoadExchangeOptions options)
+LoadExchange::LoadExchange(std::string host,
+                           std::string failureDomain,
+                           std::uint64_t incarnation,
+                           LoadExchangeOptions options)
     : m_host(std::move(host))
+    , m_failureDomain(std::move(failureDomain))
     , m_incarnation(incarnation)
     , m_options(options)
 {
@@ -24,6 +28,7 @@
     m_toldAt = now;
     LoadNotice notice;
     notice.host = m_host;
+    notice.failureDomain = m_failureDomain;
     notice.incarnation = m_incarnation;
     notice.sequence = ++m_sequence;
     notice.calls.assign(own.begin(), own.end());
--- a/src/traffic/loadexchange.h
+++ b/src/traffic/loadexchange.h
@@ -18,7 +18,7 @@
     /// Changes are told at most this often.
     Milliseconds shortestInterval{150};
     /// Unchanged calls are told again after this time, so that a lost notice is made up for.
-    Milliseconds longestInterval{1000};
+    Milliseconds longestInterval{500};
     /// Calls of a host that says nothing for this long are no longer counted: its process has ended.
     Milliseconds lifetime{2500};
 };
@@ -27,7 +27,10 @@
 class LoadExchange
 {
 public:
-    LoadExchange(std::string host, std::uint64_t incarnation, LoadExchangeOptions options = {});
+    LoadExchange(std::string host,
+                 std::string failureDomain,
+                 std::uint64_t incarnation,
+                 LoadExchangeOptions options = {});
 
     /// The notice to send now, if any.
     std::optional<LoadNotice> nextNotice(const ServerLoads &own, SteadyTime now);
@@ -54,6 +57,7 @@
     };
 
     std::string m_host;
+    std::string m_failureDomain;
     std::uint64_t m_incarnation;
     LoadExchangeOptions m_options;
     std::map<std::string, Peer> m_peers;
--- a/src/traffic/loadnotice.h
+++ b/src/traffic/loadnotice.h
@@ -20,6 +20,7 @@
 
     std::uint8_t format = CurrentFormat;
     std::string host;
+    std::string failureDomain;
     /// Differs between processes of a host.
     std::uint64_t incarnation = 0;
     /// Grows with each notice of an incarnation.
@@ -28,7 +29,7 @@
     /// Slow ranks of the groups that the host coordinates, and how many times longer than usual their work takes.
     std::vector<std::pair<ServerKey, float>> slowRanks;
 
-    MSGPACK_DEFINE_ARRAY(format, host, incarnation, sequence, calls, slowRanks)
+    MSGPACK_DEFINE_ARRAY(format, host, failureDomain, incarnation, sequence, calls, slowRanks)
 };
 
 std::string packNotice(const LoadNotice &notice);
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -65,6 +65,7 @@
             m_entries.erase(found);
         }
     }
+    findCutGroups();
 }
 
 void ServerTable::setPeerLoads(ServerLoads loads)
@@ -106,7 +107,7 @@
             choice.reason = std::max(choice.reason, ChoiceReason::AllTried);
             continue;
         }
-        if (entry.server.seat && !entry.server.seat->isOpen) {
+        if (!isUsable(entry)) {
             sawClosed = true;
             continue;
         }
@@ -140,6 +141,48 @@
     return choice;
 }
 
+void ServerTable::setUnreachable(std::set<FailureDomainId> domains)
+{
+    if (domains != m_unreachable) {
+        m_unreachable = std::move(domains);
+        findCutGroups();
+    }
+}
+
+const std::set<FailureDomainId> &ServerTable::unreachable() const
+{
+    return m_unreachable;
+}
+
+void ServerTable::findCutGroups()
+{
+    m_cutGroups.clear();
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.server.seat && !entry.isGone && m_unreachable.contains(entry.server.failureDomain)) {
+            m_cutGroups.insert(entry.server.seat->group);
+        }
+    }
+}
+
+bool ServerTable::isUsable(const Entry &entry) const
+{
+    if (m_unreachable.contains(entry.server.failureDomain)) {
+        return false;
+    }
+    const auto &seat = entry.server.seat;
+    return !seat || (seat->isOpen && !m_cutGroups.contains(seat->group));
+}
+
+bool ServerTable::canServe(const ServiceId &service) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end()
+        && std::any_of(found->second.begin(), found->second.end(), [this](const BackendServerId &id) {
+               const auto &entry = m_entries.at(id);
+               return !entry.server.isLeaving && isUsable(entry);
+           });
+}
+
 std::string ServerTable::nameOf(ServerKey key) const
 {
     for (const auto &[id, entry] : m_entries) {
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -11,6 +11,7 @@
 #include "traffic/serverslowness.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +51,13 @@
     void setSlowness(ServerSlowness slowness);
     const ServerSlowness &slowness() const;
 
+    /// Failure domains whose servers, and groups with a rank there, get no calls.
+    void setUnreachable(std::set<FailureDomainId> domains);
+    const std::set<FailureDomainId> &unreachable() const;
+
+    /// Whether some server of a service can take calls.
+    bool canServe(const ServiceId &service) const;
+
     /// Chooses the least loaded server of a service that was not tried.
     ServerChoice
     choose(const ServiceId &service, const std::vector<BackendServerId> &tried, SteadyTime now, Random &random) const;
@@ -84,6 +92,8 @@
         std::uint32_t knownWhenStated = 0;
     };
 
+    bool isUsable(const Entry &entry) const;
+    void findCutGroups();
     double failuresOf(const Entry &entry, SteadyTime now) const;
     double loadOf(const Entry &entry, SteadyTime now) const;
     std::uint32_t peerCalls(const Entry &entry) const;
@@ -93,6 +103,9 @@
     std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
     ServerLoads m_peerLoads;
     ServerSlowness m_slowness;
+    std::set<FailureDomainId> m_unreachable;
+    /// Groups with a rank in a failure domain that cannot be reached.
+    std::set<GroupId> m_cutGroups;
 };
 
 } // namespace Cardamomhill
