Wait for groups that work, leave those that stall; shorter queues

Change: a stream is moved only if nothing arrives from its server's whole group for 0.7 s, if it alone is silent for 1.2 s after its first event, or if its server becomes unreachable. Engines get at most 0.6 waiting calls a slot; refused callers are told 1 to 2 s.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -25,11 +25,11 @@
 constexpr int MostForeignAnswers = 2;
 /// Whole answers up to this size are held until they are complete, so that a broken one can be repeated.
 constexpr std::size_t HeldBytes = 256 * 1024;
-/// Multiples of the latency objective after which a first event, and of the pause objective after which a further one,
-/// is not waited for any longer. Callers give up after 2 s.
-constexpr int FirstEventPatience = 3;
-constexpr int EventPatience = 8;
-constexpr Milliseconds ShortestEventPatience{600};
+/// Silence of a stream, and of everything else that its server's group does, after which the group counts as stalled.
+/// The slowest steps take about 300 ms.
+constexpr Milliseconds StallLimit{700};
+/// Silence of one stream after which it goes on elsewhere although its server works. Callers give up after 2 s.
+constexpr Milliseconds SilenceLimit{1200};
 /// Part of the time limit of an idempotent call that its first attempt may use.
 constexpr int AttemptPart = 2;
 
@@ -83,6 +83,7 @@
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
+    m_lastArrival = steadyNow();
     m_thread.attempts().insert(this);
     const auto end = co_await send();
     m_thread.attempts().erase(this);
@@ -156,14 +157,12 @@
     call.remaining = left();
     call.lastEventId = m_state.lastEventId;
     m_thread.dialect().prepareForServer(request, call);
-    const auto usual = m_state.route->kind == CallKind::Stream ? m_state.route->latencyObjective * FirstEventPatience
-                                                               : m_state.route->timeout / AttemptPart;
-    const auto limit = patience(usual);
-    auto started = co_await m_call->start(std::move(request), limit);
+    auto started = co_await m_call->start(std::move(request), answerLimit());
     started = co_await skipForeignAnswers(std::move(started));
     if (started.has_error()) {
         co_return classify(started.error());
     }
+    arrived();
     if (m_answer.load) {
         m_thread.servers().takeLoad(m_server, *m_answer.load, steadyNow());
     }
@@ -258,15 +257,15 @@
 
 Task<AttemptEnd> Attempt::relayEvents()
 {
-    auto usual = m_state.route->latencyObjective * FirstEventPatience;
     while (true) {
-        auto piece = co_await m_call->readSome(patience(usual));
+        auto piece = co_await m_call->readSome(left());
         if (piece.has_error()) {
             co_return classify(piece.error());
         }
         if (!piece.value()) {
             co_return co_await endEvents();
         }
+        arrived();
         m_events.append(*piece.value());
         while (auto event = m_events.next()) {
             if (!event->id.empty() && !m_state.lastEventId.empty() && !isAfter(event->id, m_state.lastEventId)) {
@@ -280,7 +279,6 @@
                 m_state.lastEventId = event->id;
             }
             ++m_state.events;
-            usual = std::max(m_state.route->pauseObjective * EventPatience, ShortestEventPatience);
         }
     }
 }
@@ -347,11 +345,39 @@
     return std::max(time, Milliseconds(1));
 }
 
-Milliseconds Attempt::patience(Milliseconds usual) const
+Milliseconds Attempt::answerLimit() const
 {
+    if (m_state.route->kind == CallKind::Stream) {
+        return left();
+    }
+    const auto part = m_state.route->timeout / AttemptPart;
     auto history = m_state.attempts;
     history.add(AttemptEnd::TimedOut);
-    return history.mayAttempt(*m_state.route, left() - usual) ? std::min(usual, left()) : left();
+    return history.mayAttempt(*m_state.route, left() - part) ? std::min(part, left()) : left();
+}
+
+void Attempt::arrived()
+{
+    m_lastArrival = steadyNow();
+    m_thread.servers().signOfLife(m_server, m_lastArrival);
+}
+
+void Attempt::check(SteadyTime now)
+{
+    if (m_state.route->kind != CallKind::Stream) {
+        return;
+    }
+    const auto silence = now - m_lastArrival;
+    if (!m_thread.servers().isUsable(m_server)) {
+        moveAway("the server or its group cannot be reached");
+        return;
+    }
+    const auto groupSilence = now - std::max(m_thread.servers().lastSignOfLife(m_server), m_state.startedAt);
+    if (silence > StallLimit && groupSilence > StallLimit) {
+        moveAway("the group makes no steps");
+    } else if (silence > SilenceLimit && m_state.events > 0) {
+        moveAway("the stream is silent");
+    }
 }
 
 void Attempt::keepConnection()
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -33,6 +33,9 @@
     /// Ends the attempt, such as when the caller has left.
     void cancel();
 
+    /// Looks whether it still makes sense to wait for this server.
+    void check(SteadyTime now);
+
     /// Breaks the attempt off if the call may go on at another server.
     void moveAway(std::string_view cause);
 
@@ -55,8 +58,9 @@
     AttemptEnd fail(std::string_view cause);
     HttpHeaders answerHeaders() const;
     Milliseconds left() const;
-    /// Time for the next sign of an answer, after which another server is tried if that is allowed.
-    Milliseconds patience(Milliseconds usual) const;
+    /// Time for a whole answer, after which another server is tried if that is allowed.
+    Milliseconds answerLimit() const;
+    void arrived();
     void keepConnection();
 
     GatewayThread &m_thread;
@@ -67,6 +71,8 @@
     AnswerHead m_answer;
     EventSplitter m_events;
     std::string m_cause;
+    /// When something of the answer arrived last, or when it was sent.
+    SteadyTime m_lastArrival{};
     /// Why this process broke the attempt off itself.
     std::string m_breakCause;
     bool m_isCancelled = false;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -27,14 +27,14 @@
 
 /// A process that has just started knows its configuration after some hundred milliseconds.
 constexpr Milliseconds StartRetryAfter{500};
-/// Time in which a full server ends some of its calls.
-constexpr Milliseconds FullRetryAfter{400};
+/// Time in which full servers work off what waits.
+constexpr Milliseconds FullRetryAfter{1000};
 /// Time in which membership learns of other servers.
 constexpr Milliseconds NoServerRetryAfter{1000};
 /// A group that lost a rank gives up its steps after a second or two and then forms anew.
 constexpr Milliseconds GroupRetryAfter{2000};
 /// Random part of a time to return, so that callers that were refused together do not return together.
-constexpr double RetryAfterSpread = 0.5;
+constexpr double RetryAfterSpread = 1.0;
 
 Milliseconds retryAfterOf(ChoiceReason reason)
 {
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -266,6 +266,10 @@
         }
         m_peers.tick();
         checkReachability();
+        const auto now = steadyNow();
+        for (auto *const attempt : m_attempts) {
+            attempt->check(now);
+        }
         timer.expires_after(TickPeriod);
         co_await timer.async_wait(storeError(error));
     }
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -53,6 +53,11 @@
         entry.key = serverKey(server.id);
         entry.isGone = false;
     }
+    std::erase_if(m_groupSigns, [this](const auto &sign) {
+        return std::none_of(m_entries.begin(), m_entries.end(), [&sign](const auto &entry) {
+            return entry.second.server.seat && entry.second.server.seat->group == sign.first;
+        });
+    });
     for (const auto &id : changes.gone) {
         const auto found = m_entries.find(id);
         if (found == m_entries.end()) {
@@ -113,7 +118,8 @@
         }
         const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
         const double load = loadOf(entry, now);
-        if (load >= slots * (1 + m_options.waitingPerSlot)) {
+        const double waiting = entry.server.seat ? m_options.waitingPerEngineSlot : m_options.waitingPerSlot;
+        if (load >= slots * (1 + waiting)) {
             sawFull = true;
             continue;
         }
@@ -229,6 +235,35 @@
     entry.failuresAt = now;
 }
 
+void ServerTable::signOfLife(const BackendServerId &id, SteadyTime now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return;
+    }
+    found->second.signAt = now;
+    if (found->second.server.seat) {
+        m_groupSigns[found->second.server.seat->group] = now;
+    }
+}
+
+SteadyTime ServerTable::lastSignOfLife(const BackendServerId &id) const
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return {};
+    }
+    const auto &seat = found->second.server.seat;
+    const auto group = seat ? m_groupSigns.find(seat->group) : m_groupSigns.end();
+    return group == m_groupSigns.end() ? found->second.signAt : group->second;
+}
+
+bool ServerTable::isUsable(const BackendServerId &id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && isUsable(found->second);
+}
+
 void ServerTable::takeLoad(const BackendServerId &id, const StatedLoad &load, SteadyTime now)
 {
     const auto found = m_entries.find(id);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -21,8 +21,10 @@
 
 /// Constants of ServerTable.
 struct ServerTableOptions {
-    /// Calls that may wait at a server for each of its slots before new ones are refused here.
-    double waitingPerSlot = 1.0;
+    /// Calls that may wait at a server for each of its slots before new ones are refused here. An engine works for a
+    /// second and more on a call, and callers give up a stream that has not begun after two.
+    double waitingPerSlot = 1.5;
+    double waitingPerEngineSlot = 0.6;
     /// Random part of the load that a choice sees, in calls, so that entry hosts with the same view spread out.
     double jitterCalls = 0.8;
     /// Load that a recent failure counts for, in calls, and the time in which it halves.
@@ -72,6 +74,14 @@
     /// Counts a call on a server. Each is followed by one ended().
     void started(const BackendServerId &id);
     void ended(const BackendServerId &id, AttemptEnd end, SteadyTime now);
+    /// Something arrived from the server. The ranks of a group work in step, so each speaks for all.
+    void signOfLife(const BackendServerId &id, SteadyTime now);
+    /// When something last arrived from the server or its group; the clock's start if never.
+    SteadyTime lastSignOfLife(const BackendServerId &id) const;
+
+    /// Whether calls may be sent to the server now.
+    bool isUsable(const BackendServerId &id) const;
+
     void takeLoad(const BackendServerId &id, const StatedLoad &load, SteadyTime now);
 
     /// Own calls in progress.
@@ -89,6 +99,7 @@
         SteadyTime failuresAt{};
         StatedLoad stated;
         SteadyTime statedAt{};
+        SteadyTime signAt{};
         std::uint32_t knownWhenStated = 0;
     };
 
@@ -104,6 +115,7 @@
     ServerLoads m_peerLoads;
     ServerSlowness m_slowness;
     std::set<FailureDomainId> m_unreachable;
+    std::unordered_map<GroupId, SteadyTime> m_groupSigns;
     /// Groups with a rank in a failure domain that cannot be reached.
     std::set<GroupId> m_cutGroups;
 };
