Weigh a switch by the load of its group; less work for notices and plans

Cause: a fixed threshold between idle and busy groups switched too seldom below it; each notice of a peer added up all loads anew, and a plan copied the map at every step.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -20,8 +20,8 @@
 constexpr Milliseconds IdlePeriod{100};
 /// Time over which choices of experts are counted for a plan. Reading them is charged and pauses the group.
 constexpr Milliseconds CountInterval{700};
-/// The same while the group is not busy.
-constexpr Milliseconds IdleCountInterval{4000};
+/// The same while the group has little to do.
+constexpr Milliseconds IdleCountInterval{3000};
 /// Weight of the newest reading in the mean part of the slots in use.
 constexpr double UsageWeight = 0.5;
 /// Ranks that are slower than this part of the usual speed get fewer calls.
@@ -30,10 +30,11 @@
 /// run in time anyway and a switch would only cost.
 constexpr double RequiredGainBusy = 0.08;
 constexpr double RequiredGainIdle = 0.3;
-/// Part of an engine's slots in use from which on the group counts as busy.
+/// Parts of an engine's slots in use between which a group turns from idle to busy.
+constexpr double IdlePart = 0.35;
 constexpr double BusyPart = 0.6;
 /// What each copy must bring, in parts of the mean load of its layer.
-constexpr double GainPerCopyBusy = 0.02;
+constexpr double GainPerCopyBusy = 0.03;
 constexpr double GainPerCopyIdle = 0.06;
 /// Weight of the newest interval in the load that is planned for.
 constexpr double NewestWeight = 0.7;
@@ -262,7 +263,7 @@
     double known = 0;
     for (std::size_t rank = 0; rank < clients.size(); ++rank) {
         // A slow rank makes the whole group busy, so while it is not, one rank says enough.
-        if (!m_isBusy && rank != m_countedRank) {
+        if (pressure() < 0.5 && rank != m_countedRank) {
             continue;
         }
         const auto state = co_await clients[rank]->readState();
@@ -280,7 +281,6 @@
     }
     if (known > 0) {
         m_usage += UsageWeight * (inUse / known - m_usage);
-        m_isBusy = m_usage >= BusyPart;
     }
     m_speeds = std::move(speeds);
     co_return known > 0;
@@ -291,10 +291,10 @@
     const auto readFor = m_switch;
     const bool isUsageKnown = co_await readUsage();
     const auto now = steadyNow();
-    if (!isUsageKnown || m_switch != readFor || (!m_isBusy && now < m_nextIdleCount)) {
+    if (!isUsageKnown || m_switch != readFor || now < m_nextCount) {
         co_return false;
     }
-    m_nextIdleCount = now + IdleCountInterval;
+    m_nextCount = now + blend(IdleCountInterval, CountInterval);
     const auto clients = m_clients;
     const auto cells = static_cast<std::size_t>(m_engine.expertLayers) * m_engine.expertsPerLayer;
     std::vector<double> load(cells, 0);
@@ -329,10 +329,10 @@
 Task<> GroupCoordinator::considerSwitch()
 {
     const auto now = steadyNow();
-    if (now < m_nextCount || m_engine.expertLayers == 0) {
+    if (now < m_nextUsage || m_engine.expertLayers == 0) {
         co_return;
     }
-    m_nextCount = now + CountInterval;
+    m_nextUsage = now + CountInterval;
     if (m_switch->mapInForce()) {
         m_map = m_switch->mapInForce();
     }
@@ -346,10 +346,9 @@
     if (!isKnown || !m_switch || m_switch->phase() != SwitchPhase::Idle) {
         co_return;
     }
-    const SwitchLimits limits{
-        m_engine.placesPerRank, m_engine.copiesPerRank, m_isBusy ? GainPerCopyBusy : GainPerCopyIdle};
+    const SwitchLimits limits{m_engine.placesPerRank, m_engine.copiesPerRank, blend(GainPerCopyIdle, GainPerCopyBusy)};
     const auto plan = planSwitch(*m_map, m_load, m_speeds, limits);
-    const double required = m_isBusy ? RequiredGainBusy : RequiredGainIdle;
+    const double required = blend(RequiredGainIdle, RequiredGainBusy);
     const bool isWorth = plan.skewAfter < plan.skewBefore * (1 - required);
     logEvent(LogLevel::Info,
              isWorth ? "switch-planned" : "map-kept",
@@ -366,6 +365,22 @@
     }
 }
 
+double GroupCoordinator::pressure() const
+{
+    return std::clamp((m_usage - IdlePart) / (BusyPart - IdlePart), 0.0, 1.0);
+}
+
+double GroupCoordinator::blend(double idle, double busy) const
+{
+    return idle + (busy - idle) * pressure();
+}
+
+Milliseconds GroupCoordinator::blend(Milliseconds idle, Milliseconds busy) const
+{
+    const double time = blend(static_cast<double>(idle.count()), static_cast<double>(busy.count()));
+    return Milliseconds(static_cast<Milliseconds::rep>(time));
+}
+
 Microseconds GroupCoordinator::copyTime(std::size_t copies) const
 {
     constexpr double BitsPerByte = 8;
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -57,6 +57,10 @@
     Task<bool> readLoad();
     void startEpoch();
     void logPhase();
+    /// From 0 for a group that has little to do to 1 for a busy one.
+    double pressure() const;
+    double blend(double idle, double busy) const;
+    Milliseconds blend(Milliseconds idle, Milliseconds busy) const;
     Microseconds copyTime(std::size_t copies) const;
 
     asio::io_context &m_context;
@@ -80,8 +84,7 @@
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
     /// Mean part of an engine's slots that is in use.
     double m_usage = 0;
-    bool m_isBusy = false;
-    SteadyTime m_nextIdleCount{};
+    SteadyTime m_nextUsage{};
     bool m_isStopped = false;
 };
 
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -21,8 +21,8 @@
 namespace
 {
 
-constexpr Milliseconds TickPeriod{50};
-constexpr std::uint64_t TicksPerSweep = 20;
+constexpr Milliseconds TickPeriod{100};
+constexpr std::uint64_t TicksPerSweep = 10;
 /// How many times longer than usual the work of a server takes from which on its streams go on elsewhere. The streams
 /// of one slow rank hold back those of all ranks of its group.
 constexpr double SlownessToLeave = 2;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -11,6 +11,14 @@
 
 using asio::ip::udp;
 
+namespace
+{
+
+/// Calls of hosts that have gone silent are dropped at least this often.
+constexpr Milliseconds PublicationInterval{500};
+
+} // namespace
+
 PeerExchange::PeerExchange(asio::io_context &context,
                            const GatewaySettings &settings,
                            std::uint64_t incarnation,
@@ -68,11 +76,15 @@
             }
         }
     }
-    publish();
+    if (m_hasNews || now >= m_nextPublication) {
+        publish();
+    }
 }
 
 void PeerExchange::publish()
 {
+    m_hasNews = false;
+    m_nextPublication = steadyNow() + PublicationInterval;
     m_servers.setPeerLoads(m_exchange.peerLoads(steadyNow()));
     const auto slowness = m_exchange.slowness();
     if (slowness != m_servers.slowness()) {
@@ -100,7 +112,7 @@
             m_metrics.counter("peer_notices_malformed_total").add();
         } else if (m_exchange.take(*notice, steadyNow())) {
             m_observers.onHeard(FailureDomainId(notice->failureDomain));
-            publish();
+            m_hasNews = true;
         }
     }
 }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -61,6 +61,8 @@
     MetricsRegistry &m_metrics;
     Observers m_observers;
     std::vector<asio::ip::udp::endpoint> m_peers;
+    bool m_hasNews = false;
+    SteadyTime m_nextPublication{};
     std::array<char, MostBytes> m_buffer{};
 };
 
--- a/src/placement/switchplanner.cpp
+++ b/src/placement/switchplanner.cpp
@@ -69,8 +69,10 @@
                                          SteadyTime(),
                                          WideSearches);
         plan.skewBefore += balancer.slowest() / mean;
-        ExpertMap best = plan.map;
-        ExpertMap current = plan.map;
+        // Moves that are kept, and those after them that have not paid for their copies yet.
+        std::vector<ReplicaMove> kept;
+        std::vector<ReplicaMove> pending;
+        std::vector<std::size_t> copies(shape.ranks, 0);
         double bestLoad = balancer.slowest();
         std::size_t pendingCopies = 0;
         for (std::size_t i = 0; i < MostStepsPerLayer && bestLoad > SettledSkew * mean; ++i) {
@@ -78,28 +80,34 @@
             if (!step) {
                 break;
             }
-            bool fits = true;
             for (const auto &move : step->moves) {
-                fits = fits && current.apply(move).has_value();
+                const bool isCopy = move.kind == MoveKind::Add && !map.holds(layer, move.expert, move.rank);
+                copies[move.rank] += isCopy ? 1 : 0;
+                pending.push_back(move);
             }
-            const auto copies = copiesOf(map, current, layer);
-            if (!fits || *std::max_element(copies.begin(), copies.end()) > limits.copiesPerRank) {
+            if (*std::max_element(copies.begin(), copies.end()) > limits.copiesPerRank) {
                 break;
             }
             pendingCopies += step->transfers;
             const double gain = (bestLoad - step->slowest) / mean;
             if (gain > limits.gainPerCopy * static_cast<double>(pendingCopies)) {
                 pendingCopies = 0;
-                best = current;
+                kept.insert(kept.end(), pending.begin(), pending.end());
+                pending.clear();
                 bestLoad = step->slowest;
             }
         }
-        plan.map = best;
+        for (const auto &move : kept) {
+            if (plan.map.apply(move).has_error()) {
+                // The balancer's moves apply in their order; without one of them the layer stays as it was.
+                return {map, 0, 0, 1, 1};
+            }
+        }
         plan.skewAfter += bestLoad / mean;
-        const auto copies = copiesOf(map, plan.map, layer);
+        const auto layerCopies = copiesOf(map, plan.map, layer);
         for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
-            totalCopies[rank] += copies[rank];
-            plan.copies += copies[rank];
+            totalCopies[rank] += layerCopies[rank];
+            plan.copies += layerCopies[rank];
         }
     }
     plan.mostCopies = *std::max_element(totalCopies.begin(), totalCopies.end());
