Arm ranks without waiting for reports of their copies

Cause: a switch waited 0.2 to 0.4 s for reports that lag behind, although a rank that is not ready refuses to be armed and the step is held. Change: after the time that the copies take, the step is held and ranks that refuse are armed again every 25 ms, for 0.8 s at most.

--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -42,7 +42,8 @@
 {
     m_next = std::move(map);
     m_version = m_tokens.next();
-    m_nextReports = now + copyTime;
+    m_copyTime = copyTime;
+    m_nextReports = SteadyTime::max();
     m_stepPenalty = 0;
     m_isRecovery = false;
     enter(SwitchPhase::Preparing, now);
@@ -151,8 +152,7 @@
 {
     switch (m_phase) {
     case SwitchPhase::Preparing:
-        // The step of the switch before may not have begun yet. Or a copy of this order, thought lost, had been carried
-        // out; then the reports show it.
+        // The step of the switch before may not have begun yet.
         m_ranks[rank].retryAt = now + m_options.conflictInterval;
         return;
     case SwitchPhase::Holding:
@@ -166,7 +166,8 @@
         chooseStep(now);
         return;
     case SwitchPhase::Arming:
-        enter(SwitchPhase::Disarming, now);
+        // The step is held, so it has not begun: the rank's copies are not complete yet.
+        m_ranks[rank].retryAt = now + m_options.armInterval;
         return;
     default:
         // There is nothing to disarm, release or fence.
@@ -182,6 +183,9 @@
         enter(SwitchPhase::Inspecting, now);
         m_nextReports = now + m_options.reportLag;
         return;
+    case SwitchPhase::Preparing:
+        m_nextReports = now + m_copyTime;
+        return;
     case SwitchPhase::Holding:
         enter(m_isRecovery ? SwitchPhase::Disarming : SwitchPhase::Arming, now);
         return;
@@ -326,12 +330,9 @@
 
 void MapSwitch::onPrepared(SteadyTime now)
 {
-    const bool ready = std::all_of(
-        m_ranks.begin(), m_ranks.end(), [this](const Rank &rank) { return rank.state.prepared == m_version; });
-    if (ready) {
-        enter(SwitchPhase::Holding, now);
-        chooseStep(now);
-    }
+    // The reports lag behind, so a rank that is not ready shows only when it refuses to be armed.
+    enter(SwitchPhase::Holding, now);
+    chooseStep(now);
 }
 
 void MapSwitch::chooseStep(SteadyTime now)
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -32,8 +32,9 @@
     std::uint64_t stepMargin = 1;
     /// Shortest time over which the rate of steps is measured; reports of different ranks have different ages.
     Milliseconds rateWindow{500};
+    Milliseconds armInterval{25};
     /// Longest time in which all ranks must be armed; a held group makes no passes.
-    Milliseconds armingLimit{900};
+    Milliseconds armingLimit{800};
     Milliseconds prepareLimit{6000};
     /// Longest time to reach all ranks; after it another coordinator, that may reach them, has to go on.
     Milliseconds stuckLimit{3000};
@@ -127,6 +128,7 @@
     std::shared_ptr<const ExpertMap> m_next;
     std::shared_ptr<const ExpertMap> m_inForce;
     SteadyTime m_nextReports{};
+    Microseconds m_copyTime{0};
     std::uint64_t m_lastStep = 0;
     SteadyTime m_lastStepAt{};
     SteadyTime m_rateFrom{};
