Prove the map switch against a group of engines with lost and late orders

Checked: no step begins with two maps, and the group goes on once failures end. Seeded faults (engine that ignores tokens, lost order taken as done) are found.

--- /dev/null
+++ b/tests/support/switchworld.h
@@ -0,0 +1,393 @@
+#pragma once
+
+#include "core/random.h"
+#include "rebalance/mapswitch.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+/// Faults that a schedule of SwitchWorld may contain, and faults of the parts under test that its checks must find.
+struct SwitchWorldFaults {
+    double lostRequest = 0.05;
+    double lostAnswer = 0.1;
+    /// Gets no answer and is carried out 2 to 12 s later.
+    double lateOrder = 0.15;
+    /// In each second.
+    double coordinatorDeath = 0.05;
+    double coordinatorFreeze = 0.05;
+    double rankRestart = 0.03;
+    /// Seeded faults.
+    bool engineIgnoresTokens = false;
+    bool lostCountsAsAccepted = false;
+};
+
+/// A group of engines and its coordinators in simulated time. The engines obey orders as the platform's pages say.
+class SwitchWorld
+{
+public:
+    SwitchWorld(std::uint64_t seed, SwitchWorldFaults faults)
+        : m_random(seed)
+        , m_faults(faults)
+        , m_ranks(Ranks)
+    {
+    }
+
+    void run(Seconds faulty, Seconds calm)
+    {
+        elect();
+        at(StepTime, [this] { beginStep(); });
+        const auto calmFrom = m_now + faulty;
+        const auto end = calmFrom + calm;
+        while (m_now < end && m_violation.empty()) {
+            m_isCalm = m_now >= calmFrom;
+            advance();
+        }
+        if (m_violation.empty() && m_now - m_lastStepAt > Seconds(1)) {
+            m_violation = "the group stands still";
+        }
+    }
+
+    const std::string &violation() const
+    {
+        return m_violation;
+    }
+
+    std::size_t switches() const
+    {
+        return m_switches;
+    }
+
+private:
+    static constexpr std::size_t Ranks = 4;
+    static constexpr Milliseconds Tick{20};
+    static constexpr Milliseconds StepTime{40};
+    static constexpr Milliseconds ReportLag{200};
+    static constexpr Milliseconds CopyTime{150};
+    static constexpr Milliseconds LeaseTime{4500};
+    static constexpr Milliseconds OrderTimeout{120};
+
+    struct Rank {
+        std::uint64_t fence = 0;
+        std::uint64_t mapVersion = 0;
+        std::uint64_t newestVersion = 0;
+        std::optional<std::uint64_t> prepared;
+        SteadyTime preparedAt{};
+        std::optional<ArmedMap> armed;
+        std::optional<std::uint64_t> held;
+    };
+
+    struct Coordinator {
+        explicit Coordinator(std::uint64_t term, std::uint64_t epoch)
+            : tokens(term)
+            , mapSwitch(std::make_unique<MapSwitch>(Ranks, epoch, tokens))
+        {
+        }
+
+        OrderTokens tokens;
+        std::unique_ptr<MapSwitch> mapSwitch;
+        SteadyTime frozenUntil{};
+        bool isDead = false;
+    };
+
+    struct Snapshot {
+        SteadyTime time;
+        std::vector<RankState> states;
+    };
+
+    void at(Microseconds delay, std::function<void()> action)
+    {
+        m_events.emplace(m_now + delay, std::move(action));
+    }
+
+    bool chance(double probability)
+    {
+        return !m_isCalm && std::uniform_real_distribution<double>()(m_random) < probability;
+    }
+
+    Microseconds between(Milliseconds low, Milliseconds high)
+    {
+        return Milliseconds(std::uniform_int_distribution<std::int64_t>(low.count(), high.count())(m_random));
+    }
+
+    void advance()
+    {
+        const auto next = m_events.begin();
+        m_now = next->first;
+        const auto action = std::move(next->second);
+        m_events.erase(next);
+        action();
+    }
+
+    void elect()
+    {
+        const auto coordinator = std::make_shared<Coordinator>(++m_term, m_epoch);
+        m_coordinator = coordinator;
+        at(Tick, [this, coordinator] { drive(coordinator); });
+    }
+
+    void drive(const std::shared_ptr<Coordinator> &coordinator)
+    {
+        if (coordinator->isDead) {
+            return;
+        }
+        if (m_now < coordinator->frozenUntil) {
+            at(Tick, [this, coordinator] { drive(coordinator); });
+            return;
+        }
+        constexpr double TicksPerSecond = 50;
+        if (chance(m_faults.coordinatorDeath / TicksPerSecond)) {
+            coordinator->isDead = true;
+            at(LeaseTime, [this] { elect(); });
+            return;
+        }
+        if (coordinator == m_coordinator && chance(m_faults.coordinatorFreeze / TicksPerSecond)) {
+            // Another coordinator takes over, and this one wakes up in the middle of its work.
+            coordinator->frozenUntil = m_now + between(Milliseconds(500), Milliseconds(9000));
+            at(LeaseTime, [this] { elect(); });
+        }
+        work(coordinator);
+        at(Tick, [this, coordinator] { drive(coordinator); });
+    }
+
+    void work(const std::shared_ptr<Coordinator> &coordinator)
+    {
+        auto &mapSwitch = *coordinator->mapSwitch;
+        mapSwitch.tick(m_now);
+        switch (mapSwitch.phase()) {
+        case SwitchPhase::Idle:
+            if (std::uniform_int_distribution<int>(0, 20)(m_random) == 0) {
+                mapSwitch.begin(std::make_shared<ExpertMap>(GroupShape{Ranks, 1, 1}), CopyTime, m_now);
+            }
+            break;
+        case SwitchPhase::EpochEnded:
+            coordinator->mapSwitch = std::make_unique<MapSwitch>(Ranks, m_epoch, coordinator->tokens);
+            return;
+        case SwitchPhase::Stuck:
+        case SwitchPhase::Fenced:
+            coordinator->isDead = true;
+            if (coordinator == m_coordinator) {
+                at(LeaseTime, [this] { elect(); });
+            }
+            return;
+        default:
+            break;
+        }
+        if (mapSwitch.phase() != SwitchPhase::Idle && mapSwitch.epoch() != m_epoch) {
+            // The store shows the new epoch some time after the ranks know it.
+            if (std::uniform_int_distribution<int>(0, 30)(m_random) == 0) {
+                coordinator->mapSwitch = std::make_unique<MapSwitch>(Ranks, m_epoch, coordinator->tokens);
+                return;
+            }
+        }
+        send(coordinator);
+        if (mapSwitch.wantsReports(m_now)) {
+            mapSwitch.onReports(reports(), m_now);
+        }
+    }
+
+    void send(const std::shared_ptr<Coordinator> &coordinator)
+    {
+        auto *const sentFor = coordinator->mapSwitch.get();
+        for (const auto &order : sentFor->takeOrders(m_now)) {
+            const auto answer = [this, coordinator, sentFor, order](OrderAnswer result) {
+                if (!coordinator->isDead && coordinator->mapSwitch.get() == sentFor) {
+                    deliver(coordinator, order, result);
+                }
+            };
+            if (chance(m_faults.lostRequest)) {
+                at(OrderTimeout, [answer] { answer(OrderAnswer::Lost); });
+            } else if (chance(m_faults.lateOrder)) {
+                at(between(Milliseconds(2000), Milliseconds(12'000)), [this, order] { execute(order); });
+                at(OrderTimeout, [answer] { answer(OrderAnswer::Lost); });
+            } else {
+                const bool isLost = chance(m_faults.lostAnswer);
+                at(between(Milliseconds(1), Milliseconds(5)), [this, order, answer, isLost] {
+                    const auto result = execute(order);
+                    const auto delay = isLost ? OrderTimeout : Milliseconds(1);
+                    at(delay, [answer, isLost, result] { answer(isLost ? OrderAnswer::Lost : result); });
+                });
+            }
+        }
+    }
+
+    void deliver(const std::shared_ptr<Coordinator> &coordinator, const RankOrder &order, OrderAnswer answer)
+    {
+        if (m_now < coordinator->frozenUntil) {
+            at(coordinator->frozenUntil - m_now,
+               [this, coordinator, order, answer] { deliver(coordinator, order, answer); });
+            return;
+        }
+        if (m_faults.lostCountsAsAccepted && answer == OrderAnswer::Lost) {
+            answer = OrderAnswer::Accepted;
+        }
+        const auto before = coordinator->mapSwitch->switchCount();
+        coordinator->mapSwitch->onAnswer(order, answer, m_now);
+        m_switches += coordinator->mapSwitch->switchCount() - before;
+        send(coordinator);
+    }
+
+    OrderAnswer execute(const RankOrder &order)
+    {
+        auto &rank = m_ranks[order.rank];
+        if (order.epoch != m_epoch) {
+            return OrderAnswer::Conflict;
+        }
+        if (order.token < rank.fence && !m_faults.engineIgnoresTokens) {
+            return OrderAnswer::Fenced;
+        }
+        rank.fence = std::max(rank.fence, order.token);
+        return std::visit([this, &rank](const auto &action) { return carryOut(rank, action); }, order.action);
+    }
+
+    OrderAnswer carryOut(Rank &rank, const PrepareMap &action)
+    {
+        if (rank.prepared == action.version) {
+            return OrderAnswer::Accepted;
+        }
+        if (action.version <= rank.newestVersion || rank.armed) {
+            return OrderAnswer::Conflict;
+        }
+        rank.newestVersion = action.version;
+        rank.prepared = action.version;
+        rank.preparedAt = m_now + CopyTime + between(Milliseconds(0), Milliseconds(60));
+        return OrderAnswer::Accepted;
+    }
+
+    OrderAnswer carryOut(Rank &rank, const ArmMap &action)
+    {
+        const ArmedMap armed{action.version, action.step};
+        if (rank.armed == armed) {
+            return OrderAnswer::Accepted;
+        }
+        if (rank.prepared != action.version || m_now < rank.preparedAt || action.step <= m_step) {
+            return OrderAnswer::Conflict;
+        }
+        rank.armed = armed;
+        return OrderAnswer::Accepted;
+    }
+
+    OrderAnswer carryOut(Rank &rank, const DisarmMap &action)
+    {
+        if (rank.mapVersion == action.version) {
+            return OrderAnswer::Conflict;
+        }
+        if (rank.armed && rank.armed->version == action.version) {
+            rank.armed.reset();
+        }
+        return OrderAnswer::Accepted;
+    }
+
+    OrderAnswer carryOut(Rank &rank, const HoldStep &action)
+    {
+        if (action.step <= m_step || (rank.held && *rank.held != action.step)) {
+            return OrderAnswer::Conflict;
+        }
+        rank.held = action.step;
+        return OrderAnswer::Accepted;
+    }
+
+    OrderAnswer carryOut(Rank &rank, const ReleaseStep &action)
+    {
+        if (rank.held == action.step) {
+            rank.held.reset();
+        }
+        return OrderAnswer::Accepted;
+    }
+
+    void beginStep()
+    {
+        constexpr double StepsPerSecond = 25;
+        if (chance(m_faults.rankRestart / StepsPerSecond)) {
+            ++m_epoch;
+            m_ranks.assign(Ranks, Rank{});
+            m_step = 0;
+            m_history.clear();
+        }
+        const auto next = m_step + 1;
+        const bool isHeld = std::any_of(
+            m_ranks.begin(), m_ranks.end(), [next](const Rank &rank) { return rank.held == next; });
+        if (!isHeld) {
+            m_step = next;
+            m_lastStepAt = m_now;
+            std::set<std::uint64_t> maps;
+            for (auto &rank : m_ranks) {
+                if (rank.armed && rank.armed->step == m_step) {
+                    rank.mapVersion = rank.armed->version;
+                    rank.armed.reset();
+                }
+                maps.insert(rank.mapVersion);
+            }
+            if (maps.size() > 1) {
+                m_violation = "a step began with two maps";
+            }
+        }
+        remember();
+        at(StepTime, [this] { beginStep(); });
+    }
+
+    void remember()
+    {
+        Snapshot snapshot{m_now, {}};
+        for (const auto &rank : m_ranks) {
+            RankState state;
+            state.epoch = m_epoch;
+            state.isOpen = true;
+            state.step = m_step;
+            state.mapVersion = rank.mapVersion;
+            state.prepared = m_now >= rank.preparedAt ? rank.prepared : std::nullopt;
+            state.armed = rank.armed;
+            state.heldStep = rank.held;
+            snapshot.states.push_back(state);
+        }
+        m_history.push_back(std::move(snapshot));
+        constexpr std::size_t Kept = 20;
+        if (m_history.size() > Kept) {
+            m_history.erase(m_history.begin());
+        }
+    }
+
+    std::vector<std::optional<RankState>> reports()
+    {
+        std::vector<std::optional<RankState>> states(Ranks);
+        for (const auto &snapshot : m_history) {
+            if (snapshot.time > m_now - ReportLag && states[0]) {
+                break;
+            }
+            for (std::size_t rank = 0; rank < Ranks; ++rank) {
+                states[rank] = snapshot.states[rank];
+            }
+        }
+        for (auto &state : states) {
+            if (chance(m_faults.lostAnswer)) {
+                state.reset();
+            }
+        }
+        return states;
+    }
+
+    Random m_random;
+    SwitchWorldFaults m_faults;
+    SteadyTime m_now{Seconds(1000)};
+    std::multimap<SteadyTime, std::function<void()>> m_events;
+    std::vector<Rank> m_ranks;
+    std::uint64_t m_epoch = 1;
+    std::uint64_t m_step = 0;
+    SteadyTime m_lastStepAt = m_now;
+    std::vector<Snapshot> m_history;
+    std::uint64_t m_term = 0;
+    std::shared_ptr<Coordinator> m_coordinator;
+    std::size_t m_switches = 0;
+    std::string m_violation;
+    bool m_isCalm = false;
+};
+
+} // namespace Cardamomhill
