Test the decisions of the direct path

Found: a notice packed as a shorter array was read with empty fields (rapidcheck, shrunk to the empty array); its length is checked now.

--- a/src/traffic/loadnotice.cpp
+++ b/src/traffic/loadnotice.cpp
@@ -3,6 +3,13 @@
 namespace Cardamomhill
 {
 
+namespace
+{
+
+constexpr std::uint32_t FieldCount = 7;
+
+} // namespace
+
 std::string packNotice(const LoadNotice &notice)
 {
     msgpack::sbuffer buffer;
@@ -14,7 +21,12 @@
 {
     // msgpack reports bad input by exceptions.
     try {
-        auto notice = msgpack::unpack(bytes.data(), bytes.size()).get().as<LoadNotice>();
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // A shorter array would leave fields as they are.
+        if (handle->type != msgpack::type::ARRAY || handle->via.array.size != FieldCount) {
+            return std::nullopt;
+        }
+        auto notice = handle->as<LoadNotice>();
         return notice.format == LoadNotice::CurrentFormat ? std::optional(std::move(notice)) : std::nullopt;
     } catch (const msgpack::unpack_error &) {
         return std::nullopt;
--- /dev/null
+++ b/tests/attempthistorytest.cpp
@@ -0,0 +1,84 @@
+#include "traffic/attempthistory.h"
+#include "routing/retrybudget.h"
+#include "traffic/route.h"
+
+#include <doctest/doctest.h>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+constexpr Milliseconds Left{1000};
+
+Route route(CallKind kind, std::uint32_t limit, bool isResumable = false)
+{
+    Route result;
+    result.kind = kind;
+    result.attemptLimit = limit;
+    result.isResumable = isResumable;
+    return result;
+}
+
+RetryVerdict verdictAfter(const Route &route, std::initializer_list<AttemptEnd> ends, Milliseconds left = Left)
+{
+    AttemptHistory history;
+    for (const auto end : ends) {
+        history.add(end);
+    }
+    RetryBudget budget;
+    return history.retry(route, left, budget);
+}
+
+} // namespace
+
+TEST_CASE("a call that must not repeat is sent again only if it certainly did not run")
+{
+    const auto payment = route(CallKind::NonIdempotent, 3);
+    CHECK(verdictAfter(payment, {AttemptEnd::NotSent}) == RetryVerdict::Retry);
+    CHECK(verdictAfter(payment, {AttemptEnd::NotRun}) == RetryVerdict::Retry);
+    CHECK(verdictAfter(payment, {AttemptEnd::OtherInstance}) == RetryVerdict::Retry);
+    for (const auto end : {AttemptEnd::Broken, AttemptEnd::TimedOut, AttemptEnd::ServerError}) {
+        CHECK(verdictAfter(payment, {end}) == RetryVerdict::NotRepeatable);
+        CHECK(verdictAfter(payment, {end, AttemptEnd::NotSent}) == RetryVerdict::NotRepeatable);
+    }
+    CHECK(verdictAfter(route(CallKind::Stream, 3), {AttemptEnd::Broken}) == RetryVerdict::NotRepeatable);
+    CHECK(verdictAfter(route(CallKind::Stream, 3, true), {AttemptEnd::Broken}) == RetryVerdict::Retry);
+}
+
+TEST_CASE("attempts that reached a server are limited by the route, all of them by a constant")
+{
+    const auto lookup = route(CallKind::Idempotent, 2);
+    CHECK(verdictAfter(lookup, {AttemptEnd::Broken}) == RetryVerdict::Retry);
+    CHECK(verdictAfter(lookup, {AttemptEnd::Broken, AttemptEnd::NotRun}) == RetryVerdict::AttemptsUsed);
+    CHECK(verdictAfter(lookup, {AttemptEnd::NotSent, AttemptEnd::Broken}) == RetryVerdict::Retry);
+    const auto unsent = AttemptEnd::NotSent;
+    CHECK(verdictAfter(lookup, {unsent, unsent, unsent, unsent, unsent, unsent}) == RetryVerdict::AttemptsUsed);
+}
+
+TEST_CASE("no attempt begins when no time is left or the budget is empty")
+{
+    const auto lookup = route(CallKind::Idempotent, 5);
+    CHECK(verdictAfter(lookup, {AttemptEnd::Broken}, Milliseconds(5)) == RetryVerdict::TooLate);
+    AttemptHistory history;
+    history.add(AttemptEnd::Broken);
+    RetryBudgetOptions options;
+    options.burst = 1;
+    RetryBudget budget(options);
+    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::Retry);
+    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::BudgetEmpty);
+    AttemptHistory unsent;
+    unsent.add(AttemptEnd::NotSent);
+    CHECK(unsent.retry(lookup, Left, budget) == RetryVerdict::Retry);
+}
+
+TEST_CASE("only attempts that did not run make a call one that did not run")
+{
+    AttemptHistory history;
+    CHECK(history.isCertainlyNotRun());
+    history.add(AttemptEnd::NotRun);
+    history.add(AttemptEnd::NotSent);
+    CHECK(history.isCertainlyNotRun());
+    history.add(AttemptEnd::TimedOut);
+    CHECK_FALSE(history.isCertainlyNotRun());
+}
--- /dev/null
+++ b/tests/coordinatorleasetest.cpp
@@ -0,0 +1,102 @@
+#include "rebalance/coordinatorlease.h"
+#include "rebalance/groupdirectory.h"
+#include "rebalance/ordertokens.h"
+
+#include <doctest/doctest.h>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+const SteadyTime Start{Seconds(100)};
+constexpr Seconds LongEnough{20};
+
+DiscoveredServer rankOf(std::uint32_t rank, std::uint64_t epoch, bool isOpen = true)
+{
+    DiscoveredServer server;
+    server.id = BackendServerId("r" + std::to_string(rank) + "-" + std::to_string(epoch));
+    server.service = ServiceId("s");
+    server.seat = GroupSeat{GroupId("g"), epoch, rank, 2, isOpen};
+    return server;
+}
+
+} // namespace
+
+TEST_CASE("a lease that is renewed is left alone, one that is not is free after its lifetime")
+{
+    Random random(1);
+    CoordinatorLease lease("a", "1");
+    lease.observe({5, "b", "1"}, Start, random);
+    CHECK_FALSE(lease.shouldAcquire(Start + Seconds(4)));
+    lease.observe({6, "b", "1"}, Start + Seconds(4), random);
+    CHECK_FALSE(lease.shouldAcquire(Start + Seconds(8)));
+    lease.observe({6, "b", "1"}, Start + Seconds(8), random);
+    CHECK(lease.shouldAcquire(Start + LongEnough));
+    CHECK(lease.expectedVersion() == 6);
+}
+
+TEST_CASE("a stale reading does not bring an older lease back")
+{
+    Random random(1);
+    CoordinatorLease lease("a", "1");
+    lease.observe({6, "b", "1"}, Start, random);
+    lease.observe({5, "c", "1"}, Start + Seconds(1), random);
+    CHECK(lease.expectedVersion() == 6);
+}
+
+TEST_CASE("the lease of an earlier process of this host is taken at once")
+{
+    Random random(1);
+    CoordinatorLease lease("a", "2");
+    lease.observe({5, "a", "1"}, Start, random);
+    CHECK(lease.shouldAcquire(Start));
+}
+
+TEST_CASE("the version at which a term began numbers it, whatever renewals follow")
+{
+    Random random(1);
+    CoordinatorLease lease("a", "1");
+    lease.acquired(9, Start);
+    CHECK_FALSE(lease.shouldRenew(Start));
+    CHECK(lease.shouldRenew(Start + LongEnough));
+    lease.renewed(12, Start + Seconds(2));
+    CHECK(lease.term() == 9);
+    CHECK(lease.expectedVersion() == 12);
+    lease.lost(Start + Seconds(3), random);
+    CHECK_FALSE(lease.isHeld());
+    CHECK_FALSE(lease.shouldAcquire(Start + Seconds(4)));
+    OrderTokens early(9);
+    OrderTokens late(12);
+    const auto first = late.next();
+    for (int i = 0; i < 100'000; ++i) {
+        REQUIRE(early.next() < first);
+    }
+}
+
+TEST_CASE("a group is open only when all its ranks say so in one epoch")
+{
+    GroupDirectory directory;
+    directory.apply({{rankOf(0, 1)}, {}});
+    REQUIRE(directory.groups().size() == 1);
+    CHECK_FALSE(directory.groups()[0].isOpen);
+    directory.apply({{rankOf(1, 1)}, {}});
+    CHECK(directory.groups()[0].isOpen);
+    directory.apply({{rankOf(1, 2)}, {}});
+    CHECK(directory.groups()[0].epoch == 2);
+    CHECK_FALSE(directory.groups()[0].isOpen);
+    directory.apply({{rankOf(0, 2)}, {}});
+    CHECK(directory.groups()[0].isOpen);
+    directory.apply({{rankOf(0, 2, false)}, {}});
+    CHECK_FALSE(directory.groups()[0].isOpen);
+}
+
+TEST_CASE("a registration with an impossible rank or size belongs to no group")
+{
+    GroupDirectory directory;
+    auto wrong = rankOf(5, 1);
+    auto huge = rankOf(0, 1);
+    huge.seat->size = 4'000'000'000;
+    directory.apply({{wrong, huge}, {}});
+    CHECK(directory.groups().empty());
+}
--- /dev/null
+++ b/tests/eventsplittertest.cpp
@@ -0,0 +1,72 @@
+#include "traffic/eventsplitter.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+std::vector<StreamEvent> split(EventSplitter &splitter, std::string_view piece)
+{
+    splitter.append(piece);
+    std::vector<StreamEvent> events;
+    while (auto event = splitter.next()) {
+        events.push_back(*event);
+    }
+    return events;
+}
+
+} // namespace
+
+TEST_CASE("an event is given out only when it is whole")
+{
+    EventSplitter splitter;
+    CHECK(split(splitter, "id: 7\ndata: a").empty());
+    CHECK(split(splitter, "b\n").empty());
+    const auto events = split(splitter, "\nid: 8\n");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].bytes == "id: 7\ndata: ab\n\n");
+    CHECK(events[0].id == "7");
+    CHECK(splitter.pendingBytes() == 6);
+    splitter.clear();
+    CHECK(splitter.pendingBytes() == 0);
+}
+
+TEST_CASE("lines may end with carriage return and line feed, and an event may lack an id")
+{
+    EventSplitter splitter;
+    const auto events = split(splitter, "id:9\r\ndata: x\r\n\r\ndata: y\n\n");
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].id == "9");
+    CHECK(events[1].id == "");
+}
+
+TEST_CASE("events do not depend on the pieces in which they arrive")
+{
+    CHECK(rc::check([](const std::vector<std::uint8_t> &cuts) {
+        std::string stream;
+        for (int i = 1; i <= 20; ++i) {
+            stream += "id: " + std::to_string(i) + "\ndata: " + std::string(static_cast<std::size_t>(i), 'd') + "\n\n";
+        }
+        EventSplitter splitter;
+        std::string joined;
+        std::size_t count = 0;
+        std::size_t position = 0;
+        std::size_t next = 0;
+        while (position < stream.size()) {
+            const std::size_t length = next < cuts.size() ? cuts[next++] % 40 : stream.size();
+            for (const auto &event : split(splitter, std::string_view(stream).substr(position, length))) {
+                joined += event.bytes;
+                ++count;
+                RC_ASSERT(event.id == std::to_string(count));
+            }
+            position += std::max<std::size_t>(length, length == 0 ? 0 : 1);
+        }
+        RC_ASSERT(joined == stream);
+        RC_ASSERT(count == 20U);
+    }));
+}
--- /dev/null
+++ b/tests/loadexchangetest.cpp
@@ -0,0 +1,80 @@
+#include "traffic/loadexchange.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+const SteadyTime Start{Seconds(100)};
+
+LoadNotice notice(const std::string &host, std::uint64_t incarnation, std::uint64_t sequence, std::uint32_t calls)
+{
+    LoadNotice result;
+    result.host = host;
+    result.incarnation = incarnation;
+    result.sequence = sequence;
+    result.calls = {{1, calls}};
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("loads of other hosts add up, the newest notice of each counts")
+{
+    LoadExchange exchange("a", "d", 1);
+    CHECK(exchange.take(notice("b", 1, 1, 2), Start));
+    CHECK(exchange.take(notice("c", 1, 1, 3), Start));
+    CHECK(exchange.peerLoads(Start)[1] == 5);
+    CHECK(exchange.take(notice("b", 1, 3, 4), Start));
+    CHECK_FALSE(exchange.take(notice("b", 1, 2, 9), Start));
+    CHECK(exchange.peerLoads(Start)[1] == 7);
+    CHECK(exchange.take(notice("b", 2, 1, 0), Start));
+    CHECK(exchange.peerLoads(Start)[1] == 3);
+    CHECK_FALSE(exchange.take(notice("a", 9, 1, 50), Start));
+    CHECK(exchange.hostCount(Start) == 3);
+}
+
+TEST_CASE("calls of a host that has gone silent are not counted any more")
+{
+    LoadExchange exchange("a", "d", 1);
+    exchange.take(notice("b", 1, 1, 2), Start);
+    CHECK(exchange.peerLoads(Start + Seconds(10)).empty());
+    CHECK(exchange.hostCount(Start + Seconds(10)) == 1);
+}
+
+TEST_CASE("changes are told soon, and unchanged loads now and then")
+{
+    LoadExchange exchange("a", "d", 1);
+    REQUIRE(exchange.nextNotice({{1, 1}}, Start));
+    CHECK_FALSE(exchange.nextNotice({{1, 2}}, Start + Milliseconds(10)));
+    CHECK(exchange.nextNotice({{1, 2}}, Start + Milliseconds(200)));
+    CHECK_FALSE(exchange.nextNotice({{1, 2}}, Start + Milliseconds(400)));
+    CHECK(exchange.nextNotice({{1, 2}}, Start + Milliseconds(1500)));
+}
+
+TEST_CASE("slow ranks that any host tells of are known to all")
+{
+    LoadExchange exchange("a", "d", 1);
+    auto told = notice("b", 1, 1, 0);
+    told.slowRanks = {{5, 3.0F}};
+    exchange.take(told, Start);
+    exchange.setOwnSlowness({{5, 2.0F}, {6, 4.0F}});
+    CHECK(exchange.slowness() == ServerSlowness{{5, 3.0F}, {6, 4.0F}});
+}
+
+TEST_CASE("a notice survives packing, and other bytes are refused")
+{
+    auto original = notice("b", 7, 8, 9);
+    original.failureDomain = "d2";
+    const auto read = unpackNotice(packNotice(original));
+    REQUIRE(read);
+    CHECK(read->host == "b");
+    CHECK(read->failureDomain == "d2");
+    CHECK(read->calls == original.calls);
+    original.format = 99;
+    CHECK_FALSE(unpackNotice(packNotice(original)));
+    CHECK(rc::check([](const std::string &bytes) { RC_ASSERT(!unpackNotice(bytes)); }));
+}
--- /dev/null
+++ b/tests/reachabilitytest.cpp
@@ -0,0 +1,58 @@
+#include "traffic/reachability.h"
+
+#include <doctest/doctest.h>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+const SteadyTime Start{Seconds(100)};
+const FailureDomainId Own("own");
+const FailureDomainId Near("near");
+const FailureDomainId Far("far");
+
+} // namespace
+
+TEST_CASE("a domain whose hosts fall silent while others speak cannot be reached")
+{
+    Reachability reachability(Own);
+    reachability.heard(Near, Start);
+    reachability.heard(Far, Start);
+    CHECK(reachability.unreachable(Start + Seconds(1)).empty());
+    reachability.heard(Near, Start + Seconds(2));
+    CHECK(reachability.unreachable(Start + Seconds(2)) == std::set{Far});
+    reachability.heard(Far, Start + Seconds(3));
+    reachability.heard(Near, Start + Seconds(3));
+    CHECK(reachability.unreachable(Start + Seconds(3)).empty());
+}
+
+TEST_CASE("when nobody is heard the servers are still tried")
+{
+    Reachability reachability(Own);
+    reachability.heard(Near, Start);
+    reachability.heard(Far, Start);
+    CHECK(reachability.unreachable(Start + Seconds(10)).empty());
+}
+
+TEST_CASE("a silent domain whose servers accept connections can be reached")
+{
+    Reachability reachability(Own);
+    reachability.heard(Near, Start + Seconds(5));
+    reachability.heard(Far, Start);
+    reachability.connected(Far, true, Start + Seconds(5));
+    CHECK(reachability.unreachable(Start + Seconds(5)).empty());
+}
+
+TEST_CASE("connections that fail one after the other close a domain until the next trial")
+{
+    Reachability reachability(Own);
+    for (int i = 0; i < 3; ++i) {
+        reachability.connected(Far, false, Start);
+    }
+    CHECK(reachability.unreachable(Start) == std::set{Far});
+    CHECK(reachability.unreachable(Start + Seconds(2)).empty());
+    reachability.connected(Far, true, Start + Seconds(2));
+    reachability.connected(Far, false, Start + Seconds(2));
+    CHECK(reachability.unreachable(Start + Seconds(2)).empty());
+}
--- a/tests/support/switchworld.h
+++ b/tests/support/switchworld.h
@@ -313,8 +313,8 @@
             m_history.clear();
         }
         const auto next = m_step + 1;
-        const bool isHeld = std::any_of(
-            m_ranks.begin(), m_ranks.end(), [next](const Rank &rank) { return rank.held == next; });
+        const bool isHeld
+            = std::any_of(m_ranks.begin(), m_ranks.end(), [next](const Rank &rank) { return rank.held == next; });
         if (!isHeld) {
             m_step = next;
             m_lastStepAt = m_now;
