--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -111,6 +111,7 @@
         if (!notice) {
             m_metrics.counter("peer_notices_malformed_total").add();
         } else if (m_exchange.take(*notice, steadyNow())) {
+            m_metrics.counter("peer_notices_total").add();
             m_observers.onHeard(FailureDomainId(notice->failureDomain));
             m_hasNews = true;
         }
--- /dev/null
+++ b/tests/gatewaytest.sh
@@ -0,0 +1,199 @@
+#!/usr/bin/env bash
+# The direct path in separate processes: a stand-in store, two stand-in backend servers of which one misbehaves, and two
+# gateways.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source tests/support/expect.sh
+BUILD_DIRECTORY="${BUILD_DIRECTORY:-build}"
+PROGRAM="$BUILD_DIRECTORY/cardamomhill"
+STANDINS="$BUILD_DIRECTORY/tests/standins"
+PORT_BASE=28700
+STORE="127.0.0.1:$PORT_BASE"
+GOOD="127.0.0.1:$((PORT_BASE + 1))"
+BAD="127.0.0.1:$((PORT_BASE + 2))"
+GATE_A="127.0.0.1:$((PORT_BASE + 10))"
+GATE_B="127.0.0.1:$((PORT_BASE + 20))"
+READY_A="127.0.0.1:$((PORT_BASE + 11))"
+READY_B="127.0.0.1:$((PORT_BASE + 21))"
+DIRECTORY="$(mktemp -d)"
+PIDS=()
+stop_all() {
+    for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    rm -rf "$DIRECTORY"
+}
+trap stop_all EXIT
+
+start() { # start NAME COMMAND...
+    local name="$1"
+    shift
+    "$@" >"$DIRECTORY/$name.log" 2>&1 &
+    PIDS+=($!)
+    printf -v "PID_${name//-/_}" '%s' "$!"
+}
+gateway() { # gateway NAME PORT
+    cat >"$DIRECTORY/$1.yaml" <<EOF
+host: $1
+failure_domain: d1
+listen: 127.0.0.1:$2
+operator_listen: 127.0.0.1:$(($2 + 1))
+peer_listen: 127.0.0.1:$(($2 + 2))
+platform: $STORE
+drain_grace_ms: 300
+EOF
+    start "$1" "$PROGRAM" gateway --settings "$DIRECTORY/$1.yaml"
+}
+wait_for() { # wait_for COMMAND...
+    for _ in $(seq 100); do
+        if "$@" >/dev/null 2>&1; then return 0; fi
+        sleep 0.05
+    done
+    echo "timed out: $*"
+    return 1
+}
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$1/readyz")" = 200 ]; }
+put() { # put METHOD PATH SPEC NAME
+    curl -sS -o /dev/null -X "$1" "http://$STORE/objects/$2" -d "{\"metadata\":{\"name\":\"$4\"},\"spec\":$3}"
+}
+server() { # server ID ADDRESS STATE METHOD [BORN]
+    local path="servers"
+    [ "$4" = PUT ] && path="servers/$1"
+    put "$4" "$path" "{\"service\":\"shop\",\"address\":\"$2\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":4,\"state\":\"$3\",\"cold-remaining-ms\":0,\"born\":${5:-1},\"sequence\":1}" "$1"
+}
+route() { # route PREFIX TYPE ATTEMPTS TIMEOUT EXTRA
+    echo "{\"name\":\"r$1\",\"hostname\":\"shop.example\",\"path-prefix\":\"/$1/\",\"route-type\":\"$2\",\"timeout-ms\":$4,\"target-latency-ms\":200,\"priority\":1,\"service\":\"shop\",\"max-attempts\":$3,\"public\":false$5}"
+}
+configuration() { # configuration VERSION KEYS EXTRA_ROUTES
+    echo "{\"version\":$1,\"routes\":[$(route safe idempotent 2 2000 ""),$(route pay non_idempotent 1 1500 ""),$(route draft streaming 2 4000 ",\"stream-resume\":true,\"gap-target-ms\":120")$3],\"services\":[{\"name\":\"shop\",\"health-path\":\"/health\",\"max-connections\":50,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":100000,\"header-timeout-ms\":1000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"workshop\",\"api-keys\":[$2]}]}"
+}
+KEY=k1
+echo 0 >"$DIRECTORY/calls"
+call() { # call PATH [CURL ARGUMENTS]: the answer's body, then its status
+    local path="$1"
+    shift
+    # In a file, since calls run in subshells.
+    echo $(($(cat "$DIRECTORY/calls") + 1)) >"$DIRECTORY/calls"
+    curl -sS -m 6 -w '\n%{http_code}' "http://$GATE_A/$path" -H "Host: shop.example" -H "Authorization: Token $KEY" \
+        -H "Cardamomhill-Request-Id: $(call_id)" -H "Cardamomhill-Request-Deadline: 5000" "$@" 2>/dev/null || true
+}
+call_id() { echo "c$(cat "$DIRECTORY/calls")"; }
+status() { call "$@" | tail -n 1; }
+field() { sed -n "s/.*\"$1\":\"\([^\"]*\)\".*/\1/p" | head -n 1; }
+runs() { curl -sS "http://$1/runs/$(call_id)"; }
+total_runs() { echo $(($(runs "$GOOD") + $(runs "$BAD"))); }
+
+start store "$STANDINS/standin-store" "$STORE"
+start good "$STANDINS/standin-direct" "$GOOD" good-1
+start bad "$STANDINS/standin-direct" "$BAD" bad-1
+wait_for curl -s "http://$STORE/objects/servers"
+gateway gate-a $((PORT_BASE + 10))
+gateway gate-b $((PORT_BASE + 20))
+wait_for curl -s "http://$READY_A/healthz"
+expect "a gateway without configuration is not ready" 1 "$(ready "$READY_A"; echo $?)"
+expect "a gateway without configuration refuses with 503" 503 "$(status safe/ok)"
+put POST servers '"no registration"' broken-1
+put POST servers '{"service":"shop","address":7}' broken-2
+server good-1 "$GOOD" ready POST
+put POST config "$(configuration 3 '"k1","k2"' "")" main
+wait_for ready "$READY_A"
+wait_for ready "$READY_B"
+sleep 0.5
+
+answer="$(call "safe/ok?x=1" -H "X-Private: 1" -H "Connection: X-Private" -H "Cardamomhill-Tenant: forged" -d 'body')"
+expect "a call reaches a server and its answer comes back whole" 200 "$(echo "$answer" | tail -n 1)"
+expect "method, target and body are unchanged" "POST /safe/ok?x=1 body" \
+    "$(echo "$answer" | field method) $(echo "$answer" | field target) $(echo "$answer" | field body)"
+expect "the organisation comes from the key, whatever the caller says" workshop "$(echo "$answer" | field organisation)"
+expect "the key is not passed on" "" "$(echo "$answer" | field key)"
+expect "headers of one connection are not passed on" "" "$(echo "$answer" | field private)"
+expect "only the chosen instance may run the call" good-1 "$(echo "$answer" | field instance)"
+deadline="$(echo "$answer" | field deadline)"
+expect "the server is given no more than what the route allows" 1 "$((deadline > 1500 && deadline <= 2000))"
+expect "an unknown key is refused with 401" 401 "$(KEY=k9 status safe/ok)"
+expect "a path without a route is refused with 404" 404 "$(status none/ok)"
+expect "another host name is refused with 404" 404 "$(curl -sS -o /dev/null -w '%{http_code}' "http://$GATE_A/safe/ok" -H 'Host: other.example')"
+expect "a body over the limit is refused with 413" 413 "$(head -c 200000 /dev/zero | curl -sS -o /dev/null -w '%{http_code}' -H 'Expect:' "http://$GATE_A/safe/ok" -H 'Host: shop.example' --data-binary @-)"
+smuggled="$(printf 'POST /safe/ok HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/ok HTTP/1.1\r\n\r\n' | timeout 3 bash -c 'exec 3<>/dev/tcp/'"${GATE_A/://}"'; cat >&3; head -c 12 <&3')"
+expect "a request with two framings is refused" "HTTP/1.1 400" "$smuggled"
+
+server bad-1 "$BAD" ready POST
+wait_for grep -q "event=server-present server=bad-1" "$DIRECTORY/gate-a.log"
+for manner in shed error truncated unsigned silent extra misdirected unpromised; do
+    failures=0
+    for _ in 1 2 3 4; do
+        [ "$(call "safe/$manner" | tail -n 1)" = 200 ] || failures=$((failures + 1))
+    done
+    expect "an idempotent call is answered although one server answers $manner" 0 "$failures"
+done
+for manner in truncated unsigned unpromised; do
+    twice=0
+    promised=0
+    server bad-1 "$BAD" ready PUT "$RANDOM" # a new process, whose failures are not known
+    sleep 0.7
+    for _ in 1 2 3 4; do
+        code="$(call "pay/$manner" -d x | tail -n 1)"
+        [ "$(total_runs)" -le 1 ] || twice=$((twice + 1))
+        [ "$code" != 503 ] || [ "$(total_runs)" = 0 ] || promised=$((promised + 1))
+    done
+    expect "a payment runs at most once when a server answers $manner" 0 "$twice"
+    expect "a payment that ran is not said not to have run ($manner)" 0 "$promised"
+done
+server bad-1 "$BAD" ready PUT 99999
+sleep 0.7
+expected_events="$(for i in $(seq 10); do echo "data: event-$i"; done)"
+broken=0
+for _ in 1 2 3 4 5 6; do
+    [ "$(call draft/broken-stream -d x | grep '^data')" = "$expected_events" ] || broken=$((broken + 1))
+done
+expect "a stream that breaks goes on at another server without a gap or a repetition" 0 "$broken"
+expect "a broken stream was resumed" 1 "$(grep -c 'event=routed .*after_event=4' "$DIRECTORY/gate-a.log" | sed 's/^[1-9][0-9]*$/1/')"
+expect "an answer that ends with its connection arrives whole" "until the end" "$(call safe/endless | head -n 1)"
+
+before="$(curl -sS "http://$GOOD/abandoned")"
+server bad-1 "$BAD" draining PUT
+wait_for grep -q "event=server-leaving server=bad-1" "$DIRECTORY/gate-a.log"
+used=0
+for _ in $(seq 8); do
+    [ "$(call safe/ok | field server)" = good-1 ] || used=$((used + 1))
+done
+expect "a leaving server gets no new calls" 0 "$used"
+curl -sS -m 0.1 -o /dev/null "http://$GATE_A/draft/stream" -H "Host: shop.example" -H "Authorization: Token k1" \
+    -H "Cardamomhill-Request-Id: gone" -d x 2>/dev/null || true
+sleep 0.5
+expect "the work for a caller that left is given up" 1 "$(($(curl -sS "http://$GOOD/abandoned") > before))"
+
+curl -sS -o /dev/null "http://$STORE/faults" -d '{"down":true}'
+sleep 0.3
+expect "calls are served while the store is away" 200 "$(status safe/ok)"
+curl -sS -o /dev/null "http://$STORE/faults" -d '{"down":false,"drop_history":true}'
+put PUT config/main "$(configuration 8 '"k2"' ",$(route fresh idempotent 2 2000 "")")" main
+wait_for grep -q "event=configuration-in-force version=8" "$DIRECTORY/gate-a.log"
+expect "after an outage without history a key that was taken away is refused" 401 "$(status safe/ok)"
+expect "and a new route is served" 200 "$(KEY=k2 status fresh/ok)"
+put PUT config/main "$(configuration 5 '"k1"' "")" main
+sleep 0.5
+expect "an older version never comes back" 401 "$(status safe/ok)"
+put PUT config/main "$(configuration 9 '"k1"' "")" main
+wait_for grep -q "event=configuration-in-force version=9" "$DIRECTORY/gate-a.log"
+curl -sS -o /dev/null "http://$STORE/faults" -d '{"mute":true}'
+put PUT config/main "$(configuration 10 '"k1"' "")" main
+curl -sS -o /dev/null "http://$STORE/faults" -d '{"mute":false,"forget":true,"cut_watches":true}'
+wait_for grep -q "event=configuration-in-force version=10" "$DIRECTORY/gate-a.log" && seen=0 || seen=$?
+expect "a change that a broken watch missed is in force after it" 0 "$seen"
+expect "the metrics count calls by outcome" 1 "$(curl -sS "http://$READY_A/metrics" | grep -c '^cardamomhill_calls_total{outcome="delivered"}')"
+expect "gateways hear each other" 1 "$(wait_for grep -q 'cardamomhill_peer_notices_total' <(curl -sS "http://$READY_B/metrics"); curl -sS "http://$READY_B/metrics" | grep -c '^cardamomhill_peer_notices_total')"
+
+call draft/stream -d x >"$DIRECTORY/stream.txt" &
+stream=$!
+sleep 0.1
+kill -TERM "$PID_gate_a"
+sleep 0.05
+expect "a gateway that shuts down is not ready" 1 "$(ready "$READY_A"; echo $?)"
+wait "$stream"
+expect "a shutdown cuts off no stream" "$expected_events" "$(grep '^data' "$DIRECTORY/stream.txt")"
+wait "$PID_gate_a" && code=0 || code=$?
+expect "a shutdown ends with success" 0 "$code"
+kill -HUP "$PID_gate_b"
+sleep 0.1
+expect "a gateway survives SIGHUP" 0 "$(ready "$READY_B"; echo $?)"
+finish_expectations
--- /dev/null
+++ b/tests/standins/directbackend.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/result.h"
+#include "net/asio.h"
+#include "net/httpexchange.h"
+#include "net/neterror.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Cardamomhill
+{
+
+/// A stand-in for a backend server of the users' platform. The last part of the path says how it answers: `ok`, `shed`,
+/// `error`, `truncated`, `unsigned`, `silent`, `extra`, `misdirected`, `endless`, `stream`, `broken-stream`,
+/// `slow`. A server whose id does not begin with `bad` answers all of them well. It writes answers byte by byte itself,
+/// so that it can break the protocol. GET /runs/ID says how often a call ran here, GET /abandoned how many callers
+/// left.
+class DirectBackend
+{
+public:
+    DirectBackend(asio::io_context &context, std::string id);
+
+    Result<void, NetError> listen(const tcp::endpoint &endpoint);
+
+private:
+    struct Connection;
+
+    Task<> acceptLoop();
+    Task<> serve(std::shared_ptr<Connection> connection);
+    /// Returns whether the connection stays open.
+    Task<bool> answer(Connection &connection, const HttpRequest &request);
+    Task<bool> answerWell(Connection &connection, const HttpRequest &request, bool twice);
+    Task<bool> stream(Connection &connection, const HttpRequest &request, bool breaks);
+    Task<bool> write(Connection &connection, std::string text);
+    std::string head(const HttpRequest &request, unsigned status, const std::string &headers) const;
+    std::string description(const HttpRequest &request) const;
+
+    asio::io_context &m_context;
+    std::string m_id;
+    tcp::acceptor m_acceptor;
+    std::map<std::string, std::uint64_t> m_runs;
+    std::uint64_t m_abandoned = 0;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/standins/platformstore.cpp
@@ -0,0 +1,229 @@
+#include "standins/platformstore.h"
+
+#include "net/httpexchange.h"
+#include "net/steadynow.h"
+
+#include <charconv>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr unsigned Conflict = 409;
+constexpr unsigned Gone = 410;
+constexpr unsigned Unavailable = 503;
+
+std::uint64_t parameter(const std::string &query, const std::string &name, std::uint64_t fallback)
+{
+    const auto start = ("&" + query).find("&" + name + "=");
+    if (start == std::string::npos) {
+        return fallback;
+    }
+    const auto text = query.substr(start + name.size() + 1);
+    std::uint64_t number = fallback;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+// g++ 12 cannot compile braced lists of JSON values within coroutines.
+
+nlohmann::json errorJson(const char *error)
+{
+    return {{"error", error}};
+}
+
+nlohmann::json listJson(const nlohmann::json &items, std::uint64_t revision)
+{
+    return {{"items", items}, {"has-more", false}, {"store-revision", revision}};
+}
+
+nlohmann::json eventsJson(const nlohmann::json &events, std::uint64_t revision)
+{
+    return {{"events", events}, {"store-revision", revision}};
+}
+
+nlohmann::json objectJson(const std::string &name, std::uint64_t revision, const nlohmann::json &spec)
+{
+    return {{"metadata", {{"name", name}, {"mod-revision", revision}}}, {"spec", spec}};
+}
+
+} // namespace
+
+PlatformStore::PlatformStore(asio::io_context &context)
+    : m_context(context)
+    , m_server(context, HttpLimits(), [this](HttpExchange &exchange) { return answer(exchange); })
+{
+}
+
+Result<void, NetError> PlatformStore::listen(const tcp::endpoint &endpoint)
+{
+    return m_server.listen(endpoint, false);
+}
+
+Task<> PlatformStore::send(HttpExchange &exchange, unsigned status, const Json &json)
+{
+    const std::string body = json.dump();
+    co_await exchange.sendWhole(status, "application/json", body);
+}
+
+Task<> PlatformStore::answer(HttpExchange &exchange)
+{
+    const std::string target(exchange.request().target());
+    const auto mark = target.find('?');
+    const std::string path = target.substr(0, mark);
+    const std::string query = mark == std::string::npos ? "" : target.substr(mark + 1);
+    const std::string method(exchange.request().method_string());
+    constexpr std::string_view Prefix = "/objects/";
+    if (path == "/faults") {
+        co_await answerFaults(exchange);
+        co_return;
+    }
+    if (m_isDown) {
+        co_await send(exchange, Unavailable, errorJson("down"));
+        co_return;
+    }
+    if (!path.starts_with(Prefix)) {
+        co_await send(exchange, NotFound, errorJson("path"));
+        co_return;
+    }
+    const std::string rest = path.substr(Prefix.size());
+    const auto slash = rest.find('/');
+    const Key key{rest.substr(0, slash), slash == std::string::npos ? "" : rest.substr(slash + 1)};
+    const auto found = m_objects.find(key);
+    if (method == "GET" && key.second.empty()) {
+        co_await answerKind(exchange, key.first, query);
+    } else if (method == "POST" || method == "PUT") {
+        co_await answerWrite(exchange, key, method == "POST");
+    } else if (found == m_objects.end()) {
+        co_await send(exchange, NotFound, errorJson("no such object"));
+    } else if (method == "DELETE") {
+        const Json object = found->second;
+        m_objects.erase(found);
+        changed(key, object, true);
+        co_await send(exchange, Ok, object);
+    } else {
+        const Json object = found->second;
+        co_await send(exchange, Ok, object);
+    }
+}
+
+Task<> PlatformStore::answerKind(HttpExchange &exchange, const std::string &kind, const std::string &query)
+{
+    constexpr std::uint64_t None = 0;
+    const auto since = parameter(query, "watch", None);
+    if (since != None) {
+        const Milliseconds wait(static_cast<std::int64_t>(parameter(query, "wait-ms", 0)));
+        co_await answerWatch(exchange, kind, since, wait);
+        co_return;
+    }
+    Json items = Json::array();
+    for (const auto &[key, object] : m_objects) {
+        if (key.first == kind) {
+            items.push_back(object);
+        }
+    }
+    const Json page = listJson(items, m_revision);
+    co_await send(exchange, Ok, page);
+}
+
+Task<> PlatformStore::answerWatch(HttpExchange &exchange, std::string kind, std::uint64_t since, Milliseconds wait)
+{
+    const auto end = steadyNow() + wait;
+    const auto cutsBefore = m_cuts;
+    Json events = changesOf(kind, since);
+    while (events.empty() && steadyNow() < end && since >= m_historyFrom && !m_isDown && m_cuts == cutsBefore) {
+        Wakeup wakeup(m_context);
+        const auto position = m_watches.insert(m_watches.end(), &wakeup);
+        co_await wakeup.waitUntil(end);
+        m_watches.erase(position);
+        events = m_isMute ? Json::array() : changesOf(kind, since);
+    }
+    if (m_isDown || m_cuts != cutsBefore) {
+        exchange.abort();
+    } else if (since < m_historyFrom) {
+        co_await send(exchange, Gone, errorJson("history"));
+    } else {
+        const Json page = eventsJson(events, m_revision);
+        co_await send(exchange, Ok, page);
+    }
+}
+
+Task<> PlatformStore::answerWrite(HttpExchange &exchange, const Key &key, bool creates)
+{
+    const auto body = Json::parse(exchange.request().body(), nullptr, false);
+    if (!body.is_object() || !body.contains("spec")) {
+        co_await send(exchange, BadRequest, errorJson("not an object with a spec"));
+        co_return;
+    }
+    const Json metadata = body.value("metadata", Json::object());
+    const Key named{key.first, creates ? metadata.value("name", key.second) : key.second};
+    const auto found = m_objects.find(named);
+    const bool exists = found != m_objects.end();
+    const std::uint64_t present = exists ? found->second["metadata"]["mod-revision"].get<std::uint64_t>() : 0;
+    const auto expected = metadata.value("mod-revision", present);
+    if ((creates && exists) || expected != present) {
+        const Json object = exists ? found->second : errorJson("no such object");
+        co_await send(exchange, Conflict, object);
+        co_return;
+    }
+    Json object = objectJson(named.second, m_revision + 1, body["spec"]);
+    m_objects[named] = object;
+    changed(named, object, false);
+    if (m_lostWrites > 0) {
+        --m_lostWrites;
+        exchange.abort();
+        co_return;
+    }
+    co_await send(exchange, Ok, object);
+}
+
+Task<> PlatformStore::answerFaults(HttpExchange &exchange)
+{
+    const auto faults = Json::parse(exchange.request().body(), nullptr, false);
+    if (!faults.is_object()) {
+        co_await send(exchange, BadRequest, errorJson("not an object"));
+        co_return;
+    }
+    m_isDown = faults.value("down", m_isDown);
+    m_lostWrites = faults.value("lose_writes", m_lostWrites);
+    m_isMute = faults.value("mute", m_isMute);
+    if (faults.value("forget", false)) {
+        m_history.clear();
+    }
+    m_cuts += faults.value("cut_watches", false) ? 1 : 0;
+    if (faults.value("drop_history", false)) {
+        m_history.clear();
+        m_historyFrom = m_revision + 1;
+    }
+    for (auto *const watch : m_watches) {
+        watch->notify();
+    }
+    co_await send(exchange, Ok, faults);
+}
+
+PlatformStore::Json PlatformStore::changesOf(const std::string &kind, std::uint64_t since) const
+{
+    Json events = Json::array();
+    for (const auto &change : m_history) {
+        if (change.kind == kind && change.revision > since) {
+            events.push_back(change.event);
+        }
+    }
+    return events;
+}
+
+void PlatformStore::changed(const Key &key, Json object, bool removed)
+{
+    ++m_revision;
+    m_history.push_back({m_revision, key.first, Json{{"removed", removed}, {"object", std::move(object)}}});
+    for (auto *const watch : m_watches) {
+        watch->notify();
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/standins/platformstore.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "net/asio.h"
+#include "net/httpserver.h"
+#include "net/wakeup.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace Cardamomhill
+{
+
+class HttpExchange;
+
+/// A stand-in for the store of the users' platform: objects with metadata and spec, and watches by kind. POST /faults
+/// takes "down", "lose_writes" (a number), "drop_history", "mute" (watches hear nothing), "forget" (changes are lost to
+/// watches that resume) and "cut_watches".
+class PlatformStore
+{
+public:
+    explicit PlatformStore(asio::io_context &context);
+
+    Result<void, NetError> listen(const tcp::endpoint &endpoint);
+
+private:
+    using Json = nlohmann::json;
+    using Key = std::pair<std::string, std::string>;
+
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string kind;
+        Json event;
+    };
+
+    Task<> answer(HttpExchange &exchange);
+    Task<> answerKind(HttpExchange &exchange, const std::string &kind, const std::string &query);
+    Task<> answerWatch(HttpExchange &exchange, std::string kind, std::uint64_t since, Milliseconds wait);
+    Task<> answerWrite(HttpExchange &exchange, const Key &key, bool creates);
+    Task<> answerFaults(HttpExchange &exchange);
+    Task<> send(HttpExchange &exchange, unsigned status, const Json &json);
+    Json changesOf(const std::string &kind, std::uint64_t since) const;
+    void changed(const Key &key, Json object, bool removed);
+
+    asio::io_context &m_context;
+    HttpServer m_server;
+    std::map<Key, Json> m_objects;
+    std::deque<Change> m_history;
+    std::list<Wakeup *> m_watches;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_historyFrom = 1;
+    std::uint64_t m_lostWrites = 0;
+    std::uint64_t m_cuts = 0;
+    bool m_isMute = false;
+    bool m_isDown = false;
+};
+
+} // namespace Cardamomhill
