--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// A server that is up accepts in milliseconds. A lost opening packet is sent again only after seconds, so a new attempt
-/// is sooner, however long the call itself may wait.
+/// A server that is up accepts in milliseconds. A lost opening packet is sent again only after seconds, so a new
+/// attempt is sooner, however long the call itself may wait.
 constexpr Milliseconds ConnectTimeout{500};
 constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 
