--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -173,8 +173,8 @@
         logEvent(LogLevel::Warning, "unreachable-domains", {{"failure_domains", names}});
         m_servers.setUnreachable(std::move(unreachable));
     }
-    // Callers that cannot be served here are better off at a host that is not cut off.
-    const bool canServe = m_servers.unreachable().empty() || servesEngines();
+    // Callers that cannot be served here are better off at hosts on the larger side of the cut.
+    const bool canServe = !m_reachability.isIsolated(steadyNow()) || servesEngines();
     if (canServe != m_canServe) {
         logEvent(LogLevel::Warning, canServe ? "serving-again" : "cut-off", {{"calls", m_callCount.load()}});
         m_canServe = canServe;
--- a/src/traffic/reachability.cpp
+++ b/src/traffic/reachability.cpp
@@ -37,6 +37,22 @@
     return domain.hasBeenHeard && now - domain.goodAt > m_options.silenceLimit;
 }
 
+bool Reachability::isIsolated(SteadyTime now) const
+{
+    const auto cut = unreachable(now);
+    std::size_t others = 0;
+    for (const auto &[id, state] : m_domains) {
+        if (id == m_ownDomain || !state.hasBeenHeard) {
+            continue;
+        }
+        if (!cut.contains(id)) {
+            return false;
+        }
+        ++others;
+    }
+    return others > 0;
+}
+
 std::set<FailureDomainId> Reachability::unreachable(SteadyTime now) const
 {
     // Silence of everybody says that this host does not hear, not that the others cannot be reached.
--- a/src/traffic/reachability.h
+++ b/src/traffic/reachability.h
@@ -33,6 +33,10 @@
 
     std::set<FailureDomainId> unreachable(SteadyTime now) const;
 
+    /// Whether other failure domains have entry hosts and none of those domains can be reached: this side of a cut is
+    /// the smaller one as far as can be seen from here.
+    bool isIsolated(SteadyTime now) const;
+
 private:
     struct Domain {
         SteadyTime heardAt{};
--- a/tests/reachabilitytest.cpp
+++ b/tests/reachabilitytest.cpp
@@ -27,6 +27,21 @@
     CHECK(reachability.unreachable(Start + Seconds(3)).empty());
 }
 
+TEST_CASE("only a host that reaches no other domain is isolated")
+{
+    Reachability reachability(Own);
+    CHECK_FALSE(reachability.isIsolated(Start));
+    reachability.heard(Own, Start);
+    reachability.heard(Near, Start);
+    reachability.heard(Far, Start);
+    reachability.heard(Own, Start + Seconds(2));
+    reachability.heard(Near, Start + Seconds(2));
+    CHECK_FALSE(reachability.isIsolated(Start + Seconds(2)));
+    reachability.heard(Own, Start + Seconds(5));
+    CHECK(reachability.isIsolated(Start + Seconds(5)));
+    CHECK(reachability.unreachable(Start + Seconds(5)) == std::set{Far, Near});
+}
+
 TEST_CASE("when nobody is heard the servers are still tried")
 {
     Reachability reachability(Own);
