Send orders again after 50 ms

Cause: with a third of the orders lost, a held group waited 120 ms for each; engines answer in milliseconds.

--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -7,7 +7,7 @@
 {
 
 /// Engines answer orders and reports in milliseconds. A held group waits for what is sent again after this.
-constexpr Milliseconds OrderTimeout{120};
+constexpr Milliseconds OrderTimeout{50};
 constexpr Milliseconds ReadTimeout{200};
 constexpr unsigned StatusOk = 200;
 
