Switch maps only for a gain of a fifth

Cause: switches for a tenth, with a dozen copies, answered the noise of two counted ranks; copies slow the steps by 15% while they last.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -28,13 +28,13 @@
 constexpr double SlowSpeed = 0.8;
 /// A plan must lower the load of the slowest ranks by this part: less where requests wait for steps, more where they
 /// run in time anyway and a switch would only cost.
-constexpr double RequiredGainBusy = 0.08;
+constexpr double RequiredGainBusy = 0.2;
 constexpr double RequiredGainIdle = 0.3;
 /// Parts of an engine's slots in use between which a group turns from idle to busy.
 constexpr double IdlePart = 0.35;
 constexpr double BusyPart = 0.6;
 /// What each copy must bring, in parts of the mean load of its layer.
-constexpr double GainPerCopyBusy = 0.03;
+constexpr double GainPerCopyBusy = 0.04;
 constexpr double GainPerCopyIdle = 0.06;
 /// Weight of the newest interval in the load that is planned for.
 constexpr double NewestWeight = 0.7;
