--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -76,15 +76,19 @@
 
 /// Runs a process with checked settings.
 template<class Settings, class Program>
-ExitStatus runProcess(const Result<Settings, SettingsErrors> &settings, Program program)
+ExitStatus
+runProcess(const Result<Settings, SettingsErrors> &settings, Program program, void (*openLog)(LogLevel) = &startLogging)
 {
     if (settings.has_error()) {
         return printErrors(settings.error());
     }
-    startLogging(settings.value().logLevel);
+    openLog(settings.value().logLevel);
     const auto ended = program(settings.value());
     if (ended.has_error()) {
         logEvent(LogLevel::Error, "start-failed", {{"error", ended.error().message()}});
+    }
+    stopLogging();
+    if (ended.has_error()) {
         return ExitStatus::RuntimeError;
     }
     return ExitStatus::Success;
@@ -102,7 +106,7 @@
 
 ExitStatus gatewayCommand(const CommandOptions &options)
 {
-    return runProcess(readGatewaySettings(options.settingsFile), runGatewayOnPlatform);
+    return runProcess(readGatewaySettings(options.settingsFile), runGatewayOnPlatform, &startBufferedLogging);
 }
 
 template<class Settings>
--- a/src/logging/logger.cpp
+++ b/src/logging/logger.cpp
@@ -1,5 +1,6 @@
 #include "logging/logger.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
@@ -11,6 +12,9 @@
 namespace
 {
 
+/// About half a second of lines at the rate of a heavy day.
+constexpr int BufferedLines = 512;
+
 log4cxx::LevelPtr levelOf(LogLevel level)
 {
     switch (level) {
@@ -43,18 +47,41 @@
     line += '"';
 }
 
-} // namespace
-
-void startLogging(LogLevel level)
+log4cxx::AppenderPtr consoleAppender(const log4cxx::LogString &target)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    return std::make_shared<log4cxx::ConsoleAppender>(layout, target);
+}
+
+void install(const log4cxx::AppenderPtr &appender, LogLevel level)
+{
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
     root->setLevel(levelOf(level));
 }
 
+} // namespace
+
+void startLogging(LogLevel level)
+{
+    install(consoleAppender(log4cxx::ConsoleAppender::getSystemErr()), level);
+}
+
+void startBufferedLogging(LogLevel level)
+{
+    const auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+    buffer->setBufferSize(BufferedLines);
+    buffer->setBlocking(false);
+    buffer->addAppender(consoleAppender(log4cxx::ConsoleAppender::getSystemOut()));
+    install(buffer, level);
+}
+
+void stopLogging()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     static const auto Root = log4cxx::Logger::getRootLogger();
