Divide the retries among the entry hosts that are heard

Change: the part is 0.85 of the slack divided by the greatest number of hosts heard at once, 24 at least; retrytest has the new bound.

--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -26,8 +26,10 @@
 /// How many times longer than usual the work of a server takes from which on its streams go on elsewhere. The streams
 /// of one slow rank hold back those of all ranks of its group.
 constexpr double SlownessToLeave = 2;
-/// Entry hosts among which the slack of retries is divided.
-constexpr std::uint32_t AssumedHosts = 64;
+/// Entry hosts among which the slack of retries is divided until more are heard of.
+constexpr std::uint32_t FewestHosts = 24;
+/// Part of the slack that is given out, so that hosts that are not heard of yet do not exceed it.
+constexpr double SlackPart = 0.85;
 
 HttpLimits limitsOf(const CallerLimits &limits)
 {
@@ -52,6 +54,7 @@
                  co_await handler.run();
              })
     , m_random(std::random_device()())
+    , m_mostHosts(FewestHosts)
     , m_reachability(settings.failureDomain)
     , m_peers(m_context,
               settings,
@@ -245,10 +248,29 @@
     }
     RetryBudgetOptions options;
     options.attemptsPerRetry = m_settings.callsPerRetry;
-    options.burst = std::max(m_settings.retrySlack / AssumedHosts, 1U);
+    options.burst = retryBurst();
     return m_budgets.emplace(service, RetryBudget(options)).first->second;
 }
 
+std::uint32_t GatewayThread::retryBurst() const
+{
+    const auto burst = SlackPart * m_settings.retrySlack / m_mostHosts;
+    return std::max(static_cast<std::uint32_t>(burst), 1U);
+}
+
+void GatewayThread::countHosts()
+{
+    // Hosts behind a cut go on using their part, so the number never falls.
+    const auto hosts = static_cast<std::uint32_t>(m_peers.hostCount());
+    if (hosts <= m_mostHosts) {
+        return;
+    }
+    m_mostHosts = hosts;
+    for (auto &[service, budget] : m_budgets) {
+        budget.setBurst(retryBurst());
+    }
+}
+
 Milliseconds GatewayThread::spread(Milliseconds time, double part)
 {
     std::uniform_real_distribution<double> factor(1, 1 + part);
@@ -263,6 +285,7 @@
     while (!error) {
         if (++ticks % TicksPerSweep == 0) {
             m_pool.tick(steadyNow());
+            countHosts();
         }
         m_peers.tick();
         checkReachability();
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -78,6 +78,9 @@
     Task<> tickLoop();
     void checkReachability();
     bool servesEngines() const;
+    /// Retries that this host may save up for a service: its part of what all hosts may make.
+    std::uint32_t retryBurst() const;
+    void countHosts();
     void applySlowness(const ServerSlowness &slowness);
 
     const GatewaySettings &m_settings;
@@ -89,6 +92,8 @@
     ServerTable m_servers;
     UpstreamPool m_pool;
     Random m_random;
+    /// The greatest number of entry hosts that were heard at once.
+    std::uint32_t m_mostHosts;
     Reachability m_reachability;
     PeerExchange m_peers;
     bool m_isDraining = false;
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -13,8 +13,8 @@
 /// Sends log lines to standard error, at this level and above.
 void startLogging(LogLevel level);
 
-/// Sends log lines to standard output through a bounded buffer that a thread of its own empties. When the buffer is full,
-/// lines are dropped and a later line says how many: writing never waits for the reader.
+/// Sends log lines to standard output through a bounded buffer that a thread of its own empties. When the buffer is
+/// full, lines are dropped and a later line says how many: writing never waits for the reader.
 void startBufferedLogging(LogLevel level);
 
 /// Writes out what is buffered, before the process ends.
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -42,7 +42,10 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(beast::tcp_stream &stream, HttpRequest request, const HttpLimits &limits, const bool *closing)
+HttpExchange::HttpExchange(beast::tcp_stream &stream,
+                           HttpRequest request,
+                           const HttpLimits &limits,
+                           const bool *closing)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_limits(limits)
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -17,6 +17,16 @@
     m_parts = std::min(m_parts + 1, most);
 }
 
+void RetryBudget::setBurst(std::uint32_t burst)
+{
+    const auto partsOf = [this](std::uint32_t retries) { return std::uint64_t{retries} * m_options.attemptsPerRetry; };
+    if (burst > m_options.burst) {
+        m_parts += partsOf(burst - m_options.burst);
+    }
+    m_options.burst = burst;
+    m_parts = std::min(m_parts, partsOf(burst));
+}
+
 bool RetryBudget::takeRetry()
 {
     if (!hasRetry()) {
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -22,6 +22,9 @@
 
     void recordFirstAttempt();
 
+    /// Changes how many retries may be saved up. A larger burst can be used at once.
+    void setBurst(std::uint32_t burst);
+
     /// Takes the token of one retry, if there is one.
     bool takeRetry();
 
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -6,7 +6,7 @@
 #include "traffic/attemptend.h"
 #include "traffic/callhead.h"
 #include "traffic/eventsplitter.h"
-#include "traffic/servertable.h"
 #include "traffic/serverregistry.h"
+#include "traffic/servertable.h"
 #include "traffic/trafficconfiguration.h"
 #include "traffic/trafficconfigurationbuilder.h"
--- a/tests/retrytest.cpp
+++ b/tests/retrytest.cpp
@@ -103,6 +103,23 @@
 
 } // namespace
 
+TEST_CASE("a budget that is given a larger burst can use it at once, a smaller one takes what is over")
+{
+    RetryBudgetOptions options;
+    options.burst = 1;
+    RetryBudget budget(options);
+    CHECK(budget.takeRetry());
+    CHECK_FALSE(budget.takeRetry());
+    budget.setBurst(3);
+    CHECK(budget.takeRetry());
+    CHECK(budget.takeRetry());
+    CHECK_FALSE(budget.takeRetry());
+    budget.setBurst(5);
+    budget.setBurst(1);
+    CHECK(budget.takeRetry());
+    CHECK_FALSE(budget.takeRetry());
+}
+
 TEST_CASE("retries stay within burst and 10% of the first attempts over any window")
 {
     CHECK(rc::check("the budget is never exceeded", [](std::uint64_t seed) {
