--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -149,6 +149,17 @@
 expect "a broken stream was resumed" 1 "$(grep -c 'event=routed .*after_event=4' "$DIRECTORY/gate-a.log" | sed 's/^[1-9][0-9]*$/1/')"
 expect "an answer that ends with its connection arrives whole" "until the end" "$(call safe/endless | head -n 1)"
 
+# The way of docs/OPERATIONS.md from an id to its cause.
+lines_of() { grep -h "request=$1 " "$DIRECTORY/gate-a.log" | sed 's/.* event=//'; }
+unknown="$(grep -o 'event=ended request=[^ ]* outcome=unknown' "$DIRECTORY/gate-a.log" | head -n 1 | sed 's/.*request=\([^ ]*\).*/\1/')"
+expect "the log leads from an unknown outcome to its cause" "routed attempt-ended retry-decided ended" \
+    "$(lines_of "$unknown" | cut -d ' ' -f 1 | tr '\n' ' ' | sed 's/ $//')"
+expect "it names server, reason and load of the choice" 1 \
+    "$(lines_of "$unknown" | grep -c 'server=bad-1 reason=[a-z-]* load=[0-9.]* candidates=[0-9]* attempt=1 left_ms=[0-9]*')"
+expect "and why it was not sent again" 1 "$(lines_of "$unknown" | grep -c 'verdict=not-repeatable')"
+expect "a refusal names its reason and the configuration" 1 \
+    "$(grep -c 'event=refused request=[^ ]* status=401 problem=token-invalid .* configuration=3 ' "$DIRECTORY/gate-a.log")"
+
 before="$(curl -sS "http://$GOOD/abandoned")"
 server bad-1 "$BAD" draining PUT
 wait_for grep -q "event=server-leaving server=bad-1" "$DIRECTORY/gate-a.log"
