--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -25,8 +25,9 @@
     /// second and more on a call, and callers give up a stream that has not begun after two.
     double waitingPerSlot = 1.5;
     double waitingPerEngineSlot = 0.6;
-    /// Random part of the load that a choice sees, in calls, so that entry hosts with the same view spread out.
-    double jitterCalls = 0.8;
+    /// Random part of the load that a choice sees, in calls. Loads of other hosts are up to 0.2 s old, so without it
+    /// all hosts would send their next calls to the same few servers.
+    double jitterCalls = 4.0;
     /// Load that a recent failure counts for, in calls, and the time in which it halves.
     double failurePenaltyCalls = 6;
     Microseconds failureHalfLife = Seconds(2);
