Ask of the spread what the change claims

Change: the test asks for more servers than the four that look least loaded. It fails with the old random part and passes with the new one.

--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -160,6 +160,6 @@
         }
         chosen += distinct.size();
     }
-    // More servers than the four that look least loaded share the calls.
-    CHECK(chosen >= Rounds * std::size_t{8});
+    // The four servers that look least loaded are not the only ones that get calls.
+    CHECK(chosen >= Rounds * std::size_t{5});
 }
