Finish a switch before a coordinator stops; wait longer for servers without a group

Cause, found by reading: a coordinator that got SIGTERM ended its loop in the middle of a switch, so that an order without an answer left its step held until the lease lapsed; a stream in the queue of an engine without a group would have been moved after 0.7 s; a configuration with another number of experts met the old map.

--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -42,7 +42,7 @@
     void apply(std::shared_ptr<const TrafficConfiguration> configuration);
     void applyServers(const ServerChanges &changes);
 
-    /// Gives up all leases, so that others go on at once.
+    /// Begins no further switch; one that is under way is finished. The leases lapse.
     void stop();
 
 private:
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -145,7 +145,8 @@
     const auto self = shared_from_this();
     asio::steady_timer timer(m_context);
     SystemError error;
-    while (!error && !m_isStopped) {
+    // A switch that is under way is finished first: a step that stays held would stop the group.
+    while (!error && !(m_isStopped && isSettled())) {
         if (m_switch) {
             co_await work();
             logPhase();
@@ -156,12 +157,31 @@
     }
 }
 
+bool GroupCoordinator::isSettled() const
+{
+    if (!m_switch) {
+        return true;
+    }
+    switch (m_switch->phase()) {
+    case SwitchPhase::Holding:
+    case SwitchPhase::Arming:
+    case SwitchPhase::Releasing:
+    case SwitchPhase::Disarming:
+    case SwitchPhase::Abandoning:
+        return false;
+    default:
+        return true;
+    }
+}
+
 Task<> GroupCoordinator::work()
 {
     const auto now = steadyNow();
     m_switch->tick(now);
     if (m_switch->phase() == SwitchPhase::Idle) {
-        co_await considerSwitch();
+        if (!m_isStopped) {
+            co_await considerSwitch();
+        }
         co_return;
     }
     sendOrders();
@@ -336,6 +356,12 @@
     if (m_switch->mapInForce()) {
         m_map = m_switch->mapInForce();
     }
+    const GroupShape shape{m_clients.size(), m_engine.expertLayers, m_engine.expertsPerLayer};
+    if (m_map && m_map->shape() != shape) {
+        // The configuration states another model now.
+        m_map.reset();
+        m_load.clear();
+    }
     if (!m_map) {
         const bool learned = co_await learnMap();
         if (!learned) {
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -36,7 +36,7 @@
     /// The group, and what its engines can do, as the store shows them now.
     void update(const GroupView &group, const EngineProfile &engine);
 
-    /// Takes no further step. Orders that are under way go on.
+    /// Begins no further switch. One that holds a step is finished.
     void stop();
 
     /// The ranks that are slow now.
@@ -47,6 +47,8 @@
 
 private:
     Task<> run();
+    /// Whether no step is held for a switch.
+    bool isSettled() const;
     Task<> work();
     Task<> readStates();
     void sendOrders();
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -372,9 +372,13 @@
         moveAway("the server or its group cannot be reached");
         return;
     }
+    // A server without a group speaks only for itself, and a call may wait in its queue.
+    const auto *server = m_thread.servers().server(m_server);
+    const bool hasGroup = server != nullptr && server->seat.has_value();
+    const auto stallLimit = hasGroup ? StallLimit : SilenceLimit;
     const auto groupSilence = now - std::max(m_thread.servers().lastSignOfLife(m_server), m_state.startedAt);
-    if (silence > StallLimit && groupSilence > StallLimit) {
-        moveAway("the group makes no steps");
+    if (silence > stallLimit && groupSilence > stallLimit) {
+        moveAway(hasGroup ? "the group makes no steps" : "the server is silent");
     } else if (silence > SilenceLimit && m_state.events > 0) {
         moveAway("the stream is silent");
     }
--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -89,6 +89,10 @@
 gateway gate-a $((PORT_BASE + 10))
 gateway gate-b $((PORT_BASE + 20))
 wait_for curl -s "http://$READY_A/healthz"
+expect "settings are checked without starting anything" 0 \
+    "$("$PROGRAM" config check gateway "$DIRECTORY/gate-a.yaml" >/dev/null 2>&1; echo $?)"
+expect "an unknown key in the settings is an error" 3 \
+    "$(sed 's/^host:/hosst:/' "$DIRECTORY/gate-a.yaml" >"$DIRECTORY/wrong.yaml"; "$PROGRAM" config check gateway "$DIRECTORY/wrong.yaml" >/dev/null 2>&1; echo $?)"
 expect "a gateway without configuration is not ready" 1 "$(ready "$READY_A"; echo $?)"
 expect "a gateway without configuration refuses with 503" 503 "$(status safe/ok)"
 put POST servers '"no registration"' broken-1
