--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -190,6 +190,16 @@
 expect "an older version never comes back" 401 "$(status safe/ok)"
 put PUT config/main "$(configuration 9 '"k1"' "")" main
 wait_for grep -q "event=configuration-in-force version=9" "$DIRECTORY/gate-a.log"
+server bad-1 "$BAD" ready PUT 7
+sleep 0.7
+curl -sS -o /dev/null "http://$STORE/faults" -d '{"down":true}'
+sleep 0.5
+curl -sS -o /dev/null "http://$STORE/faults" -d '{"down":false}'
+sleep 3.5 # the grace period of registrations that lapsed in the outage
+curl -sS -o /dev/null -X DELETE "http://$STORE/objects/servers/bad-1"
+sleep 1
+expect "a server that leaves some time after an outage is gone at once" 1 \
+    "$(grep -c 'event=server-gone server=bad-1' "$DIRECTORY/gate-a.log")"
 curl -sS -o /dev/null "http://$STORE/faults" -d '{"mute":true}'
 put PUT config/main "$(configuration 10 '"k1"' "")" main
 curl -sS -o /dev/null "http://$STORE/faults" -d '{"mute":false,"forget":true,"cut_watches":true}'
