--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -36,33 +36,11 @@
 /// What each copy must bring, in parts of the mean load of its layer.
 constexpr double GainPerCopyBusy = 0.04;
 constexpr double GainPerCopyIdle = 0.06;
-/// Weight of the newest interval in the load that is planned for.
-constexpr double NewestWeight = 0.7;
 /// Ranks whose choices are counted.
 constexpr std::size_t CountedRanks = 2;
-/// Choices in an interval below which it says too little.
-constexpr std::uint64_t LeastChoices = 2000;
 /// Part by which copies may take longer than the link's rate says.
 constexpr double CopyMargin = 1.1;
 
-/// Adds what a rank chose since it was read before; returns how many choices there were.
-std::uint64_t
-addChoices(const std::optional<ExpertCounts> &before, const ExpertCounts &after, std::vector<double> &load)
-{
-    if (!before || before->epoch != after.epoch) {
-        return 0;
-    }
-    std::uint64_t choices = 0;
-    for (std::size_t cell = 0; cell < load.size(); ++cell) {
-        const auto last = before->counts[cell];
-        // A rank that started anew counts from zero.
-        const auto chosen = after.counts[cell] >= last ? after.counts[cell] - last : after.counts[cell];
-        choices += chosen;
-        load[cell] += static_cast<double>(chosen);
-    }
-    return choices;
-}
-
 } // namespace
 
 GroupCoordinator::GroupCoordinator(asio::io_context &context,
@@ -110,7 +88,6 @@
         m_clients.push_back(std::make_shared<EngineClient>(m_context, *endpoint, rank.id, m_dialect));
     }
     m_map.reset();
-    m_lastCounts.clear();
     m_load.clear();
     m_switch = std::make_shared<MapSwitch>(m_group.ranks.size(), m_group.epoch, m_tokens);
     m_countedRank = m_random() % m_group.ranks.size();
@@ -317,33 +294,22 @@
     m_nextCount = now + blend(IdleCountInterval, CountInterval);
     const auto clients = m_clients;
     const auto cells = static_cast<std::size_t>(m_engine.expertLayers) * m_engine.expertsPerLayer;
-    std::vector<double> load(cells, 0);
-    std::uint64_t choices = 0;
-    m_lastCounts.resize(clients.size());
     for (std::size_t i = 0; i < std::min(CountedRanks, clients.size()); ++i) {
         const auto rank = (m_countedRank + i) % clients.size();
         auto counts = co_await clients[rank]->readCounts();
         if (m_switch != readFor) {
             co_return false;
         }
-        if (counts.has_value() && counts.value().counts.size() == cells) {
-            choices += addChoices(m_lastCounts[rank], counts.value(), load);
-            m_lastCounts[rank] = std::move(counts.value());
+        const bool isRead
+            = counts.has_value() && counts.value().epoch == readFor->epoch() && counts.value().counts.size() == cells;
+        if (isRead) {
+            m_load.take(rank, counts.value().counts);
         } else {
-            m_lastCounts[rank].reset();
-        }
-    }
-    if (choices < LeastChoices) {
-        co_return false;
-    }
-    if (m_load.size() != cells) {
-        m_load = std::move(load);
-    } else {
-        for (std::size_t cell = 0; cell < cells; ++cell) {
-            m_load[cell] = (1 - NewestWeight) * m_load[cell] + NewestWeight * load[cell];
+            m_load.forget(rank);
         }
     }
-    co_return readFor->hasTakenEffect();
+    const bool isEnough = m_load.fold();
+    co_return isEnough && readFor->hasTakenEffect();
 }
 
 Task<> GroupCoordinator::considerSwitch()
@@ -373,7 +339,7 @@
         co_return;
     }
     const SwitchLimits limits{m_engine.placesPerRank, m_engine.copiesPerRank, blend(GainPerCopyIdle, GainPerCopyBusy)};
-    const auto plan = planSwitch(*m_map, m_load, m_speeds, limits);
+    const auto plan = planSwitch(*m_map, m_load.load(), m_speeds, limits);
     const double required = blend(RequiredGainIdle, RequiredGainBusy);
     const bool isWorth = plan.skewAfter < plan.skewBefore * (1 - required);
     logEvent(LogLevel::Info,
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -5,6 +5,7 @@
 #include "net/asio.h"
 #include "placement/expertmap.h"
 #include "placement/switchplanner.h"
+#include "rebalance/expertload.h"
 #include "rebalance/groupview.h"
 #include "rebalance/mapswitch.h"
 #include "rebalance/ordertokens.h"
@@ -14,7 +15,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace Cardamomhill
@@ -76,9 +76,7 @@
     std::vector<std::shared_ptr<EngineClient>> m_clients;
     std::shared_ptr<MapSwitch> m_switch;
     std::shared_ptr<const ExpertMap> m_map;
-    /// By rank.
-    std::vector<std::optional<ExpertCounts>> m_lastCounts;
-    std::vector<double> m_load;
+    ExpertLoad m_load;
     /// By rank, 1 for the usual speed.
     std::vector<double> m_speeds;
     std::size_t m_countedRank = 0;
