--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -1,5 +1,6 @@
 #include "control/hostdirectory.h"
 
+#include "control/controladdress.h"
 #include "logging/logging.h"
 #include "net/address.h"
 #include "net/spawn.h"
@@ -18,11 +19,6 @@
 /// New hosts are known to the others after this time; until then their calls are not counted.
 constexpr Milliseconds ListInterval{5000};
 
-std::string textOf(const tcp::endpoint &address)
-{
-    return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
 } // namespace
 
 HostDirectory::HostDirectory(asio::io_context &context,
@@ -64,7 +60,7 @@
 Task<bool> HostDirectory::enter()
 {
     const ObjectKey key{HostKind, m_host};
-    const std::string value = nlohmann::json{{"address", textOf(m_address)}}.dump();
+    const std::string value = nlohmann::json{{"address", nodeAddress(m_address).value()}}.dump();
     const auto present = co_await m_client.read(key);
     if (present.has_error() && present.error().code != PlatformCallErrorCode::NotFound) {
         co_return false;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -86,7 +86,6 @@
     m_lastArrival = steadyNow();
     m_thread.attempts().insert(this);
     const auto end = co_await send();
-    m_thread.attempts().erase(this);
     co_return m_state.isCallerGone ? AttemptEnd::CallerGone : end;
 }
 
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -220,6 +220,11 @@
     m_phase = phase;
     m_phaseSince = now;
     // A higher token for each phase: what was sent in an earlier one has no effect after the first new order.
+    renewOrders(now);
+}
+
+void MapSwitch::renewOrders(SteadyTime now)
+{
     m_token = m_tokens.next();
     for (auto &rank : m_ranks) {
         rank.isDone = false;
@@ -338,12 +343,7 @@
 void MapSwitch::chooseStep(SteadyTime now)
 {
     // A new step is a new order: a late copy of the one for the earlier step must not hold the group.
-    m_token = m_tokens.next();
-    for (auto &rank : m_ranks) {
-        rank.isDone = false;
-        rank.isInFlight = false;
-        rank.retryAt = now;
-    }
+    renewOrders(now);
     const auto ahead = secondsOf(now - m_lastStepAt + m_options.stepLead);
     const auto steps = static_cast<std::uint64_t>(std::ceil(ahead * m_stepsPerSecond));
     m_step = m_lastStep + steps + m_options.stepMargin + m_stepPenalty;
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -100,6 +100,8 @@
     };
 
     void enter(SwitchPhase phase, SteadyTime now);
+    /// Takes a new token, and forgets which ranks have carried out the orders with the old one.
+    void renewOrders(SteadyTime now);
     bool allDone() const;
     bool isWanted(std::size_t rank) const;
     OrderAction actionFor(std::size_t rank) const;
--- a/src/rebalance/rankstate.h
+++ b/src/rebalance/rankstate.h
@@ -21,8 +21,6 @@
     /// The last step that was begun.
     std::uint64_t step = 0;
     std::uint64_t mapVersion = 0;
-    /// The version whose copies are complete.
-    std::optional<std::uint64_t> prepared;
     std::optional<ArmedMap> armed;
     std::optional<std::uint64_t> heldStep;
     /// Requests that run and that wait at the rank.
--- a/src/traffic/attempthistory.cpp
+++ b/src/traffic/attempthistory.cpp
@@ -43,11 +43,6 @@
     return std::all_of(m_ends.begin(), m_ends.end(), &didNotRun);
 }
 
-bool AttemptHistory::has(AttemptEnd end) const
-{
-    return std::find(m_ends.begin(), m_ends.end(), end) != m_ends.end();
-}
-
 bool AttemptHistory::mayAttempt(const Route &route, Milliseconds left) const
 {
     return check(route, left) == RetryVerdict::Retry;
--- a/src/traffic/attempthistory.h
+++ b/src/traffic/attempthistory.h
@@ -26,8 +26,6 @@
     /// Whether it is certain that no attempt ran.
     bool isCertainlyNotRun() const;
 
-    bool has(AttemptEnd end) const;
-
     /// Whether the route allows an attempt after the present ones. The budget is asked by retry().
     bool mayAttempt(const Route &route, Milliseconds left) const;
 
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -287,12 +287,6 @@
     return loads;
 }
 
-std::uint32_t ServerTable::inProgress(const BackendServerId &id) const
-{
-    const auto found = m_entries.find(id);
-    return found == m_entries.end() ? 0 : found->second.inProgress;
-}
-
 double ServerTable::failuresOf(const Entry &entry, SteadyTime now) const
 {
     if (entry.failures == 0) {
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -87,7 +87,6 @@
 
     /// Own calls in progress.
     ServerLoads ownLoads() const;
-    std::uint32_t inProgress(const BackendServerId &id) const;
 
 private:
     struct Entry {
--- a/tests/support/switchworld.h
+++ b/tests/support/switchworld.h
@@ -343,7 +343,6 @@
             state.isOpen = true;
             state.step = m_step;
             state.mapVersion = rank.mapVersion;
-            state.prepared = m_now >= rank.preparedAt ? rank.prepared : std::nullopt;
             state.armed = rank.armed;
             state.heldStep = rank.held;
             snapshot.states.push_back(state);
