Charge attempts that another instance refused, and stop repeating them

Cause: after a 421 the next attempt took nothing from the retry budget, and the server stayed in rotation although its instance cannot come back. Change: only an attempt that was not sent is free of charge. A server whose address another instance has leaves rotation until it registers with another start or address, and its group until it is formed in a later epoch. Two tests that failed first.

--- a/src/traffic/attempthistory.cpp
+++ b/src/traffic/attempthistory.cpp
@@ -11,14 +11,19 @@
 namespace
 {
 
-/// Attempts that reach no server of the service cost little, but must end some time.
+/// Bounds attempts that the limit of the route leaves out.
 constexpr std::size_t MostAttempts = 6;
 /// With less time left, a server could not answer in time.
 constexpr Milliseconds ShortestAttempt{20};
 
 bool reachedServer(AttemptEnd end)
 {
-    return end != AttemptEnd::NotSent && end != AttemptEnd::OtherInstance;
+    return end != AttemptEnd::NotSent;
+}
+
+bool reachedService(AttemptEnd end)
+{
+    return reachedServer(end) && end != AttemptEnd::OtherInstance;
 }
 
 } // namespace
@@ -35,7 +40,7 @@
 
 std::size_t AttemptHistory::sentCount() const
 {
-    return static_cast<std::size_t>(std::count_if(m_ends.begin(), m_ends.end(), &reachedServer));
+    return static_cast<std::size_t>(std::count_if(m_ends.begin(), m_ends.end(), &reachedService));
 }
 
 bool AttemptHistory::isCertainlyNotRun() const
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -45,6 +45,9 @@
             // Another process under the same id: what was seen of the earlier one does not hold.
             entry.failures = 0;
         }
+        if (entry.server.startedAt != server.startedAt || entry.server.address != server.address) {
+            entry.isReplaced = false;
+        }
         if (entry.server.service != server.service) {
             std::erase(m_services[entry.server.service], server.id);
             m_services[server.service].push_back(server.id);
@@ -162,17 +165,30 @@
 
 void ServerTable::findCutGroups()
 {
+    std::unordered_map<GroupId, std::uint64_t> epochs;
+    for (const auto &[id, entry] : m_entries) {
+        if (const auto &seat = entry.server.seat) {
+            auto &epoch = epochs[seat->group];
+            epoch = std::max(epoch, seat->epoch);
+        }
+    }
     m_cutGroups.clear();
     for (const auto &[id, entry] : m_entries) {
-        if (entry.server.seat && !entry.isGone && m_unreachable.contains(entry.server.failureDomain)) {
-            m_cutGroups.insert(entry.server.seat->group);
+        const auto &seat = entry.server.seat;
+        if (!seat || entry.isGone) {
+            continue;
+        }
+        // A group that was formed anew has a rank in place of the one that was replaced.
+        const bool hasLostRank = entry.isReplaced && seat->epoch == epochs[seat->group];
+        if (hasLostRank || m_unreachable.contains(entry.server.failureDomain)) {
+            m_cutGroups.insert(seat->group);
         }
     }
 }
 
 bool ServerTable::isUsable(const Entry &entry) const
 {
-    if (m_unreachable.contains(entry.server.failureDomain)) {
+    if (entry.isReplaced || m_unreachable.contains(entry.server.failureDomain)) {
         return false;
     }
     const auto &seat = entry.server.seat;
@@ -229,6 +245,10 @@
         }
         return;
     }
+    if (end == AttemptEnd::OtherInstance) {
+        entry.isReplaced = true;
+        findCutGroups();
+    }
     const double weight = failureWeight(end);
     entry.failures
         = weight == 0 && end == AttemptEnd::Delivered ? failuresOf(entry, now) / 2 : failuresOf(entry, now) + weight;
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -95,6 +95,8 @@
         std::uint32_t inProgress = 0;
         /// Of the servers that left, only those with calls in progress are kept.
         bool isGone = false;
+        /// Another instance answered at its address. Holds until the server registers with another start or address.
+        bool isReplaced = false;
         double failures = 0;
         SteadyTime failuresAt{};
         StatedLoad stated;
@@ -116,7 +118,7 @@
     ServerSlowness m_slowness;
     std::set<FailureDomainId> m_unreachable;
     std::unordered_map<GroupId, SteadyTime> m_groupSigns;
-    /// Groups with a rank in a failure domain that cannot be reached.
+    /// Groups with a rank that was replaced or lies in a failure domain that cannot be reached.
     std::set<GroupId> m_cutGroups;
 };
 
--- a/tests/attempthistorytest.cpp
+++ b/tests/attempthistorytest.cpp
@@ -72,6 +72,18 @@
     CHECK(unsent.retry(lookup, Left, budget) == RetryVerdict::Retry);
 }
 
+TEST_CASE("an attempt that another instance refused takes from the budget, since it reached a server")
+{
+    AttemptHistory history;
+    history.add(AttemptEnd::OtherInstance);
+    RetryBudgetOptions options;
+    options.burst = 1;
+    RetryBudget budget(options);
+    const auto lookup = route(CallKind::Idempotent, 5);
+    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::Retry);
+    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::BudgetEmpty);
+}
+
 TEST_CASE("only attempts that did not run make a call one that did not run")
 {
     AttemptHistory history;
--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -87,6 +87,44 @@
           == ChoiceReason::LeastLoaded);
 }
 
+TEST_CASE("a server whose address another instance has gets no calls until it registers anew")
+{
+    ServerTable table;
+    auto replaced = server("a");
+    replaced.address = "10.0.0.1:80";
+    replaced.startedAt = 7;
+    table.apply({{replaced}, {}});
+    table.started(replaced.id);
+    table.ended(replaced.id, AttemptEnd::OtherInstance, Start);
+    Random random(1);
+    CHECK_FALSE(table.isUsable(replaced.id));
+    CHECK_FALSE(table.choose(Service, {}, Start + Seconds(60), random).hasServer());
+
+    // Another load or state is no new registration.
+    replaced.slots = 5;
+    table.apply({{replaced}, {}});
+    CHECK_FALSE(table.isUsable(replaced.id));
+    replaced.startedAt = 8;
+    table.apply({{replaced}, {}});
+    CHECK(table.isUsable(replaced.id));
+}
+
+TEST_CASE("a group that lost a rank to another instance gets no calls until it is formed anew")
+{
+    ServerTable table;
+    auto replaced = server("a", "d1", "g");
+    auto other = server("b", "d1", "g");
+    table.apply({{replaced, other}, {}});
+    table.started(replaced.id);
+    table.ended(replaced.id, AttemptEnd::OtherInstance, Start);
+    CHECK_FALSE(table.isUsable(other.id));
+    CHECK_FALSE(table.canServe(Service));
+    other.seat->epoch = 2;
+    table.apply({{other}, {}});
+    CHECK(table.isUsable(other.id));
+    CHECK_FALSE(table.isUsable(replaced.id));
+}
+
 TEST_CASE("a slow rank gets calls only when no other server is left")
 {
     ServerTable table;
