Let hosts near a group coordinate it

Ruled out: a lost lease write; the store answered the larger side all the time. Change: hosts that share a failure domain with a rank of the group take a free lease first, others 6 s later; hosts remote to all groups read the leases less often.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds TickPeriod{250};
 /// Leases of other hosts are looked at this often; a free one is taken some seconds after its holder stopped.
 constexpr Milliseconds ObserveInterval{2000};
+/// The same at hosts that are remote to all groups: each reading is charged.
+constexpr Milliseconds RemoteObserveInterval{6000};
 constexpr Milliseconds CallTimeout{1000};
 
 LeaseRecord recordOf(const PlatformObject &object)
@@ -43,6 +45,7 @@
                            const EngineDialect &engineDialect,
                            MetricsRegistry &metrics,
                            std::string host,
+                           FailureDomainId failureDomain,
                            SlownessObserver onSlowness)
     : m_context(context)
     , m_engineDialect(engineDialect)
@@ -50,6 +53,7 @@
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_random(std::random_device()())
     , m_host(std::move(host))
+    , m_failureDomain(std::move(failureDomain))
     , m_onSlowness(std::move(onSlowness))
     , m_incarnation(std::to_string(m_random()))
 {
@@ -104,6 +108,11 @@
         : m_led.emplace(group, Led{CoordinatorLease(m_host, m_incarnation), nullptr}).first->second;
 }
 
+Locality Coordination::localityOf(const GroupView &group) const
+{
+    return group.hasRankIn(m_failureDomain) ? Locality::Local : Locality::Remote;
+}
+
 Task<> Coordination::run()
 {
     asio::steady_timer timer(m_context);
@@ -112,7 +121,10 @@
     while (!error && !m_isStopped) {
         const auto groups = m_directory.groups();
         if (!groups.empty() && steadyNow() >= nextObservation) {
-            nextObservation = steadyNow() + ObserveInterval;
+            const bool isLocal = std::any_of(groups.begin(), groups.end(), [this](const GroupView &group) {
+                return localityOf(group) == Locality::Local;
+            });
+            nextObservation = steadyNow() + (isLocal ? ObserveInterval : RemoteObserveInterval);
             co_await observeLeases();
         }
         for (const auto &group : groups) {
@@ -138,7 +150,7 @@
         records[GroupId(object.key.name)] = recordOf(object);
     }
     for (const auto &group : m_directory.groups()) {
-        ledOf(group.id).lease.observe(records[group.id], steadyNow(), m_random);
+        ledOf(group.id).lease.observe(records[group.id], localityOf(group), steadyNow(), m_random);
     }
 }
 
@@ -183,7 +195,7 @@
             co_return;
         }
         if (object.value().version != expected) {
-            led.lease.observe(recordOf(object.value()), steadyNow(), m_random);
+            led.lease.observe(recordOf(object.value()), localityOf(group), steadyNow(), m_random);
             co_return;
         }
     }
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -35,6 +35,7 @@
                  const EngineDialect &engineDialect,
                  MetricsRegistry &metrics,
                  std::string host,
+                 FailureDomainId failureDomain,
                  SlownessObserver onSlowness);
     ~Coordination();
 
@@ -60,6 +61,7 @@
     Task<std::optional<std::uint64_t>> write(const GroupView &group, std::uint64_t expectedVersion);
     void stepDown(const GroupView &group, Led &led, std::string_view cause);
     Led &ledOf(const GroupId &group);
+    Locality localityOf(const GroupView &group) const;
     const EngineProfile *engineOf(const GroupView &group) const;
 
     asio::io_context &m_context;
@@ -68,6 +70,7 @@
     PlatformClient m_client;
     Random m_random;
     std::string m_host;
+    FailureDomainId m_failureDomain;
     SlownessObserver m_onSlowness;
     std::string m_incarnation;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -42,6 +42,7 @@
                          engineDialect,
                          m_metrics,
                          settings.host.value(),
+                         settings.failureDomain,
                          [this](const ServerSlowness &slowness) {
                              asio::post(m_traffic.context(), [this, slowness] { m_traffic.setOwnSlowness(slowness); });
                          })
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -10,7 +10,7 @@
 {
 }
 
-void CoordinatorLease::observe(const LeaseRecord &record, SteadyTime now, Random &random)
+void CoordinatorLease::observe(const LeaseRecord &record, Locality locality, SteadyTime now, Random &random)
 {
     const bool isFirst = m_freeAt == SteadyTime::max();
     if (m_isHeld || (!isFirst && record.version <= m_record.version)) {
@@ -18,7 +18,8 @@
     }
     m_record = record;
     std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
-    const auto delay = Milliseconds(spread(random));
+    const auto delay
+        = Milliseconds(spread(random)) + (locality == Locality::Remote ? m_options.remoteDelay : Milliseconds(0));
     // An earlier process of this host has ended, so nobody renews its lease.
     const bool isOwnRemnant = record.host == m_host && record.incarnation != m_incarnation;
     if (isOwnRemnant) {
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -17,6 +17,15 @@
     Milliseconds lifetime{4500};
     /// Random delay of an attempt, so that few hosts try at once.
     Milliseconds attemptSpread{3000};
+    /// Further delay of a remote host, so that it comes only after all local ones.
+    Milliseconds remoteDelay{6000};
+};
+
+/// Whether the host of a lease's candidate shares a failure domain with a rank of the group. Where a cut separates a
+/// remote host from the group, the group may go on without its coordinator; local ones are mostly cut off with it.
+enum class Locality {
+    Local,
+    Remote,
 };
 
 /// What the store holds of a lease.
@@ -37,7 +46,7 @@
     CoordinatorLease(std::string host, std::string incarnation, CoordinatorLeaseOptions options = {});
 
     /// Takes what the store said, which may be seconds old.
-    void observe(const LeaseRecord &record, SteadyTime now, Random &random);
+    void observe(const LeaseRecord &record, Locality locality, SteadyTime now, Random &random);
 
     /// Whether the lease looks free, so that it should be read anew and written.
     bool shouldAcquire(SteadyTime now) const;
--- a/src/rebalance/groupview.h
+++ b/src/rebalance/groupview.h
@@ -19,6 +19,8 @@
     bool isOpen = false;
     /// By rank.
     std::vector<DiscoveredServer> ranks;
+
+    bool hasRankIn(const FailureDomainId &domain) const;
 };
 
 } // namespace Cardamomhill
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -27,21 +27,50 @@
 {
     Random random(1);
     CoordinatorLease lease("a", "1");
-    lease.observe({5, "b", "1"}, Start, random);
+    lease.observe({5, "b", "1"}, Locality::Local, Start, random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(4)));
-    lease.observe({6, "b", "1"}, Start + Seconds(4), random);
+    lease.observe({6, "b", "1"}, Locality::Local, Start + Seconds(4), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(8)));
-    lease.observe({6, "b", "1"}, Start + Seconds(8), random);
+    lease.observe({6, "b", "1"}, Locality::Local, Start + Seconds(8), random);
     CHECK(lease.shouldAcquire(Start + LongEnough));
     CHECK(lease.expectedVersion() == 6);
 }
 
+TEST_CASE("a remote host takes a free lease only after all local ones had time to")
+{
+    constexpr int Hosts = 200;
+    const CoordinatorLeaseOptions options;
+    for (const std::uint64_t version : {0, 6}) {
+        const auto lastLocal
+            = Start + (version == 0 ? Milliseconds(0) : options.lifetime) + options.attemptSpread + Seconds(1);
+        for (int host = 0; host < Hosts; ++host) {
+            Random random(static_cast<std::uint64_t>(host));
+            CoordinatorLease local("a", "1");
+            local.observe({version, "b", "1"}, Locality::Local, Start, random);
+            REQUIRE(local.shouldAcquire(lastLocal));
+            CoordinatorLease remote("c", "1");
+            remote.observe({version, "b", "1"}, Locality::Remote, Start, random);
+            REQUIRE_FALSE(remote.shouldAcquire(lastLocal));
+            REQUIRE(remote.shouldAcquire(Start + LongEnough));
+        }
+    }
+}
+
+TEST_CASE("a group knows the failure domains of its ranks")
+{
+    GroupView group;
+    group.ranks.resize(2);
+    group.ranks[0].failureDomain = FailureDomainId("d1");
+    CHECK(group.hasRankIn(FailureDomainId("d1")));
+    CHECK_FALSE(group.hasRankIn(FailureDomainId("d2")));
+}
+
 TEST_CASE("a stale reading does not bring an older lease back")
 {
     Random random(1);
     CoordinatorLease lease("a", "1");
-    lease.observe({6, "b", "1"}, Start, random);
-    lease.observe({5, "c", "1"}, Start + Seconds(1), random);
+    lease.observe({6, "b", "1"}, Locality::Local, Start, random);
+    lease.observe({5, "c", "1"}, Locality::Local, Start + Seconds(1), random);
     CHECK(lease.expectedVersion() == 6);
 }
 
@@ -49,7 +78,7 @@
 {
     Random random(1);
     CoordinatorLease lease("a", "2");
-    lease.observe({5, "a", "1"}, Start, random);
+    lease.observe({5, "a", "1"}, Locality::Local, Start, random);
     CHECK(lease.shouldAcquire(Start));
 }
 
