Read the choices of experts as soon as steps turn slow

Cause: when other experts came into demand, the coordinator learned of it at its next reading, 0.7 s to 1.4 s later, and that reading mixed choices from before and after. Popular experts change every few seconds, so groups ran with twice the mean load on one rank for a third of the time. Agents beside the engines, which could read for free: their machines and memory cost about what readings do. Change: StepPace sees from arriving events when the steps of a group turn slow, which costs no call. CountSchedule then opens a window of 150 ms between two readings, whose choices replace the known load. Regular readings are at 1.4 s.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -83,6 +83,14 @@
     }
 }
 
+void Coordination::groupTurnedSlow(const GroupId &group)
+{
+    const auto found = m_led.find(group);
+    if (found != m_led.end() && found->second.coordinator) {
+        found->second.coordinator->stepsTurnedSlow();
+    }
+}
+
 void Coordination::stop()
 {
     m_isStopped = true;
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -43,6 +43,9 @@
     void apply(std::shared_ptr<const TrafficConfiguration> configuration);
     void applyServers(const ServerChanges &changes);
 
+    /// The steps of a group take longer than they did.
+    void groupTurnedSlow(const GroupId &group);
+
     /// Begins no further switch; one that is under way is finished. The leases lapse.
     void stop();
 
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -18,10 +18,10 @@
 constexpr Milliseconds TickPeriod{20};
 /// While nothing is to be done but to wait for the next counts.
 constexpr Milliseconds IdlePeriod{100};
-/// Time over which choices of experts are counted for a plan. Reading them is charged and pauses the group.
-constexpr Milliseconds CountInterval{700};
-/// The same while the group has little to do.
-constexpr Milliseconds IdleCountInterval{3000};
+/// Time between two readings of the ranks' state while no switch is under way.
+constexpr Milliseconds UsageInterval{700};
+/// Weight of the choices since the last reading in the load of the experts.
+constexpr double RegularWeight = 0.7;
 /// Weight of the newest reading in the mean part of the slots in use.
 constexpr double UsageWeight = 0.5;
 /// Ranks that are slower than this part of the usual speed get fewer calls.
@@ -89,6 +89,7 @@
     }
     m_map.reset();
     m_load.clear();
+    m_schedule.clear();
     m_switch = std::make_shared<MapSwitch>(m_group.ranks.size(), m_group.epoch, m_tokens);
     m_countedRank = m_random() % m_group.ranks.size();
     logEvent(LogLevel::Info,
@@ -96,6 +97,11 @@
              {{"group", m_group.id.value()}, {"epoch", m_group.epoch}, {"ranks", m_group.ranks.size()}});
 }
 
+void GroupCoordinator::stepsTurnedSlow()
+{
+    m_schedule.stepsTurnedSlow();
+}
+
 void GroupCoordinator::stop()
 {
     m_isStopped = true;
@@ -283,15 +289,9 @@
     co_return known > 0;
 }
 
-Task<bool> GroupCoordinator::readLoad()
+Task<bool> GroupCoordinator::readLoad(CountReading reading)
 {
     const auto readFor = m_switch;
-    const bool isUsageKnown = co_await readUsage();
-    const auto now = steadyNow();
-    if (!isUsageKnown || m_switch != readFor || now < m_nextCount) {
-        co_return false;
-    }
-    m_nextCount = now + blend(IdleCountInterval, CountInterval);
     const auto clients = m_clients;
     const auto cells = static_cast<std::size_t>(m_engine.expertLayers) * m_engine.expertsPerLayer;
     for (std::size_t i = 0; i < std::min(CountedRanks, clients.size()); ++i) {
@@ -308,17 +308,22 @@
             m_load.forget(rank);
         }
     }
-    const bool isEnough = m_load.fold();
-    co_return isEnough && readFor->hasTakenEffect();
+    m_schedule.done(reading, steadyNow(), pressure());
+    if (reading == CountReading::WindowStart) {
+        m_load.dropRound();
+        co_return false;
+    }
+    co_return m_load.fold(reading == CountReading::WindowEnd ? 1 : RegularWeight);
 }
 
 Task<> GroupCoordinator::considerSwitch()
 {
     const auto now = steadyNow();
-    if (now < m_nextUsage || m_engine.expertLayers == 0) {
+    const bool isCountDue = m_schedule.due(now, pressure()) != CountReading::None;
+    if (m_engine.expertLayers == 0 || (now < m_nextUsage && !isCountDue)) {
         co_return;
     }
-    m_nextUsage = now + CountInterval;
+    m_nextUsage = now + UsageInterval;
     if (m_switch->mapInForce()) {
         m_map = m_switch->mapInForce();
     }
@@ -334,10 +339,20 @@
             co_return;
         }
     }
-    const bool isKnown = co_await readLoad();
-    if (!isKnown || !m_switch || m_switch->phase() != SwitchPhase::Idle) {
+    const auto readFor = m_switch;
+    const bool isUsageKnown = co_await readUsage();
+    const auto reading = m_schedule.due(steadyNow(), pressure());
+    if (!isUsageKnown || m_switch != readFor || reading == CountReading::None) {
         co_return;
     }
+    const bool isLoadKnown = co_await readLoad(reading);
+    if (isLoadKnown && m_switch == readFor && m_switch->hasTakenEffect() && m_switch->phase() == SwitchPhase::Idle) {
+        planSwitchOfMap();
+    }
+}
+
+void GroupCoordinator::planSwitchOfMap()
+{
     const SwitchLimits limits{m_engine.placesPerRank, m_engine.copiesPerRank, blend(GainPerCopyIdle, GainPerCopyBusy)};
     const auto plan = planSwitch(*m_map, m_load.load(), m_speeds, limits);
     const double required = blend(RequiredGainIdle, RequiredGainBusy);
@@ -353,7 +368,8 @@
               {"copies_of_one_rank", plan.mostCopies}});
     if (isWorth) {
         m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime(plan.mostCopies), steadyNow());
-        co_await work();
+        m_switch->tick(steadyNow());
+        sendOrders();
     }
 }
 
@@ -367,12 +383,6 @@
     return idle + (busy - idle) * pressure();
 }
 
-Milliseconds GroupCoordinator::blend(Milliseconds idle, Milliseconds busy) const
-{
-    const double time = blend(static_cast<double>(idle.count()), static_cast<double>(busy.count()));
-    return Milliseconds(static_cast<Milliseconds::rep>(time));
-}
-
 Microseconds GroupCoordinator::copyTime(std::size_t copies) const
 {
     constexpr double BitsPerByte = 8;
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -5,6 +5,7 @@
 #include "net/asio.h"
 #include "placement/expertmap.h"
 #include "placement/switchplanner.h"
+#include "rebalance/countschedule.h"
 #include "rebalance/expertload.h"
 #include "rebalance/groupview.h"
 #include "rebalance/mapswitch.h"
@@ -36,6 +37,9 @@
     /// The group, and what its engines can do, as the store shows them now.
     void update(const GroupView &group, const EngineProfile &engine);
 
+    /// The steps of the group take longer than they did, so other experts may be chosen.
+    void stepsTurnedSlow();
+
     /// Begins no further switch. One that holds a step is finished.
     void stop();
 
@@ -56,13 +60,14 @@
     Task<bool> learnMap();
     Task<> considerSwitch();
     Task<bool> readUsage();
-    Task<bool> readLoad();
+    /// Returns whether the load is known well enough for a plan.
+    Task<bool> readLoad(CountReading reading);
+    void planSwitchOfMap();
     void startEpoch();
     void logPhase();
     /// From 0 for a group that has little to do to 1 for a busy one.
     double pressure() const;
     double blend(double idle, double busy) const;
-    Milliseconds blend(Milliseconds idle, Milliseconds busy) const;
     Microseconds copyTime(std::size_t copies) const;
 
     asio::io_context &m_context;
@@ -80,7 +85,7 @@
     /// By rank, 1 for the usual speed.
     std::vector<double> m_speeds;
     std::size_t m_countedRank = 0;
-    SteadyTime m_nextCount{};
+    CountSchedule m_schedule;
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
     /// Mean part of an engine's slots that is in use.
     double m_usage = 0;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -358,7 +358,7 @@
 void Attempt::arrived()
 {
     m_lastArrival = steadyNow();
-    m_thread.servers().signOfLife(m_server, m_lastArrival);
+    m_thread.arrivedFrom(m_server, m_lastArrival);
 }
 
 void Attempt::check(SteadyTime now)
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -35,7 +35,12 @@
         : m_settings(settings)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
         , m_timer(m_context)
-        , m_traffic(settings, callDialect, m_metrics)
+        , m_traffic(settings,
+                    callDialect,
+                    m_metrics,
+                    [this](const GroupId &group) {
+                        asio::post(m_context, [this, group] { m_coordination.groupTurnedSlow(group); });
+                    })
         , m_coordination(m_context,
                          settings.platform,
                          storeDialect.objectApi(),
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -43,10 +43,14 @@
 
 } // namespace
 
-GatewayThread::GatewayThread(const GatewaySettings &settings, const CallDialect &dialect, MetricsRegistry &metrics)
+GatewayThread::GatewayThread(const GatewaySettings &settings,
+                             const CallDialect &dialect,
+                             MetricsRegistry &metrics,
+                             SlowGroupObserver onSlowGroup)
     : m_settings(settings)
     , m_dialect(dialect)
     , m_metrics(metrics)
+    , m_onSlowGroup(std::move(onSlowGroup))
     , m_http(m_context,
              limitsOf(CallerLimits()),
              [this](HttpExchange &exchange) -> Task<> {
@@ -149,6 +153,13 @@
     return m_canServe;
 }
 
+void GatewayThread::arrivedFrom(const BackendServerId &server, SteadyTime now)
+{
+    if (const auto group = m_servers.signOfLife(server, now)) {
+        m_onSlowGroup(*group);
+    }
+}
+
 void GatewayThread::connected(const FailureDomainId &domain, bool success)
 {
     m_reachability.connected(domain, success, steadyNow());
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -16,6 +16,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
@@ -33,7 +34,13 @@
 class GatewayThread
 {
 public:
-    GatewayThread(const GatewaySettings &settings, const CallDialect &dialect, MetricsRegistry &metrics);
+    /// Takes groups whose steps have just turned slow, on the traffic thread.
+    using SlowGroupObserver = std::function<void(const GroupId &)>;
+
+    GatewayThread(const GatewaySettings &settings,
+                  const CallDialect &dialect,
+                  MetricsRegistry &metrics,
+                  SlowGroupObserver onSlowGroup);
     ~GatewayThread();
 
     Result<void, NetError> listen();
@@ -53,6 +60,9 @@
     /// Whether this host can serve at all, or is cut off from what it needs. Any thread may ask.
     bool canServe() const;
 
+    /// Something arrived from a backend server.
+    void arrivedFrom(const BackendServerId &server, SteadyTime now);
+
     /// A connection to a backend server was made, or not.
     void connected(const FailureDomainId &domain, bool success);
 
@@ -86,6 +96,7 @@
     const GatewaySettings &m_settings;
     const CallDialect &m_dialect;
     MetricsRegistry &m_metrics;
+    SlowGroupObserver m_onSlowGroup;
     asio::io_context m_context;
     HttpServer m_http;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
--- a/src/rebalance/expertload.cpp
+++ b/src/rebalance/expertload.cpp
@@ -6,8 +6,6 @@
 namespace
 {
 
-/// Weight of the newest round in the load.
-constexpr double NewestWeight = 0.7;
 /// Choices in a round below which it says too little.
 constexpr std::uint64_t LeastChoices = 2000;
 
@@ -41,19 +39,24 @@
     *this = ExpertLoad();
 }
 
-bool ExpertLoad::fold()
+bool ExpertLoad::fold(double newestWeight)
 {
     const bool isEnough = m_choices >= LeastChoices;
     if (isEnough && m_load.empty()) {
         m_load = m_round;
     } else if (isEnough) {
         for (std::size_t cell = 0; cell < m_load.size(); ++cell) {
-            m_load[cell] = (1 - NewestWeight) * m_load[cell] + NewestWeight * m_round[cell];
+            m_load[cell] = (1 - newestWeight) * m_load[cell] + newestWeight * m_round[cell];
         }
     }
+    dropRound();
+    return isEnough;
+}
+
+void ExpertLoad::dropRound()
+{
     m_round.assign(m_round.size(), 0);
     m_choices = 0;
-    return isEnough;
 }
 
 const std::vector<double> &ExpertLoad::load() const
--- a/src/rebalance/expertload.h
+++ b/src/rebalance/expertload.h
@@ -22,7 +22,11 @@
     void clear();
 
     /// Ends a round and folds it into the load. Returns false, and changes nothing, if it has too few choices.
-    bool fold();
+    /// @param newestWeight weight of this round; with 1 it replaces the load
+    bool fold(double newestWeight);
+
+    /// Ends a round whose choices are not wanted.
+    void dropRound();
 
     /// Layer by layer; empty before the first fold.
     const std::vector<double> &load() const;
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -255,16 +255,20 @@
     entry.failuresAt = now;
 }
 
-void ServerTable::signOfLife(const BackendServerId &id, SteadyTime now)
+std::optional<GroupId> ServerTable::signOfLife(const BackendServerId &id, SteadyTime now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end()) {
-        return;
+        return std::nullopt;
     }
     found->second.signAt = now;
-    if (found->second.server.seat) {
-        m_groupSigns[found->second.server.seat->group] = now;
+    const auto &seat = found->second.server.seat;
+    if (!seat) {
+        return std::nullopt;
     }
+    auto &signs = m_groupSigns[seat->group];
+    signs.lastAt = now;
+    return signs.pace.arrived(now) ? std::optional(seat->group) : std::nullopt;
 }
 
 SteadyTime ServerTable::lastSignOfLife(const BackendServerId &id) const
@@ -275,7 +279,7 @@
     }
     const auto &seat = found->second.server.seat;
     const auto group = seat ? m_groupSigns.find(seat->group) : m_groupSigns.end();
-    return group == m_groupSigns.end() ? found->second.signAt : group->second;
+    return group == m_groupSigns.end() ? found->second.signAt : group->second.lastAt;
 }
 
 bool ServerTable::isUsable(const BackendServerId &id) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -9,8 +9,10 @@
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
 #include "traffic/serverslowness.h"
+#include "traffic/steppace.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -75,8 +77,9 @@
     /// Counts a call on a server. Each is followed by one ended().
     void started(const BackendServerId &id);
     void ended(const BackendServerId &id, AttemptEnd end, SteadyTime now);
-    /// Something arrived from the server. The ranks of a group work in step, so each speaks for all.
-    void signOfLife(const BackendServerId &id, SteadyTime now);
+    /// Something arrived from the server. The ranks of a group work in step, so each speaks for all. Returns the group
+    /// if its steps have just turned slow.
+    std::optional<GroupId> signOfLife(const BackendServerId &id, SteadyTime now);
     /// When something last arrived from the server or its group; the clock's start if never.
     SteadyTime lastSignOfLife(const BackendServerId &id) const;
 
@@ -117,7 +120,11 @@
     ServerLoads m_peerLoads;
     ServerSlowness m_slowness;
     std::set<FailureDomainId> m_unreachable;
-    std::unordered_map<GroupId, SteadyTime> m_groupSigns;
+    struct GroupSigns {
+        SteadyTime lastAt{};
+        StepPace pace;
+    };
+    std::unordered_map<GroupId, GroupSigns> m_groupSigns;
     /// Groups with a rank that was replaced or lies in a failure domain that cannot be reached.
     std::set<GroupId> m_cutGroups;
 };
--- a/tests/expertloadtest.cpp
+++ b/tests/expertloadtest.cpp
@@ -8,10 +8,10 @@
 {
     ExpertLoad load;
     load.take(0, {50'000, 10'000});
-    CHECK_FALSE(load.fold());
+    CHECK_FALSE(load.fold(0.7));
     CHECK(load.load().empty());
     load.take(0, {53'000, 11'000});
-    REQUIRE(load.fold());
+    REQUIRE(load.fold(0.7));
     CHECK(load.load() == std::vector<double>{3000, 1000});
 }
 
@@ -22,14 +22,14 @@
     load.take(1, {0, 0});
     load.take(0, {2000, 0});
     load.take(1, {2000, 0});
-    REQUIRE(load.fold());
+    REQUIRE(load.fold(0.7));
     CHECK(load.load()[0] == 4000);
     load.take(0, {2000, 4000});
-    REQUIRE(load.fold());
+    REQUIRE(load.fold(0.7));
     CHECK(load.load()[0] == doctest::Approx(1200));
     CHECK(load.load()[1] == doctest::Approx(2800));
     load.take(0, {2001, 4000});
-    CHECK_FALSE(load.fold());
+    CHECK_FALSE(load.fold(0.7));
     CHECK(load.load()[1] == doctest::Approx(2800));
 }
 
@@ -38,11 +38,11 @@
     ExpertLoad load;
     load.take(0, {90'000});
     load.take(0, {3000});
-    REQUIRE(load.fold());
+    REQUIRE(load.fold(0.7));
     CHECK(load.load()[0] == 3000);
     load.forget(0);
     load.take(0, {50'000});
-    CHECK_FALSE(load.fold());
+    CHECK_FALSE(load.fold(0.7));
 }
 
 TEST_CASE("counters of another model start the load anew")
@@ -50,7 +50,7 @@
     ExpertLoad load;
     load.take(0, {0});
     load.take(0, {5000});
-    REQUIRE(load.fold());
+    REQUIRE(load.fold(0.7));
     load.take(0, {0, 0, 0});
     CHECK(load.load().empty());
 }
