Refuse msgpack containers larger than their message

Cause: the property test of notices threw std::bad_alloc on a local run with random (bytes DF 61 61 61 61): a container's stated size was reserved before its elements were read. Nothing caught it, so one datagram of five bytes could end an entry process. Ruled out: a fault of the test; the same bytes do it in three of the decoders. Change: one place reads msgpack, with limits that follow from the message's size.

--- a/src/group/groupmessage.cpp
+++ b/src/group/groupmessage.cpp
@@ -1,5 +1,7 @@
 #include "group/groupmessage.h"
 
+#include "core/msgpackinput.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -74,7 +76,7 @@
 {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset);
+        const msgpack::object_handle handle = unpackObject(bytes, offset);
         if (offset != bytes.size()) {
             return failure(GroupError{GroupErrorCode::Malformed, offset});
         }
--- a/src/membership/membershipmessage.cpp
+++ b/src/membership/membershipmessage.cpp
@@ -1,5 +1,7 @@
 #include "membership/membershipmessage.h"
 
+#include "core/msgpackinput.h"
+
 #include <optional>
 
 namespace Cardamomhill
@@ -63,7 +65,7 @@
 Result<MembershipMessage, MembershipError> decodeMembershipMessage(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackObject(bytes);
         return decodeEnvelope(handle.get());
     } catch (const std::exception &error) {
         // msgpack reports truncated or mistyped input by exceptions.
--- a/src/traffic/loadnotice.cpp
+++ b/src/traffic/loadnotice.cpp
@@ -1,5 +1,7 @@
 #include "traffic/loadnotice.h"
 
+#include "core/msgpackinput.h"
+
 namespace Cardamomhill
 {
 
@@ -21,7 +23,7 @@
 {
     // msgpack reports bad input by exceptions.
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackObject(bytes);
         // A shorter array would leave fields as they are.
         if (handle->type != msgpack::type::ARRAY || handle->via.array.size != FieldCount) {
             return std::nullopt;
--- a/src/wire/packing.h
+++ b/src/wire/packing.h
@@ -1,13 +1,12 @@
 #pragma once
 
+#include "core/msgpackinput.h"
 #include "core/result.h"
 #include "wire/wireerror.h"
 
 #include <string>
 #include <string_view>
 
-#include <msgpack.hpp>
-
 namespace Cardamomhill
 {
 
@@ -26,7 +25,7 @@
 Result<T, WireError> unpackedWith(std::string_view bytes, Function function)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpackObject(bytes);
         return function(handle.get());
     } catch (const msgpack::unpack_error &) {
         return failure(WireError{WireErrorCode::Malformed, bytes.size()});
