Replace a coordinator that turned silent before its lease lapses

Ruled out: switching without holding a step; an order that reaches a rank late would leave two maps in one pass. Change: entry hosts hear each other's notices several times a second. A host near the group takes the lease when its holder is silent for 0.9 s; tokens keep the old holder out, as before. Nobody does so when most hosts are silent. Also: ended lines and a metric tell the longest pause between events.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -91,6 +91,11 @@
     }
 }
 
+void Coordination::setSilentHosts(std::set<std::string> hosts)
+{
+    m_silentHosts = std::move(hosts);
+}
+
 void Coordination::stop()
 {
     m_isStopped = true;
@@ -181,6 +186,9 @@
     if (led.coordinator && led.coordinator->isOver()) {
         stepDown(group, led, "the group follows another coordinator or cannot be reached");
     }
+    if (m_silentHosts.contains(led.lease.holder()) && localityOf(group) == Locality::Local) {
+        led.lease.holderTurnedSilent(steadyNow(), m_random);
+    }
     if (led.lease.shouldRenew(steadyNow())) {
         co_await renew(group, led);
     } else if (led.lease.shouldAcquire(steadyNow())) {
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Cardamomhill
@@ -46,6 +47,9 @@
     /// The steps of a group take longer than they did.
     void groupTurnedSlow(const GroupId &group);
 
+    /// Entry hosts that have turned silent. The leases that they hold are taken over soon.
+    void setSilentHosts(std::set<std::string> hosts);
+
     /// Begins no further switch; one that is under way is finished. The leases lapse.
     void stop();
 
@@ -80,6 +84,7 @@
     GroupDirectory m_directory;
     std::map<GroupId, Led> m_led;
     ServerSlowness m_published;
+    std::set<std::string> m_silentHosts;
     std::uint64_t m_renewals = 0;
     bool m_isStopped = false;
 };
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -277,11 +277,23 @@
             if (!event->id.empty()) {
                 m_state.lastEventId = event->id;
             }
-            ++m_state.events;
+            countEvent();
         }
     }
 }
 
+void Attempt::countEvent()
+{
+    const auto now = steadyNow();
+    if (m_state.events > 0) {
+        const auto pause = std::chrono::duration_cast<Microseconds>(now - m_state.lastEventAt);
+        m_state.longestPause = std::max(m_state.longestPause, pause);
+        m_thread.metrics().latency("event_pause_seconds").record(pause);
+    }
+    m_state.lastEventAt = now;
+    ++m_state.events;
+}
+
 Task<AttemptEnd> Attempt::endEvents()
 {
     if (m_events.pendingBytes() > 0) {
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -51,6 +51,7 @@
     Task<AttemptEnd> relayWhole();
     Task<AttemptEnd> relayEvents();
     Task<AttemptEnd> endEvents();
+    void countEvent();
     Task<bool> sendEvent(std::string_view bytes);
     Task<bool> begin();
     Task<Result<void, NetError>> skipForeignAnswers(Result<void, NetError> started);
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -270,6 +270,7 @@
               {"attempts", m_state.attempts.count()},
               {"events", m_state.events},
               {"first_ms", std::chrono::duration_cast<Milliseconds>(first).count()},
+              {"longest_pause_ms", std::chrono::duration_cast<Milliseconds>(m_state.longestPause).count()},
               {"total_ms", std::chrono::duration_cast<Milliseconds>(duration).count()}});
 }
 
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -38,6 +38,9 @@
     /// The last event that the caller got.
     std::string lastEventId;
     std::optional<SteadyTime> firstByteAt;
+    SteadyTime lastEventAt{};
+    /// Between two events, as they were passed on.
+    Microseconds longestPause{0};
     std::size_t events = 0;
     bool hasBegun = false;
     bool isCallerGone = false;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -38,9 +38,12 @@
         , m_traffic(settings,
                     callDialect,
                     m_metrics,
-                    [this](const GroupId &group) {
-                        asio::post(m_context, [this, group] { m_coordination.groupTurnedSlow(group); });
-                    })
+                    {[this](const GroupId &group) {
+                         asio::post(m_context, [this, group] { m_coordination.groupTurnedSlow(group); });
+                     },
+                     [this](const std::set<std::string> &hosts) {
+                         asio::post(m_context, [this, hosts] { m_coordination.setSilentHosts(hosts); });
+                     }})
         , m_coordination(m_context,
                          settings.platform,
                          storeDialect.objectApi(),
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -46,11 +46,11 @@
 GatewayThread::GatewayThread(const GatewaySettings &settings,
                              const CallDialect &dialect,
                              MetricsRegistry &metrics,
-                             SlowGroupObserver onSlowGroup)
+                             Observers observers)
     : m_settings(settings)
     , m_dialect(dialect)
     , m_metrics(metrics)
-    , m_onSlowGroup(std::move(onSlowGroup))
+    , m_observers(std::move(observers))
     , m_http(m_context,
              limitsOf(CallerLimits()),
              [this](HttpExchange &exchange) -> Task<> {
@@ -66,7 +66,8 @@
               m_servers,
               metrics,
               {[this](const ServerSlowness &slowness) { applySlowness(slowness); },
-               [this](const FailureDomainId &domain) { m_reachability.heard(domain, steadyNow()); }})
+               [this](const FailureDomainId &domain) { m_reachability.heard(domain, steadyNow()); },
+               m_observers.onSilentHosts})
 {
 }
 
@@ -156,7 +157,7 @@
 void GatewayThread::arrivedFrom(const BackendServerId &server, SteadyTime now)
 {
     if (const auto group = m_servers.signOfLife(server, now)) {
-        m_onSlowGroup(*group);
+        m_observers.onSlowGroup(*group);
     }
 }
 
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -18,6 +18,8 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -34,13 +36,18 @@
 class GatewayThread
 {
 public:
-    /// Takes groups whose steps have just turned slow, on the traffic thread.
-    using SlowGroupObserver = std::function<void(const GroupId &)>;
+    /// Told on the traffic thread.
+    struct Observers {
+        /// The steps of a group have just turned slow.
+        std::function<void(const GroupId &)> onSlowGroup;
+        /// Other entry hosts that have turned silent.
+        std::function<void(const std::set<std::string> &)> onSilentHosts;
+    };
 
     GatewayThread(const GatewaySettings &settings,
                   const CallDialect &dialect,
                   MetricsRegistry &metrics,
-                  SlowGroupObserver onSlowGroup);
+                  Observers observers);
     ~GatewayThread();
 
     Result<void, NetError> listen();
@@ -96,7 +103,7 @@
     const GatewaySettings &m_settings;
     const CallDialect &m_dialect;
     MetricsRegistry &m_metrics;
-    SlowGroupObserver m_onSlowGroup;
+    Observers m_observers;
     asio::io_context m_context;
     HttpServer m_http;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -76,6 +76,11 @@
             }
         }
     }
+    auto silentHosts = m_exchange.silentHosts(now);
+    if (silentHosts != m_silentHosts) {
+        m_silentHosts = std::move(silentHosts);
+        m_observers.onSilentHosts(m_silentHosts);
+    }
     if (m_hasNews || now >= m_nextPublication) {
         publish();
     }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -11,6 +11,8 @@
 #include <array>
 #include <cstddef>
 #include <functional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace Cardamomhill
@@ -29,6 +31,8 @@
         std::function<void(const ServerSlowness &)> onSlowness;
         /// A notice of a host in that failure domain arrived.
         std::function<void(const FailureDomainId &)> onHeard;
+        /// Which hosts have turned silent, whenever that changes.
+        std::function<void(const std::set<std::string> &)> onSilentHosts;
     };
 
     PeerExchange(asio::io_context &context,
@@ -61,6 +65,7 @@
     MetricsRegistry &m_metrics;
     Observers m_observers;
     std::vector<asio::ip::udp::endpoint> m_peers;
+    std::set<std::string> m_silentHosts;
     bool m_hasNews = false;
     SteadyTime m_nextPublication{};
     std::array<char, MostBytes> m_buffer{};
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -1,5 +1,7 @@
 #include "rebalance/coordinatorlease.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
@@ -29,6 +31,21 @@
     }
 }
 
+void CoordinatorLease::holderTurnedSilent(SteadyTime now, Random &random)
+{
+    if (m_isHeld || m_record.version == m_silentVersion) {
+        return;
+    }
+    m_silentVersion = m_record.version;
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.silentSpread.count());
+    m_freeAt = std::min(m_freeAt, now + Milliseconds(spread(random)));
+}
+
+const std::string &CoordinatorLease::holder() const
+{
+    return m_record.host;
+}
+
 bool CoordinatorLease::shouldAcquire(SteadyTime now) const
 {
     return !m_isHeld && now >= m_freeAt;
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -19,6 +19,8 @@
     Milliseconds attemptSpread{3000};
     /// Further delay of a remote host, so that it comes only after all local ones.
     Milliseconds remoteDelay{6000};
+    /// The same as `attemptSpread` after the holder turned silent. It may have stopped in a step that it holds.
+    Milliseconds silentSpread{500};
 };
 
 /// Whether the host of a lease's candidate shares a failure domain with a rank of the group. Where a cut separates a
@@ -48,10 +50,16 @@
     /// Takes what the store said, which may be seconds old.
     void observe(const LeaseRecord &record, Locality locality, SteadyTime now, Random &random);
 
+    /// The host that holds the lease is not heard any more. Takes it earlier than its lifetime says.
+    void holderTurnedSilent(SteadyTime now, Random &random);
+
     /// Whether the lease looks free, so that it should be read anew and written.
     bool shouldAcquire(SteadyTime now) const;
     bool shouldRenew(SteadyTime now) const;
 
+    /// The host that holds the lease as far as is known; empty if none does.
+    const std::string &holder() const;
+
     /// The version that a write has to expect.
     std::uint64_t expectedVersion() const;
 
@@ -73,6 +81,8 @@
     SteadyTime m_renewAt{};
     std::uint64_t m_term = 0;
     bool m_isHeld = false;
+    /// The record for which the holder's silence was taken into account.
+    std::uint64_t m_silentVersion = 0;
 };
 
 } // namespace Cardamomhill
--- a/src/traffic/loadexchange.cpp
+++ b/src/traffic/loadexchange.cpp
@@ -63,6 +63,7 @@
         return false;
     }
     peer = {notice, now};
+    m_heardAt[notice.host] = now;
     return true;
 }
 
@@ -78,6 +79,18 @@
     return loads;
 }
 
+std::set<std::string> LoadExchange::silentHosts(SteadyTime now)
+{
+    std::erase_if(m_heardAt, [&](const auto &entry) { return now - entry.second > m_options.silenceMemory; });
+    std::set<std::string> silent;
+    for (const auto &[host, heardAt] : m_heardAt) {
+        if (now - heardAt > m_options.silence) {
+            silent.insert(host);
+        }
+    }
+    return silent.size() * 2 > m_heardAt.size() ? std::set<std::string>() : silent;
+}
+
 std::size_t LoadExchange::hostCount(SteadyTime now) const
 {
     const auto live = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
--- a/src/traffic/loadexchange.h
+++ b/src/traffic/loadexchange.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Cardamomhill
@@ -21,6 +22,10 @@
     Milliseconds longestInterval{500};
     /// Calls of a host that says nothing for this long are no longer counted: its process has ended.
     Milliseconds lifetime{2500};
+    /// A host that was heard and has now said nothing for this long is silent. Four notices of a busy host.
+    Milliseconds silence{900};
+    /// A silent host is forgotten after this time.
+    Milliseconds silenceMemory{10000};
 };
 
 /// Adds up the calls that all entry hosts have in progress, from notices that they send each other.
@@ -47,6 +52,9 @@
     /// Slow servers that this or any other host tells of.
     ServerSlowness slowness() const;
 
+    /// Hosts that were heard and have turned silent. Nothing while most hosts are silent: this one is then cut off.
+    std::set<std::string> silentHosts(SteadyTime now);
+
     /// Hosts that were heard lately, this one included.
     std::size_t hostCount(SteadyTime now) const;
 
@@ -61,6 +69,7 @@
     std::uint64_t m_incarnation;
     LoadExchangeOptions m_options;
     std::map<std::string, Peer> m_peers;
+    std::map<std::string, SteadyTime> m_heardAt;
     ServerSlowness m_ownSlowness;
     ServerLoads m_told;
     bool m_hasNews = false;
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -56,6 +56,22 @@
     }
 }
 
+TEST_CASE("the lease of a host that turned silent is taken early, and once for each version")
+{
+    Random random(1);
+    CoordinatorLease lease("a", "1");
+    lease.observe({6, "b", "1"}, Locality::Local, Start, random);
+    CHECK(lease.holder() == "b");
+    lease.holderTurnedSilent(Start + Seconds(1), random);
+    CHECK(lease.shouldAcquire(Start + Milliseconds(1500)));
+    // It was renewed after all.
+    lease.observe({7, "b", "1"}, Locality::Local, Start + Milliseconds(1500), random);
+    CHECK_FALSE(lease.shouldAcquire(Start + Seconds(2)));
+    lease.acquired(8, Start + Seconds(2));
+    lease.holderTurnedSilent(Start + Seconds(2), random);
+    CHECK_FALSE(lease.shouldAcquire(Start + Seconds(3)));
+}
+
 TEST_CASE("a group knows the failure domains of its ranks")
 {
     GroupView group;
--- a/tests/loadexchangetest.cpp
+++ b/tests/loadexchangetest.cpp
@@ -45,6 +45,26 @@
     CHECK(exchange.hostCount(Start + Seconds(10)) == 1);
 }
 
+TEST_CASE("a host that is not heard is silent, unless most are not heard")
+{
+    LoadExchange exchange("a", "d", 1);
+    for (const auto *host : {"b", "c", "e"}) {
+        exchange.take(notice(host, 1, 1, 2), Start);
+    }
+    CHECK(exchange.silentHosts(Start + Milliseconds(600)).empty());
+    const auto later = Start + Milliseconds(1000);
+    exchange.take(notice("b", 1, 2, 2), later);
+    exchange.take(notice("c", 1, 2, 2), later);
+    CHECK(exchange.silentHosts(later) == std::set<std::string>{"e"});
+    // This host is cut off, or was stopped for a while.
+    CHECK(exchange.silentHosts(later + Seconds(2)).empty());
+    exchange.take(notice("b", 1, 3, 2), later + Seconds(5));
+    exchange.take(notice("c", 1, 3, 2), later + Seconds(5));
+    CHECK(exchange.silentHosts(later + Seconds(5)) == std::set<std::string>{"e"});
+    exchange.take(notice("e", 1, 2, 2), later + Seconds(5));
+    CHECK(exchange.silentHosts(later + Seconds(5)).empty());
+}
+
 TEST_CASE("changes are told soon, and unchanged loads now and then")
 {
     LoadExchange exchange("a", "d", 1);
