Add a randomized fault soak with real processes

Change: cardamomhill-soak starts gateways, puts loopback proxies before the store and the servers, sends signals, and checks eleven promises from what callers and servers see. The stand-in server refuses calls for another instance, and tells an observer of its runs.

--- /dev/null
+++ b/tests/soak/faultproxy.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/result.h"
+#include "net/asio.h"
+#include "net/neterror.h"
+#include "soak/linkstate.h"
+
+#include <list>
+#include <memory>
+
+namespace Cardamomhill
+{
+
+/// A TCP proxy on loopback that delays, silences, refuses and resets the connections through it.
+class FaultProxy
+{
+public:
+    FaultProxy(asio::io_context &context, tcp::endpoint target);
+
+    /// Listens on a free port.
+    Result<void, NetError> start();
+
+    tcp::endpoint endpoint() const;
+
+    /// Applies to new connections.
+    void setTarget(tcp::endpoint target);
+
+    void setState(LinkState state);
+
+    /// Resets all open connections.
+    void resetAll();
+
+private:
+    struct Pair;
+    enum class Direction {
+        Up,
+        Down,
+    };
+
+    Task<> acceptLoop();
+    Task<> connect(std::shared_ptr<Pair> pair);
+    Task<> copy(std::shared_ptr<Pair> pair, Direction direction);
+    bool isSilent(Direction direction) const;
+
+    asio::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    tcp::endpoint m_target;
+    LinkState m_state = LinkState::Open;
+    std::list<std::weak_ptr<Pair>> m_pairs;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soak/freeendpoint.cpp
@@ -0,0 +1,35 @@
+#include "soak/freeendpoint.h"
+
+#include <unistd.h>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr unsigned FirstPort = 10000;
+constexpr unsigned PortCount = 20000;
+/// Processes that run side by side begin far apart.
+constexpr unsigned ProcessStride = 37;
+
+} // namespace
+
+tcp::endpoint freeEndpoint(asio::io_context &context)
+{
+    static unsigned next = static_cast<unsigned>(getpid()) * ProcessStride;
+    while (true) {
+        const auto port = static_cast<unsigned short>(FirstPort + next++ % PortCount);
+        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
+        tcp::acceptor acceptor(context);
+        SystemError error;
+        acceptor.open(endpoint.protocol(), error);
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        acceptor.bind(endpoint, error);
+        if (!error) {
+            return endpoint;
+        }
+    }
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,98 @@
+#include "soak/ledger.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr unsigned FirstClientError = 400;
+constexpr unsigned FirstServerError = 500;
+const std::string Organisation = "workshop";
+
+/// Statuses that promise that the call did not run and never will.
+bool isPromise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool isDenial(unsigned status)
+{
+    return status >= FirstClientError && status < FirstServerError && !isPromise(status);
+}
+
+} // namespace
+
+void Ledger::sent(const std::string &call, CallKind kind, std::size_t host)
+{
+    auto &entry = m_calls[call];
+    entry.kind = kind;
+    entry.host = host;
+}
+
+void Ledger::ran(const std::string &call, const std::string &organisation)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end()) {
+        broke("unasked", call + " ran although no caller sent it");
+        return;
+    }
+    ++found->second.runs;
+    if (organisation != Organisation) {
+        broke("unasked", call + " ran for the organisation '" + organisation + "'");
+    }
+}
+
+void Ledger::answered(const std::string &call, unsigned status)
+{
+    m_calls[call].status = status;
+}
+
+void Ledger::unanswered(const std::string &call, bool isExcused)
+{
+    m_calls[call].isUnanswered = true;
+    m_calls[call].isExcused = isExcused;
+}
+
+void Ledger::broke(const std::string &promise, const std::string &detail)
+{
+    m_broken.push_back(promise + ": " + detail);
+}
+
+const std::size_t *Ledger::hostOf(const std::string &call) const
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? nullptr : &found->second.host;
+}
+
+std::vector<std::string> Ledger::violations() const
+{
+    auto all = m_broken;
+    for (const auto &[id, call] : m_calls) {
+        const auto runs = std::to_string(call.runs);
+        if (call.kind == CallKind::NonIdempotent && call.runs > 1) {
+            all.push_back("at most once: " + id + " ran " + runs + " times");
+        }
+        if (call.kind == CallKind::NonIdempotent && isPromise(call.status) && call.runs > 0) {
+            all.push_back("not run: " + id + " got " + std::to_string(call.status) + " and ran");
+        }
+        if (isDenial(call.status)) {
+            all.push_back("denied: " + id + " got " + std::to_string(call.status));
+        }
+        if (call.isUnanswered && !call.isExcused && call.runs > 0) {
+            all.push_back("lost: " + id + " ran and its connection was closed without an answer");
+        }
+    }
+    return all;
+}
+
+std::map<std::string, std::size_t> Ledger::outcomes() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[id, call] : m_calls) {
+        ++counts[call.status != 0 ? std::to_string(call.status) : call.isUnanswered ? "unanswered" : "left"];
+    }
+    return counts;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,439 @@
+#include "soak/soak.h"
+
+#include "logging/logging.h"
+#include "net/httpclient.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+#include "soak/freeendpoint.h"
+
+#include <csignal>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Bounds of the promises, after which a change must be in force at hosts that are in touch.
+constexpr Milliseconds ConfigurationBound{2000};
+constexpr Milliseconds DrainBound{2000};
+/// How long a server that leaves goes on serving.
+constexpr Milliseconds DrainTime{2600};
+/// Calm time after the last fault, after which everything must be served again.
+constexpr Milliseconds RecoveryTime{6000};
+constexpr int RecoveryCalls = 10;
+constexpr Milliseconds StartLimit{15000};
+constexpr Milliseconds EndLimit{20000};
+constexpr Milliseconds Poll{50};
+constexpr Milliseconds StoreCallTimeout{1000};
+constexpr unsigned Ok = 200;
+constexpr unsigned FirstError = 300;
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned NotFound = 404;
+
+} // namespace
+
+Soak::Soak(SoakOptions options)
+    : m_options(std::move(options))
+    , m_store(m_context)
+    , m_storeAddress(freeEndpoint(m_context))
+{
+    const auto listening = m_store.listen(m_storeAddress);
+    if (listening.has_error()) {
+        throw std::runtime_error(listening.error().message());
+    }
+    for (std::size_t i = 0; i < m_options.servers; ++i) {
+        m_servers.push_back(std::make_unique<SoakServer>(
+            m_context, "server" + std::to_string(i), [this](const std::string &instance, const HttpRequest &request) {
+                onRun(instance, request);
+            }));
+    }
+    std::vector<SoakHost *> hosts;
+    for (std::size_t i = 0; i < m_options.hosts; ++i) {
+        m_hosts.push_back(std::make_unique<SoakHost>(
+            m_context, "host" + std::to_string(i), m_storeAddress, m_options.program, m_options.directory));
+        hosts.push_back(m_hosts.back().get());
+    }
+    for (std::size_t i = 0; i < m_options.callers; ++i) {
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            m_context, "caller" + std::to_string(i), m_options.seed * 1000 + i, hosts, m_ledger));
+    }
+    m_prober = std::make_unique<SoakCaller>(m_context, "prober", m_options.seed, hosts, m_ledger);
+}
+
+void Soak::run()
+{
+    spawn(m_context.get_executor(), "soak", script());
+    m_context.run();
+}
+
+const Ledger &Soak::ledger() const
+{
+    return m_ledger;
+}
+
+const std::map<std::string, std::size_t> &Soak::checks() const
+{
+    return m_checks;
+}
+
+Task<> Soak::script()
+{
+    for (const auto &server : m_servers) {
+        const auto entry = server->entry();
+        const auto document = objectDocument(entry.id, serverDocument(entry));
+        co_await write("POST", "/objects/servers", document);
+    }
+    const auto first = objectDocument("main", configurationDocument(m_version));
+    co_await write("POST", "/objects/config", first);
+    for (const auto &host : m_hosts) {
+        host->start();
+    }
+    const auto startLimit = steadyNow() + StartLimit;
+    for (std::size_t host = 0; host < m_hosts.size();) {
+        const std::string path = "/safe/ok";
+        const std::string key = "k";
+        const auto status = co_await m_prober->probe(host, path, key);
+        if (status == Ok) {
+            ++host;
+        } else if (steadyNow() > startLimit) {
+            m_ledger.broke("start", m_hosts[host]->name() + " does not serve");
+            m_context.stop();
+            co_return;
+        }
+        co_await sleep(Poll);
+    }
+    const auto start = steadyNow();
+    for (const auto &caller : m_callers) {
+        spawn(m_context.get_executor(), "soak-caller", caller->run(start + m_options.length + RecoveryTime));
+    }
+    co_await faults(start);
+    heal();
+    co_await sleep(RecoveryTime);
+    co_await checkRecovery();
+    const auto endLimit = steadyNow() + EndLimit;
+    while (m_underWay > 0 && steadyNow() < endLimit) {
+        co_await sleep(Poll);
+    }
+    m_hosts.clear();
+    m_context.stop();
+}
+
+Task<> Soak::faults(SteadyTime start)
+{
+    for (const auto &fault : planFaults(m_options.seed, m_options.length)) {
+        const auto wait = start + fault.at - steadyNow();
+        if (wait > wait.zero()) {
+            co_await sleep(std::chrono::duration_cast<Milliseconds>(wait));
+        }
+        std::cout << fault.at.count() << " ms: " << nameOf(fault.kind) << ' ' << fault.target << " for "
+                  << fault.duration.count() << " ms\n";
+        spawn(m_context.get_executor(), "soak-fault", apply(fault));
+    }
+    const auto rest = start + m_options.length - steadyNow();
+    if (rest > rest.zero()) {
+        co_await sleep(std::chrono::duration_cast<Milliseconds>(rest));
+    }
+}
+
+Task<> Soak::apply(Fault fault)
+{
+    ++m_underWay;
+    auto &host = *m_hosts[fault.target % m_hosts.size()];
+    auto &server = *m_servers[fault.target % m_servers.size()];
+    switch (fault.kind) {
+    case FaultKind::PauseHost:
+    case FaultKind::KillHost:
+    case FaultKind::TerminateHost:
+    case FaultKind::ReloadHost:
+        co_await disturbHost(fault.kind, host, fault.duration);
+        break;
+    case FaultKind::DelayStoreLink:
+    case FaultKind::SilenceStoreLink:
+    case FaultKind::SilenceStoreAnswers:
+    case FaultKind::RefuseStoreLink:
+    case FaultKind::ResetStoreLink:
+        co_await disturbStoreLink(fault.kind, host, fault.duration);
+        break;
+    case FaultKind::StopStore:
+    case FaultKind::LoseStoreWrites:
+    case FaultKind::DropStoreHistory:
+        co_await disturbStore(fault.kind, fault.duration);
+        break;
+    case FaultKind::DelayServer:
+    case FaultKind::SilenceServer:
+    case FaultKind::SilenceServerAnswers:
+    case FaultKind::RefuseServer:
+    case FaultKind::ResetServer:
+        co_await disturbServer(fault.kind, server, fault.duration);
+        break;
+    case FaultKind::ReplaceServer:
+        co_await replaceServer(server, fault.duration);
+        break;
+    case FaultKind::DrainServer:
+        co_await drainServer(server);
+        break;
+    case FaultKind::ChangeConfiguration:
+        co_await changeConfiguration();
+        break;
+    }
+    --m_underWay;
+}
+
+Task<> Soak::disturbHost(FaultKind kind, SoakHost &host, Milliseconds duration)
+{
+    host.calmness().disturb(steadyNow() + duration);
+    switch (kind) {
+    case FaultKind::PauseHost:
+        host.signal(SIGSTOP);
+        co_await sleep(duration);
+        host.signal(SIGCONT);
+        break;
+    case FaultKind::ReloadHost:
+        host.signal(SIGHUP);
+        break;
+    case FaultKind::TerminateHost:
+        host.signal(SIGTERM);
+        co_await sleep(duration);
+        // A paused process cannot end by itself.
+        host.signal(SIGCONT);
+        break;
+    default:
+        host.signal(SIGKILL);
+        co_await sleep(duration);
+        break;
+    }
+    const auto limit = steadyNow() + EndLimit;
+    while (kind == FaultKind::TerminateHost && !host.hasEnded() && steadyNow() < limit) {
+        co_await sleep(Poll);
+    }
+    if (host.hasEnded()) {
+        host.start();
+    }
+    host.calmness().disturb(steadyNow());
+}
+
+Task<> Soak::disturbStoreLink(FaultKind kind, SoakHost &host, Milliseconds duration)
+{
+    host.calmness().disturb(steadyNow() + duration);
+    auto &link = host.storeLink();
+    if (kind == FaultKind::ResetStoreLink) {
+        link.resetAll();
+        co_return;
+    }
+    link.setState(kind == FaultKind::DelayStoreLink            ? LinkState::Delayed
+                      : kind == FaultKind::SilenceStoreLink    ? LinkState::Silent
+                      : kind == FaultKind::SilenceStoreAnswers ? LinkState::SilentDown
+                                                               : LinkState::Refusing);
+    if (kind == FaultKind::RefuseStoreLink) {
+        link.resetAll();
+    }
+    co_await sleep(duration);
+    link.setState(LinkState::Open);
+    host.calmness().disturb(steadyNow());
+}
+
+Task<> Soak::disturbStore(FaultKind kind, Milliseconds duration)
+{
+    m_storeCalmness.disturb(steadyNow() + duration);
+    switch (kind) {
+    case FaultKind::StopStore:
+        co_await setFaults(R"({"down":true})");
+        co_await sleep(duration);
+        co_await setFaults(R"({"down":false})");
+        break;
+    case FaultKind::LoseStoreWrites:
+        co_await setFaults(R"({"lose_writes":2})");
+        break;
+    default:
+        co_await setFaults(R"({"drop_history":true,"cut_watches":true})");
+        break;
+    }
+    m_storeCalmness.disturb(steadyNow());
+}
+
+Task<> Soak::disturbServer(FaultKind kind, SoakServer &server, Milliseconds duration)
+{
+    auto &link = server.link();
+    if (kind == FaultKind::ResetServer) {
+        link.resetAll();
+        co_return;
+    }
+    link.setState(kind == FaultKind::DelayServer                ? LinkState::Delayed
+                      : kind == FaultKind::SilenceServer        ? LinkState::Silent
+                      : kind == FaultKind::SilenceServerAnswers ? LinkState::SilentDown
+                                                                : LinkState::Refusing);
+    co_await sleep(duration);
+    link.setState(LinkState::Open);
+}
+
+Task<> Soak::replaceServer(SoakServer &server, Milliseconds duration)
+{
+    const auto old = server.entry();
+    server.startInstance();
+    // The entry of the old instance stays until the store notices its silence.
+    co_await sleep(duration);
+    const auto entry = server.entry();
+    const auto document = objectDocument(entry.id, serverDocument(entry));
+    co_await write("POST", "/objects/servers", document);
+    co_await write("DELETE", "/objects/servers/" + old.id, "");
+}
+
+Task<> Soak::drainServer(SoakServer &server)
+{
+    auto entry = server.entry();
+    if (m_leavingSince.contains(entry.id)) {
+        co_return;
+    }
+    m_leavingSince[entry.id] = SteadyTime::max();
+    entry.isLeaving = true;
+    const auto document = objectDocument(entry.id, serverDocument(entry));
+    const auto acknowledgedAt = co_await write("PUT", "/objects/servers/" + entry.id, document);
+    m_leavingSince[entry.id] = acknowledgedAt;
+    co_await sleep(DrainTime);
+    if (server.entry().id == entry.id) {
+        co_await replaceServer(server, Milliseconds(0));
+    }
+}
+
+void Soak::onRun(const std::string &instance, const HttpRequest &request)
+{
+    const std::string call(request["Cardamomhill-Request-Id"]);
+    m_ledger.ran(call, std::string(request["Cardamomhill-Tenant"]));
+    const auto leaving = m_leavingSince.find(instance);
+    const auto *host = m_ledger.hostOf(call);
+    if (leaving == m_leavingSince.end() || leaving->second == SteadyTime::max() || host == nullptr) {
+        return;
+    }
+    ++m_checks["drain"];
+    if (steadyNow() - leaving->second > DrainBound && isInTouch(*m_hosts[*host], leaving->second)) {
+        m_ledger.broke("drain", call + " reached " + instance + " after the bound");
+    }
+}
+
+Task<> Soak::changeConfiguration()
+{
+    // The operator writes one version after the other.
+    while (m_isChanging) {
+        co_await sleep(Poll);
+    }
+    m_isChanging = true;
+    const auto version = ++m_version;
+    const auto document = objectDocument("main", configurationDocument(version));
+    const auto acknowledgedAt = co_await write("PUT", "/objects/config/main", document);
+    m_isChanging = false;
+    co_await sleep(ConfigurationBound);
+    co_await checkConfiguration(version, acknowledgedAt);
+}
+
+Task<> Soak::checkConfiguration(std::uint64_t version, SteadyTime acknowledgedAt)
+{
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        if (version != m_version) {
+            co_return;
+        }
+        const auto number = std::to_string(version);
+        const std::string newPath = "/v" + number + "/ok";
+        const std::string newKey = "k" + number;
+        const auto added = co_await m_prober->probe(host, newPath, newKey);
+        const std::string oldPath = "/v" + std::to_string(version - 1) + "/ok";
+        const std::string oldKey = "k" + std::to_string(version - 1);
+        const auto removed = co_await m_prober->probe(host, oldPath, newKey);
+        const std::string lastingPath = "/safe/ok";
+        const auto revoked = co_await m_prober->probe(host, lastingPath, oldKey);
+        if (version != m_version || !isInTouch(*m_hosts[host], acknowledgedAt)) {
+            continue;
+        }
+        ++m_checks["configuration"];
+        const auto where = " of version " + number + " at " + m_hosts[host]->name();
+        if (added == NotFound || added == Unauthorized) {
+            m_ledger.broke("configuration", "the route or key" + where + " is not in force");
+        }
+        if (removed != 0 && removed < FirstError) {
+            m_ledger.broke("configuration", "a route removed by that" + where + " still serves");
+        }
+        if (revoked != 0 && revoked < FirstError) {
+            m_ledger.broke("configuration", "a key removed by that" + where + " still serves");
+        }
+    }
+}
+
+Task<> Soak::checkRecovery()
+{
+    const std::string path = "/safe/ok";
+    const std::string key = "k";
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        for (int i = 0; i < RecoveryCalls; ++i) {
+            ++m_checks["recovery"];
+            const auto status = co_await m_prober->probe(host, path, key);
+            if (status != Ok) {
+                m_ledger.broke("recovery", m_hosts[host]->name() + " answers " + std::to_string(status));
+            }
+        }
+    }
+}
+
+void Soak::heal()
+{
+    for (const auto &host : m_hosts) {
+        host->storeLink().setState(LinkState::Open);
+        host->signal(SIGCONT);
+        if (host->hasEnded()) {
+            host->start();
+        }
+        host->calmness().disturb(steadyNow());
+    }
+    for (const auto &server : m_servers) {
+        server->link().setState(LinkState::Open);
+    }
+    spawn(m_context.get_executor(), "soak-heal", setFaults(R"({"down":false,"lose_writes":0})"));
+}
+
+bool Soak::isInTouch(SoakHost &host, SteadyTime since) const
+{
+    return host.calmness().isCalmSince(since) && m_storeCalmness.isCalmSince(since);
+}
+
+Task<SteadyTime> Soak::write(std::string method, std::string path, std::string document)
+{
+    HttpClient client(m_context, m_storeAddress);
+    const auto limit = steadyNow() + EndLimit;
+    while (true) {
+        auto request = makeHttpRequest(method, path, document);
+        const auto response = co_await client.call(std::move(request), StoreCallTimeout);
+        // A lost answer may hide that the write was done: then the object exists, or is gone.
+        const bool isDone = response.has_value()
+            && (response.value().status < FirstError || response.value().status == NotFound
+                || (method == "POST" && response.value().status == 409));
+        if (isDone) {
+            co_return steadyNow();
+        }
+        if (steadyNow() > limit) {
+            m_ledger.broke("stand-in", "the store does not take " + method + " " + path);
+            co_return steadyNow();
+        }
+        co_await sleep(Poll);
+    }
+}
+
+Task<> Soak::setFaults(std::string faults)
+{
+    HttpClient client(m_context, m_storeAddress);
+    auto request = makeHttpRequest("POST", "/faults", faults);
+    const auto response = co_await client.call(std::move(request), StoreCallTimeout);
+    if (response.has_error()) {
+        m_ledger.broke("stand-in", "the store takes no faults: " + response.error().error.message());
+    }
+}
+
+Task<> Soak::sleep(Milliseconds time)
+{
+    asio::steady_timer timer(m_context, time);
+    SystemError error;
+    co_await timer.async_wait(storeError(error));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soak/soakhost.cpp
@@ -0,0 +1,92 @@
+#include "soak/soakhost.h"
+
+#include "soak/freeendpoint.h"
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+std::string textOf(const tcp::endpoint &endpoint)
+{
+    std::ostringstream text;
+    text << endpoint;
+    return text.str();
+}
+
+} // namespace
+
+SoakHost::SoakHost(asio::io_context &context,
+                   std::string name,
+                   const tcp::endpoint &store,
+                   std::string program,
+                   const std::string &directory)
+    : m_name(std::move(name))
+    , m_program(std::move(program))
+    , m_settings(directory + "/" + m_name + ".yaml")
+    , m_log(directory + "/" + m_name + ".log")
+    , m_listen(freeEndpoint(context))
+    , m_operatorListen(freeEndpoint(context))
+    , m_peerListen(freeEndpoint(context))
+    , m_storeLink(context, store)
+{
+    const auto started = m_storeLink.start();
+    if (started.has_error()) {
+        throw std::runtime_error(started.error().message());
+    }
+}
+
+void SoakHost::start()
+{
+    std::ofstream settings(m_settings);
+    settings << "host: " << m_name << "\nfailure_domain: d1\nlisten: " << textOf(m_listen)
+             << "\noperator_listen: " << textOf(m_operatorListen) << "\npeer_listen: " << textOf(m_peerListen)
+             << "\nplatform: " << textOf(m_storeLink.endpoint()) << "\ndrain_grace_ms: 300\n";
+    settings.close();
+    m_process = std::make_unique<ChildProcess>(std::vector<std::string>{m_program, "gateway", "--settings", m_settings},
+                                               m_log);
+}
+
+void SoakHost::signal(int number)
+{
+    if (m_process) {
+        m_process->signal(number);
+    }
+}
+
+bool SoakHost::hasEnded()
+{
+    return !m_process || m_process->hasEnded();
+}
+
+const std::string &SoakHost::name() const
+{
+    return m_name;
+}
+
+const tcp::endpoint &SoakHost::listen() const
+{
+    return m_listen;
+}
+
+const tcp::endpoint &SoakHost::operatorListen() const
+{
+    return m_operatorListen;
+}
+
+FaultProxy &SoakHost::storeLink()
+{
+    return m_storeLink;
+}
+
+Calmness &SoakHost::calmness()
+{
+    return m_calmness;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soak/soakhost.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "soak/calmness.h"
+#include "soak/childprocess.h"
+#include "soak/faultproxy.h"
+
+#include <memory>
+#include <string>
+
+namespace Cardamomhill
+{
+
+/// An entry host of the soak: a gateway process, and the proxy between it and the store.
+class SoakHost
+{
+public:
+    SoakHost(asio::io_context &context,
+             std::string name,
+             const tcp::endpoint &store,
+             std::string program,
+             const std::string &directory);
+
+    /// Writes the settings and starts the process.
+    void start();
+    void signal(int number);
+    bool hasEnded();
+
+    const std::string &name() const;
+    const tcp::endpoint &listen() const;
+    const tcp::endpoint &operatorListen() const;
+    FaultProxy &storeLink();
+    Calmness &calmness();
+
+private:
+    std::string m_name;
+    std::string m_program;
+    std::string m_settings;
+    std::string m_log;
+    tcp::endpoint m_listen;
+    tcp::endpoint m_operatorListen;
+    tcp::endpoint m_peerListen;
+    FaultProxy m_storeLink;
+    Calmness m_calmness;
+    std::unique_ptr<ChildProcess> m_process;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soak/soakserver.cpp
@@ -0,0 +1,55 @@
+#include "soak/soakserver.h"
+
+#include <sstream>
+#include <stdexcept>
+
+namespace Cardamomhill
+{
+
+SoakServer::SoakServer(asio::io_context &context, std::string name, RunObserver onRun)
+    : m_context(context)
+    , m_name(std::move(name))
+    , m_onRun(std::move(onRun))
+    , m_link(context, {})
+{
+    const auto started = m_link.start();
+    if (started.has_error()) {
+        throw std::runtime_error(started.error().message());
+    }
+    startInstance();
+}
+
+void SoakServer::startInstance()
+{
+    stopInstance();
+    const auto id = m_name + "-" + std::to_string(m_instances.size() + 1);
+    m_instances.push_back(std::make_unique<DirectBackend>(
+        m_context, id, [this, id](const HttpRequest &request) { m_onRun(id, request); }));
+    const auto listening = m_instances.back()->listen({asio::ip::address_v4::loopback(), 0});
+    if (listening.has_error()) {
+        throw std::runtime_error(listening.error().message());
+    }
+    m_link.setTarget(m_instances.back()->endpoint());
+}
+
+void SoakServer::stopInstance()
+{
+    if (!m_instances.empty()) {
+        m_instances.back()->stop();
+    }
+}
+
+ServerEntry SoakServer::entry() const
+{
+    std::ostringstream address;
+    address << m_link.endpoint();
+    const auto number = m_instances.size();
+    return {m_name + "-" + std::to_string(number), address.str(), number, false};
+}
+
+FaultProxy &SoakServer::link()
+{
+    return m_link;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/soakledgertest.cpp
@@ -0,0 +1,67 @@
+#include "soak/ledger.h"
+
+#include <doctest/doctest.h>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+std::size_t found(const Ledger &ledger, const std::string &promise)
+{
+    std::size_t count = 0;
+    for (const auto &violation : ledger.violations()) {
+        count += violation.starts_with(promise + ":") ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("a correct history breaks no promise")
+{
+    Ledger ledger;
+    ledger.sent("a", CallKind::NonIdempotent, 0);
+    ledger.ran("a", "workshop");
+    ledger.answered("a", 200);
+    ledger.sent("b", CallKind::Idempotent, 0);
+    ledger.ran("b", "workshop");
+    ledger.ran("b", "workshop");
+    ledger.answered("b", 503);
+    ledger.sent("c", CallKind::NonIdempotent, 0);
+    ledger.answered("c", 503);
+    ledger.sent("d", CallKind::NonIdempotent, 0);
+    ledger.ran("d", "workshop");
+    ledger.unanswered("d", true);
+    CHECK(ledger.violations().empty());
+    CHECK(ledger.outcomes().at("503") == 2);
+    CHECK(ledger.outcomes().at("unanswered") == 1);
+}
+
+TEST_CASE("each broken promise is found")
+{
+    Ledger ledger;
+    ledger.sent("twice", CallKind::NonIdempotent, 0);
+    ledger.ran("twice", "workshop");
+    ledger.ran("twice", "workshop");
+    CHECK(found(ledger, "at most once") == 1);
+    ledger.sent("refused", CallKind::NonIdempotent, 0);
+    ledger.answered("refused", 503);
+    CHECK(found(ledger, "not run") == 0);
+    // The run may come after the refusal.
+    ledger.ran("refused", "workshop");
+    CHECK(found(ledger, "not run") == 1);
+    ledger.ran("never-sent", "workshop");
+    CHECK(found(ledger, "unasked") == 1);
+    ledger.ran("refused", "other");
+    CHECK(found(ledger, "unasked") == 2);
+    ledger.sent("denied", CallKind::Idempotent, 0);
+    ledger.answered("denied", 404);
+    CHECK(found(ledger, "denied") == 1);
+    ledger.sent("lost", CallKind::Idempotent, 0);
+    ledger.ran("lost", "workshop");
+    ledger.unanswered("lost", false);
+    CHECK(found(ledger, "lost") == 1);
+    ledger.broke("mixed", "x");
+    CHECK(found(ledger, "mixed") == 1);
+}
--- /dev/null
+++ b/tests/soaktest.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# A short soak: gateways in processes of their own, disturbed from outside, by the seeds of tests/soak/seeds.txt.
+# SOAK_SEEDS="100 101" SOAK_SECONDS=20 plays other seeds, SOAK_JOBS of them at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD_DIRECTORY="${BUILD_DIRECTORY:-build}"
+JOBS="${SOAK_JOBS:-3}"
+DIRECTORY="$(mktemp -d)"
+PROGRAM="$BUILD_DIRECTORY/cardamomhill"
+SOAK="$BUILD_DIRECTORY/tests/soak/cardamomhill-soak"
+export BUILD_DIRECTORY DIRECTORY PROGRAM SOAK
+
+play() { # play SEED SECONDS: keeps the logs of a run that fails
+    local logs="$DIRECTORY/$1"
+    mkdir -p "$logs"
+    if "$SOAK" --program "$PROGRAM" --directory "$logs" --seed "$1" --seconds "$2" >"$logs/soak.log" 2>&1; then
+        grep '^seed' "$logs/soak.log"
+        rm -rf "$logs"
+    else
+        tail -n 20 "$logs/soak.log"
+        echo "seed $1 failed; logs in $logs"
+        return 1
+    fi
+}
+export -f play
+
+if [ -n "${SOAK_SEEDS:-}" ]; then
+    for seed in $SOAK_SEEDS; do echo "$seed ${SOAK_SECONDS:-10}"; done
+else
+    grep -v '^#' tests/soak/seeds.txt | cut -d ' ' -f 1-2
+fi >"$DIRECTORY/plan.txt"
+status=0
+xargs -P "$JOBS" -L 1 bash -euo pipefail -c 'play "$@"' play <"$DIRECTORY/plan.txt" || status=1
+[ "$status" = 1 ] || rm -rf "$DIRECTORY"
+exit "$status"
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -59,9 +59,10 @@
     beast::flat_buffer buffer;
 };
 
-DirectBackend::DirectBackend(asio::io_context &context, std::string id)
+DirectBackend::DirectBackend(asio::io_context &context, std::string id, RunObserver onRun)
     : m_context(context)
     , m_id(std::move(id))
+    , m_onRun(std::move(onRun))
     , m_acceptor(context)
 {
 }
@@ -73,6 +74,30 @@
     return success();
 }
 
+tcp::endpoint DirectBackend::endpoint() const
+{
+    return m_acceptor.local_endpoint();
+}
+
+void DirectBackend::stop()
+{
+    SystemError ignored;
+    m_acceptor.close(ignored);
+    for (const auto &weak : m_connections) {
+        if (const auto connection = weak.lock()) {
+            connection->socket.close(ignored);
+        }
+    }
+}
+
+void DirectBackend::countRun(const HttpRequest &request)
+{
+    ++m_runs[std::string(request[CallId])];
+    if (m_onRun) {
+        m_onRun(request);
+    }
+}
+
 Task<> DirectBackend::acceptLoop()
 {
     while (m_acceptor.is_open()) {
@@ -81,6 +106,8 @@
         co_await m_acceptor.async_accept(socket, storeError(error));
         if (!error) {
             const auto connection = std::make_shared<Connection>(std::move(socket));
+            m_connections.remove_if([](const auto &weak) { return weak.expired(); });
+            m_connections.push_back(connection);
             spawn(m_context.get_executor(), "backend-connection", serve(connection));
         }
     }
@@ -169,7 +196,6 @@
 {
     const std::string target(request.target());
     const std::string manner = target.substr(target.rfind('/') + 1);
-    const std::string id(request[CallId]);
     constexpr std::string_view Runs = "/runs/";
     if (target.starts_with(Runs) || target == "/abandoned") {
         const auto count = target == "/abandoned" ? m_abandoned : m_runs[target.substr(Runs.size())];
@@ -177,9 +203,14 @@
         const std::string text = head(request, Ok, lengthOf(body)) + body;
         co_return co_await write(connection, text);
     }
+    const std::string instance(request["Cardamomhill-Target-Instance"]);
+    if (!instance.empty() && instance != m_id) {
+        const std::string text = head(request, Misdirected, NotRun + "Content-Length: 0\r\n");
+        co_return co_await write(connection, text);
+    }
     const bool isBad = m_id.starts_with("bad");
     if (manner == "stream" || manner == "broken-stream") {
-        ++m_runs[id];
+        countRun(request);
         co_return co_await stream(connection, request, isBad && manner == "broken-stream");
     }
     if (isBad && manner == "shed") {
@@ -190,7 +221,7 @@
         const std::string text = head(request, Misdirected, "Content-Length: 0\r\n");
         co_return co_await write(connection, text);
     }
-    ++m_runs[id];
+    countRun(request);
     if (isBad && manner == "error") {
         const std::string text = head(request, ServerError, Seal + "Content-Length: 4\r\n") + "oops";
         co_return co_await write(connection, text);
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -6,6 +6,8 @@
 #include "net/neterror.h"
 
 #include <cstdint>
+#include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,15 +17,22 @@
 
 /// A stand-in for a backend server of the users' platform. The last part of the path says how it answers: `ok`, `shed`,
 /// `error`, `truncated`, `unsigned`, `silent`, `extra`, `misdirected`, `endless`, `stream`, `broken-stream`,
-/// `slow`. A server whose id does not begin with `bad` answers all of them well. It writes answers byte by byte itself,
-/// so that it can break the protocol. GET /runs/ID says how often a call ran here, GET /abandoned how many callers
-/// left.
+/// `slow`. A server whose id does not begin with `bad` answers all of them well. A call for another instance gets 421.
+/// It writes answers byte by byte itself, so that it can break the protocol. GET /runs/ID says how often a call ran
+/// here, GET /abandoned how many callers left.
 class DirectBackend
 {
 public:
-    DirectBackend(asio::io_context &context, std::string id);
+    /// Told of each call that runs here.
+    using RunObserver = std::function<void(const HttpRequest &)>;
+
+    DirectBackend(asio::io_context &context, std::string id, RunObserver onRun = {});
 
     Result<void, NetError> listen(const tcp::endpoint &endpoint);
+    tcp::endpoint endpoint() const;
+
+    /// Ends like a process that is killed. The object has to outlive the context's work.
+    void stop();
 
 private:
     struct Connection;
@@ -35,12 +44,15 @@
     Task<bool> answerWell(Connection &connection, const HttpRequest &request, bool twice);
     Task<bool> stream(Connection &connection, const HttpRequest &request, bool breaks);
     Task<bool> write(Connection &connection, std::string text);
+    void countRun(const HttpRequest &request);
     std::string head(const HttpRequest &request, unsigned status, const std::string &headers) const;
     std::string description(const HttpRequest &request) const;
 
     asio::io_context &m_context;
     std::string m_id;
+    RunObserver m_onRun;
     tcp::acceptor m_acceptor;
+    std::list<std::weak_ptr<Connection>> m_connections;
     std::map<std::string, std::uint64_t> m_runs;
     std::uint64_t m_abandoned = 0;
 };
