Add explain: what the logs say about a request

Cause: an on-call engineer had to sort lines of several processes by hand, and to know what each event means. Change: cardamomhill explain ID FILE... orders the lines of a request across processes, says what each means, and prints what the processes believed then.

--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/agentprogram.h"
 #include "cli/commandoptions.h"
+#include "cli/explaincommand.h"
 #include "cli/gatewaycommand.h"
 #include "cli/objectcommand.h"
 #include "cli/slotscommand.h"
@@ -51,6 +52,7 @@
   config check KIND NAME FILE       check the JSON value of a configuration object
   status --operator-port ADDRESS:PORT
                                     print the state of a process
+  explain ID FILE...                print what the logs of processes say about a request
 
 Options:
   -h, --help     print this text
@@ -160,6 +162,7 @@
         {"backendserver", &objectCommand},
         {"config", &configCommand},
         {"entry", &entryCommand},
+        {"explain", &explainCommand},
         {"gateway", &gatewayCommand},
         {"organisation", &objectCommand},
         {"profile", &objectCommand},
--- a/src/core/msgpackinput.h
+++ b/src/core/msgpackinput.h
@@ -8,8 +8,8 @@
 namespace Cardamomhill
 {
 
-/// Reads one msgpack object, which ends at the offset that is returned. A container that states more elements than bytes
-/// follow is refused, where msgpack alone would reserve memory for them. Throws what msgpack throws.
+/// Reads one msgpack object, which ends at the offset that is returned. A container that states more elements than
+/// bytes follow is refused, where msgpack alone would reserve memory for them. Throws what msgpack throws.
 inline msgpack::object_handle unpackObject(std::string_view bytes, std::size_t &offset)
 {
     /// No message nests deeper than a few levels.
--- a/src/rebalance/groupview.cpp
+++ b/src/rebalance/groupview.cpp
@@ -7,9 +7,8 @@
 
 bool GroupView::hasRankIn(const FailureDomainId &domain) const
 {
-    return std::any_of(ranks.begin(), ranks.end(), [&domain](const DiscoveredServer &rank) {
-        return rank.failureDomain == domain;
-    });
+    return std::any_of(
+        ranks.begin(), ranks.end(), [&domain](const DiscoveredServer &rank) { return rank.failureDomain == domain; });
 }
 
 } // namespace Cardamomhill
--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -164,6 +164,11 @@
 expect "a refusal names its reason and the configuration" 1 \
     "$(grep -c 'event=refused request=[^ ]* status=401 problem=token-invalid .* configuration=3 ' "$DIRECTORY/gate-a.log")"
 
+explained="$("$PROGRAM" explain "$unknown" "$DIRECTORY/gate-a.log" "$DIRECTORY/gate-b.log")"
+expect "explain says why the outcome is unknown" 1 "$(echo "$explained" | grep -c 'must not run twice, so it was not sent again')"
+expect "and which configuration was in force" 1 "$(echo "$explained" | grep -c 'configuration: .* version=3 ')"
+expect "an unknown request is an error" 1 "$("$PROGRAM" explain none "$DIRECTORY/gate-a.log" >/dev/null 2>&1; echo $?)"
+
 before="$(curl -sS "http://$GOOD/abandoned")"
 server bad-1 "$BAD" draining PUT
 wait_for grep -q "event=server-leaving server=bad-1" "$DIRECTORY/gate-a.log"
