Tell state in metrics: configuration, store, retries left, connections

Cause: an on-call engineer saw counts of what happened, but not the state of a process: only log lines told it.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -400,6 +400,7 @@
         return;
     }
     m_loggedPhase = m_switch->phase();
+    m_metrics.counter("switch_phases_total{phase=\"" + std::string(nameOf(m_loggedPhase)) + "\"}").add();
     logEvent(LogLevel::Info,
              "switch-phase",
              {{"group", m_group.id.value()},
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -36,7 +36,7 @@
                               ConfigurationInterval,
                               {[this](const ObjectPage &page) { takeConfiguration(page); },
                                [this](const ObjectPage &page) { takeConfiguration(page); },
-                               [](bool) {}})
+                               [this](bool contact) { m_metrics.gauge("store_in_contact").set(contact ? 1 : 0); }})
     , m_serverFollower(
           context,
           settings.platform,
@@ -88,6 +88,7 @@
             continue;
         }
         m_version = version;
+        m_metrics.gauge("configuration_version").set(static_cast<std::int64_t>(version));
         logEvent(LogLevel::Info,
                  "configuration-in-force",
                  {{"version", version},
@@ -137,6 +138,7 @@
     if (changes.isEmpty()) {
         return;
     }
+    m_metrics.gauge("servers_registered").set(static_cast<std::int64_t>(m_registry.size()));
     for (const auto &server : changes.present) {
         logEvent(LogLevel::Info,
                  server.isLeaving ? "server-leaving" : "server-present",
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -4,6 +4,7 @@
 #include "gateway/callhandler.h"
 #include "gateway/gatewaysettings.h"
 #include "logging/logging.h"
+#include "metrics/metricsregistry.h"
 #include "net/httpcall.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
@@ -283,6 +284,20 @@
     }
 }
 
+void GatewayThread::publishGauges()
+{
+    std::uint32_t retriesLeft = retryBurst();
+    for (const auto &[service, budget] : m_budgets) {
+        retriesLeft = std::min(retriesLeft, budget.retriesLeft());
+    }
+    m_metrics.gauge("retries_left").set(retriesLeft);
+    m_metrics.gauge("calls_in_progress").set(static_cast<std::int64_t>(m_callCount.load()));
+    m_metrics.gauge("attempts_in_progress").set(static_cast<std::int64_t>(m_attempts.size()));
+    m_metrics.gauge("kept_connections").set(static_cast<std::int64_t>(m_pool.size()));
+    m_metrics.gauge("hosts_heard").set(static_cast<std::int64_t>(m_peers.hostCount()));
+    m_metrics.gauge("unreachable_domains").set(static_cast<std::int64_t>(m_servers.unreachable().size()));
+}
+
 Milliseconds GatewayThread::spread(Milliseconds time, double part)
 {
     std::uniform_real_distribution<double> factor(1, 1 + part);
@@ -298,6 +313,7 @@
         if (++ticks % TicksPerSweep == 0) {
             m_pool.tick(steadyNow());
             countHosts();
+            publishGauges();
         }
         m_peers.tick();
         checkReachability();
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -98,6 +98,7 @@
     /// Retries that this host may save up for a service: its part of what all hosts may make.
     std::uint32_t retryBurst() const;
     void countHosts();
+    void publishGauges();
     void applySlowness(const ServerSlowness &slowness);
 
     const GatewaySettings &m_settings;
--- a/src/gateway/upstreampool.cpp
+++ b/src/gateway/upstreampool.cpp
@@ -3,6 +3,7 @@
 #include "net/httpcall.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Cardamomhill
 {
@@ -61,6 +62,13 @@
     m_kept.erase(server);
 }
 
+std::size_t UpstreamPool::size() const
+{
+    return std::accumulate(m_kept.begin(), m_kept.end(), std::size_t{0}, [](std::size_t sum, const auto &entry) {
+        return sum + entry.second.size();
+    });
+}
+
 void UpstreamPool::tick(SteadyTime now)
 {
     for (auto &[server, kept] : m_kept) {
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -34,6 +34,8 @@
 
     void closeAll(const BackendServerId &server);
 
+    std::size_t size() const;
+
     /// Closes connections that were idle for too long.
     void tick(SteadyTime now);
 
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -38,7 +38,13 @@
 
 bool RetryBudget::hasRetry() const
 {
-    return m_parts >= m_options.attemptsPerRetry && m_options.attemptsPerRetry > 0;
+    return retriesLeft() > 0;
+}
+
+std::uint32_t RetryBudget::retriesLeft() const
+{
+    const bool isLimited = m_options.attemptsPerRetry > 0;
+    return isLimited ? static_cast<std::uint32_t>(m_parts / m_options.attemptsPerRetry) : 0;
 }
 
 } // namespace Cardamomhill
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -29,6 +29,8 @@
     bool takeRetry();
 
     bool hasRetry() const;
+    /// Retries that could be made now.
+    std::uint32_t retriesLeft() const;
 
 private:
     RetryBudgetOptions m_options;
--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -211,6 +211,10 @@
 wait_for grep -q "event=configuration-in-force version=10" "$DIRECTORY/gate-a.log" && seen=0 || seen=$?
 expect "a change that a broken watch missed is in force after it" 0 "$seen"
 expect "the metrics count calls by outcome" 1 "$(curl -sS "http://$READY_A/metrics" | grep -c '^cardamomhill_calls_total{outcome="delivered"}')"
+for gauge in configuration_version=10 store_in_contact=1 servers_registered=1 retries_left=[0-9]* kept_connections=[0-9]* \
+    hosts_heard=2 unreachable_domains=0 calls_in_progress=0 event_pause_seconds_count=[0-9]*; do
+    expect "the metrics tell ${gauge%%=*}" 1 "$(curl -sS "http://$READY_A/metrics" | grep -cx "cardamomhill_${gauge%%=*} ${gauge#*=}")"
+done
 expect "gateways hear each other" 1 "$(wait_for grep -q 'cardamomhill_peer_notices_total' <(curl -sS "http://$READY_B/metrics"); curl -sS "http://$READY_B/metrics" | grep -c '^cardamomhill_peer_notices_total')"
 
 call draft/stream -d x >"$DIRECTORY/stream.txt" &
