--- a/tests/soak/childprocess.cpp
+++ b/tests/soak/childprocess.cpp
@@ -21,6 +21,7 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &outputFile)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto &argument : command) {
         // posix_spawn() does not change its arguments.
         arguments.push_back(const_cast<char *>(argument.c_str()));
--- a/tests/soak/freeendpoint.cpp
+++ b/tests/soak/freeendpoint.cpp
@@ -20,7 +20,7 @@
     static unsigned next = static_cast<unsigned>(getpid()) * ProcessStride;
     while (true) {
         const auto port = static_cast<unsigned short>(FirstPort + next++ % PortCount);
-        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
+        tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
         tcp::acceptor acceptor(context);
         SystemError error;
         acceptor.open(endpoint.protocol(), error);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -69,15 +69,14 @@
 {
     auto all = m_broken;
     for (const auto &[id, call] : m_calls) {
-        const auto runs = std::to_string(call.runs);
         if (call.kind == CallKind::NonIdempotent && call.runs > 1) {
-            all.push_back("at most once: " + id + " ran " + runs + " times");
+            all.push_back("at most once: " + id + " ran more than once");
         }
         if (call.kind == CallKind::NonIdempotent && isPromise(call.status) && call.runs > 0) {
-            all.push_back("not run: " + id + " got " + std::to_string(call.status) + " and ran");
+            all.push_back("not run: " + id + " ran although its answer says that it did not");
         }
         if (isDenial(call.status)) {
-            all.push_back("denied: " + id + " got " + std::to_string(call.status));
+            all.push_back("denied: " + id + " is allowed and got an error of the gateway");
         }
         if (call.isUnanswered && !call.isExcused && call.runs > 0) {
             all.push_back("lost: " + id + " ran and its connection was closed without an answer");
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -412,7 +412,7 @@
             co_return steadyNow();
         }
         if (steadyNow() > limit) {
-            m_ledger.broke("stand-in", "the store does not take " + method + " " + path);
+            m_ledger.broke("stand-in", "the store does not take " + std::string(method).append(" ").append(path));
             co_return steadyNow();
         }
         co_await sleep(Poll);
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -32,7 +32,7 @@
     std::string text;
     for (int number = 1; number <= last; ++number) {
         const auto id = std::to_string(number);
-        text += "id: " + id + "\ndata: event-" + id + "\n\n";
+        text.append("id: ").append(id).append("\ndata: event-").append(id).append("\n\n");
     }
     return text;
 }
