Move the policy of switches out of the shell; log silent hosts

Cause: read as a newcomer, GroupCoordinator decided between its calls when a plan is worth its copies, untested; three places joined names for a log line; nothing told that a host fell silent, or whose lease was taken over. Decisions are meant to be the same.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/coordination.h"
 
 #include "coordinator/groupcoordinator.h"
+#include "core/joined.h"
 #include "logging/logging.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
@@ -94,6 +95,7 @@
 void Coordination::setSilentHosts(std::set<std::string> hosts)
 {
     m_silentHosts = std::move(hosts);
+    logEvent(LogLevel::Info, "silent-hosts", {{"hosts", joined(m_silentHosts)}});
 }
 
 void Coordination::stop()
@@ -220,9 +222,15 @@
         led.lease.lost(steadyNow(), m_random);
         co_return;
     }
+    const auto previous = led.lease.holder();
     led.lease.acquired(*version, steadyNow());
     led.coordinator = std::make_shared<GroupCoordinator>(m_context, m_engineDialect, m_metrics, led.lease.term());
-    logEvent(LogLevel::Info, "coordinating", {{"group", group.id.value()}, {"term", led.lease.term()}});
+    logEvent(LogLevel::Info,
+             "coordinating",
+             {{"group", group.id.value()},
+              {"term", led.lease.term()},
+              {"previous", previous},
+              {"previous_is_silent", m_silentHosts.contains(previous)}});
 }
 
 Task<> Coordination::renew(const GroupView &group, Led &led)
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -22,24 +22,10 @@
 constexpr Milliseconds UsageInterval{700};
 /// Weight of the choices since the last reading in the load of the experts.
 constexpr double RegularWeight = 0.7;
-/// Weight of the newest reading in the mean part of the slots in use.
-constexpr double UsageWeight = 0.5;
 /// Ranks that are slower than this part of the usual speed get fewer calls.
 constexpr double SlowSpeed = 0.8;
-/// A plan must lower the load of the slowest ranks by this part: less where requests wait for steps, more where they
-/// run in time anyway and a switch would only cost.
-constexpr double RequiredGainBusy = 0.2;
-constexpr double RequiredGainIdle = 0.3;
-/// Parts of an engine's slots in use between which a group turns from idle to busy.
-constexpr double IdlePart = 0.35;
-constexpr double BusyPart = 0.6;
-/// What each copy must bring, in parts of the mean load of its layer.
-constexpr double GainPerCopyBusy = 0.04;
-constexpr double GainPerCopyIdle = 0.06;
 /// Ranks whose choices are counted.
 constexpr std::size_t CountedRanks = 2;
-/// Part by which copies may take longer than the link's rate says.
-constexpr double CopyMargin = 1.1;
 
 } // namespace
 
@@ -266,7 +252,7 @@
     double known = 0;
     for (std::size_t rank = 0; rank < clients.size(); ++rank) {
         // A slow rank makes the whole group busy, so while it is not, one rank says enough.
-        if (pressure() < 0.5 && rank != m_countedRank) {
+        if (m_policy.pressure() < 0.5 && rank != m_countedRank) {
             continue;
         }
         const auto state = co_await clients[rank]->readState();
@@ -283,7 +269,7 @@
         speeds[rank] = 1 / std::max(state.value().slowness, 1.0);
     }
     if (known > 0) {
-        m_usage += UsageWeight * (inUse / known - m_usage);
+        m_policy.observeUsage(inUse / known);
     }
     m_speeds = std::move(speeds);
     co_return known > 0;
@@ -308,7 +294,7 @@
             m_load.forget(rank);
         }
     }
-    m_schedule.done(reading, steadyNow(), pressure());
+    m_schedule.done(reading, steadyNow(), m_policy.pressure());
     if (reading == CountReading::WindowStart) {
         m_load.dropRound();
         co_return false;
@@ -319,7 +305,7 @@
 Task<> GroupCoordinator::considerSwitch()
 {
     const auto now = steadyNow();
-    const bool isCountDue = m_schedule.due(now, pressure()) != CountReading::None;
+    const bool isCountDue = m_schedule.due(now, m_policy.pressure()) != CountReading::None;
     if (m_engine.expertLayers == 0 || (now < m_nextUsage && !isCountDue)) {
         co_return;
     }
@@ -341,59 +327,38 @@
     }
     const auto readFor = m_switch;
     const bool isUsageKnown = co_await readUsage();
-    const auto reading = m_schedule.due(steadyNow(), pressure());
+    const auto reading = m_schedule.due(steadyNow(), m_policy.pressure());
     if (!isUsageKnown || m_switch != readFor || reading == CountReading::None) {
         co_return;
     }
     const bool isLoadKnown = co_await readLoad(reading);
     if (isLoadKnown && m_switch == readFor && m_switch->hasTakenEffect() && m_switch->phase() == SwitchPhase::Idle) {
-        planSwitchOfMap();
+        planSwitchOfMap(reading);
     }
 }
 
-void GroupCoordinator::planSwitchOfMap()
+void GroupCoordinator::planSwitchOfMap(CountReading reading)
 {
-    const SwitchLimits limits{m_engine.placesPerRank, m_engine.copiesPerRank, blend(GainPerCopyIdle, GainPerCopyBusy)};
-    const auto plan = planSwitch(*m_map, m_load.load(), m_speeds, limits);
-    const double required = blend(RequiredGainIdle, RequiredGainBusy);
-    const bool isWorth = plan.skewAfter < plan.skewBefore * (1 - required);
+    const auto plan = planSwitch(*m_map, m_load.load(), m_speeds, m_policy.limits(m_engine));
+    const bool isWorth = m_policy.isWorth(plan);
     logEvent(LogLevel::Info,
              isWorth ? "switch-planned" : "map-kept",
              {{"group", m_group.id.value()},
+              {"reading", nameOf(reading)},
               {"skew", plan.skewBefore},
               {"skew_after", plan.skewAfter},
-              {"usage", m_usage},
+              {"usage", m_policy.usage()},
               {"steps_per_second", m_switch->stepsPerSecond()},
               {"copies", plan.copies},
               {"copies_of_one_rank", plan.mostCopies}});
     if (isWorth) {
-        m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime(plan.mostCopies), steadyNow());
+        const auto copyTime = SwitchPolicy::copyTime(m_engine, plan.mostCopies);
+        m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime, steadyNow());
         m_switch->tick(steadyNow());
         sendOrders();
     }
 }
 
-double GroupCoordinator::pressure() const
-{
-    return std::clamp((m_usage - IdlePart) / (BusyPart - IdlePart), 0.0, 1.0);
-}
-
-double GroupCoordinator::blend(double idle, double busy) const
-{
-    return idle + (busy - idle) * pressure();
-}
-
-Microseconds GroupCoordinator::copyTime(std::size_t copies) const
-{
-    constexpr double BitsPerByte = 8;
-    if (m_engine.linkMegabitsPerSecond <= 0) {
-        return Microseconds(0);
-    }
-    const double seconds = CopyMargin * static_cast<double>(copies) * m_engine.expertMegabytes * BitsPerByte
-        / m_engine.linkMegabitsPerSecond;
-    return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(seconds));
-}
-
 void GroupCoordinator::logPhase()
 {
     if (!m_switch || m_switch->phase() == m_loggedPhase) {
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -10,6 +10,7 @@
 #include "rebalance/groupview.h"
 #include "rebalance/mapswitch.h"
 #include "rebalance/ordertokens.h"
+#include "rebalance/switchpolicy.h"
 #include "traffic/engineprofile.h"
 #include "traffic/serverslowness.h"
 
@@ -62,13 +63,9 @@
     Task<bool> readUsage();
     /// Returns whether the load is known well enough for a plan.
     Task<bool> readLoad(CountReading reading);
-    void planSwitchOfMap();
+    void planSwitchOfMap(CountReading reading);
     void startEpoch();
     void logPhase();
-    /// From 0 for a group that has little to do to 1 for a busy one.
-    double pressure() const;
-    double blend(double idle, double busy) const;
-    Microseconds copyTime(std::size_t copies) const;
 
     asio::io_context &m_context;
     const EngineDialect &m_dialect;
@@ -87,8 +84,7 @@
     std::size_t m_countedRank = 0;
     CountSchedule m_schedule;
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
-    /// Mean part of an engine's slots that is in use.
-    double m_usage = 0;
+    SwitchPolicy m_policy;
     SteadyTime m_nextUsage{};
     bool m_isStopped = false;
 };
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -6,6 +6,7 @@
 #include "core/hash.h"
 #include "core/identifier.h"
 #include "core/identifiers.h"
+#include "core/joined.h"
 #include "core/loadreport.h"
 #include "core/memberstate.h"
 #include "core/nametable.h"
--- a/src/explain/eventmeaning.cpp
+++ b/src/explain/eventmeaning.cpp
@@ -76,6 +76,7 @@
     {"cut-off", "readiness", ""},
     {"serving-again", "readiness", ""},
     {"slow-servers", "slow servers", ""},
+    {"silent-hosts", "silent hosts", ""},
     {"switch-phase", "expert map of ", "group"},
     {"server-present", "server ", "server"},
     {"server-leaving", "server ", "server"},
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewaythread.h"
 
+#include "core/joined.h"
 #include "gateway/attempt.h"
 #include "gateway/callhandler.h"
 #include "gateway/gatewaysettings.h"
@@ -121,11 +122,10 @@
 void GatewayThread::applySlowness(const ServerSlowness &slowness)
 {
     m_servers.setSlowness(slowness);
-    std::string slow;
-    for (const auto &[server, factor] : slowness) {
-        slow += (slow.empty() ? "" : ",") + m_servers.nameOf(server) + ":" + std::to_string(factor);
-    }
-    logEvent(LogLevel::Info, "slow-servers", {{"servers", slow}});
+    const auto textOf = [this](const auto &entry) {
+        return m_servers.nameOf(entry.first).append(":").append(std::to_string(entry.second));
+    };
+    logEvent(LogLevel::Info, "slow-servers", {{"servers", joined(slowness, textOf)}});
     for (auto *const attempt : m_attempts) {
         const auto found = slowness.find(serverKey(attempt->server()));
         if (found != slowness.end() && found->second >= SlownessToLeave) {
@@ -182,10 +182,7 @@
 {
     auto unreachable = m_reachability.unreachable(steadyNow());
     if (unreachable != m_servers.unreachable()) {
-        std::string names;
-        for (const auto &domain : unreachable) {
-            names += (names.empty() ? "" : ",") + domain.value();
-        }
+        const auto names = joined(unreachable, &FailureDomainId::value);
         logEvent(LogLevel::Warning, "unreachable-domains", {{"failure_domains", names}});
         m_servers.setUnreachable(std::move(unreachable));
     }
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -2,6 +2,7 @@
 
 #include "core/clocktypes.h"
 #include "core/random.h"
+#include "rebalance/locality.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,13 +24,6 @@
     Milliseconds silentSpread{500};
 };
 
-/// Whether the host of a lease's candidate shares a failure domain with a rank of the group. Where a cut separates a
-/// remote host from the group, the group may go on without its coordinator; local ones are mostly cut off with it.
-enum class Locality {
-    Local,
-    Remote,
-};
-
 /// What the store holds of a lease.
 struct LeaseRecord {
     /// The object's version; 0 if there is none.
--- a/src/rebalance/countreading.h
+++ b/src/rebalance/countreading.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/nametable.h"
+
 namespace Cardamomhill
 {
 
@@ -15,4 +17,14 @@
     WindowEnd,
 };
 
+constexpr auto nameTable(CountReading)
+{
+    return std::to_array<NamedValue<CountReading>>({
+        {CountReading::None, "none"},
+        {CountReading::Regular, "regular"},
+        {CountReading::WindowStart, "window-start"},
+        {CountReading::WindowEnd, "window-end"},
+    });
+}
+
 } // namespace Cardamomhill
--- a/src/rebalance/rebalance.h
+++ b/src/rebalance/rebalance.h
@@ -7,3 +7,4 @@
 #include "rebalance/expertload.h"
 #include "rebalance/groupdirectory.h"
 #include "rebalance/mapswitch.h"
+#include "rebalance/switchpolicy.h"
--- /dev/null
+++ b/src/rebalance/switchpolicy.cpp
@@ -0,0 +1,70 @@
+#include "rebalance/switchpolicy.h"
+
+#include "traffic/engineprofile.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Weight of the newest reading in the usage.
+constexpr double UsageWeight = 0.5;
+/// Parts of an engine's slots in use between which a group turns from idle to busy.
+constexpr double IdlePart = 0.35;
+constexpr double BusyPart = 0.6;
+/// Part by which a plan must lower the load of the slowest ranks.
+constexpr double RequiredGainBusy = 0.2;
+constexpr double RequiredGainIdle = 0.3;
+/// What each copy must bring, in parts of the mean load of its layer.
+constexpr double GainPerCopyBusy = 0.04;
+constexpr double GainPerCopyIdle = 0.06;
+/// Copies may take this many times longer than the link's rate says.
+constexpr double CopyMargin = 1.1;
+constexpr double BitsPerByte = 8;
+
+} // namespace
+
+void SwitchPolicy::observeUsage(double usage)
+{
+    m_usage += UsageWeight * (usage - m_usage);
+}
+
+double SwitchPolicy::usage() const
+{
+    return m_usage;
+}
+
+double SwitchPolicy::pressure() const
+{
+    return std::clamp((m_usage - IdlePart) / (BusyPart - IdlePart), 0.0, 1.0);
+}
+
+double SwitchPolicy::blend(double idle, double busy) const
+{
+    return idle + (busy - idle) * pressure();
+}
+
+SwitchLimits SwitchPolicy::limits(const EngineProfile &engine) const
+{
+    return {engine.placesPerRank, engine.copiesPerRank, blend(GainPerCopyIdle, GainPerCopyBusy)};
+}
+
+bool SwitchPolicy::isWorth(const SwitchPlan &plan) const
+{
+    return plan.skewAfter < plan.skewBefore * (1 - blend(RequiredGainIdle, RequiredGainBusy));
+}
+
+Microseconds SwitchPolicy::copyTime(const EngineProfile &engine, std::size_t copies)
+{
+    if (engine.linkMegabitsPerSecond <= 0) {
+        return Microseconds(0);
+    }
+    const double seconds = CopyMargin * static_cast<double>(copies) * engine.expertMegabytes * BitsPerByte
+        / engine.linkMegabitsPerSecond;
+    return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/rebalance/switchpolicy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "placement/switchplanner.h"
+
+#include <cstddef>
+
+namespace Cardamomhill
+{
+
+struct EngineProfile;
+
+/// When a plan for a group's map is worth its copies. A busy group gains from even ranks, since its calls wait for
+/// steps; one with little to do answers in time anyway, and a switch would only cost.
+class SwitchPolicy
+{
+public:
+    /// Takes a reading of the mean part of the engines' slots that is in use.
+    void observeUsage(double usage);
+
+    /// Mean over the last readings.
+    double usage() const;
+    /// From 0 for a group that has little to do to 1 for a busy one.
+    double pressure() const;
+
+    /// What a switch may change now.
+    SwitchLimits limits(const EngineProfile &engine) const;
+    bool isWorth(const SwitchPlan &plan) const;
+
+    /// Time in which the rank with most copies receives them.
+    static Microseconds copyTime(const EngineProfile &engine, std::size_t copies);
+
+private:
+    double blend(double idle, double busy) const;
+
+    double m_usage = 0;
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/joinedtest.cpp
@@ -0,0 +1,17 @@
+#include "core/joined.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Cardamomhill;
+
+TEST_CASE("texts are separated, and an empty range gives an empty text")
+{
+    CHECK(joined(std::vector<std::string>{}).empty());
+    CHECK(joined(std::vector<std::string>{"a"}) == "a");
+    const std::map<std::string, int> entries{{"a", 1}, {"b", 2}};
+    CHECK(joined(entries, [](const auto &entry) { return entry.first + std::to_string(entry.second); }) == "a1,b2");
+}
