--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -90,10 +90,7 @@
         logEvent(LogLevel::Error, "start-failed", {{"error", ended.error().message()}});
     }
     stopLogging();
-    if (ended.has_error()) {
-        return ExitStatus::RuntimeError;
-    }
-    return ExitStatus::Success;
+    return ended.has_error() ? ExitStatus::RuntimeError : ExitStatus::Success;
 }
 
 ExitStatus entryCommand(const CommandOptions &options)
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -30,11 +30,8 @@
 
 Task<Result<PlatformObject, PlatformCallError>> PlatformClient::read(ObjectKey key)
 {
-    const auto body = co_await call(m_dialect->readCall(key), m_callTimeout);
-    if (body.has_error()) {
-        co_return failure(body.error());
-    }
-    co_return m_dialect->readObject(key, body.value());
+    auto request = m_dialect->readCall(key);
+    return callForObject(std::move(request), std::move(key));
 }
 
 Task<Result<ObjectPage, PlatformCallError>> PlatformClient::list(std::string kind)
@@ -42,11 +39,7 @@
     ObjectPage all;
     std::string after;
     do {
-        const auto body = co_await call(m_dialect->listCall(kind, after), m_callTimeout);
-        if (body.has_error()) {
-            co_return failure(body.error());
-        }
-        auto page = m_dialect->readPage(kind, body.value());
+        auto page = co_await callForPage(m_dialect->listCall(kind, after), kind, m_callTimeout);
         if (page.has_error()) {
             co_return failure(page.error());
         }
@@ -63,31 +56,41 @@
 
 Task<Result<ObjectPage, PlatformCallError>> PlatformClient::listStale(std::string kind)
 {
-    const auto body = co_await call(m_dialect->staleListCall(kind), m_callTimeout);
-    if (body.has_error()) {
-        co_return failure(body.error());
-    }
-    co_return m_dialect->readPage(kind, body.value());
+    auto request = m_dialect->staleListCall(kind);
+    return callForPage(std::move(request), std::move(kind), m_callTimeout);
 }
 
 Task<Result<ObjectPage, PlatformCallError>>
 PlatformClient::watch(std::string kind, std::uint64_t since, Milliseconds wait)
 {
-    const auto body = co_await call(m_dialect->watchCall(kind, since, wait), wait + WatchMargin);
+    auto request = m_dialect->watchCall(kind, since, wait);
+    return callForPage(std::move(request), std::move(kind), wait + WatchMargin);
+}
+
+Task<Result<PlatformObject, PlatformCallError>>
+PlatformClient::write(ObjectKey key, std::uint64_t expectedVersion, const std::string &value)
+{
+    auto request = m_dialect->writeCall(key, expectedVersion, value);
+    return callForObject(std::move(request), std::move(key));
+}
+
+Task<Result<PlatformObject, PlatformCallError>> PlatformClient::callForObject(HttpRequest request, ObjectKey key)
+{
+    const auto body = co_await call(std::move(request), m_callTimeout);
     if (body.has_error()) {
         co_return failure(body.error());
     }
-    co_return m_dialect->readPage(kind, body.value());
+    co_return m_dialect->readObject(key, body.value());
 }
 
-Task<Result<PlatformObject, PlatformCallError>>
-PlatformClient::write(ObjectKey key, std::uint64_t expectedVersion, std::string value)
+Task<Result<ObjectPage, PlatformCallError>>
+PlatformClient::callForPage(HttpRequest request, std::string kind, Milliseconds timeout)
 {
-    const auto body = co_await call(m_dialect->writeCall(key, expectedVersion, value), m_callTimeout);
+    const auto body = co_await call(std::move(request), timeout);
     if (body.has_error()) {
         co_return failure(body.error());
     }
-    co_return m_dialect->readObject(key, body.value());
+    co_return m_dialect->readPage(kind, body.value());
 }
 
 Task<Result<std::string, PlatformCallError>> PlatformClient::call(HttpRequest request, Milliseconds timeout)
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -41,10 +41,13 @@
 
     /// Writes a JSON value if the object still has the given version; 0 means that it must not exist.
     Task<Result<PlatformObject, PlatformCallError>>
-    write(ObjectKey key, std::uint64_t expectedVersion, std::string value);
+    write(ObjectKey key, std::uint64_t expectedVersion, const std::string &value);
 
 private:
     static std::shared_ptr<const ObjectApiDialect> ownDialect();
+    Task<Result<PlatformObject, PlatformCallError>> callForObject(HttpRequest request, ObjectKey key);
+    Task<Result<ObjectPage, PlatformCallError>>
+    callForPage(HttpRequest request, std::string kind, Milliseconds timeout);
     Task<Result<std::string, PlatformCallError>> call(HttpRequest request, Milliseconds timeout);
 
     std::shared_ptr<const ObjectApiDialect> m_dialect;
--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -134,7 +134,9 @@
     SystemError error;
     SteadyTime nextObservation{};
     while (!error && !m_isStopped) {
-        const auto groups = m_directory.groups();
+        // Changes that come meanwhile are looked at in the next round.
+        const auto snapshot = m_directory.snapshot();
+        const auto &groups = *snapshot;
         if (!groups.empty() && steadyNow() >= nextObservation) {
             const bool isLocal = std::any_of(groups.begin(), groups.end(), [this](const GroupView &group) {
                 return localityOf(group) == Locality::Local;
@@ -182,7 +184,7 @@
     }
 }
 
-Task<> Coordination::keep(GroupView group, EngineProfile engine)
+Task<> Coordination::keep(const GroupView &group, EngineProfile engine)
 {
     auto &led = ledOf(group.id);
     if (led.coordinator && led.coordinator->isOver()) {
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -62,7 +62,8 @@
     Task<> run();
     Task<> observeLeases();
     void publishSlowness();
-    Task<> keep(GroupView group, EngineProfile engine);
+    /// The group stays as it is until the task has ended.
+    Task<> keep(const GroupView &group, EngineProfile engine);
     Task<> acquire(const GroupView &group, Led &led);
     Task<> renew(const GroupView &group, Led &led);
     Task<std::optional<std::uint64_t>> write(const GroupView &group, std::uint64_t expectedVersion);
--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -34,34 +34,23 @@
 
 Task<Result<RankState, EngineReadError>> EngineClient::readState()
 {
-    const auto body = co_await read(m_dialect.stateCall());
-    if (body.has_error()) {
-        co_return failure(body.error());
-    }
-    co_return m_dialect.readState(body.value());
+    return read(m_dialect.stateCall(), &EngineDialect::readState);
 }
 
 Task<Result<ExpertCounts, EngineReadError>> EngineClient::readCounts()
 {
-    const auto body = co_await read(m_dialect.countsCall());
-    if (body.has_error()) {
-        co_return failure(body.error());
-    }
-    co_return m_dialect.readCounts(body.value());
+    return read(m_dialect.countsCall(), &EngineDialect::readCounts);
 }
 
 Task<Result<HeldExperts, EngineReadError>> EngineClient::readHeldExperts()
 {
-    const auto body = co_await read(m_dialect.heldExpertsCall());
-    if (body.has_error()) {
-        co_return failure(body.error());
-    }
-    co_return m_dialect.readHeldExperts(body.value());
+    return read(m_dialect.heldExpertsCall(), &EngineDialect::readHeldExperts);
 }
 
-Task<Result<std::string, EngineReadError>> EngineClient::read(HttpRequest request)
+template<class Value>
+Task<Result<Value, EngineReadError>> EngineClient::read(HttpRequest request, Decoder<Value> decode)
 {
-    auto response = co_await m_client.call(std::move(request), ReadTimeout);
+    const auto response = co_await m_client.call(std::move(request), ReadTimeout);
     if (response.has_error()) {
         co_return failure(EngineReadError{EngineReadErrorCode::Unreachable, response.error().error.message()});
     }
@@ -69,7 +58,7 @@
         co_return failure(
             EngineReadError{EngineReadErrorCode::Refused, "status " + std::to_string(response.value().status)});
     }
-    co_return std::move(response.value().body);
+    co_return (m_dialect.*decode)(response.value().body);
 }
 
 } // namespace Cardamomhill
--- a/src/coordinator/engineclient.h
+++ b/src/coordinator/engineclient.h
@@ -25,7 +25,11 @@
     Task<Result<HeldExperts, EngineReadError>> readHeldExperts();
 
 private:
-    Task<Result<std::string, EngineReadError>> read(HttpRequest request);
+    template<class Value>
+    using Decoder = Result<Value, EngineReadError> (EngineDialect::*)(const std::string &body) const;
+
+    template<class Value>
+    Task<Result<Value, EngineReadError>> read(HttpRequest request, Decoder<Value> decode);
 
     HttpClient m_client;
     BackendServerId m_server;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -10,5 +10,6 @@
 #include "core/loadreport.h"
 #include "core/memberstate.h"
 #include "core/nametable.h"
+#include "core/numberof.h"
 #include "core/random.h"
 #include "core/result.h"
--- /dev/null
+++ b/src/core/numberof.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace Cardamomhill
+{
+
+/// The decimal number that is the whole text, or nothing.
+template<class Number>
+std::optional<Number> numberOf(std::string_view text)
+{
+    Number number = 0;
+    const char *const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, number);
+    return read.ec == std::errc() && read.ptr == end ? std::optional(number) : std::nullopt;
+}
+
+} // namespace Cardamomhill
--- a/src/entry/requestparser.cpp
+++ b/src/entry/requestparser.cpp
@@ -4,9 +4,9 @@
 #include "config/organisation.h"
 #include "config/profile.h"
 #include "config/service.h"
+#include "core/numberof.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string_view>
 
 namespace Cardamomhill
@@ -35,10 +35,8 @@
 Milliseconds timeoutOf(const HttpRequest &request, const Profile &profile)
 {
     const auto text = view(request["X-Request-Timeout-Ms"]);
-    std::int64_t asked = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), asked);
-    const bool isValid = error == std::errc() && end == text.data() + text.size() && asked > 0;
-    return isValid ? std::min(profile.timeout, Milliseconds(asked)) : profile.timeout;
+    const auto asked = numberOf<std::int64_t>(text).value_or(0);
+    return asked > 0 ? std::min(profile.timeout, Milliseconds(asked)) : profile.timeout;
 }
 
 } // namespace
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -77,7 +77,7 @@
 Task<AttemptEnd> Attempt::run()
 {
     const bool connected = co_await connect();
-    if (m_isCancelled) {
+    if (m_state.isCallerGone) {
         co_return AttemptEnd::CallerGone;
     }
     if (!connected) {
@@ -91,7 +91,6 @@
 
 void Attempt::cancel()
 {
-    m_isCancelled = true;
     if (m_call) {
         m_call->cancel();
     }
@@ -99,10 +98,9 @@
 
 void Attempt::moveAway(std::string_view cause)
 {
-    auto history = m_state.attempts;
-    history.add(AttemptEnd::Broken);
-    if (!m_isCancelled && m_call && history.mayAttempt(*m_state.route, left())
-        && m_thread.budget(m_state.service).hasRetry()) {
+    const bool mayGoOn = m_state.attempts.mayAttemptAfter(AttemptEnd::Broken, *m_state.route, left())
+        && m_thread.budget(m_state.service).hasRetry();
+    if (!m_state.isCallerGone && m_call && mayGoOn) {
         m_breakCause = cause;
         m_call->cancel();
     }
@@ -141,7 +139,7 @@
         m_cause = connected.error().message();
     }
     // A refusal shows that the host was reached.
-    if (!m_isCancelled) {
+    if (!m_state.isCallerGone) {
         m_thread.connected(domain, isMade || connected.error().code == NetErrorCode::ConnectRefused);
     }
     co_return isMade;
@@ -288,7 +286,7 @@
     if (m_state.events > 0) {
         const auto pause = std::chrono::duration_cast<Microseconds>(now - m_state.lastEventAt);
         m_state.longestPause = std::max(m_state.longestPause, pause);
-        m_thread.metrics().latency("event_pause_seconds").record(pause);
+        m_thread.eventPauses().record(pause);
     }
     m_state.lastEventAt = now;
     ++m_state.events;
@@ -352,8 +350,7 @@
 
 Milliseconds Attempt::left() const
 {
-    const auto time = std::chrono::duration_cast<Milliseconds>(m_state.deadline - steadyNow());
-    return std::max(time, Milliseconds(1));
+    return std::max(m_state.left(steadyNow()), Milliseconds(1));
 }
 
 Milliseconds Attempt::answerLimit() const
@@ -362,9 +359,8 @@
         return left();
     }
     const auto part = m_state.route->timeout / AttemptPart;
-    auto history = m_state.attempts;
-    history.add(AttemptEnd::TimedOut);
-    return history.mayAttempt(*m_state.route, left() - part) ? std::min(part, left()) : left();
+    const bool mayRepeat = m_state.attempts.mayAttemptAfter(AttemptEnd::TimedOut, *m_state.route, left() - part);
+    return mayRepeat ? std::min(part, left()) : left();
 }
 
 void Attempt::arrived()
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -30,7 +30,7 @@
 
     Task<AttemptEnd> run();
 
-    /// Ends the attempt, such as when the caller has left.
+    /// Ends the attempt of a caller that has left.
     void cancel();
 
     /// Looks whether it still makes sense to wait for this server.
@@ -76,7 +76,6 @@
     SteadyTime m_lastArrival{};
     /// Why this process broke the attempt off itself.
     std::string m_breakCause;
-    bool m_isCancelled = false;
 };
 
 } // namespace Cardamomhill
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -276,8 +276,7 @@
 
 Milliseconds CallHandler::left() const
 {
-    const auto time = std::chrono::duration_cast<Milliseconds>(m_state.deadline - steadyNow());
-    return std::max(time, Milliseconds(0));
+    return m_state.left(steadyNow());
 }
 
 } // namespace Cardamomhill
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -6,6 +6,7 @@
 #include "traffic/callhead.h"
 #include "traffic/trafficconfiguration.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +45,12 @@
     std::size_t events = 0;
     bool hasBegun = false;
     bool isCallerGone = false;
+
+    /// Time until the call's limit; never negative.
+    Milliseconds left(SteadyTime now) const
+    {
+        return std::max(std::chrono::duration_cast<Milliseconds>(deadline - now), Milliseconds(0));
+    }
 };
 
 } // namespace Cardamomhill
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr std::int64_t MaxDrainGraceMilliseconds = 60'000;
 constexpr std::int64_t MaxRetrySlack = 1'000'000;
 constexpr std::int64_t MaxCallsPerRetry = 1000;
 
@@ -28,8 +27,7 @@
         = static_cast<std::uint32_t>(reader.integer("retry_slack", settings.retrySlack, 0, MaxRetrySlack));
     settings.callsPerRetry
         = static_cast<std::uint32_t>(reader.integer("calls_per_retry", settings.callsPerRetry, 1, MaxCallsPerRetry));
-    settings.drainGrace
-        = Milliseconds(reader.integer("drain_grace_ms", settings.drainGrace.count(), 0, MaxDrainGraceMilliseconds));
+    settings.drainGrace = reader.drainGrace(settings.drainGrace);
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -52,6 +52,7 @@
     : m_settings(settings)
     , m_dialect(dialect)
     , m_metrics(metrics)
+    , m_eventPauses(metrics.latency("event_pause_seconds"))
     , m_observers(std::move(observers))
     , m_http(m_context,
              limitsOf(CallerLimits()),
@@ -230,6 +231,11 @@
     return m_metrics;
 }
 
+LatencySummary &GatewayThread::eventPauses()
+{
+    return m_eventPauses;
+}
+
 ServerTable &GatewayThread::servers()
 {
     return m_servers;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -29,6 +29,7 @@
 
 class Attempt;
 class CallDialect;
+class LatencySummary;
 class MetricsRegistry;
 struct GatewaySettings;
 
@@ -81,6 +82,8 @@
     const std::shared_ptr<const TrafficConfiguration> &configuration() const;
     const CallDialect &dialect() const;
     MetricsRegistry &metrics();
+    /// Recorded for each event of a stream, so it is looked up only once.
+    LatencySummary &eventPauses();
     ServerTable &servers();
     /// The attempts that were sent and have not ended.
     std::unordered_set<Attempt *> &attempts();
@@ -104,6 +107,7 @@
     const GatewaySettings &m_settings;
     const CallDialect &m_dialect;
     MetricsRegistry &m_metrics;
+    LatencySummary &m_eventPauses;
     Observers m_observers;
     asio::io_context m_context;
     HttpServer m_http;
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -1,6 +1,6 @@
 #include "net/address.h"
 
-#include <charconv>
+#include "core/numberof.h"
 
 namespace Cardamomhill
 {
@@ -23,12 +23,10 @@
     if (colon == std::string::npos) {
         return std::nullopt;
     }
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    const auto port = numberOf<std::uint16_t>(std::string_view(text).substr(colon + 1)).value_or(0);
     SystemError error;
     const auto address = asio::ip::make_address(withoutBrackets(text.substr(0, colon)), error);
-    if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+    if (error || port == 0) {
         return std::nullopt;
     }
     return tcp::endpoint(address, port);
--- a/src/rebalance/groupdirectory.cpp
+++ b/src/rebalance/groupdirectory.cpp
@@ -21,9 +21,20 @@
     for (const auto &id : changes.gone) {
         m_servers.erase(id);
     }
+    m_groups = std::make_shared<const std::vector<GroupView>>(putTogether());
 }
 
-std::vector<GroupView> GroupDirectory::groups() const
+const std::vector<GroupView> &GroupDirectory::groups() const
+{
+    return *m_groups;
+}
+
+std::shared_ptr<const std::vector<GroupView>> GroupDirectory::snapshot() const
+{
+    return m_groups;
+}
+
+std::vector<GroupView> GroupDirectory::putTogether() const
 {
     std::map<GroupId, GroupView> views;
     for (const auto &[id, server] : m_servers) {
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -62,7 +62,7 @@
             continue;
         }
         state.isInFlight = true;
-        orders.push_back({m_nextOrder++, rank, m_token, m_epoch, actionFor(rank)});
+        orders.push_back({rank, m_token, m_epoch, actionFor(rank)});
     }
     return orders;
 }
@@ -158,8 +158,7 @@
     case SwitchPhase::Holding:
         if (m_isRecovery) {
             // The step has begun, so what was read is out of date.
-            enter(SwitchPhase::Inspecting, now);
-            m_nextReports = now + m_options.reportLag;
+            startInspection(now);
             return;
         }
         m_stepPenalty = 2 * m_stepPenalty + 2 * m_options.stepMargin;
@@ -180,8 +179,7 @@
 {
     switch (m_phase) {
     case SwitchPhase::Fencing:
-        enter(SwitchPhase::Inspecting, now);
-        m_nextReports = now + m_options.reportLag;
+        startInspection(now);
         return;
     case SwitchPhase::Preparing:
         m_nextReports = now + m_copyTime;
@@ -204,8 +202,7 @@
         ++m_abandoned;
         if (m_isRecovery) {
             // Another rank may be held or armed for another step.
-            enter(SwitchPhase::Inspecting, now);
-            m_nextReports = now + m_options.reportLag;
+            startInspection(now);
         } else {
             enter(SwitchPhase::Idle, now);
         }
@@ -223,6 +220,12 @@
     renewOrders(now);
 }
 
+void MapSwitch::startInspection(SteadyTime now)
+{
+    enter(SwitchPhase::Inspecting, now);
+    m_nextReports = now + m_options.reportLag;
+}
+
 void MapSwitch::renewOrders(SteadyTime now)
 {
     m_token = m_tokens.next();
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -100,6 +100,8 @@
     };
 
     void enter(SwitchPhase phase, SteadyTime now);
+    /// Reads the ranks once the reports show what the last orders did.
+    void startInspection(SteadyTime now);
     /// Takes a new token, and forgets which ranks have carried out the orders with the old one.
     void renewOrders(SteadyTime now);
     bool allDone() const;
@@ -122,7 +124,6 @@
     SteadyTime m_phaseSince{};
     bool m_hasStarted = false;
     std::uint64_t m_token;
-    std::uint64_t m_nextOrder = 1;
     std::uint64_t m_version = 0;
     std::uint64_t m_step = 0;
     std::uint64_t m_stepPenalty = 0;
--- a/src/rebalance/rankorder.h
+++ b/src/rebalance/rankorder.h
@@ -39,8 +39,6 @@
 
 /// An order to the engine of one rank. The engine refuses it if it has seen a higher token, or runs in another epoch.
 struct RankOrder {
-    /// Names the order towards the answer.
-    std::uint64_t id = 0;
     std::size_t rank = 0;
     std::uint64_t token = 0;
     std::uint64_t epoch = 0;
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -7,19 +7,17 @@
 
 RetryBudget::RetryBudget(RetryBudgetOptions options)
     : m_options(options)
-    , m_parts(std::uint64_t{options.burst} * options.attemptsPerRetry)
+    , m_parts(partsOf(options.burst))
 {
 }
 
 void RetryBudget::recordFirstAttempt()
 {
-    const std::uint64_t most = std::uint64_t{m_options.burst} * m_options.attemptsPerRetry;
-    m_parts = std::min(m_parts + 1, most);
+    m_parts = std::min(m_parts + 1, partsOf(m_options.burst));
 }
 
 void RetryBudget::setBurst(std::uint32_t burst)
 {
-    const auto partsOf = [this](std::uint32_t retries) { return std::uint64_t{retries} * m_options.attemptsPerRetry; };
     if (burst > m_options.burst) {
         m_parts += partsOf(burst - m_options.burst);
     }
@@ -27,6 +25,11 @@
     m_parts = std::min(m_parts, partsOf(burst));
 }
 
+std::uint64_t RetryBudget::partsOf(std::uint32_t retries) const
+{
+    return std::uint64_t{retries} * m_options.attemptsPerRetry;
+}
+
 bool RetryBudget::takeRetry()
 {
     if (!hasRetry()) {
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -33,6 +33,8 @@
     std::uint32_t retriesLeft() const;
 
 private:
+    std::uint64_t partsOf(std::uint32_t retries) const;
+
     RetryBudgetOptions m_options;
     /// In parts of a token: each first attempt adds one, a retry takes `attemptsPerRetry`.
     std::uint64_t m_parts;
--- a/src/settings/entrysettings.cpp
+++ b/src/settings/entrysettings.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::int64_t MaxTrafficThreads = 64;
 constexpr std::int64_t MaxConcurrency = 100'000;
-constexpr std::int64_t MaxDrainGraceMilliseconds = 60'000;
 
 } // namespace
 
@@ -28,8 +27,7 @@
     settings.trafficThreads = static_cast<std::uint32_t>(reader.integer("traffic_threads", 1, 1, MaxTrafficThreads));
     settings.concurrency
         = static_cast<std::uint32_t>(reader.integer("concurrency", settings.concurrency, 1, MaxConcurrency));
-    settings.drainGrace
-        = Milliseconds(reader.integer("drain_grace_ms", settings.drainGrace.count(), 0, MaxDrainGraceMilliseconds));
+    settings.drainGrace = reader.drainGrace(settings.drainGrace);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -1,8 +1,9 @@
 #include "settings/settingsreader.h"
 
+#include "core/numberof.h"
+
 #include "net/address.h"
 
-#include <charconv>
 #include <optional>
 
 namespace Cardamomhill::internal
@@ -20,17 +21,6 @@
     return node.Mark().line + 1;
 }
 
-template<class Number>
-std::optional<Number> parseNumber(std::string_view text)
-{
-    Number number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
 } // namespace
 
 SettingsReader::SettingsReader(const std::string &file)
@@ -81,7 +71,7 @@
     if (!node.IsDefined()) {
         return fallback;
     }
-    const auto number = node.IsScalar() ? parseNumber<std::int64_t>(node.Scalar()) : std::nullopt;
+    const auto number = node.IsScalar() ? numberOf<std::int64_t>(node.Scalar()) : std::nullopt;
     if (!number || *number < low || *number > high) {
         addError(SettingsErrorCode::InvalidValue, lineOf(node), key, accepted);
         return fallback;
@@ -89,6 +79,12 @@
     return *number;
 }
 
+Milliseconds SettingsReader::drainGrace(Milliseconds fallback)
+{
+    constexpr std::int64_t Most = 60'000;
+    return Milliseconds(integer("drain_grace_ms", fallback.count(), 0, Most));
+}
+
 bool SettingsReader::boolean(const std::string &key, bool fallback)
 {
     const std::string accepted = "true or false";
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clocktypes.h"
 #include "core/result.h"
 #include "logging/loglevel.h"
 #include "settings/settingserror.h"
@@ -23,6 +24,8 @@
 
     std::string text(const std::string &key);
     std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high);
+    /// `drain_grace_ms`, which all entry hosts have.
+    Milliseconds drainGrace(Milliseconds fallback);
     bool boolean(const std::string &key, bool fallback);
     /// "address:port" with an IP address.
     boost::asio::ip::tcp::endpoint endpoint(const std::string &key);
--- a/src/traffic/attempthistory.cpp
+++ b/src/traffic/attempthistory.cpp
@@ -48,9 +48,11 @@
     return std::all_of(m_ends.begin(), m_ends.end(), &didNotRun);
 }
 
-bool AttemptHistory::mayAttempt(const Route &route, Milliseconds left) const
+bool AttemptHistory::mayAttemptAfter(AttemptEnd end, const Route &route, Milliseconds left) const
 {
-    return check(route, left) == RetryVerdict::Retry;
+    auto history = *this;
+    history.add(end);
+    return history.check(route, left) == RetryVerdict::Retry;
 }
 
 RetryVerdict AttemptHistory::retry(const Route &route, Milliseconds left, RetryBudget &budget) const
--- a/src/traffic/attempthistory.h
+++ b/src/traffic/attempthistory.h
@@ -26,8 +26,8 @@
     /// Whether it is certain that no attempt ran.
     bool isCertainlyNotRun() const;
 
-    /// Whether the route allows an attempt after the present ones. The budget is asked by retry().
-    bool mayAttempt(const Route &route, Milliseconds left) const;
+    /// Whether the route would allow a further attempt if the present one ended so. The budget is asked by retry().
+    bool mayAttemptAfter(AttemptEnd end, const Route &route, Milliseconds left) const;
 
     /// Decides after an attempt that gave no whole answer, and takes from the budget for a retry that a server sees.
     RetryVerdict retry(const Route &route, Milliseconds left, RetryBudget &budget) const;
--- a/src/traffic/loadnotice.cpp
+++ b/src/traffic/loadnotice.cpp
@@ -1,6 +1,6 @@
 #include "traffic/loadnotice.h"
 
-#include "core/msgpackinput.h"
+#include "wire/packing.h"
 
 namespace Cardamomhill
 {
@@ -14,27 +14,21 @@
 
 std::string packNotice(const LoadNotice &notice)
 {
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, notice);
-    return {buffer.data(), buffer.size()};
+    return packed(notice);
 }
 
 std::optional<LoadNotice> unpackNotice(std::string_view bytes)
 {
-    // msgpack reports bad input by exceptions.
-    try {
-        const auto handle = unpackObject(bytes);
+    const auto read = [bytes](const msgpack::object &object) -> Result<LoadNotice, WireError> {
         // A shorter array would leave fields as they are.
-        if (handle->type != msgpack::type::ARRAY || handle->via.array.size != FieldCount) {
-            return std::nullopt;
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != FieldCount) {
+            return failure(WireError{WireErrorCode::Malformed, bytes.size()});
         }
-        auto notice = handle->as<LoadNotice>();
-        return notice.format == LoadNotice::CurrentFormat ? std::optional(std::move(notice)) : std::nullopt;
-    } catch (const msgpack::unpack_error &) {
-        return std::nullopt;
-    } catch (const msgpack::type_error &) {
-        return std::nullopt;
-    }
+        return object.as<LoadNotice>();
+    };
+    auto notice = unpackedWith<LoadNotice>(bytes, read);
+    const bool isKnown = notice.has_value() && notice.value().format == LoadNotice::CurrentFormat;
+    return isKnown ? std::optional(std::move(notice.value())) : std::nullopt;
 }
 
 } // namespace Cardamomhill
--- /dev/null
+++ b/tests/numberoftest.cpp
@@ -0,0 +1,16 @@
+#include "core/numberof.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+
+using namespace Cardamomhill;
+
+TEST_CASE("a number is read only if it is the whole text and fits")
+{
+    CHECK(numberOf<std::uint16_t>("80") == 80);
+    CHECK(numberOf<std::int64_t>("-5") == -5);
+    for (const auto *text : {"", "x", "8x", " 8", "-8", "70000"}) {
+        CHECK_FALSE(numberOf<std::uint16_t>(text).has_value());
+    }
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -8,7 +8,7 @@
 
 #include <csignal>
 #include <iostream>
-#include <sstream>
+#include <optional>
 #include <stdexcept>
 
 namespace Cardamomhill
@@ -34,6 +34,27 @@
 constexpr unsigned Unauthorized = 401;
 constexpr unsigned NotFound = 404;
 
+/// The state of a link during a fault; nothing if the fault resets its connections.
+std::optional<LinkState> linkStateOf(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::DelayStoreLink:
+    case FaultKind::DelayServer:
+        return LinkState::Delayed;
+    case FaultKind::SilenceStoreLink:
+    case FaultKind::SilenceServer:
+        return LinkState::Silent;
+    case FaultKind::SilenceStoreAnswers:
+    case FaultKind::SilenceServerAnswers:
+        return LinkState::SilentDown;
+    case FaultKind::RefuseStoreLink:
+    case FaultKind::RefuseServer:
+        return LinkState::Refusing;
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 Soak::Soak(SoakOptions options)
@@ -168,7 +189,7 @@
     case FaultKind::SilenceServerAnswers:
     case FaultKind::RefuseServer:
     case FaultKind::ResetServer:
-        co_await disturbServer(fault.kind, server, fault.duration);
+        co_await disturbLink(fault.kind, server.link(), fault.duration);
         break;
     case FaultKind::ReplaceServer:
         co_await replaceServer(server, fault.duration);
@@ -219,21 +240,23 @@
 Task<> Soak::disturbStoreLink(FaultKind kind, SoakHost &host, Milliseconds duration)
 {
     host.calmness().disturb(steadyNow() + duration);
-    auto &link = host.storeLink();
-    if (kind == FaultKind::ResetStoreLink) {
-        link.resetAll();
-        co_return;
-    }
-    link.setState(kind == FaultKind::DelayStoreLink            ? LinkState::Delayed
-                      : kind == FaultKind::SilenceStoreLink    ? LinkState::Silent
-                      : kind == FaultKind::SilenceStoreAnswers ? LinkState::SilentDown
-                                                               : LinkState::Refusing);
     if (kind == FaultKind::RefuseStoreLink) {
+        host.storeLink().resetAll();
+    }
+    co_await disturbLink(kind, host.storeLink(), duration);
+    host.calmness().disturb(steadyNow());
+}
+
+Task<> Soak::disturbLink(FaultKind kind, FaultProxy &link, Milliseconds duration)
+{
+    const auto state = linkStateOf(kind);
+    if (!state) {
         link.resetAll();
+        co_return;
     }
+    link.setState(*state);
     co_await sleep(duration);
     link.setState(LinkState::Open);
-    host.calmness().disturb(steadyNow());
 }
 
 Task<> Soak::disturbStore(FaultKind kind, Milliseconds duration)
@@ -255,21 +278,6 @@
     m_storeCalmness.disturb(steadyNow());
 }
 
-Task<> Soak::disturbServer(FaultKind kind, SoakServer &server, Milliseconds duration)
-{
-    auto &link = server.link();
-    if (kind == FaultKind::ResetServer) {
-        link.resetAll();
-        co_return;
-    }
-    link.setState(kind == FaultKind::DelayServer                ? LinkState::Delayed
-                      : kind == FaultKind::SilenceServer        ? LinkState::Silent
-                      : kind == FaultKind::SilenceServerAnswers ? LinkState::SilentDown
-                                                                : LinkState::Refusing);
-    co_await sleep(duration);
-    link.setState(LinkState::Open);
-}
-
 Task<> Soak::replaceServer(SoakServer &server, Milliseconds duration)
 {
     const auto old = server.entry();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -48,7 +48,7 @@
     Task<> disturbHost(FaultKind kind, SoakHost &host, Milliseconds duration);
     Task<> disturbStoreLink(FaultKind kind, SoakHost &host, Milliseconds duration);
     Task<> disturbStore(FaultKind kind, Milliseconds duration);
-    Task<> disturbServer(FaultKind kind, SoakServer &server, Milliseconds duration);
+    Task<> disturbLink(FaultKind kind, FaultProxy &link, Milliseconds duration);
     Task<> replaceServer(SoakServer &server, Milliseconds duration);
     Task<> drainServer(SoakServer &server);
     Task<> changeConfiguration();
--- a/tests/soak/soakhost.cpp
+++ b/tests/soak/soakhost.cpp
@@ -1,26 +1,14 @@
 #include "soak/soakhost.h"
 
+#include "control/controladdress.h"
 #include "soak/freeendpoint.h"
 
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 namespace Cardamomhill
 {
 
-namespace
-{
-
-std::string textOf(const tcp::endpoint &endpoint)
-{
-    std::ostringstream text;
-    text << endpoint;
-    return text.str();
-}
-
-} // namespace
-
 SoakHost::SoakHost(asio::io_context &context,
                    std::string name,
                    const tcp::endpoint &store,
@@ -44,9 +32,10 @@
 void SoakHost::start()
 {
     std::ofstream settings(m_settings);
-    settings << "host: " << m_name << "\nfailure_domain: d1\nlisten: " << textOf(m_listen)
-             << "\noperator_listen: " << textOf(m_operatorListen) << "\npeer_listen: " << textOf(m_peerListen)
-             << "\nplatform: " << textOf(m_storeLink.endpoint()) << "\ndrain_grace_ms: 300\n";
+    settings << "host: " << m_name << "\nfailure_domain: d1\nlisten: " << nodeAddress(m_listen).value()
+             << "\noperator_listen: " << nodeAddress(m_operatorListen).value()
+             << "\npeer_listen: " << nodeAddress(m_peerListen).value()
+             << "\nplatform: " << nodeAddress(m_storeLink.endpoint()).value() << "\ndrain_grace_ms: 300\n";
     settings.close();
     m_process = std::make_unique<ChildProcess>(std::vector<std::string>{m_program, "gateway", "--settings", m_settings},
                                                m_log);
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -1,6 +1,6 @@
+#include "core/numberof.h"
 #include "soak/soak.h"
 
-#include <charconv>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -14,13 +14,6 @@
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
       "[--servers N] [--callers N]\n";
 
-bool readNumber(const char *text, std::uint64_t &number)
-{
-    const std::string_view view(text);
-    const auto [end, error] = std::from_chars(view.data(), view.data() + view.size(), number);
-    return error == std::errc() && end == view.data() + view.size() && number > 0;
-}
-
 } // namespace
 
 /// Exit status 0 if every promise was kept, 1 if one was broken, 2 for wrong arguments.
@@ -40,12 +33,12 @@
     int name = 0;
     bool isValid = true;
     while ((name = getopt_long(argc, argv, "", names, nullptr)) != -1) {
-        std::uint64_t number = 0;
+        const auto number = name == '?' ? 0 : numberOf<std::uint64_t>(optarg).value_or(0);
         if (name == 'p') {
             options.program = optarg;
         } else if (name == 'd') {
             options.directory = optarg;
-        } else if (name == '?' || !readNumber(optarg, number)) {
+        } else if (number == 0) {
             isValid = false;
         } else if (name == 's') {
             options.seed = number;
--- a/tests/soak/soakserver.cpp
+++ b/tests/soak/soakserver.cpp
@@ -1,6 +1,7 @@
 #include "soak/soakserver.h"
 
-#include <sstream>
+#include "control/controladdress.h"
+
 #include <stdexcept>
 
 namespace Cardamomhill
@@ -41,10 +42,8 @@
 
 ServerEntry SoakServer::entry() const
 {
-    std::ostringstream address;
-    address << m_link.endpoint();
     const auto number = m_instances.size();
-    return {m_name + "-" + std::to_string(number), address.str(), number, false};
+    return {m_name + "-" + std::to_string(number), nodeAddress(m_link.endpoint()).value(), number, false};
 }
 
 FaultProxy &SoakServer::link()
