Pace maps to large groups, and let hosts with fast links coordinate them

Cause: a map of a large group has about 20 KB and goes to 63 or 96 ranks. It was encoded anew for each rank and sent to all at once over 28 to 40 Mbit/s, so orders ran into their limit of 50 ms and were sent again into the full link: from plan to switch took 0.35 to 0.75 s with 63 ranks and 0.65 to 1.7 s with 96, and notices and lease renewals stood behind the maps. 96 reports were read one after the other (0.3 to 0.6 s) before a step was chosen and before counts. Ruled out: the copies themselves (35 ms for the 5 experts that the busiest rank copied) and the hold. Change: one encoding for all ranks; as many maps at once as occupy the link for 40 ms, each with a limit of 400 ms; one report of any rank ends the wait for the copies, since all ranks begin a step together; all ranks are read side by side, and the choices of experts after the usage; of the hosts near a group those try first for a free lease whose link carries a map to all ranks sooner (link_megabits_per_second).

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -45,8 +45,7 @@
                            std::shared_ptr<const ObjectApiDialect> objectApi,
                            const EngineDialect &engineDialect,
                            MetricsRegistry &metrics,
-                           std::string host,
-                           FailureDomainId failureDomain,
+                           CoordinatorHost host,
                            SlownessObserver onSlowness)
     : m_context(context)
     , m_engineDialect(engineDialect)
@@ -54,7 +53,6 @@
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_random(std::random_device()())
     , m_host(std::move(host))
-    , m_failureDomain(std::move(failureDomain))
     , m_onSlowness(std::move(onSlowness))
     , m_incarnation(std::to_string(m_random()))
 {
@@ -120,12 +118,20 @@
     const auto found = m_led.find(group);
     return found != m_led.end()
         ? found->second
-        : m_led.emplace(group, Led{CoordinatorLease(m_host, m_incarnation), nullptr}).first->second;
+        : m_led.emplace(group, Led{CoordinatorLease(m_host.name, m_incarnation), nullptr}).first->second;
 }
 
 Locality Coordination::localityOf(const GroupView &group) const
 {
-    return group.hasRankIn(m_failureDomain) ? Locality::Local : Locality::Remote;
+    return group.hasRankIn(m_host.failureDomain) ? Locality::Local : Locality::Remote;
+}
+
+CoordinatorFitness Coordination::fitnessFor(const GroupView &group) const
+{
+    const auto *engine = engineOf(group);
+    const auto time
+        = engine == nullptr ? Microseconds(0) : mapTime(*engine, group.ranks.size(), m_host.linkMegabitsPerSecond);
+    return {localityOf(group), time};
 }
 
 Task<> Coordination::run()
@@ -167,7 +173,7 @@
         records[GroupId(object.key.name)] = recordOf(object);
     }
     for (const auto &group : m_directory.groups()) {
-        ledOf(group.id).lease.observe(records[group.id], localityOf(group), steadyNow(), m_random);
+        ledOf(group.id).lease.observe(records[group.id], fitnessFor(group), steadyNow(), m_random);
     }
 }
 
@@ -215,7 +221,7 @@
             co_return;
         }
         if (object.value().version != expected) {
-            led.lease.observe(recordOf(object.value()), localityOf(group), steadyNow(), m_random);
+            led.lease.observe(recordOf(object.value()), fitnessFor(group), steadyNow(), m_random);
             co_return;
         }
     }
@@ -226,7 +232,8 @@
     }
     const auto previous = led.lease.holder();
     led.lease.acquired(*version, steadyNow());
-    led.coordinator = std::make_shared<GroupCoordinator>(m_context, m_engineDialect, m_metrics, led.lease.term());
+    led.coordinator = std::make_shared<GroupCoordinator>(
+        m_context, m_engineDialect, m_metrics, led.lease.term(), m_host.linkMegabitsPerSecond);
     logEvent(LogLevel::Info,
              "coordinating",
              {{"group", group.id.value()},
@@ -247,7 +254,7 @@
     const auto object = co_await m_client.read(key);
     if (object.has_value()) {
         const auto record = recordOf(object.value());
-        if (record.host == m_host && record.incarnation == m_incarnation) {
+        if (record.host == m_host.name && record.incarnation == m_incarnation) {
             led.lease.renewed(record.version, steadyNow());
         } else {
             stepDown(group, led, "another host holds the lease");
@@ -259,7 +266,7 @@
 
 Task<std::optional<std::uint64_t>> Coordination::write(const GroupView &group, std::uint64_t expectedVersion)
 {
-    const nlohmann::json value{{"host", m_host}, {"incarnation", m_incarnation}, {"renewal", ++m_renewals}};
+    const nlohmann::json value{{"host", m_host.name}, {"incarnation", m_incarnation}, {"renewal", ++m_renewals}};
     const ObjectKey key{LeaseKind, group.id.value()};
     const std::string text = value.dump();
     const auto written = co_await m_client.write(key, expectedVersion, text);
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -23,6 +23,13 @@
 class GroupCoordinator;
 class MetricsRegistry;
 
+/// The entry host on which groups may be coordinated.
+struct CoordinatorHost {
+    std::string name;
+    FailureDomainId failureDomain;
+    double linkMegabitsPerSecond = 0;
+};
+
 /// Keeps one coordinator at work for each group of engines, by leases in the platform's store.
 class Coordination
 {
@@ -35,8 +42,7 @@
                  std::shared_ptr<const ObjectApiDialect> objectApi,
                  const EngineDialect &engineDialect,
                  MetricsRegistry &metrics,
-                 std::string host,
-                 FailureDomainId failureDomain,
+                 CoordinatorHost host,
                  SlownessObserver onSlowness);
     ~Coordination();
 
@@ -70,6 +76,7 @@
     void stepDown(const GroupView &group, Led &led, std::string_view cause);
     Led &ledOf(const GroupId &group);
     Locality localityOf(const GroupView &group) const;
+    CoordinatorFitness fitnessFor(const GroupView &group) const;
     const EngineProfile *engineOf(const GroupView &group) const;
 
     asio::io_context &m_context;
@@ -77,8 +84,7 @@
     MetricsRegistry &m_metrics;
     PlatformClient m_client;
     Random m_random;
-    std::string m_host;
-    FailureDomainId m_failureDomain;
+    CoordinatorHost m_host;
     SlownessObserver m_onSlowness;
     std::string m_incarnation;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -8,6 +8,9 @@
 
 /// Engines answer orders and reports in milliseconds. A held group waits for what is sent again after this.
 constexpr Milliseconds OrderTimeout{50};
+/// A map has tens of kilobytes, and links of engines may carry less than one of them in a millisecond. No step waits
+/// for it.
+constexpr Milliseconds MapOrderTimeout{400};
 constexpr Milliseconds ReadTimeout{200};
 constexpr unsigned StatusOk = 200;
 
@@ -23,9 +26,11 @@
 {
 }
 
-Task<OrderAnswer> EngineClient::send(RankOrder order)
+Task<OrderAnswer> EngineClient::send(RankOrder order, std::shared_ptr<const std::string> encodedMap)
 {
-    const auto response = co_await m_client.call(m_dialect.orderCall(order, m_server), OrderTimeout);
+    const bool hasMap = std::holds_alternative<PrepareMap>(order.action) && encodedMap;
+    auto request = m_dialect.orderCall(order, m_server, hasMap ? std::string_view(*encodedMap) : std::string_view());
+    const auto response = co_await m_client.call(std::move(request), hasMap ? MapOrderTimeout : OrderTimeout);
     if (response.has_error()) {
         co_return OrderAnswer::Lost;
     }
--- a/src/coordinator/engineclient.h
+++ b/src/coordinator/engineclient.h
@@ -19,7 +19,8 @@
                  BackendServerId server,
                  const EngineDialect &dialect);
 
-    Task<OrderAnswer> send(RankOrder order);
+    /// @param encodedMap as in EngineDialect::orderCall(); may be null for orders without a map
+    Task<OrderAnswer> send(RankOrder order, std::shared_ptr<const std::string> encodedMap);
     Task<Result<RankState, EngineReadError>> readState();
     Task<Result<ExpertCounts, EngineReadError>> readCounts();
     Task<Result<HeldExperts, EngineReadError>> readHeldExperts();
--- a/src/coordinator/enginedialect.h
+++ b/src/coordinator/enginedialect.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Cardamomhill
@@ -37,7 +38,11 @@
 public:
     virtual ~EngineDialect() = default;
 
-    virtual HttpRequest orderCall(const RankOrder &order, const BackendServerId &server) const = 0;
+    /// A map as orders contain it. All ranks are sent the same one.
+    virtual std::string encodeMap(const ExpertMap &map) const = 0;
+    /// @param encodedMap what encodeMap() returned for the map of an order to copy it; not used by other orders
+    virtual HttpRequest
+    orderCall(const RankOrder &order, const BackendServerId &server, std::string_view encodedMap) const = 0;
     virtual OrderAnswer readOrderAnswer(unsigned status) const = 0;
 
     virtual HttpRequest stateCall() const = 0;
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -1,5 +1,6 @@
 #include "coordinator/groupcoordinator.h"
 
+#include "coordinator/readranks.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
 #include "net/address.h"
@@ -24,6 +25,8 @@
 constexpr double RegularWeight = 0.7;
 /// Ranks that are slower than this part of the usual speed get fewer calls.
 constexpr double SlowSpeed = 0.8;
+/// Pressure from which on all ranks are read. Each reading is charged.
+constexpr double BusyPressure = 0.5;
 /// Ranks whose choices are counted.
 constexpr std::size_t CountedRanks = 2;
 
@@ -32,10 +35,12 @@
 GroupCoordinator::GroupCoordinator(asio::io_context &context,
                                    const EngineDialect &dialect,
                                    MetricsRegistry &metrics,
-                                   std::uint64_t term)
+                                   std::uint64_t term,
+                                   double linkMegabitsPerSecond)
     : m_context(context)
     , m_dialect(dialect)
     , m_metrics(metrics)
+    , m_linkMegabitsPerSecond(linkMegabitsPerSecond)
     , m_tokens(term)
     , m_random(std::random_device()())
 {
@@ -154,25 +159,32 @@
         co_return;
     }
     sendOrders();
-    if (m_switch->wantsReports(now)) {
+    switch (m_switch->reportNeed(now)) {
+    case ReportNeed::AllRanks:
         co_await readStates();
+        break;
+    case ReportNeed::AnyRank:
+        co_await readOneState();
+        break;
+    case ReportNeed::None:
+        break;
     }
 }
 
 void GroupCoordinator::sendOrders()
 {
     for (auto &order : m_switch->takeOrders(steadyNow())) {
-        spawn(m_context.get_executor(), "rank-order", sendOrder(std::move(order)));
+        spawn(m_context.get_executor(), "rank-order", sendOrder(std::move(order), m_encodedMap));
     }
 }
 
-Task<> GroupCoordinator::sendOrder(RankOrder order)
+Task<> GroupCoordinator::sendOrder(RankOrder order, std::shared_ptr<const std::string> encodedMap)
 {
     const auto self = shared_from_this();
     // Both are replaced when the group opens anew.
     const auto sentFor = m_switch;
     const auto client = m_clients[order.rank];
-    const auto answer = co_await client->send(order);
+    const auto answer = co_await client->send(order, std::move(encodedMap));
     if (answer != OrderAnswer::Accepted) {
         logEvent(LogLevel::Info,
                  "order-not-accepted",
@@ -192,41 +204,50 @@
 Task<> GroupCoordinator::readStates()
 {
     const auto readFor = m_switch;
-    const auto clients = m_clients;
-    std::vector<std::optional<RankState>> states(clients.size());
-    for (std::size_t rank = 0; rank < states.size(); ++rank) {
-        auto state = co_await clients[rank]->readState();
-        if (state.has_value()) {
-            states[rank] = state.value();
-        }
+    const auto states = co_await readRanks(m_context, m_clients, &EngineClient::readState);
+    if (m_switch != readFor) {
+        co_return;
     }
+    takeSpeeds(states);
+    m_switch->onReports(states, steadyNow());
+}
+
+Task<> GroupCoordinator::readOneState()
+{
+    const auto readFor = m_switch;
+    const auto rank = m_countedRank;
+    const auto state = co_await m_clients[rank]->readState();
     if (m_switch != readFor) {
         co_return;
     }
-    m_speeds.resize(states.size(), 1.0);
-    for (std::size_t rank = 0; rank < states.size(); ++rank) {
-        m_speeds[rank] = states[rank] ? 1 / std::max(states[rank]->slowness, 1.0) : m_speeds[rank];
+    if (state.has_value()) {
+        readFor->onState(rank, state.value(), steadyNow());
+        const double inUse = state.value().running + state.value().waiting;
+        m_policy.observeUsage(inUse / std::max<std::uint32_t>(m_engine.slots, 1));
+    } else {
+        m_countedRank = (rank + 1) % m_clients.size();
     }
-    m_switch->onReports(states, steadyNow());
 }
 
 Task<bool> GroupCoordinator::learnMap()
 {
     const auto readFor = m_switch;
-    const auto clients = m_clients;
-    const GroupShape shape{clients.size(), m_engine.expertLayers, m_engine.expertsPerLayer};
+    const GroupShape shape{m_clients.size(), m_engine.expertLayers, m_engine.expertsPerLayer};
+    const auto held = co_await readRanks(m_context, m_clients, &EngineClient::readHeldExperts);
+    if (m_switch != readFor) {
+        co_return false;
+    }
     auto map = std::make_shared<ExpertMap>(shape);
     std::optional<std::uint64_t> version;
     for (std::size_t rank = 0; rank < shape.ranks; ++rank) {
-        auto held = co_await clients[rank]->readHeldExperts();
-        if (m_switch != readFor || held.has_error() || held.value().epoch != m_switch->epoch()
-            || held.value().experts.size() != shape.layers
-            || held.value().mapVersion != version.value_or(held.value().mapVersion)) {
+        const auto &ofRank = held[rank];
+        if (!ofRank || ofRank->epoch != readFor->epoch() || ofRank->experts.size() != shape.layers
+            || ofRank->mapVersion != version.value_or(ofRank->mapVersion)) {
             co_return false;
         }
-        version = held.value().mapVersion;
+        version = ofRank->mapVersion;
         for (std::size_t layer = 0; layer < shape.layers; ++layer) {
-            for (const auto expert : held.value().experts[layer]) {
+            for (const auto expert : ofRank->experts[layer]) {
                 const ReplicaMove move{
                     MoveKind::Add, static_cast<LayerIndex>(layer), expert, static_cast<RankIndex>(rank)};
                 if (map->apply(move).has_error()) {
@@ -243,36 +264,39 @@
     co_return true;
 }
 
-Task<bool> GroupCoordinator::readUsage()
+Task<> GroupCoordinator::readUsage()
 {
+    // A slow rank makes the whole group busy, so while it is not, one rank says enough.
+    if (m_policy.pressure() < BusyPressure) {
+        co_await readOneState();
+        co_return;
+    }
     const auto readFor = m_switch;
-    const auto clients = m_clients;
-    std::vector<double> speeds(clients.size(), 1.0);
+    const auto states = co_await readRanks(m_context, m_clients, &EngineClient::readState);
+    if (m_switch != readFor) {
+        co_return;
+    }
+    takeSpeeds(states);
     double inUse = 0;
     double known = 0;
-    for (std::size_t rank = 0; rank < clients.size(); ++rank) {
-        // A slow rank makes the whole group busy, so while it is not, one rank says enough.
-        if (m_policy.pressure() < 0.5 && rank != m_countedRank) {
-            continue;
-        }
-        const auto state = co_await clients[rank]->readState();
-        if (m_switch != readFor) {
-            co_return false;
-        }
-        if (state.has_error()) {
-            m_countedRank = rank == m_countedRank ? (m_countedRank + 1) % clients.size() : m_countedRank;
-            continue;
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        if (states[rank]) {
+            readFor->onState(rank, *states[rank], steadyNow());
+            inUse += states[rank]->running + states[rank]->waiting;
+            known += m_engine.slots;
         }
-        readFor->onState(rank, state.value(), steadyNow());
-        inUse += state.value().running + state.value().waiting;
-        known += m_engine.slots;
-        speeds[rank] = 1 / std::max(state.value().slowness, 1.0);
     }
     if (known > 0) {
         m_policy.observeUsage(inUse / known);
     }
-    m_speeds = std::move(speeds);
-    co_return known > 0;
+}
+
+void GroupCoordinator::takeSpeeds(const std::vector<std::optional<RankState>> &states)
+{
+    m_speeds.resize(states.size(), 1.0);
+    for (std::size_t rank = 0; rank < states.size(); ++rank) {
+        m_speeds[rank] = states[rank] ? 1 / std::max(states[rank]->slowness, 1.0) : m_speeds[rank];
+    }
 }
 
 Task<bool> GroupCoordinator::readLoad(CountReading reading)
@@ -304,12 +328,11 @@
 
 Task<> GroupCoordinator::considerSwitch()
 {
-    const auto now = steadyNow();
-    const bool isCountDue = m_schedule.due(now, m_policy.pressure()) != CountReading::None;
-    if (m_engine.expertLayers == 0 || (now < m_nextUsage && !isCountDue)) {
+    const bool isCountDue = m_schedule.due(steadyNow(), m_policy.pressure()) != CountReading::None;
+    const bool isUsageDue = steadyNow() >= m_nextUsage;
+    if (m_engine.expertLayers == 0 || (!isUsageDue && !isCountDue)) {
         co_return;
     }
-    m_nextUsage = now + UsageInterval;
     if (m_switch->mapInForce()) {
         m_map = m_switch->mapInForce();
     }
@@ -325,13 +348,14 @@
             co_return;
         }
     }
+    if (isUsageDue) {
+        m_nextUsage = steadyNow() + UsageInterval;
+        co_await readUsage();
+    }
+    // Read after the usage, so that a plan has the newest choices.
     const auto readFor = m_switch;
-    const bool isUsageKnown = co_await readUsage();
     const auto reading = m_schedule.due(steadyNow(), m_policy.pressure());
-    if (!isUsageKnown || m_switch != readFor || reading == CountReading::None) {
-        co_return;
-    }
-    const bool isLoadKnown = co_await readLoad(reading);
+    const bool isLoadKnown = reading != CountReading::None && co_await readLoad(reading);
     if (isLoadKnown && m_switch == readFor && m_switch->hasTakenEffect() && m_switch->phase() == SwitchPhase::Idle) {
         planSwitchOfMap(reading);
     }
@@ -353,7 +377,9 @@
               {"copies_of_one_rank", plan.mostCopies}});
     if (isWorth) {
         const auto copyTime = SwitchPolicy::copyTime(m_engine, plan.mostCopies);
-        m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime, steadyNow());
+        m_encodedMap = std::make_shared<const std::string>(m_dialect.encodeMap(plan.map));
+        const auto mapsAtOnce = SwitchPolicy::mapsAtOnce(m_linkMegabitsPerSecond, m_encodedMap->size());
+        m_switch->begin(std::make_shared<const ExpertMap>(plan.map), copyTime, mapsAtOnce, steadyNow());
         m_switch->tick(steadyNow());
         sendOrders();
     }
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -31,7 +31,8 @@
     GroupCoordinator(asio::io_context &context,
                      const EngineDialect &dialect,
                      MetricsRegistry &metrics,
-                     std::uint64_t term);
+                     std::uint64_t term,
+                     double linkMegabitsPerSecond);
 
     void start();
 
@@ -57,10 +58,12 @@
     Task<> work();
     Task<> readStates();
     void sendOrders();
-    Task<> sendOrder(RankOrder order);
+    Task<> sendOrder(RankOrder order, std::shared_ptr<const std::string> encodedMap);
+    Task<> readOneState();
     Task<bool> learnMap();
     Task<> considerSwitch();
-    Task<bool> readUsage();
+    Task<> readUsage();
+    void takeSpeeds(const std::vector<std::optional<RankState>> &states);
     /// Returns whether the load is known well enough for a plan.
     Task<bool> readLoad(CountReading reading);
     void planSwitchOfMap(CountReading reading);
@@ -70,6 +73,7 @@
     asio::io_context &m_context;
     const EngineDialect &m_dialect;
     MetricsRegistry &m_metrics;
+    double m_linkMegabitsPerSecond;
     OrderTokens m_tokens;
     Random m_random;
     GroupView m_group;
@@ -78,6 +82,8 @@
     std::vector<std::shared_ptr<EngineClient>> m_clients;
     std::shared_ptr<MapSwitch> m_switch;
     std::shared_ptr<const ExpertMap> m_map;
+    /// The map of the switch that is under way, as orders contain it.
+    std::shared_ptr<const std::string> m_encodedMap;
     ExpertLoad m_load;
     /// By rank, 1 for the usual speed.
     std::vector<double> m_speeds;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -49,8 +49,7 @@
                          storeDialect.objectApi(),
                          engineDialect,
                          m_metrics,
-                         settings.host.value(),
-                         settings.failureDomain,
+                         {settings.host.value(), settings.failureDomain, settings.linkMegabitsPerSecond},
                          [this](const ServerSlowness &slowness) {
                              asio::post(m_traffic.context(), [this, slowness] { m_traffic.setOwnSlowness(slowness); });
                          })
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::int64_t MaxRetrySlack = 1'000'000;
 constexpr std::int64_t MaxCallsPerRetry = 1000;
+constexpr double LeastLinkMegabits = 0.1;
+constexpr double MostLinkMegabits = 1'000'000;
 
 } // namespace
 
@@ -29,6 +31,8 @@
         = static_cast<std::uint32_t>(reader.integer("calls_per_retry", settings.callsPerRetry, 1, MaxCallsPerRetry));
     settings.drainGrace = reader.drainGrace(settings.drainGrace);
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
+    settings.linkMegabitsPerSecond = reader.decimal(
+        "link_megabits_per_second", settings.linkMegabitsPerSecond, LeastLinkMegabits, MostLinkMegabits);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -34,6 +34,8 @@
     /// Whether this host takes part in changing the expert maps of engine groups. Needs engines that refuse orders with
     /// an old fencing token.
     bool coordinatesGroups = false;
+    /// Rate of this host's link, in Mbit/s. Orders to engines are paced by it.
+    double linkMegabitsPerSecond = 1000;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -12,7 +12,10 @@
 {
 }
 
-void CoordinatorLease::observe(const LeaseRecord &record, Locality locality, SteadyTime now, Random &random)
+void CoordinatorLease::observe(const LeaseRecord &record,
+                               const CoordinatorFitness &fitness,
+                               SteadyTime now,
+                               Random &random)
 {
     const bool isFirst = m_freeAt == SteadyTime::max();
     if (m_isHeld || (!isFirst && record.version <= m_record.version)) {
@@ -20,8 +23,9 @@
     }
     m_record = record;
     std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
-    const auto delay
-        = Milliseconds(spread(random)) + (locality == Locality::Remote ? m_options.remoteDelay : Milliseconds(0));
+    m_mapDelay = std::min<Microseconds>(m_options.delayPerMapTime * fitness.mapTime, m_options.longestMapDelay);
+    const auto delay = Milliseconds(spread(random)) + m_mapDelay
+        + (fitness.locality == Locality::Remote ? m_options.remoteDelay : Milliseconds(0));
     // An earlier process of this host has ended, so nobody renews its lease.
     const bool isOwnRemnant = record.host == m_host && record.incarnation != m_incarnation;
     if (isOwnRemnant) {
@@ -38,7 +42,9 @@
     }
     m_silentVersion = m_record.version;
     std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.silentSpread.count());
-    m_freeAt = std::min(m_freeAt, now + Milliseconds(spread(random)));
+    // A step may be held, so the less fit hosts wait no longer than all others do.
+    const auto delay = Milliseconds(spread(random)) + std::min<Microseconds>(m_mapDelay, m_options.silentSpread);
+    m_freeAt = std::min<SteadyTime>(m_freeAt, now + delay);
 }
 
 const std::string &CoordinatorLease::holder() const
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -2,7 +2,7 @@
 
 #include "core/clocktypes.h"
 #include "core/random.h"
-#include "rebalance/locality.h"
+#include "rebalance/coordinatorfitness.h"
 
 #include <cstdint>
 #include <optional>
@@ -20,6 +20,9 @@
     Milliseconds attemptSpread{3000};
     /// Further delay of a remote host, so that it comes only after all local ones.
     Milliseconds remoteDelay{6000};
+    /// Further delay of a host for each time unit that a map occupies its link, and the longest such delay.
+    int delayPerMapTime = 8;
+    Milliseconds longestMapDelay{2000};
     /// The same as `attemptSpread` after the holder turned silent. It may have stopped in a step that it holds.
     Milliseconds silentSpread{500};
 };
@@ -42,7 +45,7 @@
     CoordinatorLease(std::string host, std::string incarnation, CoordinatorLeaseOptions options = {});
 
     /// Takes what the store said, which may be seconds old.
-    void observe(const LeaseRecord &record, Locality locality, SteadyTime now, Random &random);
+    void observe(const LeaseRecord &record, const CoordinatorFitness &fitness, SteadyTime now, Random &random);
 
     /// The host that holds the lease is not heard any more. Takes it earlier than its lifetime says.
     void holderTurnedSilent(SteadyTime now, Random &random);
@@ -75,6 +78,8 @@
     SteadyTime m_renewAt{};
     std::uint64_t m_term = 0;
     bool m_isHeld = false;
+    /// Further delay of this host for the time that maps take on its link.
+    Microseconds m_mapDelay{0};
     /// The record for which the holder's silence was taken into account.
     std::uint64_t m_silentVersion = 0;
 };
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -38,11 +38,15 @@
     return m_epoch;
 }
 
-void MapSwitch::begin(std::shared_ptr<const ExpertMap> map, Microseconds copyTime, SteadyTime now)
+void MapSwitch::begin(std::shared_ptr<const ExpertMap> map,
+                      Microseconds copyTime,
+                      std::size_t mapsAtOnce,
+                      SteadyTime now)
 {
     m_next = std::move(map);
     m_version = m_tokens.next();
     m_copyTime = copyTime;
+    m_mapsAtOnce = std::max<std::size_t>(mapsAtOnce, 1);
     m_nextReports = SteadyTime::max();
     m_stepPenalty = 0;
     m_isRecovery = false;
@@ -56,7 +60,10 @@
         m_phaseSince = now;
     }
     std::vector<RankOrder> orders;
-    for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+    std::size_t room = m_phase == SwitchPhase::Preparing ? m_mapsAtOnce : m_ranks.size();
+    room -= std::min<std::size_t>(
+        room, std::count_if(m_ranks.begin(), m_ranks.end(), [](const Rank &rank) { return rank.isInFlight; }));
+    for (std::size_t rank = 0; rank < m_ranks.size() && orders.size() < room; ++rank) {
         auto &state = m_ranks[rank];
         if (!isWanted(rank) || state.isDone || state.isInFlight || now < state.retryAt) {
             continue;
@@ -246,12 +253,19 @@
     return true;
 }
 
-bool MapSwitch::wantsReports(SteadyTime now) const
+ReportNeed MapSwitch::reportNeed(SteadyTime now) const
 {
     if (now < m_nextReports) {
-        return false;
+        return ReportNeed::None;
+    }
+    switch (m_phase) {
+    case SwitchPhase::Inspecting:
+        return ReportNeed::AllRanks;
+    case SwitchPhase::Preparing:
+        return ReportNeed::AnyRank;
+    default:
+        return ReportNeed::None;
     }
-    return m_phase == SwitchPhase::Inspecting || m_phase == SwitchPhase::Preparing;
 }
 
 void MapSwitch::onReports(const std::vector<std::optional<RankState>> &states, SteadyTime now)
@@ -271,13 +285,8 @@
         }
     }
     measureSteps(now);
-    if (!isComplete) {
-        return;
-    }
-    if (m_phase == SwitchPhase::Inspecting) {
+    if (isComplete && m_phase == SwitchPhase::Inspecting) {
         inspect(now);
-    } else if (m_phase == SwitchPhase::Preparing) {
-        onPrepared(now);
     }
 }
 
@@ -290,6 +299,9 @@
         return;
     }
     measureSteps(now);
+    if (reportNeed(now) == ReportNeed::AnyRank) {
+        onPrepared(now);
+    }
 }
 
 bool MapSwitch::hasTakenEffect() const
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -6,6 +6,7 @@
 #include "rebalance/ordertokens.h"
 #include "rebalance/rankorder.h"
 #include "rebalance/rankstate.h"
+#include "rebalance/reportneed.h"
 #include "rebalance/switchphase.h"
 
 #include <cstddef>
@@ -60,18 +61,19 @@
 
     /// Begins a switch while idle.
     /// @param copyTime how long the ranks need for their copies
-    void begin(std::shared_ptr<const ExpertMap> map, Microseconds copyTime, SteadyTime now);
+    /// @param mapsAtOnce ranks that may be sent the map at the same time, at least 1
+    void begin(std::shared_ptr<const ExpertMap> map, Microseconds copyTime, std::size_t mapsAtOnce, SteadyTime now);
 
     /// Orders to send now. Each one ends with onAnswer().
     std::vector<RankOrder> takeOrders(SteadyTime now);
     void onAnswer(const RankOrder &order, OrderAnswer answer, SteadyTime now);
 
-    /// Whether the ranks are to be read now.
-    bool wantsReports(SteadyTime now) const;
+    /// Which ranks are to be read now.
+    ReportNeed reportNeed(SteadyTime now) const;
     /// What was read of each rank; nothing where the reading failed.
     void onReports(const std::vector<std::optional<RankState>> &states, SteadyTime now);
 
-    /// Takes a reading of one rank while idle, which keeps the rate of steps up to date.
+    /// Takes a reading of one rank. It tells the step of the whole group and keeps the rate of steps up to date.
     void onState(std::size_t rank, const RankState &state, SteadyTime now);
 
     /// Whether the step of the last switch has begun, as far as the readings show.
@@ -132,6 +134,7 @@
     std::shared_ptr<const ExpertMap> m_inForce;
     SteadyTime m_nextReports{};
     Microseconds m_copyTime{0};
+    std::size_t m_mapsAtOnce = 1;
     std::uint64_t m_lastStep = 0;
     SteadyTime m_lastStepAt{};
     SteadyTime m_rateFrom{};
--- a/src/rebalance/switchpolicy.cpp
+++ b/src/rebalance/switchpolicy.cpp
@@ -24,6 +24,10 @@
 /// Copies may take this many times longer than the link's rate says.
 constexpr double CopyMargin = 1.1;
 constexpr double BitsPerByte = 8;
+constexpr double MegabitBytes = 1e6 / BitsPerByte;
+/// Time for which maps that are sent together may occupy the coordinator's link. Events of callers' streams, notices
+/// and renewals of the lease wait behind them.
+constexpr std::chrono::duration<double> MapBurst{0.04};
 
 } // namespace
 
@@ -57,6 +61,13 @@
     return plan.skewAfter < plan.skewBefore * (1 - blend(RequiredGainIdle, RequiredGainBusy));
 }
 
+std::size_t SwitchPolicy::mapsAtOnce(double linkMegabitsPerSecond, std::size_t mapBytes)
+{
+    const double bytes = linkMegabitsPerSecond * MegabitBytes * MapBurst.count();
+    return std::max<std::size_t>(
+        static_cast<std::size_t>(bytes / static_cast<double>(std::max<std::size_t>(mapBytes, 1))), 1);
+}
+
 Microseconds SwitchPolicy::copyTime(const EngineProfile &engine, std::size_t copies)
 {
     if (engine.linkMegabitsPerSecond <= 0) {
--- a/src/rebalance/switchpolicy.h
+++ b/src/rebalance/switchpolicy.h
@@ -30,6 +30,9 @@
     /// Time in which the rank with most copies receives them.
     static Microseconds copyTime(const EngineProfile &engine, std::size_t copies);
 
+    /// Ranks that may be sent a map at the same time without filling the coordinator's link for long.
+    static std::size_t mapsAtOnce(double linkMegabitsPerSecond, std::size_t mapBytes);
+
 private:
     double blend(double idle, double busy) const;
 
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -5,6 +5,7 @@
 #include "net/address.h"
 
 #include <optional>
+#include <sstream>
 
 namespace Cardamomhill::internal
 {
@@ -64,21 +65,34 @@
     return node.Scalar();
 }
 
-std::int64_t SettingsReader::integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high)
+template<class Number>
+Number
+SettingsReader::number(const std::string &key, Number fallback, Number low, Number high, const std::string &accepted)
 {
-    const std::string accepted = std::to_string(low) + " to " + std::to_string(high);
     const auto node = find(key, false, accepted);
     if (!node.IsDefined()) {
         return fallback;
     }
-    const auto number = node.IsScalar() ? numberOf<std::int64_t>(node.Scalar()) : std::nullopt;
-    if (!number || *number < low || *number > high) {
+    const auto number = node.IsScalar() ? numberOf<Number>(node.Scalar()) : std::nullopt;
+    if (!number || !(*number >= low && *number <= high)) {
         addError(SettingsErrorCode::InvalidValue, lineOf(node), key, accepted);
         return fallback;
     }
     return *number;
 }
 
+std::int64_t SettingsReader::integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high)
+{
+    return number(key, fallback, low, high, std::to_string(low) + " to " + std::to_string(high));
+}
+
+double SettingsReader::decimal(const std::string &key, double fallback, double low, double high)
+{
+    std::ostringstream accepted;
+    accepted << low << " to " << high;
+    return number(key, fallback, low, high, accepted.str());
+}
+
 Milliseconds SettingsReader::drainGrace(Milliseconds fallback)
 {
     constexpr std::int64_t Most = 60'000;
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -24,6 +24,7 @@
 
     std::string text(const std::string &key);
     std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t low, std::int64_t high);
+    double decimal(const std::string &key, double fallback, double low, double high);
     /// `drain_grace_ms`, which all entry hosts have.
     Milliseconds drainGrace(Milliseconds fallback);
     bool boolean(const std::string &key, bool fallback);
@@ -43,6 +44,8 @@
     }
 
 private:
+    template<class Number>
+    Number number(const std::string &key, Number fallback, Number low, Number high, const std::string &accepted);
     YAML::Node find(const std::string &key, bool required, const std::string &accepted);
     void addError(SettingsErrorCode code, int line, const std::string &key, const std::string &accepted);
     void reportUnknownKeys();
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -1,6 +1,7 @@
 #include "rebalance/coordinatorlease.h"
 #include "rebalance/groupdirectory.h"
 #include "rebalance/ordertokens.h"
+#include "traffic/engineprofile.h"
 
 #include <doctest/doctest.h>
 
@@ -27,11 +28,11 @@
 {
     Random random(1);
     CoordinatorLease lease("a", "1");
-    lease.observe({5, "b", "1"}, Locality::Local, Start, random);
+    lease.observe({5, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(4)));
-    lease.observe({6, "b", "1"}, Locality::Local, Start + Seconds(4), random);
+    lease.observe({6, "b", "1"}, CoordinatorFitness{Locality::Local}, Start + Seconds(4), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(8)));
-    lease.observe({6, "b", "1"}, Locality::Local, Start + Seconds(8), random);
+    lease.observe({6, "b", "1"}, CoordinatorFitness{Locality::Local}, Start + Seconds(8), random);
     CHECK(lease.shouldAcquire(Start + LongEnough));
     CHECK(lease.expectedVersion() == 6);
 }
@@ -46,26 +47,58 @@
         for (int host = 0; host < Hosts; ++host) {
             Random random(static_cast<std::uint64_t>(host));
             CoordinatorLease local("a", "1");
-            local.observe({version, "b", "1"}, Locality::Local, Start, random);
+            local.observe({version, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
             REQUIRE(local.shouldAcquire(lastLocal));
             CoordinatorLease remote("c", "1");
-            remote.observe({version, "b", "1"}, Locality::Remote, Start, random);
+            remote.observe({version, "b", "1"}, CoordinatorFitness{Locality::Remote}, Start, random);
             REQUIRE_FALSE(remote.shouldAcquire(lastLocal));
             REQUIRE(remote.shouldAcquire(Start + LongEnough));
         }
     }
 }
 
+TEST_CASE("of the hosts near a large group, one whose link carries its maps in time takes a free lease first")
+{
+    constexpr int Hosts = 30;
+    constexpr std::size_t Ranks = 96;
+    EngineProfile engine;
+    engine.expertLayers = 16;
+    engine.expertsPerLayer = 192;
+    engine.placesPerRank = 3;
+    const CoordinatorFitness fast{Locality::Local, mapTime(engine, Ranks, 200)};
+    const CoordinatorFitness slow{Locality::Local, mapTime(engine, Ranks, 20)};
+    CHECK(fast.mapTime < Milliseconds(150));
+    CHECK(slow.mapTime > Milliseconds(500));
+    const auto firstTry = [](const CoordinatorFitness &fitness) {
+        auto first = SteadyTime::max();
+        for (int host = 0; host < Hosts; ++host) {
+            Random random(static_cast<std::uint64_t>(host));
+            CoordinatorLease lease("a", "1");
+            lease.observe({0, "", ""}, fitness, Start, random);
+            auto at = Start;
+            while (!lease.shouldAcquire(at)) {
+                at += Milliseconds(10);
+                REQUIRE(at < Start + LongEnough);
+            }
+            first = std::min(first, at);
+        }
+        return first;
+    };
+    CHECK(firstTry(fast) + Milliseconds(500) < firstTry(slow));
+    // Where links carry the maps at once, they hardly delay anybody.
+    CHECK(firstTry({Locality::Local, mapTime(engine, 8, 700)}) < firstTry({Locality::Local}) + Milliseconds(100));
+}
+
 TEST_CASE("the lease of a host that turned silent is taken early, and once for each version")
 {
     Random random(1);
     CoordinatorLease lease("a", "1");
-    lease.observe({6, "b", "1"}, Locality::Local, Start, random);
+    lease.observe({6, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
     CHECK(lease.holder() == "b");
     lease.holderTurnedSilent(Start + Seconds(1), random);
     CHECK(lease.shouldAcquire(Start + Milliseconds(1500)));
     // It was renewed after all.
-    lease.observe({7, "b", "1"}, Locality::Local, Start + Milliseconds(1500), random);
+    lease.observe({7, "b", "1"}, CoordinatorFitness{Locality::Local}, Start + Milliseconds(1500), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(2)));
     lease.acquired(8, Start + Seconds(2));
     lease.holderTurnedSilent(Start + Seconds(2), random);
@@ -85,8 +118,8 @@
 {
     Random random(1);
     CoordinatorLease lease("a", "1");
-    lease.observe({6, "b", "1"}, Locality::Local, Start, random);
-    lease.observe({5, "c", "1"}, Locality::Local, Start + Seconds(1), random);
+    lease.observe({6, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
+    lease.observe({5, "c", "1"}, CoordinatorFitness{Locality::Local}, Start + Seconds(1), random);
     CHECK(lease.expectedVersion() == 6);
 }
 
@@ -94,7 +127,7 @@
 {
     Random random(1);
     CoordinatorLease lease("a", "2");
-    lease.observe({5, "a", "1"}, Locality::Local, Start, random);
+    lease.observe({5, "a", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
     CHECK(lease.shouldAcquire(Start));
 }
 
--- a/tests/support/switchworld.h
+++ b/tests/support/switchworld.h
@@ -68,6 +68,7 @@
 
 private:
     static constexpr std::size_t Ranks = 4;
+    static constexpr std::size_t MapsAtOnce = 3;
     static constexpr Milliseconds Tick{20};
     static constexpr Milliseconds StepTime{40};
     static constexpr Milliseconds ReportLag{200};
@@ -165,7 +166,7 @@
         switch (mapSwitch.phase()) {
         case SwitchPhase::Idle:
             if (std::uniform_int_distribution<int>(0, 20)(m_random) == 0) {
-                mapSwitch.begin(std::make_shared<ExpertMap>(GroupShape{Ranks, 1, 1}), CopyTime, m_now);
+                mapSwitch.begin(std::make_shared<ExpertMap>(GroupShape{Ranks, 1, 1}), CopyTime, MapsAtOnce, m_now);
             }
             break;
         case SwitchPhase::EpochEnded:
@@ -189,8 +190,15 @@
             }
         }
         send(coordinator);
-        if (mapSwitch.wantsReports(m_now)) {
-            mapSwitch.onReports(reports(), m_now);
+        const auto need = mapSwitch.reportNeed(m_now);
+        if (need == ReportNeed::None) {
+            return;
+        }
+        const auto states = reports();
+        if (need == ReportNeed::AllRanks) {
+            mapSwitch.onReports(states, m_now);
+        } else if (states[0]) {
+            mapSwitch.onState(0, *states[0], m_now);
         }
     }
 
