Compare few servers a choice, so that a large fleet does not crowd the idle ones

Cause: what a host knows of the others' calls is 0.2 s old and more. Ruled out: expert skew (it slows all ranks alike) and a shorter interval of notices (bytes between hosts grow with the square of their number). Change: a choice compares three servers, picked at random among those that can take the call; the random part is gone. It also costs the same however many servers a service has.

--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -1,5 +1,7 @@
 #include "traffic/servertable.h"
 
+#include "traffic/randomorder.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -101,12 +103,14 @@
     if (found == m_services.end()) {
         return choice;
     }
-    std::uniform_real_distribution<double> jitter(0, m_options.jitterCalls);
     double best = std::numeric_limits<double>::max();
     bool isBestAvoided = true;
     bool sawFull = false;
     bool sawClosed = false;
-    for (const auto &id : found->second) {
+    std::size_t sound = 0;
+    internal::RandomOrder order(found->second.size(), random);
+    while (sound < m_options.comparedServers && !order.isDone()) {
+        const auto &id = found->second[order.next()];
         const auto &entry = m_entries.at(id);
         if (entry.server.isLeaving) {
             continue;
@@ -131,7 +135,8 @@
         const auto slowness = m_slowness.find(entry.key);
         const double factor = slowness == m_slowness.end() ? 1.0 : slowness->second;
         const bool isAvoided = failures >= m_options.failuresToAvoid || factor >= m_options.slownessToAvoid;
-        const double calls = load + 1 + failures * m_options.failurePenaltyCalls + jitter(random);
+        sound += isAvoided ? 0 : 1;
+        const double calls = load + 1 + failures * m_options.failurePenaltyCalls;
         const double score = calls * factor / slots;
         if (std::pair(isAvoided, score) < std::pair(isBestAvoided, best)) {
             best = score;
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -27,9 +27,9 @@
     /// second and more on a call, and callers give up a stream that has not begun after two.
     double waitingPerSlot = 1.5;
     double waitingPerEngineSlot = 0.6;
-    /// Random part of the load that a choice sees, in calls. Loads of other hosts are up to 0.2 s old, so without it
-    /// all hosts would send their next calls to the same few servers.
-    double jitterCalls = 4.0;
+    /// Servers that a choice compares, picked at random among those that can take the call. Hosts that compare all
+    /// servers of a large service send their calls to the few that looked idle when the loads were told.
+    std::size_t comparedServers = 3;
     /// Load that a recent failure counts for, in calls, and the time in which it halves.
     double failurePenaltyCalls = 6;
     Microseconds failureHalfLife = Seconds(2);
@@ -63,7 +63,7 @@
     /// Whether some server of a service can take calls.
     bool canServe(const ServiceId &service) const;
 
-    /// Chooses the least loaded server of a service that was not tried.
+    /// Chooses the least loaded of a few servers of a service that were not tried.
     ServerChoice
     choose(const ServiceId &service, const std::vector<BackendServerId> &tried, SteadyTime now, Random &random) const;
 
