Call the store less often: shared probes, fewer rounds of watches

Ruled out: stale watches, since a leaving server has to be known in time. Change: StoreContact lets one caller of a process probe a store that is away, 0.1 to 1.5 s apart; the host list and the leases wait for contact. A change after a quiet time is still told at once, but those that follow come in rounds of 0.8 s (servers) and 0.4 s (configuration). A host is entered by one write unless it is there.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -26,11 +26,13 @@
                              std::shared_ptr<const ObjectApiDialect> objectApi,
                              std::string host,
                              tcp::endpoint address,
+                             const StoreContact &contact,
                              Observer onHosts)
     : m_context(context)
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_host(std::move(host))
     , m_address(std::move(address))
+    , m_contact(contact)
     , m_onHosts(std::move(onHosts))
 {
 }
@@ -51,7 +53,9 @@
         co_await timer.async_wait(storeError(error));
     }
     while (!error) {
-        co_await list();
+        if (!m_contact.isLost()) {
+            co_await list();
+        }
         timer.expires_after(ListInterval);
         co_await timer.async_wait(storeError(error));
     }
@@ -61,15 +65,18 @@
 {
     const ObjectKey key{HostKind, m_host};
     const std::string value = nlohmann::json{{"address", nodeAddress(m_address).value()}}.dump();
-    const auto present = co_await m_client.read(key);
-    if (present.has_error() && present.error().code != PlatformCallErrorCode::NotFound) {
-        co_return false;
-    }
-    if (present.has_value() && present.value().value == value) {
-        co_return true;
+    // Most hosts start for the first time, so the object is read only if there is one.
+    auto written = co_await m_client.write(key, 0, value);
+    if (written.has_error() && written.error().code == PlatformCallErrorCode::Conflict) {
+        const auto present = co_await m_client.read(key);
+        if (present.has_error()) {
+            co_return false;
+        }
+        if (present.value().value == value) {
+            co_return true;
+        }
+        written = co_await m_client.write(key, present.value().version, value);
     }
-    const auto version = present.has_value() ? present.value().version : 0;
-    const auto written = co_await m_client.write(key, version, value);
     if (written.has_error()) {
         logEvent(LogLevel::Warning, "host-not-registered", {{"error", written.error().message().substr(0, 60)}});
     }
--- a/src/control/hostdirectory.h
+++ b/src/control/hostdirectory.h
@@ -2,6 +2,7 @@
 
 #include "control/platformclient.h"
 #include "net/asio.h"
+#include "objectstore/storecontact.h"
 
 #include <functional>
 #include <memory>
@@ -22,6 +23,7 @@
                   std::shared_ptr<const ObjectApiDialect> objectApi,
                   std::string host,
                   tcp::endpoint address,
+                  const StoreContact &contact,
                   Observer onHosts);
 
     void start();
@@ -35,6 +37,7 @@
     PlatformClient m_client;
     std::string m_host;
     tcp::endpoint m_address;
+    const StoreContact &m_contact;
     Observer m_onHosts;
 };
 
--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -17,6 +17,8 @@
 /// The store answers in milliseconds, or in some hundred when it is slow; a lost connection attempt must not delay the
 /// next one for long.
 constexpr Milliseconds CallTimeout{1500};
+/// While another caller probes a store that is away.
+constexpr Milliseconds ContactCheckPeriod{100};
 constexpr Milliseconds FirstDelay{100};
 constexpr Milliseconds DelayLimit{1000};
 
@@ -27,11 +29,13 @@
                            std::shared_ptr<const ObjectApiDialect> dialect,
                            std::string kind,
                            Milliseconds callInterval,
+                           StoreContact &contact,
                            Observers observers)
     : m_context(context)
     , m_client(context, platform, std::move(dialect), CallTimeout)
     , m_kind(std::move(kind))
     , m_callInterval(callInterval)
+    , m_contact(contact)
     , m_observers(std::move(observers))
     , m_random(std::random_device()())
     , m_backoff(FirstDelay, DelayLimit)
@@ -53,6 +57,11 @@
     asio::steady_timer timer(m_context);
     SystemError error;
     while (!error) {
+        if (!m_contact.mayCall(steadyNow())) {
+            timer.expires_after(ContactCheckPeriod);
+            co_await timer.async_wait(storeError(error));
+            continue;
+        }
         const auto startedAt = steadyNow();
         bool succeeded = false;
         if (m_mustList) {
@@ -93,7 +102,9 @@
         const bool isHistoryGone = page.error().code == PlatformCallErrorCode::HistoryGone;
         // A watch that is resumed from the old revision may wait without the changes that the broken one missed.
         m_mustList = true;
-        if (!isHistoryGone) {
+        if (isHistoryGone) {
+            m_contact.succeeded();
+        } else {
             setContact(false, page.error().message());
         }
         co_return isHistoryGone;
@@ -119,6 +130,7 @@
                  {{"kind", m_kind}, {"cause", cause}, {"revision", m_revision}});
     }
     m_hasContact = contact;
+    contact ? m_contact.succeeded() : m_contact.failed(steadyNow(), m_random);
     m_observers.onContact(contact);
 }
 
--- a/src/control/kindfollower.h
+++ b/src/control/kindfollower.h
@@ -6,6 +6,7 @@
 #include "core/random.h"
 #include "net/asio.h"
 #include "objectstore/backoff.h"
+#include "objectstore/storecontact.h"
 
 #include <cstdint>
 #include <functional>
@@ -27,11 +28,13 @@
         std::function<void(bool)> onContact;
     };
 
+    /// @param contact shared by all callers of the store in this process; outlives this object
     KindFollower(asio::io_context &context,
                  const tcp::endpoint &platform,
                  std::shared_ptr<const ObjectApiDialect> dialect,
                  std::string kind,
                  Milliseconds callInterval,
+                 StoreContact &contact,
                  Observers observers);
 
     void start();
@@ -50,6 +53,7 @@
     std::string m_kind;
     /// Collects changes that come in quick succession into one call.
     Milliseconds m_callInterval;
+    StoreContact &m_contact;
     Observers m_observers;
     Random m_random;
     Backoff m_backoff;
--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -22,8 +22,8 @@
 constexpr Milliseconds TickPeriod{250};
 /// Leases of other hosts are looked at this often; a free one is taken some seconds after its holder stopped.
 constexpr Milliseconds ObserveInterval{2000};
-/// The same at hosts that are remote to all groups: each reading is charged.
-constexpr Milliseconds RemoteObserveInterval{6000};
+/// The same at hosts that take a lease only if no fitter one does: each reading is charged.
+constexpr Milliseconds UnfitObserveInterval{6000};
 constexpr Milliseconds CallTimeout{1000};
 
 LeaseRecord recordOf(const PlatformObject &object)
@@ -46,6 +46,7 @@
                            const EngineDialect &engineDialect,
                            MetricsRegistry &metrics,
                            CoordinatorHost host,
+                           const StoreContact &contact,
                            SlownessObserver onSlowness)
     : m_context(context)
     , m_engineDialect(engineDialect)
@@ -53,6 +54,7 @@
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_random(std::random_device()())
     , m_host(std::move(host))
+    , m_contact(contact)
     , m_onSlowness(std::move(onSlowness))
     , m_incarnation(std::to_string(m_random()))
 {
@@ -143,11 +145,10 @@
         // Changes that come meanwhile are looked at in the next round.
         const auto snapshot = m_directory.snapshot();
         const auto &groups = *snapshot;
-        if (!groups.empty() && steadyNow() >= nextObservation) {
-            const bool isLocal = std::any_of(groups.begin(), groups.end(), [this](const GroupView &group) {
-                return localityOf(group) == Locality::Local;
-            });
-            nextObservation = steadyNow() + (isLocal ? ObserveInterval : RemoteObserveInterval);
+        if (!groups.empty() && !m_contact.isLost() && steadyNow() >= nextObservation) {
+            const bool isFit = std::any_of(
+                groups.begin(), groups.end(), [this](const GroupView &group) { return fitnessFor(group).isFit(); });
+            nextObservation = steadyNow() + (isFit ? ObserveInterval : UnfitObserveInterval);
             co_await observeLeases();
         }
         for (const auto &group : groups) {
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -3,6 +3,7 @@
 #include "control/platformclient.h"
 #include "core/random.h"
 #include "net/asio.h"
+#include "objectstore/storecontact.h"
 #include "rebalance/coordinatorlease.h"
 #include "rebalance/groupdirectory.h"
 #include "traffic/serverchanges.h"
@@ -43,6 +44,7 @@
                  const EngineDialect &engineDialect,
                  MetricsRegistry &metrics,
                  CoordinatorHost host,
+                 const StoreContact &contact,
                  SlownessObserver onSlowness);
     ~Coordination();
 
@@ -85,6 +87,7 @@
     PlatformClient m_client;
     Random m_random;
     CoordinatorHost m_host;
+    const StoreContact &m_contact;
     SlownessObserver m_onSlowness;
     std::string m_incarnation;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -14,9 +14,10 @@
 {
 
 constexpr Milliseconds TickPeriod{200};
-/// Each call to the store is charged. Changes have to be in force within two seconds.
-constexpr Milliseconds ConfigurationInterval{100};
-constexpr Milliseconds ServerInterval{400};
+/// Shortest time between two calls to the store, each of which is charged. The first change after a quiet time is told
+/// at once, and changes that follow each other closely have to be in force within two seconds.
+constexpr Milliseconds ConfigurationInterval{400};
+constexpr Milliseconds ServerInterval{800};
 
 } // namespace
 
@@ -24,28 +25,33 @@
                                const GatewaySettings &settings,
                                const StoreDialect &dialect,
                                MetricsRegistry &metrics,
+                               StoreContact &contact,
                                Subscribers subscribers)
     : m_context(context)
     , m_dialect(dialect)
     , m_metrics(metrics)
     , m_subscribers(std::move(subscribers))
-    , m_configurationFollower(context,
-                              settings.platform,
-                              dialect.objectApi(),
-                              dialect.configurationKind(),
-                              ConfigurationInterval,
-                              {[this](const ObjectPage &page) { takeConfiguration(page); },
-                               [this](const ObjectPage &page) { takeConfiguration(page); },
-                               [this](bool contact) { m_metrics.gauge("store_in_contact").set(contact ? 1 : 0); }})
-    , m_serverFollower(
+    , m_configurationFollower(
           context,
           settings.platform,
           dialect.objectApi(),
-          dialect.serverKind(),
-          ServerInterval,
-          {[this](const ObjectPage &page) { takeServers(page); },
-           [this](const ObjectPage &page) { takeServerChanges(page); },
-           [this](bool contact) { contact ? m_registry.contactRegained(steadyNow()) : m_registry.contactLost(); }})
+          dialect.configurationKind(),
+          ConfigurationInterval,
+          contact,
+          {[this](const ObjectPage &page) { takeConfiguration(page); },
+           [this](const ObjectPage &page) { takeConfiguration(page); },
+           [this](bool hasContact) { m_metrics.gauge("store_in_contact").set(hasContact ? 1 : 0); }})
+    , m_serverFollower(context,
+                       settings.platform,
+                       dialect.objectApi(),
+                       dialect.serverKind(),
+                       ServerInterval,
+                       contact,
+                       {[this](const ObjectPage &page) { takeServers(page); },
+                        [this](const ObjectPage &page) { takeServerChanges(page); },
+                        [this](bool hasContact) {
+                            hasContact ? m_registry.contactRegained(steadyNow()) : m_registry.contactLost();
+                        }})
 {
 }
 
--- a/src/gateway/gatewaycontrol.h
+++ b/src/gateway/gatewaycontrol.h
@@ -29,6 +29,7 @@
                    const GatewaySettings &settings,
                    const StoreDialect &dialect,
                    MetricsRegistry &metrics,
+                   StoreContact &contact,
                    Subscribers subscribers);
 
     void start();
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -9,6 +9,7 @@
 #include "gateway/storedialect.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
+#include "objectstore/storecontact.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <nlohmann/json.hpp>
@@ -50,6 +51,7 @@
                          engineDialect,
                          m_metrics,
                          {settings.host.value(), settings.failureDomain, settings.linkMegabitsPerSecond},
+                         m_contact,
                          [this](const ServerSlowness &slowness) {
                              asio::post(m_traffic.context(), [this, slowness] { m_traffic.setOwnSlowness(slowness); });
                          })
@@ -57,6 +59,7 @@
                     settings,
                     storeDialect,
                     m_metrics,
+                    m_contact,
                     {[this](const std::shared_ptr<const TrafficConfiguration> &configuration) {
                          m_coordination.apply(configuration);
                          asio::post(m_traffic.context(), [this, configuration] { m_traffic.apply(configuration); });
@@ -70,6 +73,7 @@
                   storeDialect.objectApi(),
                   settings.host.value(),
                   settings.peerListen,
+                  m_contact,
                   [this](const std::vector<tcp::endpoint> &hosts) {
                       asio::post(m_traffic.context(), [this, hosts] { m_traffic.setPeers(hosts); });
                   })
@@ -160,6 +164,7 @@
     const GatewaySettings &m_settings;
     asio::io_context m_context;
     MetricsRegistry m_metrics;
+    StoreContact m_contact;
     asio::signal_set m_signals;
     asio::steady_timer m_timer;
     GatewayThread m_traffic;
--- a/src/objectstore/objectstoremodule.h
+++ b/src/objectstore/objectstoremodule.h
@@ -14,6 +14,7 @@
 #include "objectstore/operationhistory.h"
 #include "objectstore/platformerror.h"
 #include "objectstore/platformobject.h"
+#include "objectstore/storecontact.h"
 #include "objectstore/versionedobject.h"
 #include "objectstore/watchfollower.h"
 #include "objectstore/writeoutcome.h"
--- /dev/null
+++ b/src/objectstore/storecontact.cpp
@@ -0,0 +1,48 @@
+#include "objectstore/storecontact.h"
+
+namespace Cardamomhill
+{
+
+StoreContact::StoreContact(StoreContactOptions options)
+    : m_options(options)
+    , m_backoff(options.firstDelay, options.delayLimit)
+{
+}
+
+bool StoreContact::mayCall(SteadyTime now)
+{
+    if (!m_isLost) {
+        return true;
+    }
+    if (now < m_probeAt) {
+        return false;
+    }
+    m_isProbing = true;
+    m_probeAt = now + m_options.probeLimit;
+    return true;
+}
+
+void StoreContact::succeeded()
+{
+    m_isLost = false;
+    m_isProbing = false;
+    m_backoff.reset();
+}
+
+void StoreContact::failed(SteadyTime now, Random &random)
+{
+    // A call that was under way when the contact was lost says nothing new.
+    if (m_isLost && !m_isProbing) {
+        return;
+    }
+    m_isLost = true;
+    m_isProbing = false;
+    m_probeAt = now + m_backoff.next(random);
+}
+
+bool StoreContact::isLost() const
+{
+    return m_isLost;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/objectstore/storecontact.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/random.h"
+#include "objectstore/backoff.h"
+
+namespace Cardamomhill
+{
+
+/// Constants of StoreContact.
+struct StoreContactOptions {
+    /// Delay of the first probe after a failure.
+    Milliseconds firstDelay{100};
+    /// Longest delay between two probes. Registrations that lapsed meanwhile are expected back two seconds after the
+    /// store's return, so a host must know of it before.
+    Milliseconds delayLimit{1500};
+    /// A probe that has not ended after this time is not waited for.
+    Milliseconds probeLimit{2000};
+};
+
+/// Whether the platform's store answers, for all callers of one process. While it does not, one of them at a time
+/// probes it and the others wait: each call is charged, and a fleet that probes with every caller meets the returning
+/// store with a burst.
+class StoreContact
+{
+public:
+    explicit StoreContact(StoreContactOptions options = {});
+
+    /// Whether a call may be made now. It must be followed by succeeded() or failed().
+    bool mayCall(SteadyTime now);
+    void succeeded();
+    void failed(SteadyTime now, Random &random);
+
+    bool isLost() const;
+
+private:
+    StoreContactOptions m_options;
+    Backoff m_backoff;
+    bool m_isLost = false;
+    bool m_isProbing = false;
+    SteadyTime m_probeAt{};
+};
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/tests/storecontacttest.cpp
@@ -0,0 +1,88 @@
+#include "objectstore/storecontact.h"
+
+#include <doctest/doctest.h>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+const SteadyTime Start{Seconds(100)};
+constexpr Milliseconds Tick{50};
+constexpr Milliseconds AnswerTime{5};
+constexpr int Callers = 4;
+
+/// Calls that the callers of one process make to a store that is away for some time and refuses each of them at once.
+int callsDuringOutage(Seconds outage, std::uint64_t seed)
+{
+    Random random(seed);
+    StoreContact contact;
+    for (int caller = 0; caller < Callers; ++caller) {
+        contact.failed(Start, random);
+    }
+    int calls = 0;
+    for (auto now = Start; now < Start + outage; now += Tick) {
+        for (int caller = 0; caller < Callers; ++caller) {
+            if (contact.mayCall(now)) {
+                ++calls;
+                contact.failed(now + AnswerTime, random);
+            }
+        }
+    }
+    return calls;
+}
+
+} // namespace
+
+TEST_CASE("callers of a process that lost the store share its probes")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const int calls = callsDuringOutage(Seconds(10), seed);
+        CHECK(calls >= 6);
+        // Four doubling steps, then one call in 0.75 to 1.5 s.
+        CHECK(calls <= 4 + 14);
+    }
+}
+
+TEST_CASE("a store that is back is noticed within its two seconds, and then all may call")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Random random(seed);
+        StoreContact contact;
+        contact.failed(Start, random);
+        const auto back = Start + Seconds(10);
+        auto now = Start;
+        while (contact.isLost()) {
+            if (contact.mayCall(now)) {
+                now < back ? contact.failed(now, random) : contact.succeeded();
+            }
+            now += Tick;
+            REQUIRE(now < back + Seconds(2));
+        }
+        for (int caller = 0; caller < Callers; ++caller) {
+            CHECK(contact.mayCall(now));
+        }
+    }
+}
+
+TEST_CASE("a probe that never ends does not keep the others from probing")
+{
+    Random random(1);
+    StoreContact contact;
+    contact.failed(Start, random);
+    const auto later = Start + Seconds(1);
+    REQUIRE(contact.mayCall(later));
+    CHECK_FALSE(contact.mayCall(later + Seconds(1)));
+    CHECK(contact.mayCall(later + Seconds(3)));
+}
+
+TEST_CASE("calls that were under way when the contact was lost do not delay the probe")
+{
+    Random random(1);
+    StoreContact contact;
+    contact.failed(Start, random);
+    for (int i = 0; i < 10; ++i) {
+        contact.failed(Start + Milliseconds(90), random);
+    }
+    CHECK(contact.mayCall(Start + Milliseconds(100)));
+}
