Bound answers that never end, and trust no answer that names no call

Change: success needs the call's id, a reused connection needs it for any answer; limits are of the whole call; at most 8 interim answers, 1 MiB of a foreign one, 256 KiB of one event, 1 MiB from an engine; streams run by whole events, with limits that follow from the route's objectives (traffic/streampatience).

--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -12,6 +12,8 @@
 /// for it.
 constexpr Milliseconds MapOrderTimeout{400};
 constexpr Milliseconds ReadTimeout{200};
+/// Counts of 100,000 experts have fewer.
+constexpr std::size_t MostResponseBytes = 1024 * 1024;
 constexpr unsigned StatusOk = 200;
 
 } // namespace
@@ -20,7 +22,7 @@
                            const tcp::endpoint &endpoint,
                            BackendServerId server,
                            const EngineDialect &dialect)
-    : m_client(context, endpoint)
+    : m_client(context, endpoint, MostResponseBytes)
     , m_server(std::move(server))
     , m_dialect(dialect)
 {
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -8,6 +8,7 @@
 #include "net/endtoendheaders.h"
 #include "net/httpcall.h"
 #include "net/steadynow.h"
+#include "traffic/streampatience.h"
 
 #include <algorithm>
 #include <charconv>
@@ -25,11 +26,8 @@
 constexpr int MostForeignAnswers = 2;
 /// Whole answers up to this size are held until they are complete, so that a broken one can be repeated.
 constexpr std::size_t HeldBytes = 256 * 1024;
-/// Silence of a stream, and of everything else that its server's group does, after which the group counts as stalled.
-/// The slowest steps take about 300 ms.
-constexpr Milliseconds StallLimit{700};
-/// Silence of one stream after which it goes on elsewhere although its server works. Callers give up after 2 s.
-constexpr Milliseconds SilenceLimit{1200};
+/// An event that is longer than this, or a head that is not followed by events, is no stream.
+constexpr std::size_t MostEventBytes = 256 * 1024;
 /// Part of the time limit of an idempotent call that its first attempt may use.
 constexpr int AttemptPart = 2;
 
@@ -129,6 +127,7 @@
         m_call = m_thread.pool().take(m_server, steadyNow());
     }
     if (m_call) {
+        m_isReused = true;
         co_return true;
     }
     const auto domain = server->failureDomain;
@@ -170,7 +169,14 @@
 {
     for (int skipped = 0; started.has_value(); ++skipped) {
         m_answer = m_thread.dialect().readAnswer(m_call->head());
-        if (m_answer.callId.empty() || m_answer.callId == m_state.head.id) {
+        if (m_answer.callId == m_state.head.id) {
+            break;
+        }
+        if (m_answer.callId.empty()) {
+            // On a connection that was in use before, it may belong to an earlier call.
+            if (m_isReused || m_answer.isSuccess()) {
+                started = failure(NetError{NetErrorCode::MalformedMessage, "answer that names no call"});
+            }
             break;
         }
         m_thread.metrics().counter("foreign_answers_total").add();
@@ -215,7 +221,7 @@
 {
     std::string body;
     while (true) {
-        auto piece = co_await m_call->readSome(left());
+        auto piece = co_await m_call->readSome(m_state.left(steadyNow()));
         if (piece.has_error()) {
             co_return classify(piece.error());
         }
@@ -255,16 +261,16 @@
 Task<AttemptEnd> Attempt::relayEvents()
 {
     while (true) {
-        auto piece = co_await m_call->readSome(left());
+        auto piece = co_await m_call->readSome(m_state.left(steadyNow()));
         if (piece.has_error()) {
             co_return classify(piece.error());
         }
         if (!piece.value()) {
             co_return co_await endEvents();
         }
-        arrived();
         m_events.append(*piece.value());
         while (auto event = m_events.next()) {
+            arrived();
             if (!event->id.empty() && !m_state.lastEventId.empty() && !isAfter(event->id, m_state.lastEventId)) {
                 continue;
             }
@@ -277,6 +283,9 @@
             }
             countEvent();
         }
+        if (m_events.pendingBytes() > MostEventBytes) {
+            co_return fail("event without end");
+        }
     }
 }
 
@@ -382,11 +391,12 @@
     // A server without a group speaks only for itself, and a call may wait in its queue.
     const auto *server = m_thread.servers().server(m_server);
     const bool hasGroup = server != nullptr && server->seat.has_value();
-    const auto stallLimit = hasGroup ? StallLimit : SilenceLimit;
+    const auto patience = patienceWith(*m_state.route);
+    const auto stallLimit = hasGroup ? patience.stalledGroup : patience.silentStream;
     const auto groupSilence = now - std::max(m_thread.servers().lastSignOfLife(m_server), m_state.startedAt);
     if (silence > stallLimit && groupSilence > stallLimit) {
         moveAway(hasGroup ? "the group makes no steps" : "the server is silent");
-    } else if (silence > SilenceLimit && m_state.events > 0) {
+    } else if (silence > patience.silentStream && m_state.events > 0) {
         moveAway("the stream is silent");
     }
 }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -69,6 +69,8 @@
     CallState &m_state;
     BackendServerId m_server;
     std::unique_ptr<HttpCall> m_call;
+    /// The connection served other calls before.
+    bool m_isReused = false;
     AnswerHead m_answer;
     EventSplitter m_events;
     std::string m_cause;
--- a/src/net/httpcall.cpp
+++ b/src/net/httpcall.cpp
@@ -1,6 +1,7 @@
 #include "net/httpcall.h"
 
 #include "net/liveness.h"
+#include "net/steadynow.h"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -17,6 +18,11 @@
 namespace
 {
 
+/// Answers of other calls that are longer than this are not read to their end.
+constexpr std::size_t MostSkippedBytes = 1024 * 1024;
+/// Answers such as 100 Continue that may come before the final one.
+constexpr int MostInterimAnswers = 8;
+
 NetError netError(NetErrorCode code, const SystemError &error)
 {
     return {error == beast::error::timeout ? NetErrorCode::TimedOut : code, error.message()};
@@ -58,20 +64,27 @@
 
 Task<Result<void, NetError>> HttpCall::skipAnswer(Milliseconds timeout)
 {
+    const auto end = steadyNow() + timeout;
+    std::size_t skipped = 0;
     while (!m_parser->is_done()) {
-        auto piece = co_await readSome(timeout);
+        // Each piece would start a time limit of its own, and a body may have no end.
+        auto piece = co_await readSome(timeLeft(end));
         if (piece.has_error()) {
             co_return failure(piece.error());
         }
+        skipped += piece.value() ? piece.value()->size() : 0;
+        if (skipped > MostSkippedBytes) {
+            co_return failure(NetError{NetErrorCode::MalformedMessage, "answer of another call without end"});
+        }
     }
-    co_return co_await readHead(timeout);
+    co_return co_await readHead(timeLeft(end));
 }
 
 Task<Result<void, NetError>> HttpCall::readHead(Milliseconds timeout)
 {
     constexpr unsigned FirstFinalStatus = 200;
     m_stream.expires_after(timeout);
-    do {
+    for (int interim = 0; interim <= MostInterimAnswers; ++interim) {
         m_parser.emplace();
         m_parser->skip(!m_hasBody);
         // Callers of readSome() bound what they keep.
@@ -81,8 +94,11 @@
         if (error) {
             co_return failure(netError(NetErrorCode::ReadFailed, error));
         }
-    } while (m_parser->get().result_int() < FirstFinalStatus);
-    co_return success();
+        if (m_parser->get().result_int() >= FirstFinalStatus) {
+            co_return success();
+        }
+    }
+    co_return failure(NetError{NetErrorCode::MalformedMessage, "interim answers without end"});
 }
 
 unsigned HttpCall::status() const
@@ -104,6 +120,10 @@
 {
     std::string piece;
     while (piece.empty() && !m_parser->is_done()) {
+        if (timeout <= Milliseconds(0)) {
+            // A server that sends without a pause lets no timer expire.
+            co_return failure(NetError{NetErrorCode::TimedOut, "no time is left"});
+        }
         auto &body = m_parser->get().body();
         body.data = m_chunk.data();
         body.size = m_chunk.size();
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -40,7 +40,7 @@
     std::string contentType() const;
     const Head &head() const;
 
-    /// The next piece of the body; nothing when the body ended properly.
+    /// The next piece of the body; nothing when the body ended properly. Fails at once without a positive timeout.
     Task<Result<std::optional<std::string>, NetError>> readSome(Milliseconds timeout);
 
     /// Closes the connection at once, which cancels the request at the server.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclient.h"
 
 #include "net/httpcall.h"
+#include "net/steadynow.h"
 
 #include <algorithm>
 
@@ -15,15 +16,14 @@
 /// A server that is up accepts in milliseconds. A lost opening packet is sent again only after seconds, so a new
 /// attempt is sooner, however long the call itself may wait.
 constexpr Milliseconds ConnectTimeout{500};
-constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
 
-Task<Result<HttpResponse, NetError>> readResponse(HttpCall &call, Milliseconds timeout)
+Task<Result<HttpResponse, NetError>> readResponse(HttpCall &call, std::size_t mostBytes, SteadyTime end)
 {
     HttpResponse response;
     response.status = call.status();
     response.contentType = call.contentType();
-    while (response.body.size() <= MaxResponseBytes) {
-        auto piece = co_await call.readSome(timeout);
+    while (response.body.size() <= mostBytes) {
+        auto piece = co_await call.readSome(timeLeft(end));
         if (piece.has_error()) {
             co_return failure(piece.error());
         }
@@ -37,9 +37,10 @@
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context &context, tcp::endpoint endpoint)
+HttpClient::HttpClient(asio::io_context &context, tcp::endpoint endpoint, std::size_t mostResponseBytes)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
+    , m_mostResponseBytes(mostResponseBytes)
 {
 }
 
@@ -49,6 +50,7 @@
 {
     // Taken out of the member, so that a failed call leaves no connection in an unknown state behind.
     auto call = std::exchange(m_call, nullptr);
+    const auto end = steadyNow() + timeout;
     if (!call) {
         call = std::make_unique<HttpCall>(m_context);
         const auto connected = co_await call->connect(m_endpoint, std::min(timeout, ConnectTimeout));
@@ -56,11 +58,11 @@
             co_return failure(HttpCallError{connected.error(), true});
         }
     }
-    const auto started = co_await call->start(std::move(request), timeout);
+    const auto started = co_await call->start(std::move(request), timeLeft(end));
     if (started.has_error()) {
         co_return failure(HttpCallError{started.error(), false});
     }
-    auto response = co_await readResponse(*call, timeout);
+    auto response = co_await readResponse(*call, m_mostResponseBytes, end);
     if (response.has_error()) {
         co_return failure(HttpCallError{response.error(), false});
     }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -25,14 +25,20 @@
 class HttpClient
 {
 public:
-    HttpClient(asio::io_context &context, tcp::endpoint endpoint);
+    /// @param mostResponseBytes length of a body from which on a response counts as malformed
+    HttpClient(asio::io_context &context, tcp::endpoint endpoint, std::size_t mostResponseBytes = MostResponseBytes);
     ~HttpClient();
 
+    /// @param timeout of the whole call, however its answer arrives
     Task<Result<HttpResponse, HttpCallError>> call(HttpRequest request, Milliseconds timeout);
 
 private:
+    /// A list of 38,000 organisations is about 11 MB.
+    static constexpr std::size_t MostResponseBytes = 64 * 1024 * 1024;
+
     asio::io_context &m_context;
     tcp::endpoint m_endpoint;
+    std::size_t m_mostResponseBytes;
     std::unique_ptr<HttpCall> m_call;
 };
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <vector>
+
 #include <sys/socket.h>
 
 namespace Cardamomhill
@@ -23,6 +25,10 @@
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusPayloadTooLarge = 413;
 constexpr unsigned StatusHeaderTooLarge = 431;
+/// What a caller may go on sending after its request was refused unread, in time and in bytes.
+constexpr Milliseconds DiscardTime{1000};
+constexpr std::size_t DiscardBytes = 8 * 1024 * 1024;
+constexpr std::size_t DiscardPieceBytes = 16 * 1024;
 constexpr std::string_view ProblemType = "application/problem+json";
 
 /// The status for a request that could not be read, or 0 when the caller closed between requests.
@@ -187,8 +193,20 @@
         exchange.stopWatching();
     } else if (status != 0) {
         co_await exchange.sendWhole(status, std::string(ProblemType), problemOf(status));
+        co_await discardRest(connection);
     }
     co_return exchange.isReusable();
 }
 
+Task<> HttpServer::discardRest(Connection &connection)
+{
+    SystemError error;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(DiscardTime);
+    std::vector<char> piece(DiscardPieceBytes);
+    for (std::size_t discarded = 0; !error && discarded < DiscardBytes;) {
+        discarded += co_await connection.stream.async_read_some(asio::buffer(piece), storeError(error));
+    }
+}
+
 } // namespace Cardamomhill
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -40,6 +40,9 @@
     Task<> acceptLoop();
     Task<> serve(std::shared_ptr<Connection> connection);
     Task<bool> serveOne(Connection &connection);
+    /// Reads on for a while after a request was refused unread. To close at once would reset the connection, and a
+    /// caller that is still sending might not read the answer.
+    Task<> discardRest(Connection &connection);
     std::shared_ptr<asio::steady_timer> startRequestTimer(Connection &connection);
 
     asio::io_context &m_context;
--- a/src/net/steadynow.h
+++ b/src/net/steadynow.h
@@ -10,6 +10,12 @@
     return std::chrono::time_point_cast<Microseconds>(std::chrono::steady_clock::now());
 }
 
+/// Not positive once the time has come.
+inline Milliseconds timeLeft(SteadyTime end)
+{
+    return std::chrono::duration_cast<Milliseconds>(end - steadyNow());
+}
+
 inline WallTime wallNow()
 {
     return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -129,11 +129,26 @@
     done
     expect "an idempotent call is answered although one server answers $manner" 0 "$failures"
 done
+for manner in unnamed endless-head endless-foreign; do
+    server bad-1 "$BAD" ready PUT "$RANDOM" # a new process, whose failures are not known
+    sleep 1.1
+    wrong=0
+    slow=0
+    for _ in 1 2 3 4 5 6; do
+        begun="$(date +%s%3N)"
+        # Only a server's own answer names it.
+        [ -n "$(call "safe/$manner" | field server)" ] || wrong=$((wrong + 1))
+        [ $(($(date +%s%3N) - begun)) -lt 2500 ] || slow=$((slow + 1))
+    done
+    expect "an idempotent call gets its own answer although one server answers $manner" 0 "$wrong"
+    expect "and within the time of its route ($manner)" 0 "$slow"
+    expect "that server was tried ($manner)" 1 "$(($(grep -c "event=attempt-ended .*server=bad-1 end=broken" "$DIRECTORY/gate-a.log") > 0))"
+done
 for manner in truncated unsigned unpromised; do
     twice=0
     promised=0
     server bad-1 "$BAD" ready PUT "$RANDOM" # a new process, whose failures are not known
-    sleep 0.7
+    sleep 1.1
     for _ in 1 2 3 4; do
         code="$(call "pay/$manner" -d x | tail -n 1)"
         [ "$(total_runs)" -le 1 ] || twice=$((twice + 1))
@@ -143,7 +158,7 @@
     expect "a payment that ran is not said not to have run ($manner)" 0 "$promised"
 done
 server bad-1 "$BAD" ready PUT 99999
-sleep 0.7
+sleep 1.1
 expected_events="$(for i in $(seq 10); do echo "data: event-$i"; done)"
 broken=0
 for _ in 1 2 3 4 5 6; do
@@ -151,6 +166,18 @@
 done
 expect "a stream that breaks goes on at another server without a gap or a repetition" 0 "$broken"
 expect "a broken stream was resumed" 1 "$(grep -c 'event=routed .*after_event=4' "$DIRECTORY/gate-a.log" | sed 's/^[1-9][0-9]*$/1/')"
+for manner in endless-event trickle; do
+    server bad-1 "$BAD" ready PUT "$RANDOM"
+    sleep 1.1
+    broken=0
+    for _ in 1 2 3 4; do
+        [ "$(call "draft/$manner" -d x | grep '^data: event')" = "$expected_events" ] || broken=$((broken + 1))
+    done
+    expect "a stream goes on elsewhere when its server answers $manner" 0 "$broken"
+done
+expect "the caller gets no byte of an event that did not end" 0 "$(call draft/endless-event -d x | grep -c xxxx)"
+expect "a gateway that was sent bytes without end stays small" 1 \
+    "$(awk '/^VmHWM/ { print ($2 < 65536) }' "/proc/$PID_gate_a/status")"
 expect "an answer that ends with its connection arrives whole" "until the end" "$(call safe/endless | head -n 1)"
 
 # The way of docs/OPERATIONS.md from an id to its cause.
@@ -196,13 +223,13 @@
 put PUT config/main "$(configuration 9 '"k1"' "")" main
 wait_for grep -q "event=configuration-in-force version=9" "$DIRECTORY/gate-a.log"
 server bad-1 "$BAD" ready PUT 7
-sleep 0.7
+sleep 1.1
 curl -sS -o /dev/null "http://$STORE/faults" -d '{"down":true}'
 sleep 0.5
 curl -sS -o /dev/null "http://$STORE/faults" -d '{"down":false}'
 sleep 3.5 # the grace period of registrations that lapsed in the outage
 curl -sS -o /dev/null -X DELETE "http://$STORE/objects/servers/bad-1"
-sleep 1
+wait_for grep -q 'event=server-gone server=bad-1' "$DIRECTORY/gate-a.log" || true
 expect "a server that leaves some time after an outage is gone at once" 1 \
     "$(grep -c 'event=server-gone server=bad-1' "$DIRECTORY/gate-a.log")"
 curl -sS -o /dev/null "http://$STORE/faults" -d '{"mute":true}'
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/write.hpp>
+
 #include <sys/socket.h>
 
 #include <vector>
@@ -39,8 +41,93 @@
     std::vector<tcp::socket> m_fillers;
 };
 
+/// Answers with the same text again and again until the caller closes.
+class EndlessServer
+{
+public:
+    EndlessServer(asio::io_context &context, std::string start, std::string piece, Milliseconds pause)
+        : m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_start(std::move(start))
+        , m_piece(std::move(piece))
+        , m_pause(pause)
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    tcp::endpoint endpoint() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+    bool wasClosed() const
+    {
+        return m_wasClosed;
+    }
+
+private:
+    Task<> serve()
+    {
+        SystemError error;
+        tcp::socket socket(m_acceptor.get_executor());
+        co_await m_acceptor.async_accept(socket, storeError(error));
+        co_await asio::async_write(socket, asio::buffer(m_start), storeError(error));
+        asio::steady_timer timer(m_acceptor.get_executor());
+        while (!error) {
+            co_await asio::async_write(socket, asio::buffer(m_piece), storeError(error));
+            if (m_pause > Milliseconds(0) && !error) {
+                timer.expires_after(m_pause);
+                co_await timer.async_wait(storeError(error));
+            }
+        }
+        m_wasClosed = true;
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_start;
+    std::string m_piece;
+    Milliseconds m_pause;
+    bool m_wasClosed = false;
+};
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Whether a call to a server whose answer never ends fails in its time and closes the connection.
+bool endsInTime(const std::string &start, const std::string &piece, Milliseconds pause)
+{
+    constexpr std::size_t MostBytes = 100'000;
+    constexpr Milliseconds Timeout{300};
+    asio::io_context context;
+    EndlessServer server(context, start, piece, pause);
+    HttpClient client(context, server.endpoint(), MostBytes);
+    bool hasFailed = false;
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            auto request = makeHttpRequest("GET", "/");
+            const auto response = co_await client.call(std::move(request), Timeout);
+            hasFailed = response.has_error() && !response.error().wasNotSent;
+        },
+        asio::detached);
+    context.run_for(std::chrono::seconds(2));
+    return hasFailed && server.wasClosed();
+}
+
 } // namespace
 
+TEST_CASE("a call whose answer never ends fails in its time, fast or slow, in its head or its body")
+{
+    constexpr Milliseconds NoPause{0};
+    constexpr Milliseconds Pause{50};
+    const std::string chunk = "3e8\r\n" + std::string(1000, 'x') + "\r\n";
+    CHECK(endsInTime(ChunkedHead, chunk, NoPause));
+    CHECK(endsInTime(ChunkedHead, "1\r\nx\r\n", Pause));
+    CHECK(endsInTime("HTTP/1.1 200 OK\r\n", "X-More: x\r\n", NoPause));
+    CHECK(endsInTime("HTTP/1.1 200 OK\r\n", "X-More: x\r\n", Pause));
+    CHECK(endsInTime("", "HTTP/1.1 100 Continue\r\n\r\n", NoPause));
+    CHECK(endsInTime("", "no answer", NoPause));
+    CHECK(endsInTime("HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x'), NoPause));
+}
+
 TEST_CASE("an attempt to connect ends soon although the call itself may wait for long")
 {
     asio::io_context context;
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -26,6 +26,8 @@
 constexpr int EventsBeforeBreak = 4;
 constexpr Milliseconds EventTime{20};
 constexpr Milliseconds SlowTime{400};
+constexpr Milliseconds TricklePause{200};
+constexpr std::size_t PieceBytes = 1000;
 constexpr const char *CallId = "Cardamomhill-Request-Id";
 const std::string Seal = "Cardamomhill-Response-Seal: seal\r\n";
 const std::string NotRun = "Cardamomhill-Not-Executed: 1\r\n";
@@ -192,6 +194,46 @@
     co_return sent;
 }
 
+Task<bool> DirectBackend::writeWithoutEnd(Connection &connection, const std::string &text, Milliseconds pause)
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    bool sent = true;
+    while (sent && !error) {
+        sent = co_await write(connection, text);
+        if (pause > Milliseconds(0)) {
+            timer.expires_after(pause);
+            co_await timer.async_wait(storeError(error));
+        }
+    }
+    co_return false;
+}
+
+Task<bool>
+DirectBackend::answerWithoutEnd(Connection &connection, const HttpRequest &request, const std::string &manner)
+{
+    const std::string piece(PieceBytes, 'x');
+    if (manner == "endless-head") {
+        const std::string start = "HTTP/1.1 200 X\r\n";
+        co_await write(connection, start);
+        co_return co_await writeWithoutEnd(connection, "X-More: " + piece + "\r\n", Milliseconds(0));
+    }
+    if (manner == "endless-foreign") {
+        const std::string start
+            = "HTTP/1.1 200 X\r\n" + std::string(CallId) + ": other\r\n" + Seal + "Transfer-Encoding: chunked\r\n\r\n";
+        co_await write(connection, start);
+        co_return co_await writeWithoutEnd(connection, chunk(piece), Milliseconds(0));
+    }
+    const std::string start
+        = head(request, Ok, Seal + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+        + chunk(eventOf(1)) + chunk(eventOf(2));
+    co_await write(connection, start);
+    if (manner == "trickle") {
+        co_return co_await writeWithoutEnd(connection, chunk("x"), TricklePause);
+    }
+    co_return co_await writeWithoutEnd(connection, chunk(piece), Milliseconds(0));
+}
+
 Task<bool> DirectBackend::answer(Connection &connection, const HttpRequest &request)
 {
     const std::string target(request.target());
@@ -213,6 +255,19 @@
         countRun(request);
         co_return co_await stream(connection, request, isBad && manner == "broken-stream");
     }
+    if (isBad && (manner.starts_with("endless-") || manner == "trickle")) {
+        countRun(request);
+        co_return co_await answerWithoutEnd(connection, request, manner);
+    }
+    if (manner == "trickle" || manner == "endless-event") {
+        countRun(request);
+        co_return co_await stream(connection, request, false);
+    }
+    if (isBad && manner == "unnamed") {
+        countRun(request);
+        const std::string text = "HTTP/1.1 200 X\r\n" + Seal + "Content-Length: 5\r\n\r\nother";
+        co_return co_await write(connection, text);
+    }
     if (isBad && manner == "shed") {
         const std::string text = head(request, Unavailable, NotRun + "Content-Length: 0\r\n");
         co_return co_await write(connection, text);
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clocktypes.h"
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/httpexchange.h"
@@ -17,9 +18,10 @@
 
 /// A stand-in for a backend server of the users' platform. The last part of the path says how it answers: `ok`, `shed`,
 /// `error`, `truncated`, `unsigned`, `silent`, `extra`, `misdirected`, `endless`, `stream`, `broken-stream`,
-/// `slow`. A server whose id does not begin with `bad` answers all of them well. A call for another instance gets 421.
-/// It writes answers byte by byte itself, so that it can break the protocol. GET /runs/ID says how often a call ran
-/// here, GET /abandoned how many callers left.
+/// `slow`, `unnamed` (names no call), `endless-head`, `endless-foreign` (the body of an answer to another call),
+/// `endless-event`, `trickle` (single bytes that make no event). A server whose id does not begin with `bad` answers
+/// all of them well. A call for another instance gets 421. It writes answers byte by byte itself, so that it can break
+/// the protocol. GET /runs/ID says how often a call ran here, GET /abandoned how many callers left.
 class DirectBackend
 {
 public:
@@ -43,6 +45,9 @@
     Task<bool> answer(Connection &connection, const HttpRequest &request);
     Task<bool> answerWell(Connection &connection, const HttpRequest &request, bool twice);
     Task<bool> stream(Connection &connection, const HttpRequest &request, bool breaks);
+    /// Writes the text again and again until the caller closes.
+    Task<bool> writeWithoutEnd(Connection &connection, const std::string &text, Milliseconds pause);
+    Task<bool> answerWithoutEnd(Connection &connection, const HttpRequest &request, const std::string &manner);
     Task<bool> write(Connection &connection, std::string text);
     void countRun(const HttpRequest &request);
     std::string head(const HttpRequest &request, unsigned status, const std::string &headers) const;
