Even out large groups further, count more of their ranks, and see quiet groups

Cause: on groups of 63 and 96 ranks plans stopped at a skew of 1.45 to 1.6, since each copy had to lower the slowest rank by 0.04 of the mean, whatever the number of streams that gain from a shorter step; gains under a fifth were left (1.83 to 1.47 kept the map); two ranks were counted, a few streams of hundreds; and a group with a third of its slots in use counted as idle, so after a shift its steps turned slow (0.05 to 0.12 s) without an answer for up to 3 s. Ruled out: the search (a skew of 1.14 is reached in the same steps), the hold. New: limits by size of the group.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -27,8 +27,6 @@
 constexpr double SlowSpeed = 0.8;
 /// Pressure from which on all ranks are read. Each reading is charged.
 constexpr double BusyPressure = 0.5;
-/// Ranks whose choices are counted.
-constexpr std::size_t CountedRanks = 2;
 
 } // namespace
 
@@ -302,18 +300,23 @@
 Task<bool> GroupCoordinator::readLoad(CountReading reading)
 {
     const auto readFor = m_switch;
-    const auto clients = m_clients;
     const auto cells = static_cast<std::size_t>(m_engine.expertLayers) * m_engine.expertsPerLayer;
-    for (std::size_t i = 0; i < std::min(CountedRanks, clients.size()); ++i) {
-        const auto rank = (m_countedRank + i) % clients.size();
-        auto counts = co_await clients[rank]->readCounts();
-        if (m_switch != readFor) {
-            co_return false;
-        }
-        const bool isRead
-            = counts.has_value() && counts.value().epoch == readFor->epoch() && counts.value().counts.size() == cells;
+    // Spread over the group, since neighbouring ranks may be served alike.
+    const auto ranks = m_clients.size();
+    const auto counted = SwitchPolicy::countedRanks(ranks);
+    std::vector<std::shared_ptr<EngineClient>> clients;
+    for (std::size_t i = 0; i < counted; ++i) {
+        clients.push_back(m_clients[(m_countedRank + i * ranks / counted) % ranks]);
+    }
+    const auto counts = co_await readRanks(m_context, std::move(clients), &EngineClient::readCounts);
+    if (m_switch != readFor) {
+        co_return false;
+    }
+    for (std::size_t i = 0; i < counted; ++i) {
+        const auto rank = (m_countedRank + i * ranks / counted) % ranks;
+        const bool isRead = counts[i] && counts[i]->epoch == readFor->epoch() && counts[i]->counts.size() == cells;
         if (isRead) {
-            m_load.take(rank, counts.value().counts);
+            m_load.take(rank, counts[i]->counts);
         } else {
             m_load.forget(rank);
         }
@@ -363,7 +366,7 @@
 
 void GroupCoordinator::planSwitchOfMap(CountReading reading)
 {
-    const auto plan = planSwitch(*m_map, m_load.load(), m_speeds, m_policy.limits(m_engine));
+    const auto plan = planSwitch(*m_map, m_load.load(), m_speeds, m_policy.limits(m_engine, m_clients.size()));
     const bool isWorth = m_policy.isWorth(plan);
     logEvent(LogLevel::Info,
              isWorth ? "switch-planned" : "map-kept",
--- a/src/rebalance/countschedule.h
+++ b/src/rebalance/countschedule.h
@@ -10,7 +10,7 @@
 
 /// Constants of CountSchedule. Readings are charged and pause the group, so they are rare while little is to be gained.
 struct CountScheduleOptions {
-    Milliseconds busyInterval{1400};
+    Milliseconds busyInterval{800};
     Milliseconds idleInterval{3000};
     /// Some steps of a busy group, in which its ranks make thousands of choices.
     Milliseconds window{150};
--- a/src/rebalance/switchpolicy.h
+++ b/src/rebalance/switchpolicy.h
@@ -24,7 +24,7 @@
     double pressure() const;
 
     /// What a switch may change now.
-    SwitchLimits limits(const EngineProfile &engine) const;
+    SwitchLimits limits(const EngineProfile &engine, std::size_t ranks) const;
     bool isWorth(const SwitchPlan &plan) const;
 
     /// Time in which the rank with most copies receives them.
@@ -33,6 +33,9 @@
     /// Ranks that may be sent a map at the same time without filling the coordinator's link for long.
     static std::size_t mapsAtOnce(double linkMegabitsPerSecond, std::size_t mapBytes);
 
+    /// Ranks whose choices of experts are read. A few streams of one rank say little about those of a large group.
+    static std::size_t countedRanks(std::size_t ranks);
+
 private:
     double blend(double idle, double busy) const;
 
