Keep the lease of a broken group, and follow the store in longer rounds

When engines left orders unanswered, a map was sent again only after 0.4 s, so copies took 0.5 s. Ruled out: a second coordinator (no order was refused as fenced before the cut). Change: a coordinator whose group is broken drops the switch and keeps the lease, asks a rank ten times a second whether the group has formed anew, and goes on at the ranks that it knows while registrations lapse; the limit of an order with a map follows from its size; weaker hosts try 16 instead of 8 map times later; rounds of watches grow by half in a series of changes, probes of a lost store come up to 2 s apart.

--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -19,6 +19,11 @@
 constexpr Milliseconds CallTimeout{1500};
 /// While another caller probes a store that is away.
 constexpr Milliseconds ContactCheckPeriod{100};
+/// An answer of a watch that came without a wait.
+constexpr Milliseconds QuickAnswer{100};
+/// Halves of the usual interval between two calls during a series of changes. Servers are followed each 1.2 s then,
+/// well within the two seconds in which a leaving one must be known.
+constexpr int SeriesFactor = 3;
 constexpr Milliseconds FirstDelay{100};
 constexpr Milliseconds DelayLimit{1000};
 
@@ -72,7 +77,10 @@
         if (succeeded) {
             m_backoff.reset();
         }
-        const auto next = succeeded ? startedAt + m_callInterval : steadyNow() + m_backoff.next(m_random);
+        // Changes that are already there when a watch begins belong to a longer series of them.
+        const bool isSeries = steadyNow() - startedAt < QuickAnswer;
+        const auto interval = isSeries ? m_callInterval * SeriesFactor / 2 : Microseconds(m_callInterval);
+        const auto next = succeeded ? startedAt + interval : steadyNow() + m_backoff.next(m_random);
         timer.expires_at(next);
         co_await timer.async_wait(storeError(error));
     }
--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -8,9 +8,10 @@
 
 /// Engines answer orders and reports in milliseconds. A held group waits for what is sent again after this.
 constexpr Milliseconds OrderTimeout{50};
-/// A map has tens of kilobytes, and links of engines may carry less than one of them in a millisecond. No step waits
-/// for it.
-constexpr Milliseconds MapOrderTimeout{400};
+/// Further time for the bytes of a map: maps of other ranks are sent at the same time, and links of engines may carry
+/// no more than this.
+constexpr Milliseconds MapBurstTime{50};
+constexpr std::size_t SlowestLinkBytesPerMillisecond = 250;
 constexpr Milliseconds ReadTimeout{200};
 /// Counts of 100,000 experts have fewer.
 constexpr std::size_t MostResponseBytes = 1024 * 1024;
@@ -32,7 +33,9 @@
 {
     const bool hasMap = std::holds_alternative<PrepareMap>(order.action) && encodedMap;
     auto request = m_dialect.orderCall(order, m_server, hasMap ? std::string_view(*encodedMap) : std::string_view());
-    const auto response = co_await m_client.call(std::move(request), hasMap ? MapOrderTimeout : OrderTimeout);
+    const auto mapTime
+        = hasMap ? MapBurstTime + Milliseconds(encodedMap->size() / SlowestLinkBytesPerMillisecond) : Milliseconds(0);
+    const auto response = co_await m_client.call(std::move(request), OrderTimeout + mapTime);
     if (response.has_error()) {
         co_return OrderAnswer::Lost;
     }
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -52,13 +52,41 @@
 void GroupCoordinator::update(const GroupView &group, const EngineProfile &engine)
 {
     m_engine = engine;
-    const bool isSame = m_switch && group.epoch == m_switch->epoch() && group.isOpen
-        && group.ranks.size() == m_group.ranks.size()
-        && std::equal(group.ranks.begin(), group.ranks.end(), m_group.ranks.begin(), [](const auto &a, const auto &b) {
-                            return a.id == b.id && a.address == b.address;
-                        });
+    if (m_switch && group.epoch < m_switch->epoch()) {
+        // The store shows a new epoch some time after the ranks.
+        return;
+    }
+    const bool isSameEpoch = m_switch && group.epoch == m_switch->epoch();
+    const bool isSame = isSameEpoch && group.hasSameRanks(m_group);
+    const bool hasEnded = isSameEpoch ? group.isBroken() : !group.isOpen;
+    if (hasEnded && isSettled()) {
+        // The group forms anew with the first map. To get stuck and give up the lease would only delay the next one.
+        m_switch.reset();
+    }
+    if (!group.isComplete()) {
+        // Registrations lapse while ranks are cut off. The group is reached at the ranks that are known.
+        return;
+    }
     m_group = group;
-    if (!isSame && group.isOpen) {
+    if (group.isOpen && !(m_switch && isSame)) {
+        startEpoch();
+    }
+}
+
+Task<> GroupCoordinator::awaitOpening()
+{
+    if (m_clients.empty()) {
+        co_return;
+    }
+    const auto rank = m_countedRank % m_clients.size();
+    const auto state = co_await m_clients[rank]->readState();
+    if (m_switch || m_clients.empty()) {
+        co_return;
+    }
+    if (state.has_error()) {
+        m_countedRank = (rank + 1) % m_clients.size();
+    } else if (state.value().isOpen && state.value().epoch > m_group.epoch) {
+        m_group.epoch = state.value().epoch;
         startEpoch();
     }
 }
@@ -122,6 +150,8 @@
         if (m_switch) {
             co_await work();
             logPhase();
+        } else {
+            co_await awaitOpening();
         }
         const bool isBusy = m_switch && m_switch->phase() != SwitchPhase::Idle;
         timer.expires_after(isBusy ? TickPeriod : IdlePeriod);
@@ -357,6 +387,9 @@
     }
     // Read after the usage, so that a plan has the newest choices.
     const auto readFor = m_switch;
+    if (!readFor) {
+        co_return;
+    }
     const auto reading = m_schedule.due(steadyNow(), m_policy.pressure());
     const bool isLoadKnown = reading != CountReading::None && co_await readLoad(reading);
     if (isLoadKnown && m_switch == readFor && m_switch->hasTakenEffect() && m_switch->phase() == SwitchPhase::Idle) {
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -56,6 +56,8 @@
     /// Whether no step is held for a switch.
     bool isSettled() const;
     Task<> work();
+    /// Asks a rank of a broken group whether it has formed anew; the store shows it seconds later.
+    Task<> awaitOpening();
     Task<> readStates();
     void sendOrders();
     Task<> sendOrder(RankOrder order, std::shared_ptr<const std::string> encodedMap);
--- a/src/objectstore/storecontact.h
+++ b/src/objectstore/storecontact.h
@@ -10,12 +10,12 @@
 /// Constants of StoreContact.
 struct StoreContactOptions {
     /// Delay of the first probe after a failure.
-    Milliseconds firstDelay{100};
-    /// Longest delay between two probes. Registrations that lapsed meanwhile are expected back two seconds after the
-    /// store's return, so a host must know of it before.
-    Milliseconds delayLimit{1500};
+    Milliseconds firstDelay{200};
+    /// Longest delay between two probes. A host is held to the bounds on changes only some seconds after the store's
+    /// return, and waits two seconds from its own contact for registrations that lapsed.
+    Milliseconds delayLimit{2000};
     /// A probe that has not ended after this time is not waited for.
-    Milliseconds probeLimit{2000};
+    Milliseconds probeLimit{2500};
 };
 
 /// Whether the platform's store answers, for all callers of one process. While it does not, one of them at a time
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -21,8 +21,8 @@
     /// Further delay of a remote host, so that it comes only after all local ones.
     Milliseconds remoteDelay{6000};
     /// Further delay of a host for each time unit that a map occupies its link, and the longest such delay.
-    int delayPerMapTime = 8;
-    Milliseconds longestMapDelay{2000};
+    int delayPerMapTime = 16;
+    Milliseconds longestMapDelay{2900};
     /// The same as `attemptSpread` after the holder turned silent. It may have stopped in a step that it holds.
     Milliseconds silentSpread{500};
 };
--- a/src/rebalance/groupview.h
+++ b/src/rebalance/groupview.h
@@ -20,6 +20,11 @@
     /// By rank.
     std::vector<DiscoveredServer> ranks;
 
+    /// Whether every rank is registered.
+    bool isComplete() const;
+    /// Whether a rank says of the present epoch that the group makes no steps.
+    bool isBroken() const;
+    bool hasSameRanks(const GroupView &other) const;
     bool hasRankIn(const FailureDomainId &domain) const;
 };
 
--- a/src/rebalance/switchpolicy.cpp
+++ b/src/rebalance/switchpolicy.cpp
@@ -16,11 +16,11 @@
 constexpr double IdlePart = 0.1;
 constexpr double BusyPart = 0.6;
 /// Part by which a plan must lower the load of the slowest ranks.
-constexpr double RequiredGainBusy = 0.08;
+constexpr double RequiredGainBusy = 0.1;
 constexpr double RequiredGainIdle = 0.3;
 /// What each copy must bring in a group of `GainRanks`, in parts of the mean load of its layer.
 constexpr double GainPerCopyBusy = 0.04;
-constexpr double GainPerCopyIdle = 0.15;
+constexpr double GainPerCopyIdle = 0.3;
 constexpr double GainRanks = 8;
 /// Ranks of a group for each one whose choices are read, and bounds of their number. Each reading is charged, and stops
 /// the group for some milliseconds.
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -114,6 +114,25 @@
     CHECK_FALSE(group.hasRankIn(FailureDomainId("d2")));
 }
 
+TEST_CASE("a group is broken when a rank of its epoch says so, not when registrations lapse or lag behind")
+{
+    GroupDirectory directory;
+    directory.apply({{rankOf(0, 2), rankOf(1, 2)}, {}});
+    const auto whole = directory.groups()[0];
+    CHECK(whole.isComplete());
+    CHECK_FALSE(whole.isBroken());
+    directory.apply({{}, {rankOf(1, 2).id}});
+    CHECK_FALSE(directory.groups()[0].isComplete());
+    CHECK_FALSE(directory.groups()[0].isBroken());
+    CHECK_FALSE(directory.groups()[0].hasSameRanks(whole));
+    // The state of an earlier epoch is old news.
+    directory.apply({{rankOf(1, 1, false)}, {}});
+    CHECK_FALSE(directory.groups()[0].isBroken());
+    directory.apply({{rankOf(1, 2, false)}, {}});
+    CHECK(directory.groups()[0].isBroken());
+    CHECK(directory.groups()[0].hasSameRanks(whole));
+}
+
 TEST_CASE("a stale reading does not bring an older lease back")
 {
     Random random(1);
