Give up calls that wait in a store that answers none

Host front-larisa-north-4 listed the configuration at 17.9 s and began its watch at 18.3 s, in an outage (18 to 26 s) in which the store accepted calls and answered none: the watch waited for its 30 s, and the version that was accepted at 27.0 s was not in force there at 33.2 s. Ruled out: the connection (its probes were answered), the other follower (its watch was older than the outage and went on). Change: the stale lists of hosts and leases take part in StoreContact: one that fails tells that the contact is lost, and then all watches that wait are given up and followed by a list once the store answers. Tests: storecontacttest, 'the loss of the contact is told once'; httpclienttest, 'a call that waits can be given up from outside'.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -4,9 +4,12 @@
 #include "logging/logging.h"
 #include "net/address.h"
 #include "net/spawn.h"
+#include "net/steadynow.h"
 
 #include <nlohmann/json.hpp>
 
+#include <random>
+
 namespace Cardamomhill
 {
 
@@ -26,13 +29,14 @@
                              std::shared_ptr<const ObjectApiDialect> objectApi,
                              std::string host,
                              tcp::endpoint address,
-                             const StoreContact &contact,
+                             StoreContact &contact,
                              Observer onHosts)
     : m_context(context)
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_host(std::move(host))
     , m_address(std::move(address))
     , m_contact(contact)
+    , m_random(std::random_device()())
     , m_onHosts(std::move(onHosts))
 {
 }
@@ -53,7 +57,7 @@
         co_await timer.async_wait(storeError(error));
     }
     while (!error) {
-        if (!m_contact.isLost()) {
+        if (m_contact.mayCall(steadyNow())) {
             co_await list();
         }
         timer.expires_after(ListInterval);
@@ -87,8 +91,10 @@
 {
     const auto page = co_await m_client.listStale(HostKind);
     if (page.has_error()) {
+        m_contact.failed(steadyNow(), m_random);
         co_return;
     }
+    m_contact.succeeded();
     std::vector<tcp::endpoint> hosts;
     for (const auto &object : page.value().objects) {
         const auto value = nlohmann::json::parse(object.value, nullptr, false);
--- a/src/control/hostdirectory.h
+++ b/src/control/hostdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/platformclient.h"
+#include "core/random.h"
 #include "net/asio.h"
 #include "objectstore/storecontact.h"
 
@@ -23,7 +24,7 @@
                   std::shared_ptr<const ObjectApiDialect> objectApi,
                   std::string host,
                   tcp::endpoint address,
-                  const StoreContact &contact,
+                  StoreContact &contact,
                   Observer onHosts);
 
     void start();
@@ -37,7 +38,8 @@
     PlatformClient m_client;
     std::string m_host;
     tcp::endpoint m_address;
-    const StoreContact &m_contact;
+    StoreContact &m_contact;
+    Random m_random;
     Observer m_onHosts;
 };
 
--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -45,6 +45,11 @@
     , m_random(std::random_device()())
     , m_backoff(FirstDelay, DelayLimit)
 {
+    m_contact.onLost([this] {
+        if (m_isWatching) {
+            m_client.abort();
+        }
+    });
 }
 
 void KindFollower::start()
@@ -105,7 +110,9 @@
 
 Task<bool> KindFollower::watch()
 {
+    m_isWatching = true;
     const auto page = co_await m_client.watch(m_kind, m_revision, WatchWait);
+    m_isWatching = false;
     if (page.has_error()) {
         const bool isHistoryGone = page.error().code == PlatformCallErrorCode::HistoryGone;
         // A watch that is resumed from the old revision may wait without the changes that the broken one missed.
--- a/src/control/kindfollower.h
+++ b/src/control/kindfollower.h
@@ -59,6 +59,7 @@
     Backoff m_backoff;
     std::uint64_t m_revision = 0;
     bool m_mustList = true;
+    bool m_isWatching = false;
     bool m_hasContact = true;
 };
 
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -74,6 +74,11 @@
     return callForObject(std::move(request), std::move(key));
 }
 
+void PlatformClient::abort()
+{
+    m_client.abort();
+}
+
 Task<Result<PlatformObject, PlatformCallError>> PlatformClient::callForObject(HttpRequest request, ObjectKey key)
 {
     const auto body = co_await call(std::move(request), m_callTimeout);
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -43,6 +43,9 @@
     Task<Result<PlatformObject, PlatformCallError>>
     write(ObjectKey key, std::uint64_t expectedVersion, const std::string &value);
 
+    /// Ends the call that is under way, if any, as a failed one.
+    void abort();
+
 private:
     static std::shared_ptr<const ObjectApiDialect> ownDialect();
     Task<Result<PlatformObject, PlatformCallError>> callForObject(HttpRequest request, ObjectKey key);
--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -46,7 +46,7 @@
                            const EngineDialect &engineDialect,
                            MetricsRegistry &metrics,
                            CoordinatorHost host,
-                           const StoreContact &contact,
+                           StoreContact &contact,
                            SlownessObserver onSlowness)
     : m_context(context)
     , m_engineDialect(engineDialect)
@@ -145,7 +145,7 @@
         // Changes that come meanwhile are looked at in the next round.
         const auto snapshot = m_directory.snapshot();
         const auto &groups = *snapshot;
-        if (!groups.empty() && !m_contact.isLost() && steadyNow() >= nextObservation) {
+        if (!groups.empty() && steadyNow() >= nextObservation && m_contact.mayCall(steadyNow())) {
             const bool isFit = std::any_of(
                 groups.begin(), groups.end(), [this](const GroupView &group) { return fitnessFor(group).isFit(); });
             nextObservation = steadyNow() + (isFit ? ObserveInterval : UnfitObserveInterval);
@@ -167,8 +167,10 @@
 {
     const auto page = co_await m_client.listStale(LeaseKind);
     if (page.has_error()) {
+        m_contact.failed(steadyNow(), m_random);
         co_return;
     }
+    m_contact.succeeded();
     std::map<GroupId, LeaseRecord> records;
     for (const auto &object : page.value().objects) {
         records[GroupId(object.key.name)] = recordOf(object);
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -44,7 +44,7 @@
                  const EngineDialect &engineDialect,
                  MetricsRegistry &metrics,
                  CoordinatorHost host,
-                 const StoreContact &contact,
+                 StoreContact &contact,
                  SlownessObserver onSlowness);
     ~Coordination();
 
@@ -87,7 +87,7 @@
     PlatformClient m_client;
     Random m_random;
     CoordinatorHost m_host;
-    const StoreContact &m_contact;
+    StoreContact &m_contact;
     SlownessObserver m_onSlowness;
     std::string m_incarnation;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -391,7 +391,10 @@
         co_return;
     }
     const auto reading = m_schedule.due(steadyNow(), m_policy.pressure());
-    const bool isLoadKnown = reading != CountReading::None && co_await readLoad(reading);
+    if (reading == CountReading::None) {
+        co_return;
+    }
+    const bool isLoadKnown = co_await readLoad(reading);
     if (isLoadKnown && m_switch == readFor && m_switch->hasTakenEffect() && m_switch->phase() == SwitchPhase::Idle) {
         planSwitchOfMap(reading);
     }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -58,11 +58,14 @@
             co_return failure(HttpCallError{connected.error(), true});
         }
     }
+    m_active = call.get();
     const auto started = co_await call->start(std::move(request), timeLeft(end));
     if (started.has_error()) {
+        m_active = nullptr;
         co_return failure(HttpCallError{started.error(), false});
     }
     auto response = co_await readResponse(*call, m_mostResponseBytes, end);
+    m_active = nullptr;
     if (response.has_error()) {
         co_return failure(HttpCallError{response.error(), false});
     }
@@ -73,6 +76,13 @@
     co_return std::move(response.value());
 }
 
+void HttpClient::abort()
+{
+    if (m_active != nullptr) {
+        m_active->cancel();
+    }
+}
+
 HttpRequest makeHttpRequest(std::string_view method, std::string_view target, std::string body)
 {
     HttpRequest request;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -32,6 +32,9 @@
     /// @param timeout of the whole call, however its answer arrives
     Task<Result<HttpResponse, HttpCallError>> call(HttpRequest request, Milliseconds timeout);
 
+    /// Ends the call that is under way, if any, as a failed one.
+    void abort();
+
 private:
     /// A list of 38,000 organisations is about 11 MB.
     static constexpr std::size_t MostResponseBytes = 64 * 1024 * 1024;
@@ -40,6 +43,8 @@
     tcp::endpoint m_endpoint;
     std::size_t m_mostResponseBytes;
     std::unique_ptr<HttpCall> m_call;
+    /// The call that is under way.
+    HttpCall *m_active = nullptr;
 };
 
 /// Makes a request for a whole call.
--- a/src/objectstore/storecontact.cpp
+++ b/src/objectstore/storecontact.cpp
@@ -35,9 +35,20 @@
     if (m_isLost && !m_isProbing) {
         return;
     }
+    const bool isNews = !m_isLost;
     m_isLost = true;
     m_isProbing = false;
     m_probeAt = now + m_backoff.next(random);
+    if (isNews) {
+        for (const auto &observer : m_observers) {
+            observer();
+        }
+    }
+}
+
+void StoreContact::onLost(std::function<void()> observer)
+{
+    m_observers.push_back(std::move(observer));
 }
 
 bool StoreContact::isLost() const
--- a/src/objectstore/storecontact.h
+++ b/src/objectstore/storecontact.h
@@ -4,6 +4,9 @@
 #include "core/random.h"
 #include "objectstore/backoff.h"
 
+#include <functional>
+#include <vector>
+
 namespace Cardamomhill
 {
 
@@ -33,12 +36,17 @@
 
     bool isLost() const;
 
+    /// Told whenever the contact is lost. A call that waits in a store that accepts calls and answers none would wait
+    /// for long.
+    void onLost(std::function<void()> observer);
+
 private:
     StoreContactOptions m_options;
     Backoff m_backoff;
     bool m_isLost = false;
     bool m_isProbing = false;
     SteadyTime m_probeAt{};
+    std::vector<std::function<void()>> m_observers;
 };
 
 } // namespace Cardamomhill
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -150,3 +150,26 @@
     CHECK_FALSE(wasSent);
     CHECK(steadyNow() - start < Seconds(4));
 }
+
+TEST_CASE("a call that waits can be given up from outside, and the client goes on")
+{
+    asio::io_context context;
+    EndlessServer server(context, "HTTP/1.1 200 OK\r\n", "X-More: x\r\n", Milliseconds(50));
+    HttpClient client(context, server.endpoint());
+    client.abort();
+    bool hasFailed = false;
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            auto request = makeHttpRequest("GET", "/");
+            const auto response = co_await client.call(std::move(request), Seconds(30));
+            hasFailed = response.has_error();
+        },
+        asio::detached);
+    context.run_for(std::chrono::milliseconds(200));
+    CHECK_FALSE(hasFailed);
+    client.abort();
+    context.run_for(std::chrono::milliseconds(500));
+    CHECK(hasFailed);
+    CHECK(server.wasClosed());
+}
--- a/tests/storecontacttest.cpp
+++ b/tests/storecontacttest.cpp
@@ -86,3 +86,19 @@
     }
     CHECK(contact.mayCall(Start + StoreContactOptions().firstDelay));
 }
+
+TEST_CASE("the loss of the contact is told once, so that calls that wait in a silent store are given up")
+{
+    Random random(1);
+    StoreContact contact;
+    int losses = 0;
+    contact.onLost([&losses] { ++losses; });
+    contact.failed(Start, random);
+    contact.failed(Start + Milliseconds(10), random);
+    REQUIRE(contact.mayCall(Start + Seconds(1)));
+    contact.failed(Start + Seconds(1), random);
+    CHECK(losses == 1);
+    contact.succeeded();
+    contact.failed(Start + Seconds(9), random);
+    CHECK(losses == 2);
+}
