Be ready only once a server is known

Readiness asked for a list of servers, and the first one was empty; since rounds of watches grow to 1.2 s in a series of changes, the first server came after the configuration and half a second. Ruled out: load (the order of the rounds gives it on an idle machine as well). Change: a host is ready once it knows a configuration and has known a server. Until then it refuses every call, so the platform leaves callers to others.

--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -108,7 +108,6 @@
 void GatewayControl::takeServers(const ObjectPage &page)
 {
     m_registry.replaceAll(readServers(page), steadyNow());
-    m_hasServers = true;
     publishServers();
 }
 
@@ -140,6 +139,8 @@
 
 void GatewayControl::publishServers()
 {
+    // Without any server every call would be refused, so a host that knows none yet leaves callers to the others.
+    m_hasServers = m_hasServers || m_registry.size() > 0;
     const auto changes = m_registry.takeChanges();
     if (changes.isEmpty()) {
         return;
