Hold what a coordinator's calls use while its group breaks and opens

Change: orders carry the switch, the client and the map that they are sent for; a reading holds its client.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -79,7 +79,8 @@
         co_return;
     }
     const auto rank = m_countedRank % m_clients.size();
-    const auto state = co_await m_clients[rank]->readState();
+    const auto client = m_clients[rank];
+    const auto state = co_await client->readState();
     if (m_switch || m_clients.empty()) {
         co_return;
     }
@@ -202,16 +203,17 @@
 void GroupCoordinator::sendOrders()
 {
     for (auto &order : m_switch->takeOrders(steadyNow())) {
-        spawn(m_context.get_executor(), "rank-order", sendOrder(std::move(order), m_encodedMap));
+        const auto client = m_clients[order.rank];
+        spawn(m_context.get_executor(), "rank-order", sendOrder(std::move(order), m_switch, client, m_encodedMap));
     }
 }
 
-Task<> GroupCoordinator::sendOrder(RankOrder order, std::shared_ptr<const std::string> encodedMap)
+Task<> GroupCoordinator::sendOrder(RankOrder order,
+                                   std::shared_ptr<MapSwitch> sentFor,
+                                   std::shared_ptr<EngineClient> client,
+                                   std::shared_ptr<const std::string> encodedMap)
 {
     const auto self = shared_from_this();
-    // Both are replaced when the group opens anew.
-    const auto sentFor = m_switch;
-    const auto client = m_clients[order.rank];
     const auto answer = co_await client->send(order, std::move(encodedMap));
     if (answer != OrderAnswer::Accepted) {
         logEvent(LogLevel::Info,
@@ -244,7 +246,8 @@
 {
     const auto readFor = m_switch;
     const auto rank = m_countedRank;
-    const auto state = co_await m_clients[rank]->readState();
+    const auto client = m_clients[rank];
+    const auto state = co_await client->readState();
     if (m_switch != readFor) {
         co_return;
     }
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -60,7 +60,11 @@
     Task<> awaitOpening();
     Task<> readStates();
     void sendOrders();
-    Task<> sendOrder(RankOrder order, std::shared_ptr<const std::string> encodedMap);
+    /// What it is sent for and through, and the map, are replaced when the group opens anew, which may come first.
+    Task<> sendOrder(RankOrder order,
+                     std::shared_ptr<MapSwitch> sentFor,
+                     std::shared_ptr<EngineClient> client,
+                     std::shared_ptr<const std::string> encodedMap);
     Task<> readOneState();
     Task<bool> learnMap();
     Task<> considerSwitch();
