--- a/tests/groupcoordinatortest.cpp
+++ b/tests/groupcoordinatortest.cpp
@@ -36,7 +36,8 @@
 /// Answers reports late, and orders as accepted.
 Task<> answerLate(HttpExchange &exchange)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor, AnswerTime);
+    const auto executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor, AnswerTime);
     SystemError error;
     co_await timer.async_wait(storeError(error));
     const std::string report = R"({"group":{"epoch":0,"state":"broken"},"step":12,"map":1})";
