Wait for the end of a killed process before its successor starts

Cause: configurationtest and atmostoncetest sent SIGKILL to a process and started the next one on the same ports at once. While the machine is busy the old one still holds them, and the new one ends with "address-in-use" after less than a millisecond; fleet_wait_ready then waits 20 s for nobody.

Change: fleet_crash kills and waits for the process.

Conclusion: traced and mended in the test's scaffolding; the product was not at fault.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -42,6 +42,14 @@
     return 1
 }
 
+# fleet_crash NAME: kills a process and waits for its end. Its ports are in use until then, so that a successor that is
+# started sooner may fail to listen.
+fleet_crash() {
+    local name="PID_${1//-/_}"
+    kill -KILL "${!name}"
+    wait "${!name}" || true
+}
+
 fleet_write_entry_settings() { # NAME LISTEN OPERATOR CONTROL SEED
     cat >"$FLEET_DIRECTORY/$1.yaml" <<YAML
 host: $1
--- a/tests/atmostoncetest.sh
+++ b/tests/atmostoncetest.sh
@@ -49,7 +49,7 @@
 pay "$ENTRY_A" "$key" 1 >/dev/null 2>&1 &
 lost_pid=$!
 sleep 0.5
-kill -KILL "$PID_entry_a"
+fleet_crash entry-a
 wait "$lost_pid" || true
 expect "after the entry process was killed, a repetition through another one gets the answer" \
     200 "$(pay "$ENTRY_B" "$key" 1 | tail -c 3)"
@@ -60,7 +60,7 @@
 pay "$ENTRY_B" "$key" 1 >"$FLEET_DIRECTORY/killed.txt" &
 killed_pid=$!
 sleep 0.5
-kill -KILL "$PID_agent_orders"
+fleet_crash agent-orders
 wait "$killed_pid"
 expect "a payment whose agent was killed is unknown" unknown "$(outcome "$(cat "$FLEET_DIRECTORY/killed.txt")")"
 curl -sS "http://$PLAIN/faults" -d '{}' >/dev/null
--- a/tests/configurationtest.sh
+++ b/tests/configurationtest.sh
@@ -74,15 +74,15 @@
 curl -sS "http://$PLATFORM/faults" -d '{"down":true}' >/dev/null
 expect "a write during an outage fails with status 1" 1 "$(change 13000 >/dev/null 2>&1; echo $?)"
 for round in 1 2; do
-    kill -KILL "$PID_entry_a"
+    fleet_crash entry-a
     fleet_restart_entry_a
     expect "an entry process restarted while the platform is away has the newest version ($round)" "$newest" "$(in_force "$ENTRY_A_OPERATOR")"
-    kill -KILL "$PID_entry_b"
+    fleet_crash entry-b
     fleet_spawn entry-b "$PROGRAM" entry --settings "$FLEET_DIRECTORY/entry-b.yaml"
     fleet_wait_ready "$ENTRY_B_OPERATOR"
     expect "so has the other one, restarted after it ($round)" "$newest" "$(in_force "$ENTRY_B_OPERATOR")"
 done
-kill -KILL "$PID_agent_chat"
+fleet_crash agent-chat
 fleet_spawn agent-chat "$PROGRAM" agent --settings "$FLEET_DIRECTORY/agent-chat-1.yaml"
 fleet_wait_ready "$AGENT_ENGINE_OPERATOR"
 expect "and a restarted agent serves with it" '{"text":"x-0 "}' \
