Keep the order of changes within one answer of a watch

Cause: an answer of a watch was read into "present" and "removed" objects, and the removed ones were applied last. A server whose registration lapsed and came back between two answers was dropped and stayed out of rotation until the next list, which may be half a minute away or more.

Ruled out: the registry (it applies what it is told in the order it is told).

Lapsing and returning within one round of 0.8 to 1.2 s is likely after an outage of the store.

--- a/src/control/kindfollower.h
+++ b/src/control/kindfollower.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "control/objectpage.h"
 #include "control/platformclient.h"
 #include "core/clocktypes.h"
 #include "core/random.h"
 #include "net/asio.h"
 #include "objectstore/backoff.h"
+#include "objectstore/objectpage.h"
 #include "objectstore/storecontact.h"
 
 #include <cstdint>
--- a/src/control/objectapidialect.h
+++ b/src/control/objectapidialect.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "control/objectpage.h"
 #include "control/platformcallerror.h"
 #include "core/clocktypes.h"
 #include "core/result.h"
 #include "net/httpexchange.h"
 #include "net/httpresponse.h"
+#include "objectstore/objectpage.h"
 
 #include <cstdint>
 #include <string>
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "control/objectapidialect.h"
-#include "control/objectpage.h"
 #include "control/platformcallerror.h"
 #include "core/clocktypes.h"
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/httpclient.h"
+#include "objectstore/objectpage.h"
 #include "objectstore/platformobject.h"
 
 #include <cstdint>
--- a/src/control/objectpage.h
+++ b/src/objectstore/objectpage.h
@@ -17,6 +17,10 @@
     std::vector<std::string> removed;
     /// A list goes on after its last object.
     bool hasMore = false;
+
+    /// Adds the next change in the store's order. Only the last change of an object counts.
+    void addPresent(PlatformObject object);
+    void addRemoved(std::string name);
 };
 
 } // namespace Cardamomhill
--- a/src/objectstore/objectstoremodule.h
+++ b/src/objectstore/objectstoremodule.h
@@ -10,6 +10,7 @@
 #include "objectstore/followrequest.h"
 #include "objectstore/followresult.h"
 #include "objectstore/objectkey.h"
+#include "objectstore/objectpage.h"
 #include "objectstore/objectstore.h"
 #include "objectstore/operationhistory.h"
 #include "objectstore/platformerror.h"
--- /dev/null
+++ b/tests/objectpagetest.cpp
@@ -0,0 +1,23 @@
+#include "platform/objectapi.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace Cardamomhill;
+
+TEST_CASE("a server that lapsed and registered again between two answers of a watch is present")
+{
+    const std::string events = R"({"store-revision":12,"events":[
+        {"removed":true,"object":{"metadata":{"name":"s1","mod-revision":10},"spec":{}}},
+        {"removed":false,"object":{"metadata":{"name":"s1","mod-revision":11},"spec":{}}},
+        {"removed":false,"object":{"metadata":{"name":"s2","mod-revision":9},"spec":{}}},
+        {"removed":true,"object":{"metadata":{"name":"s2","mod-revision":12},"spec":{}}}]})";
+    const auto page = Platform::ObjectApi().readPage("servers", events);
+    REQUIRE(page.has_value());
+    CHECK(page.value().removed == std::vector<std::string>{"s2"});
+    REQUIRE(page.value().objects.size() == 1);
+    CHECK(page.value().objects.front().key.name == "s1");
+    CHECK(page.value().objects.front().version == 11);
+}
