Let spawned orders hold their coordinator from the start

The task of an order took its reference to the coordinator in its first step, which runs after the task is spawned. An answer may be the last to hold a coordinator whose term is over; it spawned the next order and gave the coordinator back before that order began.

Change: tasks get the reference as a parameter, so they hold it from before their first step; orders are not continued when the coordinator's own task has ended.

Before/after: a new case of groupcoordinatortest (a term that ends while one map at a time is sent) fails under AddressSanitizer before ("heap-use-after- free ... sendOrder") and passes after.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -46,7 +46,7 @@
 
 void GroupCoordinator::start()
 {
-    spawn(m_context.get_executor(), "group-coordinator", run());
+    spawn(m_context.get_executor(), "group-coordinator", run(shared_from_this()));
 }
 
 void GroupCoordinator::update(const GroupView &group, const EngineProfile &engine)
@@ -141,9 +141,14 @@
     return m_switch && (m_switch->phase() == SwitchPhase::Fenced || m_switch->phase() == SwitchPhase::Stuck);
 }
 
-Task<> GroupCoordinator::run()
+Task<> GroupCoordinator::run(std::shared_ptr<GroupCoordinator> self)
+{
+    co_await self->runTerm();
+    self->m_hasEnded = true;
+}
+
+Task<> GroupCoordinator::runTerm()
 {
-    const auto self = shared_from_this();
     asio::steady_timer timer(m_context);
     SystemError error;
     // A switch that is under way is finished first: a step that stays held would stop the group.
@@ -204,31 +209,38 @@
 {
     for (auto &order : m_switch->takeOrders(steadyNow())) {
         const auto client = m_clients[order.rank];
-        spawn(m_context.get_executor(), "rank-order", sendOrder(std::move(order), m_switch, client, m_encodedMap));
+        spawn(m_context.get_executor(),
+              "rank-order",
+              sendOrder(shared_from_this(), std::move(order), m_switch, client, m_encodedMap));
     }
 }
 
-Task<> GroupCoordinator::sendOrder(RankOrder order,
+Task<> GroupCoordinator::sendOrder(std::shared_ptr<GroupCoordinator> self,
+                                   RankOrder order,
                                    std::shared_ptr<MapSwitch> sentFor,
                                    std::shared_ptr<EngineClient> client,
                                    std::shared_ptr<const std::string> encodedMap)
 {
-    const auto self = shared_from_this();
     const auto answer = co_await client->send(order, std::move(encodedMap));
+    self->takeAnswer(order, *sentFor, answer);
+    if (self->m_switch == sentFor && !self->m_hasEnded) {
+        self->sendOrders();
+    }
+}
+
+void GroupCoordinator::takeAnswer(const RankOrder &order, MapSwitch &sentFor, OrderAnswer answer)
+{
     if (answer != OrderAnswer::Accepted) {
         logEvent(LogLevel::Info,
                  "order-not-accepted",
                  {{"group", m_group.id.value()},
                   {"rank", order.rank},
-                  {"phase", nameOf(sentFor->phase())},
+                  {"phase", nameOf(sentFor.phase())},
                   {"answer", nameOf(answer)},
                   {"token", order.token}});
     }
     m_metrics.counter("rank_orders_total{answer=\"" + std::string(nameOf(answer)) + "\"}").add();
-    sentFor->onAnswer(order, answer, steadyNow());
-    if (m_switch == sentFor) {
-        sendOrders();
-    }
+    sentFor.onAnswer(order, answer, steadyNow());
 }
 
 Task<> GroupCoordinator::readStates()
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -52,7 +52,9 @@
     bool isOver() const;
 
 private:
-    Task<> run();
+    /// Tasks that are spawned hold the coordinator from before their first step.
+    static Task<> run(std::shared_ptr<GroupCoordinator> self);
+    Task<> runTerm();
     /// Whether no step is held for a switch.
     bool isSettled() const;
     Task<> work();
@@ -61,10 +63,12 @@
     Task<> readStates();
     void sendOrders();
     /// What it is sent for and through, and the map, are replaced when the group opens anew, which may come first.
-    Task<> sendOrder(RankOrder order,
-                     std::shared_ptr<MapSwitch> sentFor,
-                     std::shared_ptr<EngineClient> client,
-                     std::shared_ptr<const std::string> encodedMap);
+    static Task<> sendOrder(std::shared_ptr<GroupCoordinator> self,
+                            RankOrder order,
+                            std::shared_ptr<MapSwitch> sentFor,
+                            std::shared_ptr<EngineClient> client,
+                            std::shared_ptr<const std::string> encodedMap);
+    void takeAnswer(const RankOrder &order, MapSwitch &sentFor, OrderAnswer answer);
     Task<> readOneState();
     Task<bool> learnMap();
     Task<> considerSwitch();
@@ -99,6 +103,8 @@
     SwitchPolicy m_policy;
     SteadyTime m_nextUsage{};
     bool m_isStopped = false;
+    /// Its own task is over, and no further orders are sent.
+    bool m_hasEnded = false;
 };
 
 } // namespace Cardamomhill
--- a/tests/groupcoordinatortest.cpp
+++ b/tests/groupcoordinatortest.cpp
@@ -3,10 +3,15 @@
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
 #include "net/httpserver.h"
+#include "net/steadynow.h"
 #include "platform/engine.h"
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace Cardamomhill;
 
 namespace
@@ -44,6 +49,78 @@
     co_await exchange.sendWhole(200, "application/json", report);
 }
 
+/// A group whose ranks have much to do and choose one expert most of the time.
+class LoadedGroup
+{
+public:
+    LoadedGroup(asio::io_context &context, Milliseconds orderTime)
+        : m_orderTime(orderTime)
+    {
+        m_view = groupOf({}, 1, true);
+        for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
+            const auto endpoint = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
+            m_view.ranks[rank].address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+            m_servers.push_back(std::make_unique<HttpServer>(
+                context, HttpLimits(), [this, rank](HttpExchange &exchange) { return answer(exchange, rank); }));
+            REQUIRE(m_servers.back()->listen(endpoint, false).has_value());
+        }
+    }
+
+    static EngineProfile engine()
+    {
+        EngineProfile profile;
+        profile.slots = 6;
+        profile.expertLayers = 1;
+        profile.expertsPerLayer = Ranks;
+        profile.placesPerRank = 3;
+        profile.copiesPerRank = 2;
+        profile.expertMegabytes = 1;
+        profile.linkMegabitsPerSecond = 1000;
+        return profile;
+    }
+
+    const GroupView &view() const
+    {
+        return m_view;
+    }
+
+    int mapsSent() const
+    {
+        return m_mapsSent;
+    }
+
+private:
+    Task<> answer(HttpExchange &exchange, std::uint32_t rank)
+    {
+        const std::string target(exchange.request().target());
+        std::string body = "{}";
+        if (target == "/report") {
+            ++m_step;
+            body = R"({"group":{"epoch":1,"state":"open"},"step":)" + std::to_string(m_step)
+                + R"(,"map":1,"num-running":6,"num-waiting":3})";
+        } else if (target == "/picked") {
+            m_choices += 5000;
+            body = R"({"epoch":1,"counts":[)" + std::to_string(m_choices) + ",1,1,1,1]}";
+        } else if (target == "/picked?lists=1") {
+            body = R"({"epoch":1,"map":{"version":1,"experts":[[)" + std::to_string(rank) + "]]}}";
+        } else if (exchange.request().body().find("\"map\"") != std::string::npos) {
+            ++m_mapsSent;
+            const auto executor = co_await asio::this_coro::executor;
+            asio::steady_timer timer(executor, m_orderTime);
+            SystemError error;
+            co_await timer.async_wait(storeError(error));
+        }
+        co_await exchange.sendWhole(200, "application/json", body);
+    }
+
+    Milliseconds m_orderTime;
+    GroupView m_view;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+    std::uint64_t m_step = 1;
+    std::uint64_t m_choices = 0;
+    int m_mapsSent = 0;
+};
+
 } // namespace
 
 TEST_CASE("a group may break and open again while its ranks are read and orders are sent")
@@ -74,3 +151,28 @@
     // Its own task was the last owner but this one.
     CHECK(coordinator.use_count() == 1);
 }
+
+TEST_CASE("a coordinator lives until the orders that it has just begun to send are answered")
+{
+    constexpr Milliseconds OrderTime{120};
+    // One map at a time fits into the link, so each answer is followed by the next order.
+    constexpr double LinkMegabits = 0.001;
+    asio::io_context context;
+    LoadedGroup group(context, OrderTime);
+    const Platform::Engine dialect;
+    MetricsRegistry metrics;
+    auto coordinator = std::make_shared<GroupCoordinator>(context, dialect, metrics, 1, LinkMegabits);
+    coordinator->update(group.view(), LoadedGroup::engine());
+    coordinator->start();
+    const auto end = steadyNow() + Seconds(10);
+    while (group.mapsSent() == 0 && steadyNow() < end) {
+        context.run_for(Milliseconds(5));
+    }
+    REQUIRE(group.mapsSent() == 1);
+    coordinator->stop();
+    // No weak pointer is kept: the memory has to be given back, so that the sanitizers see a late use of it.
+    coordinator.reset();
+    // Its own task ends first; the answer, which then is the last to need it, leaves room for the next map.
+    context.run_for(4 * OrderTime);
+    CHECK(group.mapsSent() == 1);
+}
