Do not read leases in every round while the store is away

At the start 128 hosts wrote two leases, since what they had listed was up to two seconds old.

Ruled out: stale lists (they show the same record; they are not newer while the store is away); hosts that turned silent (none then).

Before/after: coordinationtest failed in both cases before (11 calls in 3 s, at most 5 allowed; the lease was taken from a holder that is heard) and passes.

Conclusion: a stampede that grew with the fleet and answered nobody.

--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds ObserveInterval{2000};
 /// The same at hosts that take a lease only if no fitter one does: each reading is charged.
 constexpr Milliseconds UnfitObserveInterval{6000};
+/// Before a lease is taken, what is known of it must not be older.
+constexpr Milliseconds FreshObservation{200};
 constexpr Milliseconds CallTimeout{1000};
 
 LeaseRecord recordOf(const PlatformObject &object)
@@ -171,6 +173,7 @@
         co_return;
     }
     m_contact.succeeded();
+    m_observedAt = steadyNow();
     std::map<GroupId, LeaseRecord> records;
     for (const auto &object : page.value().objects) {
         records[GroupId(object.key.name)] = recordOf(object);
@@ -180,6 +183,16 @@
     }
 }
 
+void Coordination::noteContact()
+{
+    const bool wasLost = std::exchange(m_wasLost, m_contact.isLost());
+    if (wasLost && !m_wasLost) {
+        for (auto &[group, led] : m_led) {
+            led.lease.storeRegained(steadyNow(), m_random);
+        }
+    }
+}
+
 void Coordination::publishSlowness()
 {
     ServerSlowness slowness;
@@ -195,6 +208,7 @@
 
 Task<> Coordination::keep(const GroupView &group, EngineProfile engine)
 {
+    noteContact();
     auto &led = ledOf(group.id);
     if (led.coordinator && led.coordinator->isOver()) {
         stepDown(group, led, "the group follows another coordinator or cannot be reached");
@@ -204,8 +218,14 @@
     }
     if (led.lease.shouldRenew(steadyNow())) {
         co_await renew(group, led);
-    } else if (led.lease.shouldAcquire(steadyNow())) {
-        co_await acquire(group, led);
+    } else if (led.lease.shouldAcquire(steadyNow()) && !m_contact.isLost()) {
+        // A list may be old but costs little, and mostly shows that another host was sooner.
+        if (steadyNow() - m_observedAt > FreshObservation) {
+            co_await observeLeases();
+        }
+        if (led.lease.shouldAcquire(steadyNow()) && !m_contact.isLost()) {
+            co_await acquire(group, led);
+        }
         if (led.coordinator) {
             led.coordinator->update(group, engine);
             led.coordinator->start();
@@ -221,6 +241,8 @@
         const ObjectKey key{LeaseKind, group.id.value()};
         const auto object = co_await m_client.read(key);
         if (object.has_error()) {
+            // The next list of leases tells whether the store is away.
+            led.lease.attemptFailed(steadyNow(), m_random);
             co_return;
         }
         if (object.value().version != expected) {
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -69,6 +69,7 @@
 
     Task<> run();
     Task<> observeLeases();
+    void noteContact();
     void publishSlowness();
     /// The group stays as it is until the task has ended.
     Task<> keep(const GroupView &group, EngineProfile engine);
@@ -95,6 +96,9 @@
     std::map<GroupId, Led> m_led;
     ServerSlowness m_published;
     std::set<std::string> m_silentHosts;
+    SteadyTime m_observedAt{};
+    /// Whether the store was out of contact when that was looked at last.
+    bool m_wasLost = false;
     std::uint64_t m_renewals = 0;
     bool m_isStopped = false;
 };
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -37,7 +37,7 @@
 
 void CoordinatorLease::holderTurnedSilent(SteadyTime now, Random &random)
 {
-    if (m_isHeld || m_record.version == m_silentVersion) {
+    if (m_isHeld || hasSilentHolder()) {
         return;
     }
     m_silentVersion = m_record.version;
@@ -47,6 +47,26 @@
     m_freeAt = std::min<SteadyTime>(m_freeAt, now + delay);
 }
 
+void CoordinatorLease::storeRegained(SteadyTime now, Random &random)
+{
+    const bool isWaiting = !m_isHeld && m_record.version != 0 && !hasSilentHolder();
+    if (isWaiting) {
+        std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
+        m_freeAt = std::max<SteadyTime>(m_freeAt, now + m_options.lifetime + Milliseconds(spread(random)) + m_mapDelay);
+    }
+}
+
+void CoordinatorLease::attemptFailed(SteadyTime now, Random &random)
+{
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptInterval.count());
+    m_freeAt = now + m_options.attemptInterval + Milliseconds(spread(random));
+}
+
+bool CoordinatorLease::hasSilentHolder() const
+{
+    return m_record.version == m_silentVersion;
+}
+
 const std::string &CoordinatorLease::holder() const
 {
     return m_record.host;
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -25,6 +25,8 @@
     Milliseconds longestMapDelay{2900};
     /// The same as `attemptSpread` after the holder turned silent. It may have stopped in a step that it holds.
     Milliseconds silentSpread{500};
+    /// Shortest time between two attempts.
+    Milliseconds attemptInterval{500};
 };
 
 /// What the store holds of a lease.
@@ -50,6 +52,12 @@
     /// The host that holds the lease is not heard any more. Takes it earlier than its lifetime says.
     void holderTurnedSilent(SteadyTime now, Random &random);
 
+    /// The store is back. Its holder could not renew the lease meanwhile, unless it has turned silent itself.
+    void storeRegained(SteadyTime now, Random &random);
+
+    /// The lease could not be read.
+    void attemptFailed(SteadyTime now, Random &random);
+
     /// Whether the lease looks free, so that it should be read anew and written.
     bool shouldAcquire(SteadyTime now) const;
     bool shouldRenew(SteadyTime now) const;
@@ -70,6 +78,8 @@
     std::uint64_t term() const;
 
 private:
+    bool hasSilentHolder() const;
+
     std::string m_host;
     std::string m_incarnation;
     CoordinatorLeaseOptions m_options;
--- /dev/null
+++ b/tests/coordinationtest.cpp
@@ -0,0 +1,126 @@
+#include "coordinator/coordination.h"
+
+#include "metrics/metricsregistry.h"
+#include "objectstore/storecontact.h"
+#include "platform/engine.h"
+#include "platform/objectapi.h"
+#include "standins/platformstore.h"
+#include "traffic/serverchanges.h"
+#include "traffic/trafficconfigurationbuilder.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+constexpr std::uint32_t Ranks = 2;
+const std::string LeaseKind = "groupcoordinators";
+const std::string Group = "g";
+const FailureDomainId Domain("zona-centro");
+
+std::shared_ptr<const TrafficConfiguration> configuration()
+{
+    EngineProfile engine;
+    engine.slots = 6;
+    engine.expertLayers = 1;
+    engine.expertsPerLayer = Ranks;
+    TrafficConfigurationBuilder builder;
+    builder.setVersion(1).addService({ServiceId("chat"), 0, engine});
+    return builder.build();
+}
+
+ServerChanges ranks(const tcp::endpoint &endpoint)
+{
+    ServerChanges changes;
+    for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
+        DiscoveredServer server;
+        server.id = BackendServerId("r" + std::to_string(rank));
+        server.service = ServiceId("chat");
+        server.failureDomain = Domain;
+        server.address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+        server.seat = GroupSeat{GroupId(Group), 1, rank, Ranks, true};
+        changes.present.push_back(server);
+    }
+    return changes;
+}
+
+/// An entry host that may coordinate a group whose lease another host holds.
+struct Host {
+    Host()
+        : store(context)
+        , storeEndpoint(tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint())
+        , coordination(context,
+                       storeEndpoint,
+                       std::make_shared<Platform::ObjectApi>(),
+                       dialect,
+                       metrics,
+                       {"host-a", Domain, 100},
+                       contact,
+                       [](const ServerSlowness &) {})
+    {
+        REQUIRE(store.listen(storeEndpoint).has_value());
+        renew();
+        coordination.apply(configuration());
+        // Nobody listens at this address; the ranks do not matter here.
+        coordination.applyServers(ranks({asio::ip::address_v4::loopback(), 1}));
+        coordination.start();
+    }
+
+    /// As the holder does.
+    void renew()
+    {
+        store.put(LeaseKind, Group, {{"host", "host-b"}, {"incarnation", "1"}, {"renewal", ++renewals}});
+    }
+
+    std::string holder()
+    {
+        return store.object(LeaseKind, Group)["spec"]["host"].get<std::string>();
+    }
+
+    asio::io_context context;
+    PlatformStore store;
+    tcp::endpoint storeEndpoint;
+    const Platform::Engine dialect;
+    MetricsRegistry metrics;
+    StoreContact contact;
+    int renewals = 0;
+    Coordination coordination;
+};
+
+} // namespace
+
+TEST_CASE("a store that is away is probed, not asked for a lease in every round")
+{
+    Host host;
+    host.context.run_for(Milliseconds(600));
+    host.store.setDown(true);
+    host.coordination.setSilentHosts({"host-b"});
+    const auto before = host.store.callCount();
+    host.context.run_for(Seconds(3));
+    // Probes follow each other 0.1 to 1.9 s apart.
+    CHECK(host.store.callCount() - before >= 1);
+    CHECK(host.store.callCount() - before <= 5);
+    host.store.setDown(false);
+    host.context.run_for(Milliseconds(3500));
+    CHECK(host.holder() == "host-a");
+}
+
+TEST_CASE("a lease whose holder could not renew it while the store was away stays with its holder")
+{
+    Host host;
+    host.context.run_for(Milliseconds(600));
+    host.store.setDown(true);
+    // Longer than a lease lasts, and than the random delay of an attempt.
+    host.context.run_for(Seconds(9));
+    host.store.setDown(false);
+    host.context.run_for(Milliseconds(1500));
+    CHECK(host.holder() == "host-b");
+    host.renew();
+    host.context.run_for(Seconds(3));
+    CHECK(host.holder() == "host-b");
+}
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -197,3 +197,24 @@
     directory.apply({{wrong, huge}, {}});
     CHECK(directory.groups().empty());
 }
+
+TEST_CASE("after an outage of the store a holder that is heard has time to renew its lease, a silent one has not")
+{
+    const CoordinatorLeaseOptions options;
+    const auto back = Start + LongEnough;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Random random(seed);
+        CoordinatorLease lease("a", "1");
+        lease.observe({5, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
+        auto silent = lease;
+        silent.holderTurnedSilent(back - Seconds(1), random);
+        lease.storeRegained(back, random);
+        silent.storeRegained(back, random);
+        CHECK_FALSE(lease.shouldAcquire(back + options.lifetime - Milliseconds(1)));
+        CHECK(lease.shouldAcquire(back + options.lifetime + options.attemptSpread));
+        CHECK(silent.shouldAcquire(back));
+        silent.attemptFailed(back, random);
+        CHECK_FALSE(silent.shouldAcquire(back + Milliseconds(499)));
+        CHECK(silent.shouldAcquire(back + Seconds(1)));
+    }
+}
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -65,6 +65,37 @@
     return m_server.listen(endpoint, false);
 }
 
+void PlatformStore::setDown(bool isDown)
+{
+    m_isDown = isDown;
+    wakeWatches();
+}
+
+void PlatformStore::put(const std::string &kind, const std::string &name, nlohmann::json spec)
+{
+    const Key key{kind, name};
+    m_objects[key] = objectJson(name, m_revision + 1, spec);
+    changed(key, m_objects[key], false);
+}
+
+void PlatformStore::remove(const std::string &kind, const std::string &name)
+{
+    const Key key{kind, name};
+    const Json object = m_objects.at(key);
+    m_objects.erase(key);
+    changed(key, object, true);
+}
+
+nlohmann::json PlatformStore::object(const std::string &kind, const std::string &name) const
+{
+    return m_objects.at({kind, name});
+}
+
+std::uint64_t PlatformStore::callCount() const
+{
+    return m_calls;
+}
+
 Task<> PlatformStore::send(HttpExchange &exchange, unsigned status, const Json &json)
 {
     const std::string body = json.dump();
@@ -83,6 +114,7 @@
         co_await answerFaults(exchange);
         co_return;
     }
+    ++m_calls;
     if (m_isDown) {
         co_await send(exchange, Unavailable, errorJson("down"));
         co_return;
@@ -103,8 +135,7 @@
         co_await send(exchange, NotFound, errorJson("no such object"));
     } else if (method == "DELETE") {
         const Json object = found->second;
-        m_objects.erase(found);
-        changed(key, object, true);
+        remove(key.first, key.second);
         co_await send(exchange, Ok, object);
     } else {
         const Json object = found->second;
@@ -200,10 +231,15 @@
         m_history.clear();
         m_historyFrom = m_revision + 1;
     }
+    wakeWatches();
+    co_await send(exchange, Ok, faults);
+}
+
+void PlatformStore::wakeWatches()
+{
     for (auto *const watch : m_watches) {
         watch->notify();
     }
-    co_await send(exchange, Ok, faults);
 }
 
 PlatformStore::Json PlatformStore::changesOf(const std::string &kind, std::uint64_t since) const
@@ -221,9 +257,7 @@
 {
     ++m_revision;
     m_history.push_back({m_revision, key.first, Json{{"removed", removed}, {"object", std::move(object)}}});
-    for (auto *const watch : m_watches) {
-        watch->notify();
-    }
+    wakeWatches();
 }
 
 } // namespace Cardamomhill
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -28,6 +28,15 @@
 
     Result<void, NetError> listen(const tcp::endpoint &endpoint);
 
+    void setDown(bool isDown);
+    /// Creates or changes an object, as an operator does.
+    void put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void remove(const std::string &kind, const std::string &name);
+    /// An object with its metadata and spec.
+    nlohmann::json object(const std::string &kind, const std::string &name) const;
+    /// Calls that arrived, whatever became of them.
+    std::uint64_t callCount() const;
+
 private:
     using Json = nlohmann::json;
     using Key = std::pair<std::string, std::string>;
@@ -44,6 +53,7 @@
     Task<> answerWrite(HttpExchange &exchange, const Key &key, bool creates);
     Task<> answerFaults(HttpExchange &exchange);
     Task<> send(HttpExchange &exchange, unsigned status, const Json &json);
+    void wakeWatches();
     Json changesOf(const std::string &kind, std::uint64_t since) const;
     void changed(const Key &key, Json object, bool removed);
 
@@ -56,6 +66,7 @@
     std::uint64_t m_historyFrom = 1;
     std::uint64_t m_lostWrites = 0;
     std::uint64_t m_cuts = 0;
+    std::uint64_t m_calls = 0;
     bool m_isMute = false;
     bool m_isDown = false;
 };
