Follow the store through two hosts of each large failure domain

Ruled out: longer rounds (a leaving server has to be known in time); telling revisions in notices (every host would still call the store in a series of changes); waiting for relays at the start (restarted hosts would serve later).

Change: in failure domains of eight hosts or more two follow the store and answer the others (docs/platform.md). Hosts agree on them by what they hear. A host whose relays fail, freeze, have no contact or do not know of their role calls the store itself. Hosts that are not listed yet are known by their notices, so the list of hosts is read rarely where it is not needed; a restarted host that is listed does not write its entry again. When one call of a process finds the store lost, all kinds that it follows are lost and listed anew.

What is left of the price are lists of leases and hosts and the first lists of all hosts.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace Cardamomhill
@@ -18,9 +19,29 @@
 
 const std::string HostKind = "entryhosts";
 constexpr Milliseconds CallTimeout{1500};
-constexpr Milliseconds EnterInterval{500};
-/// New hosts are known to the others after this time; until then their calls are not counted.
+/// Bounds the time in which hosts that do not hear each other find that they exist, and in which a store that accepts
+/// calls and answers none is noticed.
 constexpr Milliseconds ListInterval{5000};
+/// The same at hosts whose word others rely on.
+constexpr Milliseconds RelayListInterval{1000};
+/// The same at hosts that need the store only when their relays fail.
+constexpr Milliseconds RelayedListInterval{30'000};
+/// Hosts of a new fleet start at the same time, so the first lists follow each other sooner, at twice the interval
+/// each.
+constexpr Milliseconds FirstListInterval{500};
+
+Milliseconds listIntervalOf(StoreRole role)
+{
+    switch (role) {
+    case StoreRole::Direct:
+        return ListInterval;
+    case StoreRole::Relay:
+        return RelayListInterval;
+    case StoreRole::Relayed:
+        return RelayedListInterval;
+    }
+    return ListInterval;
+}
 
 } // namespace
 
@@ -46,21 +67,27 @@
     spawn(m_context.get_executor(), "host-directory", run());
 }
 
+void HostDirectory::setRole(StoreRole role)
+{
+    m_role = role;
+}
+
 Task<> HostDirectory::run()
 {
     asio::steady_timer timer(m_context);
     SystemError error;
-    bool isEntered = false;
-    while (!error && !isEntered) {
-        isEntered = co_await enter();
-        timer.expires_after(EnterInterval);
-        co_await timer.async_wait(storeError(error));
-    }
+    auto interval = FirstListInterval;
     while (!error) {
         if (m_contact.mayCall(steadyNow())) {
             co_await list();
         }
-        timer.expires_after(ListInterval);
+        if (!m_isEntered && !m_contact.isLost()) {
+            m_isEntered = co_await enter();
+        }
+        timer.expires_after(interval);
+        if (m_isEntered) {
+            interval = std::min(interval * 2, listIntervalOf(m_role));
+        }
         co_await timer.async_wait(storeError(error));
     }
 }
@@ -102,6 +129,8 @@
         if (address && *address != m_address) {
             hosts.push_back(*address);
         }
+        // An earlier process of this host was at the same address.
+        m_isEntered = m_isEntered || (object.key.name == m_host && address == m_address);
     }
     m_onHosts(hosts);
 }
--- a/src/control/hostdirectory.h
+++ b/src/control/hostdirectory.h
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "net/asio.h"
 #include "objectstore/storecontact.h"
+#include "objectstore/storerole.h"
 
 #include <functional>
 #include <memory>
@@ -29,6 +30,10 @@
 
     void start();
 
+    /// A host that learns of the store's changes through another need not ask the store often, and one that tells
+    /// others of them asks the more often, so that it notices soon when the store falls silent.
+    void setRole(StoreRole role);
+
 private:
     Task<> run();
     Task<bool> enter();
@@ -41,6 +46,9 @@
     StoreContact &m_contact;
     Random m_random;
     Observer m_onHosts;
+    /// The store's list has this host at its present address.
+    bool m_isEntered = false;
+    StoreRole m_role = StoreRole::Direct;
 };
 
 } // namespace Cardamomhill
--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -1,5 +1,7 @@
 #include "control/kindfollower.h"
 
+#include "control/relayedkind.h"
+#include "control/storerelay.h"
 #include "logging/logging.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
@@ -14,6 +16,8 @@
 
 /// A watch costs one call however long it waits; a silent connection is noticed by its probes.
 constexpr Milliseconds WatchWait{30'000};
+/// The same at hosts that call the store until their relays are fit again.
+constexpr Milliseconds WatchWaitBesideRelays{3000};
 /// The store answers in milliseconds, or in some hundred when it is slow; a lost connection attempt must not delay the
 /// next one for long.
 constexpr Milliseconds CallTimeout{1500};
@@ -34,13 +38,17 @@
                            std::shared_ptr<const ObjectApiDialect> dialect,
                            std::string kind,
                            Milliseconds callInterval,
-                           StoreContact &contact,
+                           const std::string &host,
+                           Surroundings surroundings,
                            Observers observers)
     : m_context(context)
     , m_client(context, platform, std::move(dialect), CallTimeout)
+    , m_relayClient(context, kind)
+    , m_source(host)
     , m_kind(std::move(kind))
     , m_callInterval(callInterval)
-    , m_contact(contact)
+    , m_contact(surroundings.contact)
+    , m_relayed(surroundings.relayed)
     , m_observers(std::move(observers))
     , m_random(std::random_device()())
     , m_backoff(FirstDelay, DelayLimit)
@@ -48,6 +56,11 @@
     m_contact.onLost([this] {
         if (m_isWatching) {
             m_client.abort();
+        } else if (!m_isRelayed) {
+            // What changes from now on is not known, whichever call found that the store is away.
+            m_mustList = true;
+            m_relayed.clear();
+            reportContact(false, "another call");
         }
     });
 }
@@ -57,6 +70,30 @@
     spawn(m_context.get_executor(), "kind-follower", follow());
 }
 
+void KindFollower::setDomainHosts(const std::vector<RelayHost> &hosts)
+{
+    m_source.setHosts(hosts);
+    const bool isRelay = role() == StoreRole::Relay;
+    if (isRelay == m_relayed.isOffered()) {
+        return;
+    }
+    logEvent(LogLevel::Info, "store-role", {{"kind", m_kind}, {"role", nameOf(role())}});
+    m_relayed.setOffered(isRelay);
+    if (isRelay) {
+        // A relay needs to know all objects.
+        m_mustList = true;
+        if (m_isWatching) {
+            m_isAborted = true;
+            m_client.abort();
+        }
+    }
+}
+
+StoreRole KindFollower::role() const
+{
+    return m_source.role();
+}
+
 std::uint64_t KindFollower::revision() const
 {
     return m_revision;
@@ -67,30 +104,85 @@
     asio::steady_timer timer(m_context);
     SystemError error;
     while (!error) {
-        if (!m_contact.mayCall(steadyNow())) {
-            timer.expires_after(ContactCheckPeriod);
-            co_await timer.async_wait(storeError(error));
-            continue;
-        }
-        const auto startedAt = steadyNow();
-        bool succeeded = false;
-        if (m_mustList) {
-            succeeded = co_await list();
-        } else {
-            succeeded = co_await watch();
+        const auto choice = m_source.next(steadyNow());
+        auto next = steadyNow() + ContactCheckPeriod;
+        if (const auto *wait = std::get_if<WaitForRelay>(&choice)) {
+            next = wait->until;
+        } else if (const auto *call = std::get_if<CallRelay>(&choice)) {
+            next = co_await followRelay(call->host);
+        } else if (m_contact.mayCall(steadyNow())) {
+            next = co_await followStore();
         }
-        if (succeeded) {
-            m_backoff.reset();
-        }
-        // Changes that are already there when a watch begins belong to a longer series of them.
-        const bool isSeries = steadyNow() - startedAt < QuickAnswer;
-        const auto interval = isSeries ? m_callInterval * SeriesFactor / 2 : Microseconds(m_callInterval);
-        const auto next = succeeded ? startedAt + interval : steadyNow() + m_backoff.next(m_random);
         timer.expires_at(next);
         co_await timer.async_wait(storeError(error));
     }
 }
 
+Task<SteadyTime> KindFollower::followStore()
+{
+    const auto startedAt = steadyNow();
+    // What a relay told may be older than what the store's watch starts from.
+    m_mustList = m_mustList || m_isRelayed;
+    bool succeeded = false;
+    if (m_mustList) {
+        succeeded = co_await list();
+    } else {
+        succeeded = co_await watch();
+    }
+    if (!succeeded) {
+        m_source.storeFailed(steadyNow());
+        co_return steadyNow() + m_backoff.next(m_random);
+    }
+    m_source.storeAnswered(steadyNow());
+    m_backoff.reset();
+    // Changes that are already there when a watch begins belong to a longer series of them.
+    const bool isSeries = steadyNow() - startedAt < QuickAnswer;
+    co_return startedAt + (isSeries ? m_callInterval * SeriesFactor / 2 : Microseconds(m_callInterval));
+}
+
+Task<SteadyTime> KindFollower::followRelay(RelayHost relay)
+{
+    const bool mustList = m_mustList || m_revision == 0;
+    const auto page = co_await m_relayClient.call(relay, mustList ? std::nullopt : std::optional(m_revision));
+    if (page.has_error()) {
+        switch (page.error()) {
+        case RelayCallError::HistoryGone:
+            m_mustList = true;
+            break;
+        case RelayCallError::Declined:
+            m_source.relayDeclined(steadyNow());
+            break;
+        case RelayCallError::NoContact:
+            m_source.relayHasNoContact(relay.name, steadyNow());
+            break;
+        case RelayCallError::Failed:
+            logEvent(LogLevel::Warning, "relay-failed", {{"kind", m_kind}, {"relay", relay.name}});
+            m_source.relayFailed(relay.name, steadyNow());
+            break;
+        }
+        if (!m_source.hasContact(steadyNow())) {
+            reportContact(false, "relays");
+        }
+        co_return steadyNow();
+    }
+    m_source.relayAnswered(relay.name);
+    reportContact(true, "relayed");
+    // Another relay, asked before, may have been ahead of this one. What is known never gets older.
+    if (page.value().revision < m_revision) {
+        co_return steadyNow() + StoreRelay::Wait;
+    }
+    if (!m_isRelayed || mustList) {
+        logEvent(LogLevel::Info,
+                 "relay-listed",
+                 {{"kind", m_kind}, {"relay", relay.name}, {"revision", page.value().revision}});
+    }
+    m_isRelayed = true;
+    m_revision = page.value().revision;
+    m_mustList = false;
+    mustList ? m_observers.onListed(page.value()) : m_observers.onChanged(page.value());
+    co_return steadyNow();
+}
+
 Task<bool> KindFollower::list()
 {
     const auto page = co_await m_client.list(m_kind);
@@ -104,6 +196,8 @@
              {{"kind", m_kind}, {"objects", page.value().objects.size()}, {"revision", page.value().revision}});
     m_revision = page.value().revision;
     m_mustList = false;
+    m_isRelayed = false;
+    m_relayed.replace(page.value());
     m_observers.onListed(page.value());
     co_return true;
 }
@@ -111,18 +205,21 @@
 Task<bool> KindFollower::watch()
 {
     m_isWatching = true;
-    const auto page = co_await m_client.watch(m_kind, m_revision, WatchWait);
+    m_isAborted = false;
+    const auto page
+        = co_await m_client.watch(m_kind, m_revision, role() == StoreRole::Relayed ? WatchWaitBesideRelays : WatchWait);
     m_isWatching = false;
     if (page.has_error()) {
         const bool isHistoryGone = page.error().code == PlatformCallErrorCode::HistoryGone;
+        const bool isAborted = m_isAborted;
         // A watch that is resumed from the old revision may wait without the changes that the broken one missed.
         m_mustList = true;
         if (isHistoryGone) {
             m_contact.succeeded();
-        } else {
+        } else if (!isAborted) {
             setContact(false, page.error().message());
         }
-        co_return isHistoryGone;
+        co_return isHistoryGone || isAborted;
     }
     setContact(true, "watched");
     if (page.value().revision < m_revision) {
@@ -133,11 +230,21 @@
         co_return true;
     }
     m_revision = page.value().revision;
+    m_relayed.apply(page.value());
     m_observers.onChanged(page.value());
     co_return true;
 }
 
 void KindFollower::setContact(bool contact, std::string_view cause)
+{
+    if (!contact) {
+        m_relayed.clear();
+    }
+    contact ? m_contact.succeeded() : m_contact.failed(steadyNow(), m_random);
+    reportContact(contact, cause);
+}
+
+void KindFollower::reportContact(bool contact, std::string_view cause)
 {
     if (contact != m_hasContact) {
         logEvent(contact ? LogLevel::Info : LogLevel::Warning,
@@ -145,7 +252,6 @@
                  {{"kind", m_kind}, {"cause", cause}, {"revision", m_revision}});
     }
     m_hasContact = contact;
-    contact ? m_contact.succeeded() : m_contact.failed(steadyNow(), m_random);
     m_observers.onContact(contact);
 }
 
--- /dev/null
+++ b/src/control/relaypage.cpp
@@ -0,0 +1,54 @@
+#include "control/relaypage.h"
+
+#include "wire/packing.h"
+
+#include <tuple>
+#include <vector>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr std::uint32_t FieldCount = 4;
+constexpr std::uint32_t CurrentFormat = 1;
+
+using PackedObject = std::tuple<std::string, std::uint64_t, std::string>;
+using PackedPage = std::tuple<std::uint32_t, std::uint64_t, std::vector<PackedObject>, std::vector<std::string>>;
+
+} // namespace
+
+std::string packPage(const ObjectPage &page)
+{
+    std::vector<PackedObject> objects;
+    objects.reserve(page.objects.size());
+    for (const auto &object : page.objects) {
+        objects.emplace_back(object.key.name, object.version, object.value);
+    }
+    return packed(PackedPage(CurrentFormat, page.revision, std::move(objects), page.removed));
+}
+
+Result<ObjectPage, WireError> unpackPage(const std::string &kind, std::string_view bytes)
+{
+    const auto read = [&](const msgpack::object &object) -> Result<ObjectPage, WireError> {
+        // A shorter array would leave fields as they are.
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != FieldCount) {
+            return failure(WireError{WireErrorCode::Malformed, bytes.size()});
+        }
+        auto [format, revision, objects, removed] = object.as<PackedPage>();
+        if (format != CurrentFormat) {
+            return failure(WireError{WireErrorCode::Malformed, 0});
+        }
+        ObjectPage page;
+        page.revision = revision;
+        page.removed = std::move(removed);
+        for (auto &[name, version, value] : objects) {
+            page.objects.push_back({{kind, std::move(name)}, version, std::move(value)});
+        }
+        return page;
+    };
+    return unpackedWith<ObjectPage>(bytes, read);
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/control/storerelay.cpp
@@ -0,0 +1,95 @@
+#include "control/storerelay.h"
+
+#include "control/relaypage.h"
+#include "core/numberof.h"
+#include "net/httpclient.h"
+#include "net/httplimits.h"
+#include "net/steadynow.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+constexpr std::string_view PathPrefix = "/relay/";
+constexpr std::string_view SinceParameter = "?since=";
+/// Others ask as soon as they know of a new relay, which then is about to list all objects.
+constexpr Milliseconds PreparationTime{200};
+constexpr unsigned StatusNotFound = 404;
+const std::string PageType = "application/msgpack";
+const std::string ReasonType = "text/plain";
+
+} // namespace
+
+HttpRequest StoreRelay::makeCall(const std::string &kind, std::optional<std::uint64_t> since)
+{
+    auto target = std::string(PathPrefix) + kind;
+    if (since) {
+        target += std::string(SinceParameter) + std::to_string(*since);
+    }
+    return makeHttpRequest("GET", target);
+}
+
+StoreRelay::StoreRelay(asio::io_context &context)
+    : m_context(context)
+    , m_server(context, HttpLimits(), [this](HttpExchange &exchange) { return answer(exchange); })
+{
+}
+
+Result<void, NetError> StoreRelay::listen(const tcp::endpoint &endpoint)
+{
+    return m_server.listen(endpoint, false);
+}
+
+RelayedKind &StoreRelay::kind(const std::string &name)
+{
+    return m_kinds.try_emplace(name, m_context).first->second;
+}
+
+Task<> StoreRelay::answer(HttpExchange &exchange)
+{
+    std::string_view target(exchange.request().target().data(), exchange.request().target().size());
+    std::optional<std::uint64_t> since;
+    const auto parameter = target.find(SinceParameter);
+    if (parameter != std::string_view::npos) {
+        since = numberOf<std::uint64_t>(target.substr(parameter + SinceParameter.size()));
+        target = since ? target.substr(0, parameter) : std::string_view();
+    }
+    const bool isRelayPath = target.substr(0, PathPrefix.size()) == PathPrefix;
+    const auto kind = isRelayPath ? m_kinds.find(std::string(target.substr(PathPrefix.size()))) : m_kinds.end();
+    if (kind == m_kinds.end()) {
+        co_await exchange.sendWhole(StatusNotFound, ReasonType, "/relay/KIND, /relay/KIND?since=REVISION\n");
+        co_return;
+    }
+    co_await answerKind(exchange, kind->second, since);
+}
+
+Task<> StoreRelay::answerKind(HttpExchange &exchange, RelayedKind &kind, std::optional<std::uint64_t> since)
+{
+    const auto &copy = kind.copy();
+    const auto end = steadyNow() + Wait;
+    const auto preparedBy = steadyNow() + PreparationTime;
+    while (kind.isPreparing() && steadyNow() < preparedBy) {
+        co_await kind.waitForChange(preparedBy);
+    }
+    while (since && copy.isComplete() && copy.revision() <= *since && steadyNow() < end) {
+        co_await kind.waitForChange(end);
+    }
+    if (!kind.isOffered()) {
+        co_await exchange.sendWhole(StatusDeclined, ReasonType, "this host does not follow the store for others\n");
+        co_return;
+    }
+    if (!copy.isComplete()) {
+        co_await exchange.sendWhole(StatusNoContact, ReasonType, "no contact with the store\n");
+        co_return;
+    }
+    const auto page = since ? copy.changesSince(*since) : std::optional(copy.all());
+    if (!page) {
+        co_await exchange.sendWhole(StatusHistoryGone, ReasonType, "changes since then are not known\n");
+        co_return;
+    }
+    co_await exchange.sendWhole(StatusOk, PageType, packPage(*page));
+}
+
+} // namespace Cardamomhill
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewaycontrol.h"
 
+#include "control/storerelay.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/storedialect.h"
 #include "logging/logging.h"
@@ -26,6 +27,7 @@
                                const StoreDialect &dialect,
                                MetricsRegistry &metrics,
                                StoreContact &contact,
+                               StoreRelay &relay,
                                Subscribers subscribers)
     : m_context(context)
     , m_dialect(dialect)
@@ -37,7 +39,8 @@
           dialect.objectApi(),
           dialect.configurationKind(),
           ConfigurationInterval,
-          contact,
+          settings.host.value(),
+          {contact, relay.kind(dialect.configurationKind())},
           {[this](const ObjectPage &page) { takeConfiguration(page); },
            [this](const ObjectPage &page) { takeConfiguration(page); },
            [this](bool hasContact) { m_metrics.gauge("store_in_contact").set(hasContact ? 1 : 0); }})
@@ -46,7 +49,8 @@
                        dialect.objectApi(),
                        dialect.serverKind(),
                        ServerInterval,
-                       contact,
+                       settings.host.value(),
+                       {contact, relay.kind(dialect.serverKind())},
                        {[this](const ObjectPage &page) { takeServers(page); },
                         [this](const ObjectPage &page) { takeServerChanges(page); },
                         [this](bool hasContact) {
@@ -62,6 +66,17 @@
     spawn(m_context.get_executor(), "gateway-control-tick", tickLoop());
 }
 
+void GatewayControl::setDomainHosts(const std::vector<RelayHost> &hosts)
+{
+    m_configurationFollower.setDomainHosts(hosts);
+    m_serverFollower.setDomainHosts(hosts);
+}
+
+StoreRole GatewayControl::role() const
+{
+    return m_serverFollower.role();
+}
+
 bool GatewayControl::isReady() const
 {
     return m_version != 0 && m_hasServers;
--- a/src/gateway/gatewaycontrol.h
+++ b/src/gateway/gatewaycontrol.h
@@ -14,6 +14,7 @@
 
 class MetricsRegistry;
 class StoreDialect;
+class StoreRelay;
 struct GatewaySettings;
 
 /// Follows the configuration and the registered servers in the platform's store.
@@ -30,10 +31,16 @@
                    const StoreDialect &dialect,
                    MetricsRegistry &metrics,
                    StoreContact &contact,
+                   StoreRelay &relay,
                    Subscribers subscribers);
 
     void start();
 
+    /// The live hosts of the own failure domain without this one.
+    void setDomainHosts(const std::vector<RelayHost> &hosts);
+
+    StoreRole role() const;
+
     /// Whether calls can be routed.
     bool isReady() const;
     std::uint64_t configurationVersion() const;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -2,6 +2,7 @@
 
 #include "control/hostdirectory.h"
 #include "control/operatorserver.h"
+#include "control/storerelay.h"
 #include "coordinator/coordination.h"
 #include "gateway/gatewaycontrol.h"
 #include "gateway/gatewaysettings.h"
@@ -44,7 +45,11 @@
                      },
                      [this](const std::set<std::string> &hosts) {
                          asio::post(m_context, [this, hosts] { m_coordination.setSilentHosts(hosts); });
+                     },
+                     [this](const std::vector<RelayHost> &hosts) {
+                         asio::post(m_context, [this, hosts] { setDomainHosts(hosts); });
                      }})
+        , m_relay(m_context)
         , m_coordination(m_context,
                          settings.platform,
                          storeDialect.objectApi(),
@@ -60,6 +65,7 @@
                     storeDialect,
                     m_metrics,
                     m_contact,
+                    m_relay,
                     {[this](const std::shared_ptr<const TrafficConfiguration> &configuration) {
                          m_coordination.apply(configuration);
                          asio::post(m_traffic.context(), [this, configuration] { m_traffic.apply(configuration); });
@@ -85,6 +91,7 @@
     {
         BOOST_OUTCOME_TRY(m_traffic.listen());
         BOOST_OUTCOME_TRY(m_operator.listen(m_settings.operatorListen));
+        BOOST_OUTCOME_TRY(m_relay.listen(m_settings.peerListen));
         m_control.start();
         m_hosts.start();
         if (m_settings.coordinatesGroups) {
@@ -101,6 +108,12 @@
     }
 
 private:
+    void setDomainHosts(const std::vector<RelayHost> &hosts)
+    {
+        m_control.setDomainHosts(hosts);
+        m_hosts.setRole(m_control.role());
+    }
+
     void waitForSignal()
     {
         m_signals.async_wait([this](SystemError error, int signal) {
@@ -168,6 +181,7 @@
     asio::signal_set m_signals;
     asio::steady_timer m_timer;
     GatewayThread m_traffic;
+    StoreRelay m_relay;
     Coordination m_coordination;
     GatewayControl m_control;
     HostDirectory m_hosts;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -43,6 +43,8 @@
         std::function<void(const GroupId &)> onSlowGroup;
         /// Other entry hosts that have turned silent.
         std::function<void(const std::set<std::string> &)> onSilentHosts;
+        /// The other live hosts of the own failure domain, whenever they change.
+        std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
     };
 
     GatewayThread(const GatewaySettings &settings,
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -1,11 +1,14 @@
 #include "gateway/peerexchange.h"
 
+#include "control/controladdress.h"
 #include "gateway/gatewaysettings.h"
 #include "metrics/metricsregistry.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
 #include "traffic/servertable.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
@@ -60,6 +63,18 @@
 void PeerExchange::setPeers(std::vector<udp::endpoint> peers)
 {
     m_peers = std::move(peers);
+    const auto now = steadyNow();
+    std::erase_if(m_addresses, [&](const auto &entry) { return !m_exchange.hears(entry.first, now); });
+    for (const auto &[host, address] : m_addresses) {
+        addPeer(address);
+    }
+}
+
+void PeerExchange::addPeer(const udp::endpoint &peer)
+{
+    if (std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end()) {
+        m_peers.push_back(peer);
+    }
 }
 
 void PeerExchange::tick()
@@ -95,6 +110,20 @@
     if (slowness != m_servers.slowness()) {
         m_observers.onSlowness(slowness);
     }
+    publishDomainHosts();
+}
+
+void PeerExchange::publishDomainHosts()
+{
+    std::vector<RelayHost> hosts;
+    for (const auto &name : m_exchange.domainHosts(steadyNow())) {
+        const auto &address = m_addresses.at(name);
+        hosts.push_back({name, nodeAddress({address.address(), address.port()}).value()});
+    }
+    if (hosts != m_domainHosts) {
+        m_domainHosts = std::move(hosts);
+        m_observers.onDomainHosts(m_domainHosts);
+    }
 }
 
 std::size_t PeerExchange::hostCount() const
@@ -117,6 +146,11 @@
             m_metrics.counter("peer_notices_malformed_total").add();
         } else if (m_exchange.take(*notice, steadyNow())) {
             m_metrics.counter("peer_notices_total").add();
+            auto &address = m_addresses[notice->host];
+            if (address != from) {
+                address = from;
+                addPeer(from);
+            }
             m_observers.onHeard(FailureDomainId(notice->failureDomain));
             m_hasNews = true;
         }
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/neterror.h"
+#include "objectstore/relayhost.h"
 #include "traffic/loadexchange.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -11,6 +12,7 @@
 #include <array>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +35,8 @@
         std::function<void(const FailureDomainId &)> onHeard;
         /// Which hosts have turned silent, whenever that changes.
         std::function<void(const std::set<std::string> &)> onSilentHosts;
+        /// The other live hosts of the own failure domain, whenever they change.
+        std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
     };
 
     PeerExchange(asio::io_context &context,
@@ -45,6 +49,7 @@
     Result<void, NetError> listen(const asio::ip::udp::endpoint &endpoint);
     /// Slow ranks that this host knows from its own reports.
     void setOwnSlowness(ServerSlowness slowness);
+    /// Hosts that the store lists. Others that send notices are told as well.
     void setPeers(std::vector<asio::ip::udp::endpoint> peers);
 
     /// Sends what has changed; to be called often.
@@ -57,7 +62,9 @@
     static constexpr std::size_t MostBytes = 8 * 1024;
 
     Task<> receive();
+    void addPeer(const asio::ip::udp::endpoint &peer);
     void publish();
+    void publishDomainHosts();
 
     asio::ip::udp::socket m_socket;
     LoadExchange m_exchange;
@@ -65,7 +72,9 @@
     MetricsRegistry &m_metrics;
     Observers m_observers;
     std::vector<asio::ip::udp::endpoint> m_peers;
+    std::map<std::string, asio::ip::udp::endpoint> m_addresses;
     std::set<std::string> m_silentHosts;
+    std::vector<RelayHost> m_domainHosts;
     bool m_hasNews = false;
     SteadyTime m_nextPublication{};
     std::array<char, MostBytes> m_buffer{};
--- a/src/traffic/loadexchange.cpp
+++ b/src/traffic/loadexchange.cpp
@@ -91,6 +91,23 @@
     return silent.size() * 2 > m_heardAt.size() ? std::set<std::string>() : silent;
 }
 
+bool LoadExchange::hears(const std::string &host, SteadyTime now) const
+{
+    const auto peer = m_peers.find(host);
+    return peer != m_peers.end() && now - peer->second.heardAt <= m_options.lifetime;
+}
+
+std::set<std::string> LoadExchange::domainHosts(SteadyTime now) const
+{
+    std::set<std::string> hosts;
+    for (const auto &[host, peer] : m_peers) {
+        if (peer.notice.failureDomain == m_failureDomain && hears(host, now)) {
+            hosts.insert(host);
+        }
+    }
+    return hosts;
+}
+
 std::size_t LoadExchange::hostCount(SteadyTime now) const
 {
     const auto live = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
--- a/src/traffic/loadexchange.h
+++ b/src/traffic/loadexchange.h
@@ -55,6 +55,12 @@
     /// Hosts that were heard and have turned silent. Nothing while most hosts are silent: this one is then cut off.
     std::set<std::string> silentHosts(SteadyTime now);
 
+    /// Whether another host was heard lately.
+    bool hears(const std::string &host, SteadyTime now) const;
+
+    /// Other hosts of the own failure domain that were heard lately.
+    std::set<std::string> domainHosts(SteadyTime now) const;
+
     /// Hosts that were heard lately, this one included.
     std::size_t hostCount(SteadyTime now) const;
 
--- a/tests/loadexchangetest.cpp
+++ b/tests/loadexchangetest.cpp
@@ -65,6 +65,23 @@
     CHECK(exchange.silentHosts(later + Seconds(5)).empty());
 }
 
+TEST_CASE("hosts of the own failure domain are those that were heard lately")
+{
+    LoadExchange exchange("a", "d", 1);
+    for (const auto *host : {"b", "c", "e"}) {
+        auto heard = notice(host, 1, 1, 2);
+        heard.failureDomain = host == std::string("e") ? "other" : "d";
+        exchange.take(heard, Start);
+    }
+    CHECK(exchange.domainHosts(Start) == std::set<std::string>{"b", "c"});
+    auto again = notice("c", 1, 2, 2);
+    again.failureDomain = "d";
+    exchange.take(again, Start + Seconds(2));
+    CHECK(exchange.domainHosts(Start + Seconds(4)) == std::set<std::string>{"c"});
+    CHECK(exchange.hears("c", Start + Seconds(4)));
+    CHECK_FALSE(exchange.hears("b", Start + Seconds(4)));
+}
+
 TEST_CASE("changes are told soon, and unchanged loads now and then")
 {
     LoadExchange exchange("a", "d", 1);
--- /dev/null
+++ b/tests/storerelaytest.cpp
@@ -0,0 +1,303 @@
+#include "control/storerelay.h"
+
+#include "control/kindfollower.h"
+#include "control/relaypage.h"
+#include "net/steadynow.h"
+#include "platform/objectapi.h"
+#include "standins/platformstore.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+const std::string Kind = "servers";
+constexpr Milliseconds CallInterval{100};
+constexpr Milliseconds Settling{600};
+
+tcp::endpoint freeEndpoint(asio::io_context &context)
+{
+    return tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
+}
+
+/// An entry host as far as it follows the store.
+struct Host {
+    Host(asio::io_context &context, const tcp::endpoint &store, const std::string &name)
+        : relay(context)
+        , address(freeEndpoint(context))
+        , follower(context,
+                   store,
+                   std::make_shared<Platform::ObjectApi>(),
+                   Kind,
+                   CallInterval,
+                   name,
+                   {contact, relay.kind(Kind)},
+                   {[this](const ObjectPage &page) {
+                        versions.clear();
+                        take(page);
+                    },
+                    [this](const ObjectPage &page) { take(page); },
+                    [this](bool isInContact) { hasContact = isInContact; }})
+    {
+        self = {name, address.address().to_string() + ":" + std::to_string(address.port())};
+        REQUIRE(relay.listen(address).has_value());
+        follower.start();
+    }
+
+    void take(const ObjectPage &page)
+    {
+        CHECK(page.revision >= revision);
+        revision = page.revision;
+        for (const auto &object : page.objects) {
+            versions[object.key.name] = object.version;
+        }
+        for (const auto &name : page.removed) {
+            versions.erase(name);
+        }
+    }
+
+    StoreContact contact;
+    StoreRelay relay;
+    tcp::endpoint address;
+    RelayHost self;
+    std::uint64_t revision = 0;
+    std::map<std::string, std::uint64_t> versions;
+    bool hasContact = false;
+    KindFollower follower;
+};
+
+/// The entry hosts of one failure domain and the store.
+struct Domain {
+    explicit Domain(int size)
+        : store(context)
+        , storeEndpoint(freeEndpoint(context))
+    {
+        REQUIRE(store.listen(storeEndpoint).has_value());
+        store.put(Kind, "first", {{"port", 1}});
+        for (int index = 0; index < size; ++index) {
+            hosts.push_back(std::make_unique<Host>(context, storeEndpoint, "host-" + std::to_string(index)));
+        }
+    }
+
+    void introduceHosts()
+    {
+        for (const auto &host : hosts) {
+            std::vector<RelayHost> others;
+            for (const auto &other : hosts) {
+                if (other != host) {
+                    others.push_back(other->self);
+                }
+            }
+            host->follower.setDomainHosts(others);
+        }
+        run(Settling);
+    }
+
+    void run(Milliseconds time)
+    {
+        context.run_for(time);
+    }
+
+    /// Registers servers, one of which leaves again.
+    void changeServers(int count, Milliseconds interval)
+    {
+        for (int index = 0; index < count; ++index) {
+            store.put(Kind, "server-" + std::to_string(index), {{"port", index}});
+            run(interval);
+        }
+        store.remove(Kind, "server-0");
+    }
+
+    bool allKnow(const std::string &server) const
+    {
+        return std::all_of(
+            hosts.begin(), hosts.end(), [&](const auto &host) { return host->versions.contains(server); });
+    }
+
+    std::vector<Host *> relays() const
+    {
+        std::vector<Host *> found;
+        for (const auto &host : hosts) {
+            if (host->relay.kind(Kind).isOffered()) {
+                found.push_back(host.get());
+            }
+        }
+        return found;
+    }
+
+    asio::io_context context;
+    PlatformStore store;
+    tcp::endpoint storeEndpoint;
+    std::vector<std::unique_ptr<Host>> hosts;
+};
+
+constexpr int LargeDomain = 24;
+
+} // namespace
+
+TEST_CASE("a series of changes costs a large failure domain the store's calls of two hosts, and reaches all")
+{
+    constexpr int Changes = 15;
+    std::map<bool, std::uint64_t> calls;
+    for (const bool areIntroduced : {false, true}) {
+        Domain domain(LargeDomain);
+        domain.run(Settling);
+        if (areIntroduced) {
+            domain.introduceHosts();
+        }
+        const auto before = domain.store.callCount();
+        domain.changeServers(Changes, Milliseconds(100));
+        domain.run(Settling);
+        calls[areIntroduced] = domain.store.callCount() - before;
+        for (const auto &host : domain.hosts) {
+            // The first server and all later ones but the one that left.
+            CHECK(host->versions.size() == Changes);
+            CHECK_FALSE(host->versions.contains("server-0"));
+            CHECK(host->hasContact);
+        }
+    }
+    MESSAGE("calls to the store: " << calls[false] << ", with relays " << calls[true]);
+    CHECK(calls[true] * 8 <= calls[false]);
+}
+
+TEST_CASE("hosts whose relays have lost the store call it themselves, and those that have it follow their relays again")
+{
+    Domain domain(LargeDomain);
+    domain.run(Settling);
+    domain.introduceHosts();
+    const auto relays = domain.relays();
+    REQUIRE(relays.size() == 2);
+    // As seen by the others, relays that the store turns away.
+    for (auto *const relay : relays) {
+        relay->relay.kind(Kind).clear();
+    }
+    domain.store.put(Kind, "late", {{"port", 7}});
+    domain.run(Milliseconds(1200));
+    CHECK(domain.allKnow("late"));
+    const auto outage = domain.store.callCount();
+    domain.run(Milliseconds(4000));
+    // A relay lists all objects anew after the next answer of its watch at the latest.
+    domain.store.put(Kind, "later", {{"port", 8}});
+    domain.run(Settling);
+    CHECK(domain.allKnow("later"));
+    CHECK(domain.store.callCount() - outage <= 2 * LargeDomain);
+}
+
+TEST_CASE("a relay that another call finds cut off from the store passes on nothing older")
+{
+    Domain domain(LargeDomain);
+    domain.run(Settling);
+    domain.introduceHosts();
+    const auto relays = domain.relays();
+    REQUIRE(relays.size() == 2);
+    // Between two calls: the next one comes CallInterval after the last answer.
+    domain.store.put(Kind, "early", {{"port", 6}});
+    domain.run(Milliseconds(20));
+    Random random(1);
+    const auto fail = [&] {
+        for (auto *const relay : relays) {
+            if (relay->contact.mayCall(steadyNow())) {
+                relay->contact.failed(steadyNow(), random);
+            }
+        }
+    };
+    fail();
+    domain.store.put(Kind, "late", {{"port", 7}});
+    // The other caller takes every probe, and the store turns all of them away.
+    for (int slice = 0; slice < 150; ++slice) {
+        fail();
+        domain.run(Milliseconds(10));
+    }
+    for (const auto &host : domain.hosts) {
+        const bool isRelay = std::find(relays.begin(), relays.end(), host.get()) != relays.end();
+        CHECK(host->versions.contains("late") != isRelay);
+    }
+}
+
+TEST_CASE("an outage of the store costs a host that has relays few calls, and is over for it soon after")
+{
+    Domain domain(LargeDomain);
+    domain.run(Settling);
+    domain.introduceHosts();
+    const auto before = domain.store.callCount();
+    domain.store.setDown(true);
+    domain.run(Milliseconds(4000));
+    for (const auto &host : domain.hosts) {
+        CHECK_FALSE(host->hasContact);
+    }
+    const auto calls = domain.store.callCount() - before;
+    MESSAGE("calls during an outage of 4 s: " << calls);
+    // Two relays probe in doubling steps up to 1.9 s, the others once.
+    CHECK(calls <= 2 * 8 + LargeDomain);
+    domain.store.setDown(false);
+    domain.store.put(Kind, "after", {{"port", 9}});
+    domain.run(Milliseconds(2500));
+    CHECK(domain.allKnow("after"));
+}
+
+TEST_CASE("a relay that accepts connections and never answers delays a change by less than two seconds")
+{
+    Domain domain(LargeDomain);
+    domain.run(Settling);
+    tcp::acceptor silent(domain.context, {asio::ip::address_v4::loopback(), 0});
+    const auto address = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    for (const auto &host : domain.hosts) {
+        std::vector<RelayHost> others;
+        for (int index = 0; index < LargeDomain; ++index) {
+            others.push_back({"frozen-" + std::to_string(index), address});
+        }
+        host->follower.setDomainHosts(others);
+    }
+    domain.run(Settling);
+    domain.store.put(Kind, "late", {{"port", 7}});
+    domain.run(Milliseconds(2000));
+    CHECK(domain.allKnow("late"));
+}
+
+TEST_CASE("a host whose view of the failure domain differs is sent to the store")
+{
+    Domain domain(LargeDomain);
+    domain.run(Settling);
+    auto &host = *domain.hosts.front();
+    std::vector<RelayHost> others;
+    for (std::size_t index = 1; index < domain.hosts.size(); ++index) {
+        others.push_back(domain.hosts[index]->self);
+    }
+    // The others know of no one.
+    host.follower.setDomainHosts(others);
+    domain.run(Settling);
+    domain.store.put(Kind, "late", {{"port", 7}});
+    domain.run(Settling);
+    CHECK(domain.allKnow("late"));
+}
+
+TEST_CASE("objects survive being passed on, and damaged bytes are an error")
+{
+    ObjectPage page;
+    page.revision = 12;
+    page.addPresent({{Kind, "a"}, 11, R"({"port":1})"});
+    page.addRemoved("b");
+    const auto bytes = packPage(page);
+    const auto read = unpackPage(Kind, bytes);
+    REQUIRE(read.has_value());
+    CHECK(read.value().revision == page.revision);
+    CHECK(read.value().objects == page.objects);
+    CHECK(read.value().removed == page.removed);
+    const bool neverThrows = rc::check([&](const std::string &noise) {
+        const auto anything = unpackPage(Kind, noise);
+        const auto shortened = unpackPage(Kind, std::string_view(bytes).substr(0, noise.size() % bytes.size()));
+        RC_ASSERT(shortened.has_error());
+        if (anything.has_value()) {
+            RC_ASSERT(anything.value().objects.empty());
+        }
+    });
+    CHECK(neverThrows);
+}
