Answer what was accepted, or is on its way, when a host stops

When the listening socket closed, connections that the system had accepted and the process had not were reset; accepted ones whose first request had not been read, and kept ones on which a request had just arrived, were closed; pipelined requests behind an answer that had promised to keep the connection were dropped. The process then ended although a request was half read.

Ruled out: calls in progress, streams among them (they were waited for already; gatewaytest.sh).

Change: what waits to be accepted is accepted before the socket closes; idle connections stay open for 0.3 s, and what arrives on them is answered with "close"; a connection is served until an answer has said that it closes. The gateway waits up to a second for connections without a call.

Before/after: four new cases of httpservertest failed before (20 of 20 waiting connections reset, a request in the moment of the stop and one 0.1 s after it cut, a pipelined one dropped) and pass. gatewaytest.sh checks what the port of the relays answers; /status tells the role.

--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -10,6 +10,7 @@
 #include "gateway/storedialect.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
+#include "net/steadynow.h"
 #include "objectstore/storecontact.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -25,6 +26,9 @@
 {
 
 constexpr Milliseconds ExitCheckPeriod{20};
+/// How long connections without a call are waited for after the listening socket was closed. What their callers have
+/// begun to send has this time to arrive.
+constexpr Milliseconds ConnectionGrace{1000};
 
 /// The threads and parts of one process.
 class GatewayProgram
@@ -139,6 +143,7 @@
         m_timer.expires_after(m_settings.drainGrace);
         m_timer.async_wait([this](SystemError) {
             asio::post(m_traffic.context(), [this] { m_traffic.stopAccepting(); });
+            m_exitsAfter = steadyNow() + ConnectionGrace;
             exitWhenIdle();
         });
     }
@@ -147,16 +152,26 @@
     {
         m_timer.expires_after(ExitCheckPeriod);
         m_timer.async_wait([this](SystemError) {
-            if (m_traffic.callCount() > 0) {
-                exitWhenIdle();
-                return;
-            }
-            logEvent(LogLevel::Info, "exit", {{"reason", "drained"}});
-            m_traffic.stop();
-            m_context.stop();
+            asio::post(m_traffic.context(), [this] {
+                const auto connections = m_traffic.connectionCount();
+                asio::post(m_context, [this, connections] { exitIfIdle(connections); });
+            });
         });
     }
 
+    void exitIfIdle(std::size_t connections)
+    {
+        // A request may still be on its way in.
+        const bool isReading = connections > 0 && steadyNow() < m_exitsAfter;
+        if (m_traffic.callCount() > 0 || isReading) {
+            exitWhenIdle();
+            return;
+        }
+        logEvent(LogLevel::Info, "exit", {{"reason", "drained"}});
+        m_traffic.stop();
+        m_context.stop();
+    }
+
     bool isReady() const
     {
         return m_control.isReady() && m_traffic.canServe() && !m_isDraining;
@@ -170,6 +185,7 @@
                               {"draining", m_isDraining},
                               {"configuration_version", m_control.configurationVersion()},
                               {"servers", m_control.serverCount()},
+                              {"store_role", nameOf(m_control.role())},
                               {"calls", m_traffic.callCount()}}
             .dump();
     }
@@ -187,6 +203,7 @@
     HostDirectory m_hosts;
     OperatorServer m_operator;
     bool m_isDraining = false;
+    SteadyTime m_exitsAfter{};
 };
 
 } // namespace
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -202,6 +202,11 @@
     m_http.stopAccepting();
 }
 
+std::size_t GatewayThread::connectionCount() const
+{
+    return m_http.connectionCount();
+}
+
 std::size_t GatewayThread::callCount() const
 {
     return m_callCount;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -66,6 +66,8 @@
     /// The process ends soon: callers should connect elsewhere.
     void startDraining();
     void stopAccepting();
+    /// Connections of callers. Only the traffic thread may ask.
+    std::size_t connectionCount() const;
 
     /// Whether this host can serve at all, or is cut off from what it needs. Any thread may ask.
     bool canServe() const;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <vector>
 
 #include <sys/socket.h>
@@ -29,6 +30,8 @@
 constexpr Milliseconds DiscardTime{1000};
 constexpr std::size_t DiscardBytes = 8 * 1024 * 1024;
 constexpr std::size_t DiscardPieceBytes = 16 * 1024;
+/// For what callers have sent, or are about to send, when the server stops.
+constexpr Milliseconds LingerTime{300};
 constexpr std::string_view ProblemType = "application/problem+json";
 
 /// The status for a request that could not be read, or 0 when the caller closed between requests.
@@ -106,14 +109,15 @@
 {
     m_isStopping = true;
     m_closesAfterAnswers = true;
+    acceptWaiting();
     SystemError ignored;
     m_acceptor.close(ignored);
-    for (const auto &weak : m_connections) {
-        const auto connection = weak.lock();
-        if (connection && connection->isIdle) {
-            connection->stream.close();
-        }
-    }
+    spawn(m_context.get_executor(), "http-close-idle", closeIdleLater());
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return m_connectionCount;
 }
 
 Task<> HttpServer::acceptLoop()
@@ -122,26 +126,62 @@
         SystemError error;
         tcp::socket socket(m_context);
         co_await m_acceptor.async_accept(socket, storeError(error));
-        if (error || m_connectionCount >= m_limits.connections) {
-            // A connection over the limit is closed at once, so that memory stays bounded.
-            continue;
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
+}
+
+void HttpServer::acceptWaiting()
+{
+    SystemError error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            take(std::move(socket));
+        }
+    }
+}
+
+void HttpServer::take(tcp::socket socket)
+{
+    if (m_connectionCount >= m_limits.connections) {
+        // A connection over the limit is closed at once, so that memory stays bounded.
+        return;
+    }
+    SystemError ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const auto connection = std::make_shared<Connection>(std::move(socket));
+    ++m_connectionCount;
+    const auto position = m_connections.insert(m_connections.end(), connection);
+    asio::co_spawn(m_context, serve(connection), [this, position](const std::exception_ptr &exception) {
+        m_connections.erase(position);
+        --m_connectionCount;
+        logException("http-connection", exception);
+    });
+}
+
+Task<> HttpServer::closeIdleLater()
+{
+    asio::steady_timer timer(m_context, LingerTime);
+    SystemError ignored;
+    co_await timer.async_wait(storeError(ignored));
+    for (const auto &weak : m_connections) {
+        const auto connection = weak.lock();
+        const bool isUnread = connection && connection->stream.socket().available(ignored) > 0;
+        if (connection && connection->isIdle && !isUnread) {
+            connection->stream.close();
         }
-        socket.set_option(tcp::no_delay(true), error);
-        const auto connection = std::make_shared<Connection>(std::move(socket));
-        ++m_connectionCount;
-        const auto position = m_connections.insert(m_connections.end(), connection);
-        asio::co_spawn(m_context, serve(connection), [this, position](const std::exception_ptr &exception) {
-            m_connections.erase(position);
-            --m_connectionCount;
-            logException("http-connection", exception);
-        });
     }
 }
 
 Task<> HttpServer::serve(std::shared_ptr<Connection> connection)
 {
+    // Answers that begin after the server was told to stop end their connections.
     bool reusable = true;
-    while (reusable && !m_isStopping) {
+    while (reusable) {
         reusable = co_await serveOne(*connection);
     }
     SystemError ignored;
@@ -167,7 +207,8 @@
     SystemError error;
     connection.isIdle = connection.buffer.size() == 0;
     if (connection.isIdle) {
-        connection.stream.expires_after(m_limits.idleTimeout);
+        connection.stream.expires_after(m_isStopping ? std::min(LingerTime, m_limits.idleTimeout)
+                                                     : m_limits.idleTimeout);
         const auto space = connection.buffer.prepare(FirstReadBytes);
         connection.buffer.commit(co_await connection.stream.async_read_some(space, storeError(error)));
         if (error) {
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -31,13 +31,19 @@
     /// Whether callers are asked to close their connections after their next answer. New ones are still taken.
     void setCloseAfterAnswers(bool closes);
 
-    /// Takes no new connections, closes idle ones and ends the others after their present answer.
+    /// Takes no further connections and asks callers to close the others. Those that the system has accepted already
+    /// are served, and so is what arrives on idle ones for a short time, since callers do not know yet.
     void stopAccepting();
 
+    std::size_t connectionCount() const;
+
 private:
     struct Connection;
 
     Task<> acceptLoop();
+    void acceptWaiting();
+    void take(tcp::socket socket);
+    Task<> closeIdleLater();
     Task<> serve(std::shared_ptr<Connection> connection);
     Task<bool> serveOne(Connection &connection);
     /// Reads on for a while after a request was refused unread. To close at once would reset the connection, and a
--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -244,6 +244,12 @@
 done
 expect "gateways hear each other" 1 "$(wait_for grep -q 'cardamomhill_peer_notices_total' <(curl -sS "http://$READY_B/metrics"); curl -sS "http://$READY_B/metrics" | grep -c '^cardamomhill_peer_notices_total')"
 
+relay_status() { curl -sS -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((PORT_BASE + 12))/relay/$1"; }
+expect "a gateway of a small failure domain follows the store for itself" 1 "$(curl -sS "http://$READY_A/status" | grep -c '"store_role":"direct"')"
+expect "and declines to tell others of changes" 421 "$(relay_status 'servers?since=1')"
+expect "an unknown kind is not relayed" 404 "$(relay_status none)"
+expect "a revision that is no number is refused" 404 "$(relay_status 'servers?since=1x')"
+
 call draft/stream -d x >"$DIRECTORY/stream.txt" &
 stream=$!
 sleep 0.1
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace Cardamomhill;
 
@@ -107,3 +109,135 @@
     CHECK(whole.wasSent);
     CHECK(whole.statusLine == "HTTP/1.1 200");
 }
+
+namespace
+{
+
+/// A server and its callers on one thread, so that the moment of the stop is exact.
+struct StoppedServer {
+    StoppedServer()
+        : server(context,
+                 HttpLimits(),
+                 [](HttpExchange &exchange) -> Task<> {
+                     const std::string body = "ok";
+                     co_await exchange.sendWhole(200, "", body);
+                 })
+        , endpoint(tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint())
+    {
+        REQUIRE(server.listen(endpoint, false).has_value());
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(context);
+        socket.connect(endpoint);
+        return socket;
+    }
+
+    void run(int milliseconds)
+    {
+        context.restart();
+        context.run_for(Milliseconds(milliseconds));
+    }
+
+    asio::io_context context;
+    HttpServer server;
+    tcp::endpoint endpoint;
+};
+
+void sendRequest(tcp::socket &socket)
+{
+    asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+}
+
+/// What has arrived: answers, and "closed" if the server closed in the usual way, or "reset".
+std::string received(tcp::socket &socket)
+{
+    socket.non_blocking(true);
+    std::string all;
+    SystemError error;
+    while (!error) {
+        std::array<char, 4096> piece{};
+        const auto size = socket.read_some(asio::buffer(piece), error);
+        all.append(piece.data(), size);
+    }
+    return all + (error == asio::error::eof ? "closed" : error == asio::error::would_block ? "" : "reset");
+}
+
+bool isAnswered(const std::string &text)
+{
+    return text.starts_with("HTTP/1.1 200") && text.ends_with("closed");
+}
+
+} // namespace
+
+TEST_CASE("connections that wait to be accepted when the server stops are served")
+{
+    StoppedServer stopped;
+    stopped.run(20);
+    std::vector<tcp::socket> callers;
+    for (int caller = 0; caller < 20; ++caller) {
+        callers.push_back(stopped.connect());
+        sendRequest(callers.back());
+    }
+    stopped.server.stopAccepting();
+    stopped.run(200);
+    for (auto &caller : callers) {
+        CHECK(isAnswered(received(caller)));
+    }
+}
+
+TEST_CASE("a request on a kept connection in the moment of the stop, or soon after it, is answered")
+{
+    for (const int delay : {0, 100}) {
+        StoppedServer stopped;
+        auto caller = stopped.connect();
+        auto idle = stopped.connect();
+        sendRequest(caller);
+        stopped.run(50);
+        REQUIRE(received(caller).starts_with("HTTP/1.1 200"));
+        if (delay == 0) {
+            sendRequest(caller);
+        }
+        stopped.server.stopAccepting();
+        stopped.run(delay);
+        if (delay != 0) {
+            sendRequest(caller);
+        }
+        stopped.run(100);
+        CHECK(isAnswered(received(caller)));
+        stopped.run(400);
+        CHECK(received(idle) == "closed");
+        CHECK(stopped.server.connectionCount() == 0);
+    }
+}
+
+TEST_CASE("requests that were sent together are all answered although the server stops after the first")
+{
+    StoppedServer stopped;
+    auto caller = stopped.connect();
+    stopped.run(20);
+    sendRequest(caller);
+    sendRequest(caller);
+    // The first answer promises to keep the connection.
+    stopped.run(20);
+    const auto before = received(caller);
+    sendRequest(caller);
+    stopped.server.stopAccepting();
+    stopped.run(500);
+    const auto after = received(caller);
+    CHECK(before.starts_with("HTTP/1.1 200"));
+    CHECK(isAnswered(after));
+}
+
+TEST_CASE("an accepted connection whose first request comes only after the stop is served")
+{
+    StoppedServer stopped;
+    stopped.run(20);
+    auto caller = stopped.connect();
+    stopped.server.stopAccepting();
+    stopped.run(100);
+    sendRequest(caller);
+    stopped.run(100);
+    CHECK(isAnswered(received(caller)));
+}
