Keep lint verdicts also where ccache rewrites paths

Cause: with ccache's base_dir the compiler's dependencies are relative to the build directory; lint.sh looked for absolute ones, found none, and checked every file again in each run (seen: no verdict kept after two minutes).

Change: both forms are read.

Conclusion: nothing changes where paths are absolute.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -16,7 +16,8 @@
     /^[^ ]/ { if (line != "") print line; line = "" }
     /^ / {
         sub(/^ +/, "")
-        if (index($0, root) == 1) line = line " " substr($0, length(root) + 1)
+        # Relative to the build directory where ccache has a base directory.
+        if (sub(/^\.\.\//, "") || sub("^" root, "")) line = line " " $0
     }
     END { if (line != "") print line }' >"$cache/dependencies"
 checks="$(clang-tidy --version | cat - .clang-tidy scripts/lint.sh | sha256sum | cut -c 1-16)"
