Log the cause of a lost store with the kind that found it

Cause: since all kinds are lost together, the observer of the shared contact reported the loss first, and the log said "another call" for every kind.

Change: the kind that found it reports before the others are told.

Before/after: read in the code; storerelaytest and gatewaytest.sh pass.

Conclusion: the order of two calls, no other behaviour.

--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -121,7 +121,7 @@
 Task<SteadyTime> KindFollower::followStore()
 {
     const auto startedAt = steadyNow();
-    // What a relay told may be older than what the store's watch starts from.
+    // A watch is resumed only from what the store itself has told this host.
     m_mustList = m_mustList || m_isRelayed;
     bool succeeded = false;
     if (m_mustList) {
@@ -240,8 +240,9 @@
     if (!contact) {
         m_relayed.clear();
     }
-    contact ? m_contact.succeeded() : m_contact.failed(steadyNow(), m_random);
+    // Before the others are told, so that the cause is logged with the kind that found it.
     reportContact(contact, cause);
+    contact ? m_contact.succeeded() : m_contact.failed(steadyNow(), m_random);
 }
 
 void KindFollower::reportContact(bool contact, std::string_view cause)
