Notice a silent store's return in time, and wait only for lapsed servers

The store was silent to one host until 23.5 s. Its probe waited for its time limit, and the delay to the next one began only after that, so contact was back at 25.5 s. The server had said at 24.7 s that it leaves and was not in the list any more; the host took the registration for one that had lapsed during an outage and kept the server in use for 2.2 s.

Ruled out: relays (failure domains of this site are too small for them); rounds of watches (the host had listed all servers).

Change: delays between probes count from their beginnings, and a follower adds none of its own; after a time without contact the grace for lapsed registrations holds only when half of all are missing. The time limits of calls and the longest delay are as before.

Before/after: storecontacttest (silent store) and serverregistrytest failed before and pass.

--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -28,8 +28,6 @@
 /// Halves of the usual interval between two calls during a series of changes. Servers are followed each 1.2 s then,
 /// well within the two seconds in which a leaving one must be known.
 constexpr int SeriesFactor = 3;
-constexpr Milliseconds FirstDelay{100};
-constexpr Milliseconds DelayLimit{1000};
 
 } // namespace
 
@@ -51,7 +49,6 @@
     , m_relayed(surroundings.relayed)
     , m_observers(std::move(observers))
     , m_random(std::random_device()())
-    , m_backoff(FirstDelay, DelayLimit)
 {
     m_contact.onLost([this] {
         if (m_isWatching) {
@@ -131,10 +128,9 @@
     }
     if (!succeeded) {
         m_source.storeFailed(steadyNow());
-        co_return steadyNow() + m_backoff.next(m_random);
+        co_return steadyNow() + ContactCheckPeriod;
     }
     m_source.storeAnswered(steadyNow());
-    m_backoff.reset();
     // Changes that are already there when a watch begins belong to a longer series of them.
     const bool isSeries = steadyNow() - startedAt < QuickAnswer;
     co_return startedAt + (isSeries ? m_callInterval * SeriesFactor / 2 : Microseconds(m_callInterval));
--- a/src/control/kindfollower.h
+++ b/src/control/kindfollower.h
@@ -5,7 +5,6 @@
 #include "core/clocktypes.h"
 #include "core/random.h"
 #include "net/asio.h"
-#include "objectstore/backoff.h"
 #include "objectstore/objectpage.h"
 #include "objectstore/storecontact.h"
 #include "objectstore/storesource.h"
@@ -82,7 +81,6 @@
     RelayedKind &m_relayed;
     Observers m_observers;
     Random m_random;
-    Backoff m_backoff;
     std::uint64_t m_revision = 0;
     bool m_mustList = true;
     bool m_isWatching = false;
--- a/src/objectstore/storecontact.cpp
+++ b/src/objectstore/storecontact.cpp
@@ -1,5 +1,7 @@
 #include "objectstore/storecontact.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
@@ -18,6 +20,7 @@
         return false;
     }
     m_isProbing = true;
+    m_probedAt = now;
     m_probeAt = now + m_options.probeLimit;
     return true;
 }
@@ -36,9 +39,11 @@
         return;
     }
     const bool isNews = !m_isLost;
+    // A store that is silent lets a probe wait, and the time of that wait must not add to the delay.
+    const auto begin = m_isProbing ? m_probedAt : now;
     m_isLost = true;
     m_isProbing = false;
-    m_probeAt = now + m_backoff.next(random);
+    m_probeAt = std::max<SteadyTime>(now, begin + m_backoff.next(random));
     if (isNews) {
         for (const auto &observer : m_observers) {
             observer();
--- a/src/objectstore/storecontact.h
+++ b/src/objectstore/storecontact.h
@@ -14,8 +14,8 @@
 struct StoreContactOptions {
     /// Delay of the first probe after a failure.
     Milliseconds firstDelay{200};
-    /// Longest delay between two probes. A host is held to the bounds on changes only some seconds after the store's
-    /// return, and waits two seconds from its own contact for registrations that lapsed.
+    /// Longest delay between the beginnings of two probes. A host is held to the bounds on changes only some seconds
+    /// after the store's return, and waits two seconds from its own contact for registrations that lapsed.
     Milliseconds delayLimit{1900};
     /// A probe that has not ended after this time is not waited for.
     Milliseconds probeLimit{2500};
@@ -45,6 +45,7 @@
     Backoff m_backoff;
     bool m_isLost = false;
     bool m_isProbing = false;
+    SteadyTime m_probedAt{};
     SteadyTime m_probeAt{};
     std::vector<std::function<void()>> m_observers;
 };
--- a/src/traffic/serverregistry.cpp
+++ b/src/traffic/serverregistry.cpp
@@ -24,8 +24,10 @@
             missing.push_back(id);
         }
     }
+    const auto leastLapsed = m_options.leastLapsedPart * static_cast<double>(m_entries.size());
+    const bool mayHaveLapsed = static_cast<double>(missing.size()) >= leastLapsed;
     for (const auto &id : missing) {
-        remove(id, now);
+        mayHaveLapsed ? remove(id, now) : drop(id);
     }
 }
 
@@ -52,7 +54,12 @@
         found->second.goneAt = std::min(found->second.goneAt, m_graceEnds);
         return;
     }
-    m_entries.erase(found);
+    drop(id);
+}
+
+void ServerRegistry::drop(const BackendServerId &id)
+{
+    m_entries.erase(id);
     m_changes.gone.push_back(id);
 }
 
--- a/src/traffic/serverregistry.h
+++ b/src/traffic/serverregistry.h
@@ -14,6 +14,9 @@
 struct ServerRegistryOptions {
     /// Registrations that lapsed while the platform was away come back within two seconds of its return.
     Milliseconds returnGrace{2200};
+    /// An outage that outlasts registrations lets all of them lapse. When fewer than this part of them are missing
+    /// after it, those servers left or ended while this host alone had no contact.
+    double leastLapsedPart = 0.5;
 };
 
 /// The registered backend servers as the platform's store shows them, and which of them may be used.
@@ -49,6 +52,7 @@
         SteadyTime goneAt = SteadyTime::max();
     };
 
+    void drop(const BackendServerId &id);
     bool isInGrace(SteadyTime now) const;
 
     ServerRegistryOptions m_options;
--- a/tests/serverregistrytest.cpp
+++ b/tests/serverregistrytest.cpp
@@ -54,6 +54,18 @@
     }
 }
 
+TEST_CASE("after a time without contact a server that is missing among many others has left")
+{
+    ServerRegistry registry;
+    registry.replaceAll({server("a"), server("b"), server("c")}, Start);
+    registry.takeChanges();
+    registry.contactLost();
+    registry.contactRegained(Start + Seconds(10));
+    // It may have said that it leaves while this host was turned away.
+    registry.replaceAll({server("b"), server("c")}, Start + Seconds(10));
+    CHECK(registry.takeChanges().gone == std::vector{BackendServerId("a")});
+}
+
 TEST_CASE("a server that said that it leaves is not waited for after an outage")
 {
     ServerRegistry registry;
--- a/tests/storecontacttest.cpp
+++ b/tests/storecontacttest.cpp
@@ -102,3 +102,26 @@
     contact.failed(Start + Seconds(9), random);
     CHECK(losses == 2);
 }
+
+TEST_CASE("a store that was silent, so that probes waited for their time limit, is noticed within two seconds as well")
+{
+    constexpr Milliseconds CallTimeout{1500};
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        Random random(seed);
+        StoreContact contact;
+        contact.failed(Start, random);
+        const auto back = Start + Seconds(9) + Milliseconds(seed * 10);
+        auto now = Start;
+        while (contact.isLost()) {
+            if (contact.mayCall(now)) {
+                // A call that was sent into the silence is not answered later.
+                const bool isAnswered = now >= back;
+                isAnswered ? contact.succeeded() : contact.failed(now + CallTimeout, random);
+                now += isAnswered ? AnswerTime : CallTimeout;
+            } else {
+                now += Tick;
+            }
+            REQUIRE(now < back + Seconds(2));
+        }
+    }
+}
