Give a test's coroutines their context instead of asking for the executor

Ruled out: the code itself; the finding is in Boost's header.

Change: the coroutines get the io_context.

--- a/tests/groupcoordinatortest.cpp
+++ b/tests/groupcoordinatortest.cpp
@@ -39,10 +39,9 @@
 }
 
 /// Answers reports late, and orders as accepted.
-Task<> answerLate(HttpExchange &exchange)
+Task<> answerLate(asio::io_context &context, HttpExchange &exchange)
 {
-    const auto executor = co_await asio::this_coro::executor;
-    asio::steady_timer timer(executor, AnswerTime);
+    asio::steady_timer timer(context, AnswerTime);
     SystemError error;
     co_await timer.async_wait(storeError(error));
     const std::string report = R"({"group":{"epoch":0,"state":"broken"},"step":12,"map":1})";
@@ -54,7 +53,8 @@
 {
 public:
     LoadedGroup(asio::io_context &context, Milliseconds orderTime)
-        : m_orderTime(orderTime)
+        : m_context(context)
+        , m_orderTime(orderTime)
     {
         m_view = groupOf({}, 1, true);
         for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
@@ -105,14 +105,14 @@
             body = R"({"epoch":1,"map":{"version":1,"experts":[[)" + std::to_string(rank) + "]]}}";
         } else if (exchange.request().body().find("\"map\"") != std::string::npos) {
             ++m_mapsSent;
-            const auto executor = co_await asio::this_coro::executor;
-            asio::steady_timer timer(executor, m_orderTime);
+            asio::steady_timer timer(m_context, m_orderTime);
             SystemError error;
             co_await timer.async_wait(storeError(error));
         }
         co_await exchange.sendWhole(200, "application/json", body);
     }
 
+    asio::io_context &m_context;
     Milliseconds m_orderTime;
     GroupView m_view;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
@@ -126,7 +126,8 @@
 TEST_CASE("a group may break and open again while its ranks are read and orders are sent")
 {
     asio::io_context context;
-    HttpServer server(context, HttpLimits(), answerLate);
+    HttpServer server(
+        context, HttpLimits(), [&context](HttpExchange &exchange) { return answerLate(context, exchange); });
     const auto endpoint = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
     REQUIRE(server.listen(endpoint, false).has_value());
     const Platform::Engine dialect;
