--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -71,7 +71,7 @@
     wakeWatches();
 }
 
-void PlatformStore::put(const std::string &kind, const std::string &name, nlohmann::json spec)
+void PlatformStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
 {
     const Key key{kind, name};
     m_objects[key] = objectJson(name, m_revision + 1, spec);
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -30,7 +30,7 @@
 
     void setDown(bool isDown);
     /// Creates or changes an object, as an operator does.
-    void put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     void remove(const std::string &kind, const std::string &name);
     /// An object with its metadata and spec.
     nlohmann::json object(const std::string &kind, const std::string &name) const;
--- a/tests/storerelaytest.cpp
+++ b/tests/storerelaytest.cpp
@@ -263,6 +263,7 @@
     domain.run(Settling);
     auto &host = *domain.hosts.front();
     std::vector<RelayHost> others;
+    others.reserve(domain.hosts.size());
     for (std::size_t index = 1; index < domain.hosts.size(); ++index) {
         others.push_back(domain.hosts[index]->self);
     }
