--- a/tests/storerelaytest.cpp
+++ b/tests/storerelaytest.cpp
@@ -244,11 +244,12 @@
     domain.run(Settling);
     tcp::acceptor silent(domain.context, {asio::ip::address_v4::loopback(), 0});
     const auto address = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    std::vector<RelayHost> others;
+    others.reserve(LargeDomain);
+    for (int index = 0; index < LargeDomain; ++index) {
+        others.push_back({"frozen-" + std::to_string(index), address});
+    }
     for (const auto &host : domain.hosts) {
-        std::vector<RelayHost> others;
-        for (int index = 0; index < LargeDomain; ++index) {
-            others.push_back({"frozen-" + std::to_string(index), address});
-        }
         host->follower.setDomainHosts(others);
     }
     domain.run(Settling);
