Share what tests write to find a loopback address

Cause: reading the whole change again. Six tests looked for a free loopback address in the same words, three put "address:port" together although nodeAddress() does; storerelaytest built the list of a host's neighbours twice, and the stand-in store created objects in two places.

Ruled out: a change of what is tested; cases, assertions and bounds are as they were.

Change: tests/support/freeendpoint.h, nodeAddress(), introduceTo() and put() serve all of them.

Conclusion: no behaviour changes.

--- a/tests/coordinationtest.cpp
+++ b/tests/coordinationtest.cpp
@@ -1,10 +1,12 @@
 #include "coordinator/coordination.h"
+#include "control/controladdress.h"
 
 #include "metrics/metricsregistry.h"
 #include "objectstore/storecontact.h"
 #include "platform/engine.h"
 #include "platform/objectapi.h"
 #include "standins/platformstore.h"
+#include "support/freeendpoint.h"
 #include "traffic/serverchanges.h"
 #include "traffic/trafficconfigurationbuilder.h"
 
@@ -42,7 +44,7 @@
         server.id = BackendServerId("r" + std::to_string(rank));
         server.service = ServiceId("chat");
         server.failureDomain = Domain;
-        server.address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+        server.address = nodeAddress(endpoint).value();
         server.seat = GroupSeat{GroupId(Group), 1, rank, Ranks, true};
         changes.present.push_back(server);
     }
@@ -53,7 +55,7 @@
 struct Host {
     Host()
         : store(context)
-        , storeEndpoint(tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint())
+        , storeEndpoint(freeEndpoint(context))
         , coordination(context,
                        storeEndpoint,
                        std::make_shared<Platform::ObjectApi>(),
--- a/tests/groupcoordinatortest.cpp
+++ b/tests/groupcoordinatortest.cpp
@@ -1,10 +1,12 @@
 #include "coordinator/groupcoordinator.h"
+#include "control/controladdress.h"
 #include "metrics/metricsregistry.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
 #include "net/httpserver.h"
 #include "net/steadynow.h"
 #include "platform/engine.h"
+#include "support/freeendpoint.h"
 
 #include <doctest/doctest.h>
 
@@ -31,7 +33,7 @@
     for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
         DiscoveredServer server;
         server.id = BackendServerId("r" + std::to_string(rank) + "-" + std::to_string(epoch));
-        server.address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+        server.address = nodeAddress(endpoint).value();
         server.seat = GroupSeat{group.id, epoch, rank, Ranks, isOpen};
         group.ranks.push_back(server);
     }
@@ -58,8 +60,8 @@
     {
         m_view = groupOf({}, 1, true);
         for (std::uint32_t rank = 0; rank < Ranks; ++rank) {
-            const auto endpoint = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
-            m_view.ranks[rank].address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+            const auto endpoint = freeEndpoint(context);
+            m_view.ranks[rank].address = nodeAddress(endpoint).value();
             m_servers.push_back(std::make_unique<HttpServer>(
                 context, HttpLimits(), [this, rank](HttpExchange &exchange) { return answer(exchange, rank); }));
             REQUIRE(m_servers.back()->listen(endpoint, false).has_value());
@@ -128,7 +130,7 @@
     asio::io_context context;
     HttpServer server(
         context, HttpLimits(), [&context](HttpExchange &exchange) { return answerLate(context, exchange); });
-    const auto endpoint = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
+    const auto endpoint = freeEndpoint(context);
     REQUIRE(server.listen(endpoint, false).has_value());
     const Platform::Engine dialect;
     MetricsRegistry metrics;
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -3,6 +3,7 @@
 #include "net/httplimits.h"
 #include "net/httpserver.h"
 #include "net/steadynow.h"
+#include "support/freeendpoint.h"
 
 #include <doctest/doctest.h>
 
@@ -186,7 +187,7 @@
         const std::string body = "ok";
         co_await exchange.sendWhole(200, "", body);
     });
-    const auto endpoint = tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
+    const auto endpoint = freeEndpoint(context);
     REQUIRE(server.listen(endpoint, false).has_value());
     HttpClient client(context, endpoint);
     int answered = 0;
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -1,6 +1,7 @@
 #include "net/httpserver.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
+#include "support/freeendpoint.h"
 
 #include <doctest/doctest.h>
 
@@ -37,8 +38,7 @@
             co_await exchange.sendWhole(200, "", body);
         })
     {
-        const tcp::acceptor probe(m_context, {asio::ip::address_v4::loopback(), 0});
-        m_endpoint = probe.local_endpoint();
+        m_endpoint = freeEndpoint(m_context);
     }
 
     void start()
@@ -122,7 +122,7 @@
                      const std::string body = "ok";
                      co_await exchange.sendWhole(200, "", body);
                  })
-        , endpoint(tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint())
+        , endpoint(freeEndpoint(context))
     {
         REQUIRE(server.listen(endpoint, false).has_value());
     }
--- a/tests/readrankstest.cpp
+++ b/tests/readrankstest.cpp
@@ -3,6 +3,7 @@
 #include "net/httplimits.h"
 #include "net/httpserver.h"
 #include "platform/engine.h"
+#include "support/freeendpoint.h"
 
 #include <doctest/doctest.h>
 
@@ -27,12 +28,9 @@
 {
     asio::io_context context;
     HttpServer server(context, HttpLimits(), answerReport);
-    const auto free = [&context] {
-        return tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
-    };
-    const auto alive = free();
+    const auto alive = freeEndpoint(context);
     REQUIRE(server.listen(alive, false).has_value());
-    const auto dead = free();
+    const auto dead = freeEndpoint(context);
     const Platform::Engine dialect;
     std::vector<std::shared_ptr<EngineClient>> clients;
     for (std::size_t rank = 0; rank < Ranks; ++rank) {
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -202,9 +202,8 @@
         co_await send(exchange, Conflict, object);
         co_return;
     }
-    Json object = objectJson(named.second, m_revision + 1, body["spec"]);
-    m_objects[named] = object;
-    changed(named, object, false);
+    put(named.first, named.second, body["spec"]);
+    const Json object = m_objects.at(named);
     if (m_lostWrites > 0) {
         --m_lostWrites;
         exchange.abort();
--- a/tests/storerelaytest.cpp
+++ b/tests/storerelaytest.cpp
@@ -1,10 +1,12 @@
 #include "control/storerelay.h"
+#include "control/controladdress.h"
 
 #include "control/kindfollower.h"
 #include "control/relaypage.h"
 #include "net/steadynow.h"
 #include "platform/objectapi.h"
 #include "standins/platformstore.h"
+#include "support/freeendpoint.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -23,11 +25,6 @@
 constexpr Milliseconds CallInterval{100};
 constexpr Milliseconds Settling{600};
 
-tcp::endpoint freeEndpoint(asio::io_context &context)
-{
-    return tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
-}
-
 /// An entry host as far as it follows the store.
 struct Host {
     Host(asio::io_context &context, const tcp::endpoint &store, const std::string &name)
@@ -47,7 +44,7 @@
                     [this](const ObjectPage &page) { take(page); },
                     [this](bool isInContact) { hasContact = isInContact; }})
     {
-        self = {name, address.address().to_string() + ":" + std::to_string(address.port())};
+        self = {name, nodeAddress(address).value()};
         REQUIRE(relay.listen(address).has_value());
         follower.start();
     }
@@ -87,16 +84,22 @@
         }
     }
 
+    /// Tells a host of all others.
+    void introduceTo(Host &host)
+    {
+        std::vector<RelayHost> others;
+        for (const auto &other : hosts) {
+            if (other.get() != &host) {
+                others.push_back(other->self);
+            }
+        }
+        host.follower.setDomainHosts(others);
+    }
+
     void introduceHosts()
     {
         for (const auto &host : hosts) {
-            std::vector<RelayHost> others;
-            for (const auto &other : hosts) {
-                if (other != host) {
-                    others.push_back(other->self);
-                }
-            }
-            host->follower.setDomainHosts(others);
+            introduceTo(*host);
         }
         run(Settling);
     }
@@ -262,14 +265,8 @@
 {
     Domain domain(LargeDomain);
     domain.run(Settling);
-    auto &host = *domain.hosts.front();
-    std::vector<RelayHost> others;
-    others.reserve(domain.hosts.size());
-    for (std::size_t index = 1; index < domain.hosts.size(); ++index) {
-        others.push_back(domain.hosts[index]->self);
-    }
     // The others know of no one.
-    host.follower.setDomainHosts(others);
+    domain.introduceTo(*domain.hosts.front());
     domain.run(Settling);
     domain.store.put(Kind, "late", {{"port", 7}});
     domain.run(Settling);
