--- a/src/control/kindfollower.cpp
+++ b/src/control/kindfollower.cpp
@@ -143,7 +143,7 @@
 
 Task<SteadyTime> KindFollower::followRelay(RelayHost relay)
 {
-    const bool mustList = m_mustList || m_revision == 0;
+    const bool mustList = m_mustList;
     const auto page = co_await m_relayClient.call(relay, mustList ? std::nullopt : std::optional(m_revision));
     if (page.has_error()) {
         switch (page.error()) {
--- a/src/coordinator/coordination.cpp
+++ b/src/coordinator/coordination.cpp
@@ -130,6 +130,11 @@
     return group.hasRankIn(m_host.failureDomain) ? Locality::Local : Locality::Remote;
 }
 
+bool Coordination::mayAcquire(const Led &led) const
+{
+    return led.lease.shouldAcquire(steadyNow()) && !m_contact.isLost();
+}
+
 CoordinatorFitness Coordination::fitnessFor(const GroupView &group) const
 {
     const auto *engine = engineOf(group);
@@ -218,12 +223,12 @@
     }
     if (led.lease.shouldRenew(steadyNow())) {
         co_await renew(group, led);
-    } else if (led.lease.shouldAcquire(steadyNow()) && !m_contact.isLost()) {
+    } else if (mayAcquire(led)) {
         // A list may be old but costs little, and mostly shows that another host was sooner.
         if (steadyNow() - m_observedAt > FreshObservation) {
             co_await observeLeases();
         }
-        if (led.lease.shouldAcquire(steadyNow()) && !m_contact.isLost()) {
+        if (mayAcquire(led)) {
             co_await acquire(group, led);
         }
         if (led.coordinator) {
--- a/src/coordinator/coordination.h
+++ b/src/coordinator/coordination.h
@@ -79,6 +79,7 @@
     void stepDown(const GroupView &group, Led &led, std::string_view cause);
     Led &ledOf(const GroupId &group);
     Locality localityOf(const GroupView &group) const;
+    bool mayAcquire(const Led &led) const;
     CoordinatorFitness fitnessFor(const GroupView &group) const;
     const EngineProfile *engineOf(const GroupView &group) const;
 
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -349,16 +349,18 @@
     // Spread over the group, since neighbouring ranks may be served alike.
     const auto ranks = m_clients.size();
     const auto counted = SwitchPolicy::countedRanks(ranks);
+    std::vector<std::size_t> countedRanks;
     std::vector<std::shared_ptr<EngineClient>> clients;
     for (std::size_t i = 0; i < counted; ++i) {
-        clients.push_back(m_clients[(m_countedRank + i * ranks / counted) % ranks]);
+        countedRanks.push_back((m_countedRank + i * ranks / counted) % ranks);
+        clients.push_back(m_clients[countedRanks.back()]);
     }
     const auto counts = co_await readRanks(m_context, std::move(clients), &EngineClient::readCounts);
     if (m_switch != readFor) {
         co_return false;
     }
     for (std::size_t i = 0; i < counted; ++i) {
-        const auto rank = (m_countedRank + i * ranks / counted) % ranks;
+        const auto rank = countedRanks[i];
         const bool isRead = counts[i] && counts[i]->epoch == readFor->epoch() && counts[i]->counts.size() == cells;
         if (isRead) {
             m_load.take(rank, counts[i]->counts);
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -115,15 +115,19 @@
 
 void PeerExchange::publishDomainHosts()
 {
-    std::vector<RelayHost> hosts;
+    std::map<std::string, udp::endpoint> current;
     for (const auto &name : m_exchange.domainHosts(steadyNow())) {
-        const auto &address = m_addresses.at(name);
-        hosts.push_back({name, nodeAddress({address.address(), address.port()}).value()});
+        current.emplace(name, m_addresses.at(name));
+    }
+    if (current == m_domainHosts) {
+        return;
     }
-    if (hosts != m_domainHosts) {
-        m_domainHosts = std::move(hosts);
-        m_observers.onDomainHosts(m_domainHosts);
+    m_domainHosts = std::move(current);
+    std::vector<RelayHost> hosts;
+    for (const auto &[name, address] : m_domainHosts) {
+        hosts.push_back({name, nodeAddress({address.address(), address.port()}).value()});
     }
+    m_observers.onDomainHosts(hosts);
 }
 
 std::size_t PeerExchange::hostCount() const
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -74,7 +74,8 @@
     std::vector<asio::ip::udp::endpoint> m_peers;
     std::map<std::string, asio::ip::udp::endpoint> m_addresses;
     std::set<std::string> m_silentHosts;
-    std::vector<RelayHost> m_domainHosts;
+    /// Of those in m_addresses, the ones that were told to the observer.
+    std::map<std::string, asio::ip::udp::endpoint> m_domainHosts;
     bool m_hasNews = false;
     SteadyTime m_nextPublication{};
     std::array<char, MostBytes> m_buffer{};
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -5,6 +5,17 @@
 namespace Cardamomhill
 {
 
+namespace
+{
+
+Milliseconds randomPart(Milliseconds most, Random &random)
+{
+    std::uniform_int_distribution<Milliseconds::rep> spread(0, most.count());
+    return Milliseconds(spread(random));
+}
+
+} // namespace
+
 CoordinatorLease::CoordinatorLease(std::string host, std::string incarnation, CoordinatorLeaseOptions options)
     : m_host(std::move(host))
     , m_incarnation(std::move(incarnation))
@@ -22,9 +33,8 @@
         return;
     }
     m_record = record;
-    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
     m_mapDelay = std::min<Microseconds>(m_options.delayPerMapTime * fitness.mapTime, m_options.longestMapDelay);
-    const auto delay = Milliseconds(spread(random)) + m_mapDelay
+    const auto delay = randomPart(m_options.attemptSpread, random) + m_mapDelay
         + (fitness.locality == Locality::Remote ? m_options.remoteDelay : Milliseconds(0));
     // An earlier process of this host has ended, so nobody renews its lease.
     const bool isOwnRemnant = record.host == m_host && record.incarnation != m_incarnation;
@@ -41,9 +51,9 @@
         return;
     }
     m_silentVersion = m_record.version;
-    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.silentSpread.count());
     // A step may be held, so the less fit hosts wait no longer than all others do.
-    const auto delay = Milliseconds(spread(random)) + std::min<Microseconds>(m_mapDelay, m_options.silentSpread);
+    const auto delay
+        = randomPart(m_options.silentSpread, random) + std::min<Microseconds>(m_mapDelay, m_options.silentSpread);
     m_freeAt = std::min<SteadyTime>(m_freeAt, now + delay);
 }
 
@@ -51,15 +61,14 @@
 {
     const bool isWaiting = !m_isHeld && m_record.version != 0 && !hasSilentHolder();
     if (isWaiting) {
-        std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
-        m_freeAt = std::max<SteadyTime>(m_freeAt, now + m_options.lifetime + Milliseconds(spread(random)) + m_mapDelay);
+        m_freeAt = std::max<SteadyTime>(
+            m_freeAt, now + m_options.lifetime + randomPart(m_options.attemptSpread, random) + m_mapDelay);
     }
 }
 
 void CoordinatorLease::attemptFailed(SteadyTime now, Random &random)
 {
-    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptInterval.count());
-    m_freeAt = now + m_options.attemptInterval + Milliseconds(spread(random));
+    m_freeAt = now + m_options.attemptInterval + randomPart(m_options.attemptInterval, random);
 }
 
 bool CoordinatorLease::hasSilentHolder() const
@@ -103,8 +112,7 @@
 void CoordinatorLease::lost(SteadyTime now, Random &random)
 {
     m_isHeld = false;
-    std::uniform_int_distribution<Milliseconds::rep> spread(0, m_options.attemptSpread.count());
-    m_freeAt = now + m_options.lifetime + Milliseconds(spread(random));
+    m_freeAt = now + m_options.lifetime + randomPart(m_options.attemptSpread, random);
 }
 
 bool CoordinatorLease::isHeld() const
--- a/src/traffic/loadexchange.cpp
+++ b/src/traffic/loadexchange.cpp
@@ -69,7 +69,7 @@
 
 ServerLoads LoadExchange::peerLoads(SteadyTime now)
 {
-    std::erase_if(m_peers, [&](const auto &entry) { return now - entry.second.heardAt > m_options.lifetime; });
+    std::erase_if(m_peers, [&](const auto &entry) { return !isLive(entry.second, now); });
     ServerLoads loads;
     for (const auto &[host, peer] : m_peers) {
         for (const auto &[server, calls] : peer.notice.calls) {
@@ -94,14 +94,19 @@
 bool LoadExchange::hears(const std::string &host, SteadyTime now) const
 {
     const auto peer = m_peers.find(host);
-    return peer != m_peers.end() && now - peer->second.heardAt <= m_options.lifetime;
+    return peer != m_peers.end() && isLive(peer->second, now);
+}
+
+bool LoadExchange::isLive(const Peer &peer, SteadyTime now) const
+{
+    return now - peer.heardAt <= m_options.lifetime;
 }
 
 std::set<std::string> LoadExchange::domainHosts(SteadyTime now) const
 {
     std::set<std::string> hosts;
     for (const auto &[host, peer] : m_peers) {
-        if (peer.notice.failureDomain == m_failureDomain && hears(host, now)) {
+        if (peer.notice.failureDomain == m_failureDomain && isLive(peer, now)) {
             hosts.insert(host);
         }
     }
@@ -110,9 +115,8 @@
 
 std::size_t LoadExchange::hostCount(SteadyTime now) const
 {
-    const auto live = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        return now - entry.second.heardAt <= m_options.lifetime;
-    });
+    const auto live
+        = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) { return isLive(entry.second, now); });
     return static_cast<std::size_t>(live) + 1;
 }
 
--- a/src/traffic/loadexchange.h
+++ b/src/traffic/loadexchange.h
@@ -70,6 +70,8 @@
         SteadyTime heardAt{};
     };
 
+    bool isLive(const Peer &peer, SteadyTime now) const;
+
     std::string m_host;
     std::string m_failureDomain;
     std::uint64_t m_incarnation;
