Let the step of a reading of counters show that a switch has taken effect

Cause: after each switch the next reading of the expert counters was thrown away. Change: a reading of the counters states the step that has begun; MapSwitch takes it.

--- a/src/coordinator/enginecodec.h
+++ b/src/coordinator/enginecodec.h
@@ -20,6 +20,8 @@
 /// Number of times that requests at one rank selected each expert since the rank started.
 struct ExpertCounts {
     std::uint64_t epoch = 0;
+    /// The last step that has begun. Not delayed, unlike that of a RankState.
+    std::uint64_t step = 0;
     /// One for each (layer, expert), layer by layer.
     std::vector<std::uint64_t> counts;
 };
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -365,6 +365,7 @@
         const bool isRead
             = counts[i] && counts[i]->epoch == switchAtStart->epoch() && counts[i]->counts.size() == cells;
         if (isRead) {
+            switchAtStart->recordBegunStep(counts[i]->step);
             m_load.addCounters(rank, counts[i]->counts);
         } else {
             m_load.forget(rank);
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -306,7 +306,13 @@
 
 bool MapSwitch::hasTakenEffect() const
 {
-    return !m_activeMap || m_lastStep >= m_step;
+    return !m_activeMap || std::max(m_lastStep, m_begunStep) >= m_step;
+}
+
+void MapSwitch::recordBegunStep(std::uint64_t step)
+{
+    // Kept apart from the steps of reports, from whose age the step rate follows.
+    m_begunStep = std::max(m_begunStep, step);
 }
 
 void MapSwitch::measureStepRate(SteadyTime now)
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -83,8 +83,10 @@
     /// Processes the report of one rank, which shows the step of the whole group, and updates the step rate.
     void onReport(std::size_t rank, const RankState &state, SteadyTime now);
 
-    /// Whether the step of the last switch has begun according to the reports.
+    /// Whether the step of the last switch has begun, according to reports and recordBegunStep().
     bool hasTakenEffect() const;
+    /// Records a step that has begun, as read together with counters, which lag less than reports.
+    void recordBegunStep(std::uint64_t step);
 
     /// Leaves a phase that exceeds its time limit.
     void tick(SteadyTime now);
@@ -148,6 +150,7 @@
     Microseconds m_copyTime{0};
     std::size_t m_maxConcurrentMaps = 1;
     std::uint64_t m_lastStep = 0;
+    std::uint64_t m_begunStep = 0;
     SteadyTime m_lastStepAt{};
     SteadyTime m_rateFrom{};
     std::uint64_t m_rateFromStep = 0;
