Limit the queues of engines by the time to the first event

Hypothesis: queues that are longer than the objective make every later stream late too; a new stream that cannot be on time is told to return, a returning one is queued as long as its caller waits. What stays refuses streams whose callers would leave before the first event.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -127,8 +127,8 @@
 {
     m_thread.retryBudget(m_state.service).recordFirstAttempt();
     while (true) {
-        const auto choice
-            = m_thread.servers().choose(m_state.service, m_state.triedServers, steadyNow(), m_thread.random());
+        const auto choice = m_thread.servers().choose(
+            m_state.service, m_state.triedServers, admission(), steadyNow(), m_thread.random());
         if (!choice.hasServer()) {
             co_await answerWithoutServer(choice);
             co_return;
@@ -145,6 +145,14 @@
     }
 }
 
+std::optional<StreamAdmission> CallHandler::admission() const
+{
+    const auto *service = m_state.configuration->service(m_state.service);
+    return service == nullptr || !service->engine
+        ? std::nullopt
+        : streamAdmissionFor(*m_state.route, *service->engine, remainingTime());
+}
+
 Task<AttemptEnd> CallHandler::runAttempt(const ServerChoice &choice)
 {
     logEvent(LogLevel::Info,
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -4,6 +4,7 @@
 #include "gateway/callstate.h"
 #include "net/asio.h"
 #include "traffic/serverchoice.h"
+#include "traffic/streamadmission.h"
 
 #include <optional>
 #include <string_view>
@@ -28,6 +29,7 @@
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
     Task<> sendToServers();
+    std::optional<StreamAdmission> admission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     bool decideRetry(AttemptEnd end);
     Task<> answerWithoutServer(const ServerChoice &choice);
--- a/src/traffic/engineprofile.h
+++ b/src/traffic/engineprofile.h
@@ -9,14 +9,16 @@
 struct EngineProfile {
     /// Requests that an engine runs concurrently.
     std::uint32_t slots = 0;
-    /// Duration of a step, which makes one token for each request, and its increase for each running request and for
-    /// each 1,000 tokens of context.
+    /// Time for one token of each request in a step, and its increase for each running request and for each 1,000
+    /// tokens of context.
     double stepMs = 0;
     double stepMsPerRequest = 0;
     double stepMsPerThousandTokens = 0;
     double prefillTokensPerSecond = 0;
     /// Capacity of the key-value cache of an engine.
     std::uint64_t kvCacheTokens = 0;
+    /// Tokens of one request that a step makes; they form one event of its stream.
+    std::uint32_t tokensPerStep = 0;
     /// Mean tokens of a prompt and of an answer.
     std::uint32_t meanPromptTokens = 0;
     std::uint32_t meanAnswerTokens = 0;
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -95,6 +95,7 @@
 
 ServerChoice ServerTable::choose(const ServiceId &service,
                                  const std::vector<BackendServerId> &tried,
+                                 const std::optional<StreamAdmission> &admission,
                                  SteadyTime now,
                                  Random &random) const
 {
@@ -125,9 +126,7 @@
         }
         const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
         const double load = loadOf(entry, now);
-        const double queuedPerSlot
-            = entry.server.groupMembership ? m_options.queuedCallsPerEngineSlot : m_options.queuedCallsPerSlot;
-        if (load >= slots * (1 + queuedPerSlot)) {
+        if (load >= maxCallsOf(entry, admission)) {
             sawFull = true;
             continue;
         }
@@ -156,6 +155,19 @@
     return choice;
 }
 
+double ServerTable::maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const
+{
+    const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
+    const auto &groupMembership = entry.server.groupMembership;
+    if (!groupMembership) {
+        return slots * (1 + m_options.queuedCallsPerSlot);
+    }
+    const double maxCalls = slots * (1 + m_options.queuedCallsPerEngineSlot);
+    const auto activity = m_groupActivity.find(groupMembership->group);
+    const auto step = activity == m_groupActivity.end() ? Microseconds(0) : activity->second.slowSteps.meanDuration();
+    return admission && step > Microseconds(0) ? std::min(maxCalls, admission->maxCalls(slots, step)) : maxCalls;
+}
+
 void ServerTable::setUnreachable(std::set<FailureDomainId> domains)
 {
     if (domains != m_unreachable) {
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -10,6 +10,7 @@
 #include "traffic/serverloads.h"
 #include "traffic/slowdownfactors.h"
 #include "traffic/slowstepdetector.h"
+#include "traffic/streamadmission.h"
 
 #include <cstdint>
 #include <optional>
@@ -65,8 +66,12 @@
     bool canServe(const ServiceId &service) const;
 
     /// Chooses the least loaded of a random sample of the servers of a service, without those that were tried.
-    ServerChoice
-    choose(const ServiceId &service, const std::vector<BackendServerId> &tried, SteadyTime now, Random &random) const;
+    /// @param admission limits the queues of engines further; nothing if only their number of calls is limited
+    ServerChoice choose(const ServiceId &service,
+                        const std::vector<BackendServerId> &tried,
+                        const std::optional<StreamAdmission> &admission,
+                        SteadyTime now,
+                        Random &random) const;
 
     /// The id of the server with this key, or the key as a number if there is none.
     std::string nameOf(ServerKey key) const;
@@ -115,6 +120,8 @@
     };
 
     bool isAvailable(const Entry &entry) const;
+    /// Calls in progress from which the server counts as full.
+    double maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const;
     void updateUnavailableGroups();
     /// The number of failures after decay.
     double failuresOf(const Entry &entry, SteadyTime now) const;
--- /dev/null
+++ b/src/traffic/streamadmission.cpp
@@ -0,0 +1,50 @@
+#include "traffic/streamadmission.h"
+
+#include "traffic/engineprofile.h"
+#include "traffic/route.h"
+#include "traffic/streamtimeouts.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Steps from a free slot to the first event: the prompt is read in one, the first token is made in the next.
+constexpr double StepsToFirstEvent = 2;
+/// Callers whose time left is shorter than the timeout of the route by more than this have been turned away before.
+constexpr Milliseconds ReturningCallerMargin{200};
+/// Fraction of the time that a caller waits for a first event that a returning one may be queued for.
+constexpr double ReturningCallerFraction = 0.8;
+
+bool isReturning(const Route &route, Milliseconds remainingTime)
+{
+    return remainingTime + ReturningCallerMargin < route.timeout;
+}
+
+} // namespace
+
+double StreamAdmission::maxCalls(double slots, Microseconds step) const
+{
+    const auto stepTime = static_cast<double>(step.count());
+    const auto limit = static_cast<double>(Microseconds(firstEventLimit).count());
+    const double answerTime = stepsPerAnswer * stepTime;
+    const double waitingTime = limit - StepsToFirstEvent * stepTime;
+    return slots + std::max(0.0, waitingTime * slots / answerTime);
+}
+
+std::optional<StreamAdmission>
+streamAdmissionFor(const Route &route, const EngineProfile &engine, Milliseconds remainingTime)
+{
+    const bool isStream = route.kind == CallKind::Stream && route.latencyObjective > Milliseconds(0);
+    if (!isStream || engine.meanAnswerTokens == 0 || engine.tokensPerStep == 0) {
+        return std::nullopt;
+    }
+    const auto patience = std::chrono::duration_cast<Milliseconds>(callerTimeoutFor(route) * ReturningCallerFraction);
+    return StreamAdmission{isReturning(route, remainingTime) ? patience : route.latencyObjective,
+                           static_cast<double>(engine.meanAnswerTokens) / engine.tokensPerStep};
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/traffic/streamadmission.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/clocktypes.h"
+
+#include <optional>
+
+namespace Cardamomhill
+{
+
+struct EngineProfile;
+struct Route;
+
+/// Limits the queues of engines for one stream, by time instead of by number.
+///
+/// Answers the load after a burst, a restart or a time with a wrong expert map: engines serve their queue in order, so
+/// a queue that is longer than the objective makes every later stream late too, long after the cause has passed. A new
+/// stream is admitted only where its first event is expected in time. Otherwise its caller is told at once to return,
+/// while the queue drains. A caller that returns is late already and is admitted as long as it still waits.
+struct StreamAdmission {
+    /// Longest expected time to the first event.
+    Milliseconds firstEventLimit{0};
+    /// Mean number of steps with an event in one answer.
+    double stepsPerAnswer = 0;
+
+    /// Number of calls in progress at an engine, with this one, up to which the first event is expected within the
+    /// limit. At least the number of slots.
+    /// @param step mean duration of a step of the engine; more than 0
+    double maxCalls(double slots, Microseconds step) const;
+};
+
+/// The limits for a stream with this time left. Nothing if the engine's profile is incomplete.
+std::optional<StreamAdmission>
+streamAdmissionFor(const Route &route, const EngineProfile &engine, Milliseconds remainingTime);
+
+} // namespace Cardamomhill
--- a/src/traffic/streamtimeouts.cpp
+++ b/src/traffic/streamtimeouts.cpp
@@ -26,11 +26,16 @@
 
 } // namespace
 
+Milliseconds callerTimeoutFor(const Route &route)
+{
+    return std::max({MinCallerTimeout,
+                     CallerTimeoutLatencies * route.latencyObjective,
+                     CallerTimeoutPauses * route.pauseObjective});
+}
+
 StreamTimeouts streamTimeoutsFor(const Route &route)
 {
-    const auto callerTimeout = std::max({MinCallerTimeout,
-                                         CallerTimeoutLatencies * route.latencyObjective,
-                                         CallerTimeoutPauses * route.pauseObjective});
+    const auto callerTimeout = callerTimeoutFor(route);
     return {fractionOf(callerTimeout, StalledGroupFraction), fractionOf(callerTimeout, StalledStreamFraction)};
 }
 
--- a/src/traffic/streamtimeouts.h
+++ b/src/traffic/streamtimeouts.h
@@ -17,6 +17,9 @@
     Milliseconds stalledStreamTimeout{0};
 };
 
+/// Time without an event, also before the first one, after which callers give up a stream of a route.
+Milliseconds callerTimeoutFor(const Route &route);
+
 /// The limits for streams of a route.
 StreamTimeouts streamTimeoutsFor(const Route &route);
 
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -9,5 +9,6 @@
 #include "traffic/eventsplitter.h"
 #include "traffic/serverregistry.h"
 #include "traffic/servertable.h"
+#include "traffic/streamadmission.h"
 #include "traffic/trafficconfiguration.h"
 #include "traffic/trafficconfigurationbuilder.h"
--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -34,7 +34,7 @@
     Random random(seed);
     std::map<std::string, int> counts;
     for (int i = 0; i < calls; ++i) {
-        const auto choice = table.choose(Service, {}, Start, random);
+        const auto choice = table.choose(Service, {}, {}, Start, random);
         if (choice.hasServer()) {
             table.recordCallStarted(choice.server);
             ++counts[choice.server.value()];
@@ -67,7 +67,7 @@
     // 4 slots with 0.6 waiting calls each.
     CHECK(choices(table, 20)["a"] == 7);
     Random random(1);
-    CHECK(table.choose(Service, {}, Start, random).reason == ChoiceReason::AllFull);
+    CHECK(table.choose(Service, {}, {}, Start, random).reason == ChoiceReason::AllFull);
 }
 
 TEST_CASE("a failing server is avoided until its failures have decayed")
@@ -79,11 +79,11 @@
         table.recordCallEnded(BackendServerId("a"), AttemptEnd::Broken, Start);
     }
     Random random(1);
-    CHECK(table.choose(Service, {}, Start, random).server == BackendServerId("b"));
-    const auto last = table.choose(Service, {BackendServerId("b")}, Start, random);
+    CHECK(table.choose(Service, {}, {}, Start, random).server == BackendServerId("b"));
+    const auto last = table.choose(Service, {BackendServerId("b")}, {}, Start, random);
     CHECK(last.server == BackendServerId("a"));
     CHECK(last.reason == ChoiceReason::LastResort);
-    CHECK(table.choose(Service, {BackendServerId("b")}, Start + Seconds(20), random).reason
+    CHECK(table.choose(Service, {BackendServerId("b")}, {}, Start + Seconds(20), random).reason
           == ChoiceReason::LeastLoaded);
 }
 
@@ -98,7 +98,7 @@
     table.recordCallEnded(replaced.id, AttemptEnd::OtherInstance, Start);
     Random random(1);
     CHECK_FALSE(table.isAvailable(replaced.id));
-    CHECK_FALSE(table.choose(Service, {}, Start + Seconds(60), random).hasServer());
+    CHECK_FALSE(table.choose(Service, {}, {}, Start + Seconds(60), random).hasServer());
 
     // A change of the slots, or of anything but start time and address, does not make it a new instance.
     replaced.slots = 5;
@@ -143,7 +143,7 @@
     table.apply({{leaving, closed, server("c", "d1", "g2"), server("d", "d2", "g2")}, {}});
     table.setUnreachable({FailureDomainId("d2")});
     Random random(1);
-    CHECK(table.choose(Service, {}, Start, random).reason == ChoiceReason::GroupsClosed);
+    CHECK(table.choose(Service, {}, {}, Start, random).reason == ChoiceReason::GroupsClosed);
     CHECK_FALSE(table.canServe(Service));
     CHECK_FALSE(table.isAvailable(BackendServerId("c")));
     table.setUnreachable({});
@@ -194,7 +194,7 @@
     for (int round = 0; round < Rounds; ++round) {
         std::set<std::string> distinct;
         for (int i = 0; i < Hosts; ++i) {
-            distinct.insert(table.choose(Service, {}, Start, random).server.value());
+            distinct.insert(table.choose(Service, {}, {}, Start, random).server.value());
         }
         chosen += distinct.size();
     }
