Hand over the coordination of a group when its host stops, and tell hosts when a group opens

A group that had formed again took calls only once registrations showed it, up to 1.2 s later. Change: a stopping holder ends its coordinator, gives up the lease and says so in a notice to the other hosts, which acquire it within half a second; a coordinator says when its group opens. The notice is a format of its own, which older hosts ignore. A coordinator that loses its lease while the release waits is kept alive.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -34,11 +34,13 @@
                                    const EngineCodec &codec,
                                    MetricsRegistry &metrics,
                                    std::uint64_t term,
-                                   double linkMegabitsPerSecond)
+                                   double linkMegabitsPerSecond,
+                                   OpenedObserver onOpened)
     : m_context(context)
     , m_codec(codec)
     , m_metrics(metrics)
     , m_linkMegabitsPerSecond(linkMegabitsPerSecond)
+    , m_onOpened(std::move(onOpened))
     , m_tokens(term)
     , m_random(std::random_device()())
 {
@@ -46,6 +48,7 @@
 
 void GroupCoordinator::start()
 {
+    m_hasStarted = true;
     spawn(m_context.get_executor(), "group-coordinator", run(shared_from_this()));
 }
 
@@ -114,6 +117,12 @@
     logEvent(LogLevel::Info,
              "group-opened",
              {{"group", m_group.id.value()}, {"epoch", m_group.epoch}, {"ranks", m_group.ranks.size()}});
+    m_onOpened(m_group);
+}
+
+bool GroupCoordinator::hasEnded() const
+{
+    return m_hasTaskEnded || !m_hasStarted;
 }
 
 void GroupCoordinator::stepsSlowedDown()
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -16,6 +16,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -28,11 +29,15 @@
 class GroupCoordinator : public std::enable_shared_from_this<GroupCoordinator>
 {
 public:
+    /// Called when the group was formed and takes calls.
+    using OpenedObserver = std::function<void(const GroupView &)>;
+
     GroupCoordinator(asio::io_context &context,
                      const EngineCodec &codec,
                      MetricsRegistry &metrics,
                      std::uint64_t term,
-                     double linkMegabitsPerSecond);
+                     double linkMegabitsPerSecond,
+                     OpenedObserver onOpened);
 
     void start();
 
@@ -51,6 +56,9 @@
     /// Whether another coordinator has taken over, or this one cannot reach the group.
     bool hasTermEnded() const;
 
+    /// Whether it sends no further orders after stop().
+    bool hasEnded() const;
+
 private:
     /// Spawned tasks own the coordinator from their creation on, so it cannot be destroyed before they first run.
     static Task<> run(std::shared_ptr<GroupCoordinator> self);
@@ -86,6 +94,7 @@
     const EngineCodec &m_codec;
     MetricsRegistry &m_metrics;
     double m_linkMegabitsPerSecond;
+    OpenedObserver m_onOpened;
     OrderTokens m_tokens;
     Random m_random;
     GroupView m_group;
@@ -105,6 +114,7 @@
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
     SwitchPolicy m_policy;
     SteadyTime m_nextUtilisationRead{};
+    bool m_hasStarted = false;
     bool m_isStopped = false;
     /// Whether the task of run() has ended; no further orders are sent then.
     bool m_hasTaskEnded = false;
--- a/src/coordinator/groupcoordinatormanager.cpp
+++ b/src/coordinator/groupcoordinatormanager.cpp
@@ -27,6 +27,7 @@
 /// Maximum age of the known leases when a lease is to be acquired; older ones are read again first.
 constexpr Milliseconds MaxObservationAge{200};
 constexpr Milliseconds CallTimeout{1000};
+constexpr Milliseconds ReleaseCheckPeriod{20};
 
 LeaseRecord recordOf(const PlatformObject &object)
 {
@@ -49,7 +50,7 @@
                                                  MetricsRegistry &metrics,
                                                  CoordinatorHost host,
                                                  StoreAvailability &availability,
-                                                 SlowdownFactorsObserver onSlowdownFactors)
+                                                 Observers observers)
     : m_context(context)
     , m_engineCodec(engineCodec)
     , m_metrics(metrics)
@@ -57,7 +58,7 @@
     , m_random(std::random_device()())
     , m_host(std::move(host))
     , m_availability(availability)
-    , m_onSlowdownFactors(std::move(onSlowdownFactors))
+    , m_observers(std::move(observers))
     , m_incarnation(std::to_string(m_random()))
 {
 }
@@ -108,6 +109,56 @@
             state.coordinator->stop();
         }
     }
+    spawn(m_context.get_executor(), "release-leases", releaseLeases());
+}
+
+Task<> GroupCoordinatorManager::releaseLeases()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    for (auto &[group, state] : m_groupStates) {
+        // A coordinator that still holds a step of its group must not be replaced before it has released it. It may
+        // also lose the lease meanwhile.
+        const auto coordinator = state.coordinator;
+        while (!error && coordinator && !coordinator->hasEnded()) {
+            timer.expires_after(ReleaseCheckPeriod);
+            co_await timer.async_wait(storeError(error));
+        }
+        if (!state.lease.isHeld()) {
+            continue;
+        }
+        const LeaseRecord nobody;
+        const auto version = co_await write(group, nobody, state.lease.expectedVersion());
+        if (version) {
+            logEvent(LogLevel::Info, "coordinator-lease-released", {{"group", group.value()}});
+            m_observers.onGroupNotice(noticeOf(GroupEvent::CoordinatorLeft, group, 0));
+        }
+    }
+}
+
+void GroupCoordinatorManager::onGroupNotice(const GroupNotice &notice)
+{
+    const auto found = m_groupStates.find(GroupId(notice.group));
+    const bool hasLeft = notice.event == static_cast<std::uint8_t>(GroupEvent::CoordinatorLeft);
+    if (!hasLeft || found == m_groupStates.end() || found->second.lease.isHeld()) {
+        return;
+    }
+    for (const auto &group : m_directory.groups()) {
+        if (group.id == found->first && localityOf(group) == Locality::Local
+            && found->second.lease.holder() == notice.host) {
+            found->second.lease.holderLeft(steadyNow(), m_random);
+        }
+    }
+}
+
+GroupNotice GroupCoordinatorManager::noticeOf(GroupEvent event, const GroupId &group, std::uint64_t epoch) const
+{
+    GroupNotice notice;
+    notice.event = static_cast<std::uint8_t>(event);
+    notice.host = m_host.name;
+    notice.group = group.value();
+    notice.epoch = epoch;
+    return notice;
 }
 
 const EngineProfile *GroupCoordinatorManager::engineOf(const GroupView &group) const
@@ -207,7 +258,7 @@
     }
     if (slowdownFactors != m_publishedSlowdownFactors) {
         m_publishedSlowdownFactors = slowdownFactors;
-        m_onSlowdownFactors(slowdownFactors);
+        m_observers.onSlowdownFactors(slowdownFactors);
     }
 }
 
@@ -231,7 +282,9 @@
         if (mayAcquire(state)) {
             co_await acquire(group, state);
         }
-        if (state.coordinator) {
+        if (state.coordinator && m_isStopped) {
+            co_await releaseLeases();
+        } else if (state.coordinator) {
             state.coordinator->update(group, engine);
             state.coordinator->start();
         }
@@ -255,7 +308,8 @@
             co_return;
         }
     }
-    const auto version = co_await write(group, expected);
+    const auto record = ownRecord();
+    const auto version = co_await write(group.id, record, expected);
     if (!version) {
         state.lease.lost(steadyNow(), m_random);
         co_return;
@@ -263,7 +317,14 @@
     const auto previous = state.lease.holder();
     state.lease.acquired(*version, steadyNow());
     state.coordinator = std::make_shared<GroupCoordinator>(
-        m_context, m_engineCodec, m_metrics, state.lease.term(), m_host.linkMegabitsPerSecond);
+        m_context,
+        m_engineCodec,
+        m_metrics,
+        state.lease.term(),
+        m_host.linkMegabitsPerSecond,
+        [this](const GroupView &opened) {
+            m_observers.onGroupNotice(noticeOf(GroupEvent::Opened, opened.id, opened.epoch));
+        });
     logEvent(LogLevel::Info,
              "coordinating",
              {{"group", group.id.value()},
@@ -274,7 +335,8 @@
 
 Task<> GroupCoordinatorManager::renew(const GroupView &group, GroupState &state)
 {
-    const auto version = co_await write(group, state.lease.expectedVersion());
+    const auto ownLease = ownRecord();
+    const auto version = co_await write(group.id, ownLease, state.lease.expectedVersion());
     if (version) {
         state.lease.renewed(*version, steadyNow());
         co_return;
@@ -295,16 +357,22 @@
     }
 }
 
-Task<std::optional<std::uint64_t>> GroupCoordinatorManager::write(const GroupView &group, std::uint64_t expectedVersion)
+LeaseRecord GroupCoordinatorManager::ownRecord() const
 {
-    const nlohmann::json value{{"host", m_host.name}, {"incarnation", m_incarnation}, {"renewal", ++m_renewals}};
-    const ObjectKey key{LeaseKind, group.id.value()};
+    return {0, m_host.name, m_incarnation};
+}
+
+Task<std::optional<std::uint64_t>>
+GroupCoordinatorManager::write(const GroupId &group, const LeaseRecord &holder, std::uint64_t expectedVersion)
+{
+    const nlohmann::json value{{"host", holder.host}, {"incarnation", holder.incarnation}, {"renewal", ++m_renewals}};
+    const ObjectKey key{LeaseKind, group.value()};
     const std::string text = value.dump();
     const auto written = co_await m_client.write(key, expectedVersion, text);
     if (written.has_error()) {
         logEvent(LogLevel::Info,
                  "lease-not-written",
-                 {{"group", group.id.value()}, {"error", written.error().message().substr(0, 60)}});
+                 {{"group", group.value()}, {"error", written.error().message().substr(0, 60)}});
         co_return std::nullopt;
     }
     co_return written.value().version;
--- a/src/coordinator/groupcoordinatormanager.h
+++ b/src/coordinator/groupcoordinatormanager.h
@@ -6,6 +6,7 @@
 #include "objectstore/storeavailability.h"
 #include "rebalance/coordinatorlease.h"
 #include "rebalance/groupdirectory.h"
+#include "traffic/groupnotice.h"
 #include "traffic/serverchanges.h"
 #include "traffic/slowdownfactors.h"
 #include "traffic/trafficconfiguration.h"
@@ -36,8 +37,12 @@
 class GroupCoordinatorManager
 {
 public:
-    /// Notified of the slow ranks of all groups that this process coordinates.
-    using SlowdownFactorsObserver = std::function<void(const SlowdownFactors &)>;
+    struct Observers {
+        /// The slow ranks of all groups that this process coordinates, whenever they change.
+        std::function<void(const SlowdownFactors &)> onSlowdownFactors;
+        /// A notice that the other entry hosts should receive.
+        std::function<void(const GroupNotice &)> onGroupNotice;
+    };
 
     GroupCoordinatorManager(asio::io_context &context,
                             const tcp::endpoint &platform,
@@ -46,7 +51,7 @@
                             MetricsRegistry &metrics,
                             CoordinatorHost host,
                             StoreAvailability &availability,
-                            SlowdownFactorsObserver onSlowdownFactors);
+                            Observers observers);
     ~GroupCoordinatorManager();
 
     void start();
@@ -60,7 +65,11 @@
     /// from them before it expires.
     void setUnresponsiveHosts(std::set<std::string> hosts);
 
-    /// Begins no further switch, but completes one that is in progress. The leases expire.
+    /// Processes a notice of a group's coordinator on another host.
+    void onGroupNotice(const GroupNotice &notice);
+
+    /// Begins no further switch, but completes one that is in progress. Then gives up the leases, so that other hosts
+    /// take over at once.
     void stop();
 
 private:
@@ -79,8 +88,15 @@
     Task<> maintainLease(const GroupView &group, EngineProfile engine);
     Task<> acquire(const GroupView &group, GroupState &state);
     Task<> renew(const GroupView &group, GroupState &state);
-    Task<std::optional<std::uint64_t>> write(const GroupView &group, std::uint64_t expectedVersion);
+    LeaseRecord ownRecord() const;
+    /// Gives up all leases as soon as their coordinators have ended.
+    Task<> releaseLeases();
+    /// Writes the lease of a group.
+    /// @param holder this host and its process, or nothing to give up the lease
+    Task<std::optional<std::uint64_t>>
+    write(const GroupId &group, const LeaseRecord &holder, std::uint64_t expectedVersion);
     void stepDown(const GroupView &group, GroupState &state, std::string_view cause);
+    GroupNotice noticeOf(GroupEvent event, const GroupId &group, std::uint64_t epoch) const;
     GroupState &stateOf(const GroupId &group);
     Locality localityOf(const GroupView &group) const;
     bool mayAcquire(const GroupState &state) const;
@@ -94,7 +110,7 @@
     Random m_random;
     CoordinatorHost m_host;
     StoreAvailability &m_availability;
-    SlowdownFactorsObserver m_onSlowdownFactors;
+    Observers m_observers;
     std::string m_incarnation;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
     GroupDirectory m_directory;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -54,20 +54,26 @@
                },
                [this](const std::vector<RelayHost> &hosts) {
                    asio::post(m_context, [this, hosts] { setFailureDomainHosts(hosts); });
+               },
+               [this](const GroupNotice &notice) {
+                   asio::post(m_context, [this, notice] { m_groupCoordinatorManager.onGroupNotice(notice); });
                }})
         , m_storeRelay(m_context)
-        , m_groupCoordinatorManager(m_context,
-                                    settings.platform,
-                                    storeCodec.objectApi(),
-                                    engineCodec,
-                                    m_metrics,
-                                    {settings.host.value(), settings.failureDomain, settings.linkMegabitsPerSecond},
-                                    m_storeAvailability,
-                                    [this](const SlowdownFactors &slowdownFactors) {
-                                        asio::post(m_trafficThread.context(), [this, slowdownFactors] {
-                                            m_trafficThread.setOwnSlowServers(slowdownFactors);
-                                        });
-                                    })
+        , m_groupCoordinatorManager(
+              m_context,
+              settings.platform,
+              storeCodec.objectApi(),
+              engineCodec,
+              m_metrics,
+              {settings.host.value(), settings.failureDomain, settings.linkMegabitsPerSecond},
+              m_storeAvailability,
+              {[this](const SlowdownFactors &slowdownFactors) {
+                   asio::post(m_trafficThread.context(),
+                              [this, slowdownFactors] { m_trafficThread.setOwnSlowServers(slowdownFactors); });
+               },
+               [this](const GroupNotice &notice) {
+                   asio::post(m_trafficThread.context(), [this, notice] { m_trafficThread.sendGroupNotice(notice); });
+               }})
         , m_control(m_context,
                     settings,
                     storeCodec,
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -71,7 +71,11 @@
                      {[this](const SlowdownFactors &slowdownFactors) { applySlowdownFactors(slowdownFactors); },
                       [this](const FailureDomainId &domain) { m_reachability.recordNotice(domain, steadyNow()); },
                       m_observers.onUnresponsiveHosts,
-                      m_observers.onDomainHosts})
+                      m_observers.onDomainHosts,
+                      [this](const GroupNotice &notice) {
+                          applyGroupNotice(notice);
+                          m_observers.onGroupNotice(notice);
+                      }})
 {
 }
 
@@ -136,6 +140,19 @@
     }
 }
 
+void GatewayThread::sendGroupNotice(const GroupNotice &notice)
+{
+    applyGroupNotice(notice);
+    m_peerExchange.sendGroupNotice(notice);
+}
+
+void GatewayThread::applyGroupNotice(const GroupNotice &notice)
+{
+    if (notice.event == static_cast<std::uint8_t>(GroupEvent::Opened)) {
+        m_servers.recordGroupOpened(GroupId(notice.group), notice.epoch);
+    }
+}
+
 void GatewayThread::setPeers(const std::vector<tcp::endpoint> &hosts)
 {
     std::vector<asio::ip::udp::endpoint> peers;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -46,6 +46,8 @@
         std::function<void(const std::set<std::string> &)> onUnresponsiveHosts;
         /// The other live hosts in this host's failure domain, whenever they change.
         std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
+        /// The coordinator of a group on another host sent a notice. It may be a repetition.
+        std::function<void(const GroupNotice &)> onGroupNotice;
     };
 
     GatewayThread(const GatewaySettings &settings,
@@ -63,6 +65,8 @@
     void applyServers(const ServerChanges &changes);
     /// Sets the slow ranks of the groups that this process coordinates.
     void setOwnSlowServers(const SlowdownFactors &slowdownFactors);
+    /// Tells the other entry hosts about a group that this process coordinates.
+    void sendGroupNotice(const GroupNotice &notice);
     void setPeers(const std::vector<tcp::endpoint> &hosts);
     /// Closes callers' connections after their answers, so that callers connect to another host before this one stops.
     void startDraining();
@@ -101,6 +105,7 @@
 
 private:
     Task<> tickLoop();
+    void applyGroupNotice(const GroupNotice &notice);
     void checkReachability();
     bool canServeAllEngines() const;
     /// Largest number of retries that this host may accumulate for a service: its share of `retrySlack`.
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -19,6 +19,8 @@
 
 /// Loads are published at least this often even without new notices, so that calls of unresponsive hosts are dropped.
 constexpr Milliseconds MaxPublicationInterval{500};
+/// Ticks in which a notice about a group is sent again.
+constexpr int GroupNoticeRepetitions = 2;
 
 } // namespace
 
@@ -82,15 +84,13 @@
     const auto now = steadyNow();
     const auto notice = m_exchange.nextNotice(m_servers.ownLoads(), now);
     if (notice) {
-        const auto bytes = packNotice(*notice);
-        for (const auto &peer : m_peers) {
-            SystemError error;
-            m_socket.send_to(asio::buffer(bytes), peer, 0, error);
-            if (error) {
-                m_metrics.counter("peer_notices_unsent_total").add();
-            }
-        }
+        sendToPeers(packNotice(*notice));
+    }
+    for (auto &groupNotice : m_groupNotices) {
+        sendToPeers(groupNotice.bytes);
+        --groupNotice.remaining;
     }
+    std::erase_if(m_groupNotices, [](const RepeatedNotice &groupNotice) { return groupNotice.remaining <= 0; });
     auto unresponsiveHosts = m_exchange.unresponsiveHosts(now);
     if (unresponsiveHosts != m_unresponsiveHosts) {
         m_unresponsiveHosts = std::move(unresponsiveHosts);
@@ -101,6 +101,35 @@
     }
 }
 
+void PeerExchange::sendToPeers(std::string_view bytes)
+{
+    for (const auto &peer : m_peers) {
+        SystemError error;
+        m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), peer, 0, error);
+        if (error) {
+            m_metrics.counter("peer_notices_unsent_total").add();
+        }
+    }
+}
+
+void PeerExchange::sendGroupNotice(const GroupNotice &notice)
+{
+    auto bytes = packGroupNotice(notice);
+    sendToPeers(bytes);
+    m_groupNotices.push_back({std::move(bytes), GroupNoticeRepetitions});
+}
+
+void PeerExchange::processGroupNotice(std::string_view bytes)
+{
+    const auto notice = unpackGroupNotice(bytes);
+    if (!notice) {
+        m_metrics.counter("peer_notices_malformed_total").add();
+        return;
+    }
+    m_metrics.counter("group_notices_total").add();
+    m_observers.onGroupNotice(*notice);
+}
+
 void PeerExchange::publish()
 {
     m_hasNewNotices = false;
@@ -147,7 +176,7 @@
         }
         const auto notice = unpackNotice({m_buffer.data(), size});
         if (!notice) {
-            m_metrics.counter("peer_notices_malformed_total").add();
+            processGroupNotice({m_buffer.data(), size});
         } else if (m_exchange.processNotice(*notice, steadyNow())) {
             m_metrics.counter("peer_notices_total").add();
             auto &address = m_hostAddresses[notice->host];
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -5,6 +5,7 @@
 #include "net/asio.h"
 #include "net/neterror.h"
 #include "objectstore/relayhost.h"
+#include "traffic/groupnotice.h"
 #include "traffic/loadexchange.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -38,6 +39,8 @@
         std::function<void(const std::set<std::string> &)> onUnresponsiveHosts;
         /// The other live hosts in this host's failure domain, whenever they change.
         std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
+        /// The coordinator of a group on another host sent a notice. It may be a repetition.
+        std::function<void(const GroupNotice &)> onGroupNotice;
     };
 
     PeerExchange(asio::io_context &context,
@@ -53,6 +56,9 @@
     /// Sets the hosts that the store lists. Notices also go to live hosts that are not listed but send notices.
     void setPeers(std::vector<asio::ip::udp::endpoint> peers);
 
+    /// Sends a notice about a group to all peers, now and again in the next ticks, since it may be lost.
+    void sendGroupNotice(const GroupNotice &notice);
+
     /// Sends a notice and notifies the observers if one is due. To be called periodically.
     void tick();
 
@@ -63,6 +69,8 @@
     static constexpr std::size_t MaxNoticeBytes = 8 * 1024;
 
     Task<> receive();
+    void sendToPeers(std::string_view bytes);
+    void processGroupNotice(std::string_view bytes);
     void addPeer(const asio::ip::udp::endpoint &peer);
     void publish();
     void publishDomainHosts();
@@ -77,6 +85,11 @@
     std::set<std::string> m_unresponsiveHosts;
     /// The part of m_hostAddresses that was last passed to onDomainHosts.
     std::map<std::string, asio::ip::udp::endpoint> m_reportedDomainHosts;
+    struct RepeatedNotice {
+        std::string bytes;
+        int remaining = 0;
+    };
+    std::vector<RepeatedNotice> m_groupNotices;
     bool m_hasNewNotices = false;
     SteadyTime m_nextPublicationAt{};
     std::array<char, MaxNoticeBytes> m_buffer{};
--- a/src/placement/switchplanner.cpp
+++ b/src/placement/switchplanner.cpp
@@ -37,10 +37,8 @@
 }
 
 /// Load of the slowest rank of a layer, in tokens at normal speed.
-double slowestLoad(const ExpertMap &map,
-                   std::size_t layer,
-                   std::span<const double> tokens,
-                   std::span<const double> speeds)
+double
+slowestLoad(const ExpertMap &map, std::size_t layer, std::span<const double> tokens, std::span<const double> speeds)
 {
     std::vector<double> loads(speeds.size(), 0);
     for (std::size_t expert = 0; expert < tokens.size(); ++expert) {
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -39,8 +39,11 @@
         + (fitness.locality == Locality::Remote ? m_options.remoteDelay : Milliseconds(0));
     // The holder is an earlier process of this host that has ended, so its lease is not renewed any more.
     const bool isFromEarlierProcess = record.host == m_host && record.incarnation != m_incarnation;
+    const bool isReleased = record.version != 0 && record.host.empty();
     if (isFromEarlierProcess) {
         m_acquireAt = now;
+    } else if (isReleased && fitness.locality == Locality::Local) {
+        m_acquireAt = now + takeoverDelay(random);
     } else {
         m_acquireAt = now + (record.version == 0 ? Milliseconds(0) : m_options.lifetime) + delay;
     }
@@ -52,10 +55,19 @@
         return;
     }
     m_unresponsiveHolderVersion = m_record.version;
+    m_acquireAt = std::min<SteadyTime>(m_acquireAt, now + takeoverDelay(random));
+}
+
+void CoordinatorLease::holderLeft(SteadyTime now, Random &random)
+{
+    holderBecameUnresponsive(now, random);
+}
+
+Microseconds CoordinatorLease::takeoverDelay(Random &random) const
+{
     // The holder may have left a step held, so the delay of less fit hosts is limited as well.
-    const auto delay = randomDelay(m_options.unresponsiveHolderJitter, random)
+    return randomDelay(m_options.unresponsiveHolderJitter, random)
         + std::min<Microseconds>(m_mapTransferDelay, m_options.unresponsiveHolderJitter);
-    m_acquireAt = std::min<SteadyTime>(m_acquireAt, now + delay);
 }
 
 void CoordinatorLease::storeBecameAvailable(SteadyTime now, Random &random)
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -33,7 +33,7 @@
 struct LeaseRecord {
     /// Version of the lease object; 0 if it does not exist.
     std::uint64_t version = 0;
-    /// Host and incarnation of the holder's process.
+    /// Host and incarnation of the holder's process; empty if the last holder has given up the lease.
     std::string host;
     std::string incarnation;
 };
@@ -53,6 +53,9 @@
     /// The holder has become unresponsive: its lease is acquired before it expires.
     void holderBecameUnresponsive(SteadyTime now, Random &random);
 
+    /// The holder has given up the lease: it is acquired like that of an unresponsive holder.
+    void holderLeft(SteadyTime now, Random &random);
+
     /// The store is available again. A holder that is still responsive gets time for a renewal, which was impossible
     /// during the outage.
     void storeBecameAvailable(SteadyTime now, Random &random);
@@ -81,6 +84,8 @@
 
 private:
     bool hasUnresponsiveHolder() const;
+    /// Random delay before the lease of a holder that is gone is acquired.
+    Microseconds takeoverDelay(Random &random) const;
 
     std::string m_host;
     std::string m_incarnation;
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -187,7 +187,7 @@
     for (const auto &[id, entry] : m_entries) {
         if (const auto &groupMembership = entry.server.groupMembership) {
             auto &epoch = epochs[groupMembership->group];
-            epoch = std::max(epoch, groupMembership->epoch);
+            epoch = std::max({epoch, groupMembership->epoch, openedEpochOf(groupMembership->group)});
         }
     }
     m_unavailableGroups.clear();
@@ -210,7 +210,24 @@
         return false;
     }
     const auto &groupMembership = entry.server.groupMembership;
-    return !groupMembership || (groupMembership->isOpen && !m_unavailableGroups.contains(groupMembership->group));
+    if (!groupMembership) {
+        return true;
+    }
+    const bool isOpen = groupMembership->isOpen || groupMembership->epoch < openedEpochOf(groupMembership->group);
+    return isOpen && !m_unavailableGroups.contains(groupMembership->group);
+}
+
+void ServerTable::recordGroupOpened(const GroupId &group, std::uint64_t epoch)
+{
+    auto &openedEpoch = m_groupActivity[group].openedEpoch;
+    openedEpoch = std::max(openedEpoch, epoch);
+    updateUnavailableGroups();
+}
+
+std::uint64_t ServerTable::openedEpochOf(const GroupId &group) const
+{
+    const auto activity = m_groupActivity.find(group);
+    return activity == m_groupActivity.end() ? 0 : activity->second.openedEpoch;
 }
 
 bool ServerTable::canServe(const ServiceId &service) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -62,6 +62,9 @@
     void setUnreachable(std::set<FailureDomainId> domains);
     const std::set<FailureDomainId> &unreachable() const;
 
+    /// Records that a group was formed and takes calls. Its registrations show that later.
+    void recordGroupOpened(const GroupId &group, std::uint64_t epoch);
+
     /// Whether any server of the service can take calls.
     bool canServe(const ServiceId &service) const;
 
@@ -123,6 +126,7 @@
     /// Calls in progress from which the server counts as full.
     double maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const;
     void updateUnavailableGroups();
+    std::uint64_t openedEpochOf(const GroupId &group) const;
     /// The number of failures after decay.
     double failuresOf(const Entry &entry, SteadyTime now) const;
     /// The estimated calls in progress at the server, of all entry hosts.
@@ -138,6 +142,8 @@
     struct GroupActivity {
         SteadyTime receivedAt{};
         SlowStepDetector slowSteps;
+        /// The latest epoch of recordGroupOpened().
+        std::uint64_t openedEpoch = 0;
     };
     std::unordered_map<GroupId, GroupActivity> m_groupActivity;
     /// Groups with a rank that was replaced or is in an unreachable failure domain.
