Tell callers of a repeatable call when to return after a 502 without a group

Cause: 90 to 130 streams end with 502 when a failure domain is cut off; their callers repeat them at once into the group that is still broken. Their call may have run, so they cannot be told 'not run'. Change: the 502 carries the time to come back that refusals have.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -244,6 +244,9 @@
                     "unknown",
                     "no whole answer came from a server",
                     {}};
+    if (!isTimeout && m_state.route->isRepeatable() && !m_thread.servers().canServe(m_state.service)) {
+        problem.retryAfter = m_thread.addJitter(GroupRetryAfter, RetryAfterJitter);
+    }
     co_await sendProblem(m_exchange, std::move(problem));
     recordOutcome(isTimeout ? "timed-out" : "unknown");
 }
