Let streams wait for a group that is being formed

Cause: when a failure domain returns, its group is formed within a second, and callers that came in this second were refused, half of them for the second time. Change: for 1.5 s after the return of the last unreachable failure domain a stream waits for its group, at most as long as its caller does for a first event.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -33,6 +33,8 @@
 constexpr Milliseconds NoServerRetryAfter{1000};
 /// A group that lost a rank abandons its steps after one or two seconds and is then formed again.
 constexpr Milliseconds GroupRetryAfter{2000};
+/// How often a call that waits for a group looks whether it was formed.
+constexpr Milliseconds FormingCheckPeriod{20};
 /// Largest random fraction by which Retry-After is lengthened, so that callers refused at the same time do not retry at
 /// the same time.
 constexpr double RetryAfterJitter = 1.0;
@@ -127,8 +129,11 @@
 {
     m_thread.retryBudget(m_state.service).recordFirstAttempt();
     while (true) {
-        const auto choice = m_thread.servers().choose(
-            m_state.service, m_state.triedServers, admission(), steadyNow(), m_thread.random());
+        const auto choice = co_await chooseServer();
+        if (m_state.isCallerGone) {
+            recordOutcome(nameOf(AttemptEnd::CallerGone));
+            co_return;
+        }
         if (!choice.hasServer()) {
             co_await answerWithoutServer(choice);
             co_return;
@@ -145,6 +150,28 @@
     }
 }
 
+Task<ServerChoice> CallHandler::chooseServer()
+{
+    const auto &servers = m_thread.servers();
+    const auto choose = [this, &servers] {
+        return servers.choose(m_state.service, m_state.triedServers, admission(), steadyNow(), m_thread.random());
+    };
+    auto choice = choose();
+    if (m_state.route->kind != CallKind::Stream) {
+        co_return choice;
+    }
+    const auto waitUntil = m_state.startedAt + longestQueueingTime(*m_state.route);
+    asio::steady_timer timer(m_thread.context());
+    SystemError error;
+    while (!error && !m_state.isCallerGone && choice.reason == ChoiceReason::GroupsClosed
+           && servers.isForming(m_state.service, steadyNow()) && steadyNow() < waitUntil) {
+        timer.expires_after(FormingCheckPeriod);
+        co_await timer.async_wait(storeError(error));
+        choice = choose();
+    }
+    co_return choice;
+}
+
 std::optional<StreamAdmission> CallHandler::admission() const
 {
     const auto *service = m_state.configuration->service(m_state.service);
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -29,6 +29,8 @@
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
     Task<> sendToServers();
+    /// Chooses a server. A stream waits while its group is being formed, but not longer than its caller.
+    Task<ServerChoice> chooseServer();
     std::optional<StreamAdmission> admission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     bool decideRetry(AttemptEnd end);
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -203,7 +203,7 @@
     if (unreachable != m_servers.unreachable()) {
         const auto names = joinWithCommas(unreachable, &FailureDomainId::value);
         logEvent(LogLevel::Warning, "unreachable-domains", {{"failure_domains", names}});
-        m_servers.setUnreachable(std::move(unreachable));
+        m_servers.setUnreachable(std::move(unreachable), steadyNow());
     }
     // Hosts on the larger side of a network partition can serve the callers that this one cannot.
     const bool canServe = !m_reachability.isIsolated(steadyNow()) || canServeAllEngines();
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -168,9 +168,12 @@
     return admission && step > Microseconds(0) ? std::min(maxCalls, admission->maxCalls(slots, step)) : maxCalls;
 }
 
-void ServerTable::setUnreachable(std::set<FailureDomainId> domains)
+void ServerTable::setUnreachable(std::set<FailureDomainId> domains, SteadyTime now)
 {
     if (domains != m_unreachable) {
+        const bool isAnyBack
+            = !std::includes(domains.begin(), domains.end(), m_unreachable.begin(), m_unreachable.end());
+        m_reachableAt = isAnyBack ? std::optional(now) : m_reachableAt;
         m_unreachable = std::move(domains);
         updateUnavailableGroups();
     }
@@ -230,6 +233,12 @@
     return activity == m_groupActivity.end() ? 0 : activity->second.openedEpoch;
 }
 
+bool ServerTable::isForming(const ServiceId &service, SteadyTime now) const
+{
+    return m_reachableAt && now - *m_reachableAt < m_options.groupFormingTime && m_unreachable.empty()
+        && !canServe(service);
+}
+
 bool ServerTable::canServe(const ServiceId &service) const
 {
     const auto found = m_services.find(service);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -40,6 +40,8 @@
     /// A server whose work takes this many times longer than usual is chosen only as a last resort. A slow rank without
     /// calls of its own does not slow down its lock-step group.
     double slownessThreshold = 1.5;
+    /// Time after the return of a failure domain within which groups with ranks there are formed again.
+    Milliseconds groupFormingTime{1500};
     /// How long a load that a server stated is used, beside the calls that entry hosts counted.
     Microseconds statedLoadLifetime = Milliseconds(300);
 };
@@ -59,12 +61,16 @@
     const SlowdownFactors &slowdownFactors() const;
 
     /// Sets the failure domains that cannot be reached. Their servers, and all groups with a rank there, get no calls.
-    void setUnreachable(std::set<FailureDomainId> domains);
+    void setUnreachable(std::set<FailureDomainId> domains, SteadyTime now);
     const std::set<FailureDomainId> &unreachable() const;
 
     /// Records that a group was formed and takes calls. Its registrations show that later.
     void recordGroupOpened(const GroupId &group, std::uint64_t epoch);
 
+    /// Whether the groups of a service take no calls, but are probably being formed again: a failure domain that was
+    /// unreachable has just come back, and none is missing.
+    bool isForming(const ServiceId &service, SteadyTime now) const;
+
     /// Whether any server of the service can take calls.
     bool canServe(const ServiceId &service) const;
 
@@ -139,6 +145,8 @@
     ServerLoads m_peerLoads;
     SlowdownFactors m_slowdownFactors;
     std::set<FailureDomainId> m_unreachable;
+    /// When a failure domain last became reachable again.
+    std::optional<SteadyTime> m_reachableAt;
     struct GroupActivity {
         SteadyTime receivedAt{};
         SlowStepDetector slowSteps;
--- a/src/traffic/streamadmission.cpp
+++ b/src/traffic/streamadmission.cpp
@@ -16,8 +16,8 @@
 constexpr double StepsToFirstEvent = 2;
 /// Callers whose time left is shorter than the timeout of the route by more than this have been turned away before.
 constexpr Milliseconds ReturningCallerMargin{200};
-/// Fraction of the time that a caller waits for a first event that a returning one may be queued for.
-constexpr double ReturningCallerFraction = 0.8;
+/// Fraction of the time that a caller waits for a first event. The rest is left to make the event.
+constexpr double QueueingFraction = 0.8;
 
 bool isReturning(const Route &route, Milliseconds remainingTime)
 {
@@ -26,6 +26,11 @@
 
 } // namespace
 
+Milliseconds longestQueueingTime(const Route &route)
+{
+    return std::chrono::duration_cast<Milliseconds>(callerTimeoutFor(route) * QueueingFraction);
+}
+
 double StreamAdmission::maxCalls(double slots, Microseconds step) const
 {
     const auto stepTime = static_cast<double>(step.count());
@@ -42,8 +47,7 @@
     if (!isStream || engine.meanAnswerTokens == 0 || engine.tokensPerStep == 0) {
         return std::nullopt;
     }
-    const auto patience = std::chrono::duration_cast<Milliseconds>(callerTimeoutFor(route) * ReturningCallerFraction);
-    return StreamAdmission{isReturning(route, remainingTime) ? patience : route.latencyObjective,
+    return StreamAdmission{isReturning(route, remainingTime) ? longestQueueingTime(route) : route.latencyObjective,
                            static_cast<double>(engine.meanAnswerTokens) / engine.tokensPerStep};
 }
 
--- a/src/traffic/streamadmission.h
+++ b/src/traffic/streamadmission.h
@@ -28,6 +28,9 @@
     double maxCalls(double slots, Microseconds step) const;
 };
 
+/// Longest time for which a stream of a route may be queued so that its caller still waits for its first event.
+Milliseconds longestQueueingTime(const Route &route);
+
 /// The limits for a stream with this time left. Nothing if the engine's profile is incomplete.
 std::optional<StreamAdmission>
 streamAdmissionFor(const Route &route, const EngineProfile &engine, Milliseconds remainingTime);
--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -141,12 +141,12 @@
     auto closed = server("b", "d1", "g1");
     closed.groupMembership->isOpen = false;
     table.apply({{leaving, closed, server("c", "d1", "g2"), server("d", "d2", "g2")}, {}});
-    table.setUnreachable({FailureDomainId("d2")});
+    table.setUnreachable({FailureDomainId("d2")}, Start);
     Random random(1);
     CHECK(table.choose(Service, {}, {}, Start, random).reason == ChoiceReason::GroupsClosed);
     CHECK_FALSE(table.canServe(Service));
     CHECK_FALSE(table.isAvailable(BackendServerId("c")));
-    table.setUnreachable({});
+    table.setUnreachable({}, Start);
     CHECK(table.canServe(Service));
     CHECK(choices(table, 4).size() == 2);
 }
