Let new streams wait while the steps of their group are slow

Change: a new stream waits while steps are slow, as long as its own first event can still be on time.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -33,8 +33,8 @@
 constexpr Milliseconds NoServerRetryAfter{1000};
 /// A group that lost a rank abandons its steps after one or two seconds and is then formed again.
 constexpr Milliseconds GroupRetryAfter{2000};
-/// How often a call that waits for a group looks whether it was formed.
-constexpr Milliseconds FormingCheckPeriod{20};
+/// How often a call that waits looks whether it can be sent.
+constexpr Milliseconds QueueCheckPeriod{10};
 /// Largest random fraction by which Retry-After is lengthened, so that callers refused at the same time do not retry at
 /// the same time.
 constexpr double RetryAfterJitter = 1.0;
@@ -152,32 +152,44 @@
 
 Task<ServerChoice> CallHandler::chooseServer()
 {
-    const auto &servers = m_thread.servers();
-    const auto choose = [this, &servers] {
-        return servers.choose(m_state.service, m_state.triedServers, admission(), steadyNow(), m_thread.random());
-    };
-    auto choice = choose();
-    if (m_state.route->kind != CallKind::Stream) {
-        co_return choice;
-    }
-    const auto waitUntil = m_state.startedAt + longestQueueingTime(*m_state.route);
+    const auto admission = streamAdmission();
     asio::steady_timer timer(m_thread.context());
     SystemError error;
-    while (!error && !m_state.isCallerGone && choice.reason == ChoiceReason::GroupsClosed
-           && servers.isForming(m_state.service, steadyNow()) && steadyNow() < waitUntil) {
-        timer.expires_after(FormingCheckPeriod);
+    while (true) {
+        const auto now = steadyNow();
+        auto choice
+            = m_thread.servers().choose(m_state.service, m_state.triedServers, admission, now, m_thread.random());
+        if (error || m_state.isCallerGone || !shouldWait(choice, admission, now)) {
+            co_return choice;
+        }
+        timer.expires_after(QueueCheckPeriod);
         co_await timer.async_wait(storeError(error));
-        choice = choose();
     }
-    co_return choice;
 }
 
-std::optional<StreamAdmission> CallHandler::admission() const
+bool CallHandler::shouldWait(const ServerChoice &choice,
+                             const std::optional<StreamAdmission> &admission,
+                             SteadyTime now) const
+{
+    if (!admission) {
+        return false;
+    }
+    const auto &servers = m_thread.servers();
+    const auto waited = std::chrono::duration_cast<Microseconds>(now - m_state.startedAt);
+    if (choice.hasServer()) {
+        return m_state.attempts.count() == 0 && admission->shouldWait(servers.currentStep(choice.server, now), waited);
+    }
+    return choice.reason == ChoiceReason::GroupsClosed && servers.isForming(m_state.service, now)
+        && waited < longestQueueingTime(*m_state.route);
+}
+
+std::optional<StreamAdmission> CallHandler::streamAdmission() const
 {
     const auto *service = m_state.configuration->service(m_state.service);
     return service == nullptr || !service->engine
         ? std::nullopt
-        : streamAdmissionFor(*m_state.route, *service->engine, remainingTime());
+        : streamAdmissionFor(
+            *m_state.route, *service->engine, m_state.head.remainingTime.value_or(m_state.route->timeout));
 }
 
 Task<AttemptEnd> CallHandler::runAttempt(const ServerChoice &choice)
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -29,9 +29,10 @@
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
     Task<> sendToServers();
-    /// Chooses a server. A stream waits while its group is being formed, but not longer than its caller.
+    /// Chooses a server. A stream waits while its group is being formed or makes slow steps.
     Task<ServerChoice> chooseServer();
-    std::optional<StreamAdmission> admission() const;
+    bool shouldWait(const ServerChoice &choice, const std::optional<StreamAdmission> &admission, SteadyTime now) const;
+    std::optional<StreamAdmission> streamAdmission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     bool decideRetry(AttemptEnd end);
     Task<> answerWithoutServer(const ServerChoice &choice);
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -315,6 +315,15 @@
     return activity.slowSteps.recordArrival(now) ? std::optional(groupMembership->group) : std::nullopt;
 }
 
+Microseconds ServerTable::currentStep(const BackendServerId &id, SteadyTime now) const
+{
+    const auto *found = server(id);
+    const auto activity = found != nullptr && found->groupMembership
+        ? m_groupActivity.find(found->groupMembership->group)
+        : m_groupActivity.end();
+    return activity == m_groupActivity.end() ? Microseconds(0) : activity->second.slowSteps.currentDuration(now);
+}
+
 SteadyTime ServerTable::lastReceivedAt(const BackendServerId &id) const
 {
     const auto found = m_entries.find(id);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -96,6 +96,8 @@
     /// Records that data was received from the server, which shows that its whole group is working, since the ranks of
     /// a group work in lock-step. Returns the group if its steps have just become slow.
     std::optional<GroupId> recordReceived(const BackendServerId &id, SteadyTime now);
+    /// Duration of the current step of a server's group, as SlowStepDetector::currentDuration(); 0 without a group.
+    Microseconds currentStep(const BackendServerId &id, SteadyTime now) const;
     /// When data was last received from the server or any rank of its group; SteadyTime() if never.
     SteadyTime lastReceivedAt(const BackendServerId &id) const;
 
--- a/src/traffic/slowstepdetector.cpp
+++ b/src/traffic/slowstepdetector.cpp
@@ -1,5 +1,7 @@
 #include "traffic/slowstepdetector.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
@@ -26,6 +28,7 @@
         return false;
     }
     m_lastStepAt = now;
+    m_lastDuration = gap;
     if (gap > MaxStep || (isWarmedUp() && duration > m_options.pauseFactor * m_meanMicroseconds)) {
         m_consecutiveSlow = 0;
         return false;
@@ -43,6 +46,15 @@
     return isWarmedUp() ? Microseconds(static_cast<Microseconds::rep>(m_meanMicroseconds)) : Microseconds(0);
 }
 
+Microseconds SlowStepDetector::currentDuration(SteadyTime now) const
+{
+    const auto elapsed = std::chrono::duration_cast<Microseconds>(now - m_lastStepAt);
+    const auto longest = std::max(elapsed, m_lastDuration);
+    const bool isPaused
+        = longest > MaxStep || static_cast<double>(longest.count()) > m_options.pauseFactor * m_meanMicroseconds;
+    return isWarmedUp() && !isPaused ? longest : Microseconds(0);
+}
+
 bool SlowStepDetector::isWarmedUp() const
 {
     return m_steps >= m_options.warmUpSteps;
--- a/src/traffic/slowstepdetector.h
+++ b/src/traffic/slowstepdetector.h
@@ -36,11 +36,15 @@
     /// The moving average of the step duration; 0 before enough steps were seen.
     Microseconds meanDuration() const;
 
+    /// Duration of the current step so far or of the last one, whichever is longer. 0 if no steps are made.
+    Microseconds currentDuration(SteadyTime now) const;
+
 private:
     bool isWarmedUp() const;
 
     SlowStepDetectorOptions m_options;
     SteadyTime m_lastStepAt{};
+    Microseconds m_lastDuration{0};
     double m_meanMicroseconds = 0;
     std::uint32_t m_steps = 0;
     std::uint32_t m_consecutiveSlow = 0;
--- a/src/traffic/streamadmission.h
+++ b/src/traffic/streamadmission.h
@@ -21,18 +21,28 @@
     Milliseconds firstEventLimit{0};
     /// Mean number of steps with an event in one answer.
     double stepsPerAnswer = 0;
+    /// Objective of the route for the first event and for pauses; no pause objective if 0.
+    Milliseconds latencyObjective{0};
+    Milliseconds pauseObjective{0};
 
     /// Number of calls in progress at an engine, with this one, up to which the first event is expected within the
     /// limit. At least the number of slots.
     /// @param step mean duration of a step of the engine; more than 0
     double maxCalls(double slots, Microseconds step) const;
+
+    /// Whether the stream should wait before it is sent to a group whose current step takes this long. The ranks of a
+    /// group read the prompts of new streams in the steps of all others, and when steps are slow, after a shift of the
+    /// popular experts, that makes the pauses of all streams longer than their objective. A new stream has some time
+    /// until its own objective, in which the group finishes others or gets a better map.
+    /// @param waited since the call arrived
+    bool shouldWait(Microseconds currentStep, Microseconds waited) const;
 };
 
 /// Longest time for which a stream of a route may be queued so that its caller still waits for its first event.
 Milliseconds longestQueueingTime(const Route &route);
 
-/// The limits for a stream with this time left. Nothing if the engine's profile is incomplete.
+/// The limits for a stream with this time left when it arrived. Nothing if the engine's profile is incomplete.
 std::optional<StreamAdmission>
-streamAdmissionFor(const Route &route, const EngineProfile &engine, Milliseconds remainingTime);
+streamAdmissionFor(const Route &route, const EngineProfile &engine, Milliseconds timeLeftAtArrival);
 
 } // namespace Cardamomhill
