--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -202,6 +202,7 @@
               {"load", choice.load},
               {"candidates", choice.candidates},
               {"attempt", m_state.attempts.count() + 1},
+              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()},
               {"left_ms", remainingTime().count()},
               {"after_event", m_state.lastEventId}});
     m_state.triedServers.push_back(choice.server);
