--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -202,9 +202,9 @@
               {"load", choice.load},
               {"candidates", choice.candidates},
               {"attempt", m_state.attempts.count() + 1},
-              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()},
               {"left_ms", remainingTime().count()},
-              {"after_event", m_state.lastEventId}});
+              {"after_event", m_state.lastEventId},
+              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()}});
     m_state.triedServers.push_back(choice.server);
     m_thread.servers().recordCallStarted(choice.server);
     Attempt attempt(m_thread, m_exchange, m_state, choice.server);
