--- a/src/control/relaypage.cpp
+++ b/src/control/relaypage.cpp
@@ -31,24 +31,21 @@
 
 Result<ObjectPage, WireError> unpackPage(const std::string &kind, std::string_view bytes)
 {
-    const auto read = [&](const msgpack::object &object) -> Result<ObjectPage, WireError> {
-        // msgpack would accept a shorter array and leave the remaining fields unset.
-        if (object.type != msgpack::type::ARRAY || object.via.array.size != FieldCount) {
-            return failure(WireError{WireErrorCode::Malformed, bytes.size()});
-        }
-        auto [format, revision, objects, removed] = object.as<PackedPage>();
-        if (format != CurrentFormat) {
-            return failure(WireError{WireErrorCode::Malformed, 0});
-        }
-        ObjectPage page;
-        page.revision = revision;
-        page.removed = std::move(removed);
-        for (auto &[name, version, value] : objects) {
-            page.objects.push_back({{kind, std::move(name)}, version, std::move(value)});
-        }
-        return page;
-    };
-    return unpackMsgpackWith<ObjectPage>(bytes, read);
+    auto packed = unpackMsgpackArray<PackedPage>(bytes, FieldCount);
+    if (packed.has_error()) {
+        return failure(packed.error());
+    }
+    auto &[format, revision, objects, removed] = packed.value();
+    if (format != CurrentFormat) {
+        return failure(WireError{WireErrorCode::Malformed, 0});
+    }
+    ObjectPage page;
+    page.revision = revision;
+    page.removed = std::move(removed);
+    for (auto &[name, version, value] : objects) {
+        page.objects.push_back({{kind, std::move(name)}, version, std::move(value)});
+    }
+    return page;
 }
 
 } // namespace Cardamomhill
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -48,7 +48,7 @@
 
 void GroupCoordinator::start()
 {
-    m_hasStarted = true;
+    m_isRunning = true;
     spawn(m_context.get_executor(), "group-coordinator", run(shared_from_this()));
 }
 
@@ -120,9 +120,9 @@
     m_onOpened(m_group);
 }
 
-bool GroupCoordinator::hasEnded() const
+bool GroupCoordinator::isRunning() const
 {
-    return m_hasTaskEnded || !m_hasStarted;
+    return m_isRunning;
 }
 
 void GroupCoordinator::stepsSlowedDown()
@@ -154,7 +154,7 @@
 Task<> GroupCoordinator::run(std::shared_ptr<GroupCoordinator> self)
 {
     co_await self->runTerm();
-    self->m_hasTaskEnded = true;
+    self->m_isRunning = false;
 }
 
 Task<> GroupCoordinator::runTerm()
@@ -233,7 +233,7 @@
 {
     const auto answer = co_await client->send(order, std::move(encodedMap));
     self->handleAnswer(order, *originSwitch, answer);
-    if (self->m_switch == originSwitch && !self->m_hasTaskEnded) {
+    if (self->m_switch == originSwitch && self->m_isRunning) {
         self->sendOrders();
     }
 }
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -56,8 +56,8 @@
     /// Whether another coordinator has taken over, or this one cannot reach the group.
     bool hasTermEnded() const;
 
-    /// Whether it sends no further orders after stop().
-    bool hasEnded() const;
+    /// Whether it was started and may still send orders.
+    bool isRunning() const;
 
 private:
     /// Spawned tasks own the coordinator from their creation on, so it cannot be destroyed before they first run.
@@ -114,10 +114,9 @@
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
     SwitchPolicy m_policy;
     SteadyTime m_nextUtilisationRead{};
-    bool m_hasStarted = false;
     bool m_isStopped = false;
-    /// Whether the task of run() has ended; no further orders are sent then.
-    bool m_hasTaskEnded = false;
+    /// Whether the task of run() is running; no orders are sent otherwise.
+    bool m_isRunning = false;
 };
 
 } // namespace Cardamomhill
--- a/src/coordinator/groupcoordinatormanager.cpp
+++ b/src/coordinator/groupcoordinatormanager.cpp
@@ -120,13 +120,14 @@
         // A coordinator that still holds a step of its group must not be replaced before it has released it. It may
         // also lose the lease meanwhile.
         const auto coordinator = state.coordinator;
-        while (!error && coordinator && !coordinator->hasEnded()) {
+        while (!error && coordinator && coordinator->isRunning()) {
             timer.expires_after(ReleaseCheckPeriod);
             co_await timer.async_wait(storeError(error));
         }
         if (!state.lease.isHeld()) {
             continue;
         }
+        // Named: g++ 12 destroys a temporary argument of a coroutine twice if it is written inside co_await.
         const LeaseRecord nobody;
         const auto version = co_await write(group, nobody, state.lease.expectedVersion());
         if (version) {
@@ -139,7 +140,7 @@
 void GroupCoordinatorManager::onGroupNotice(const GroupNotice &notice)
 {
     const auto found = m_groupStates.find(GroupId(notice.group));
-    const bool hasLeft = notice.event == static_cast<std::uint8_t>(GroupEvent::CoordinatorLeft);
+    const bool hasLeft = notice.event == GroupEvent::CoordinatorLeft;
     if (!hasLeft || found == m_groupStates.end() || found->second.lease.isHeld()) {
         return;
     }
@@ -154,7 +155,7 @@
 GroupNotice GroupCoordinatorManager::noticeOf(GroupEvent event, const GroupId &group, std::uint64_t epoch) const
 {
     GroupNotice notice;
-    notice.event = static_cast<std::uint8_t>(event);
+    notice.event = event;
     notice.host = m_host.name;
     notice.group = group.value();
     notice.epoch = epoch;
@@ -270,7 +271,7 @@
         stepDown(group, state, "the group follows another coordinator or cannot be reached");
     }
     if (m_unresponsiveHosts.contains(state.lease.holder()) && localityOf(group) == Locality::Local) {
-        state.lease.holderBecameUnresponsive(steadyNow(), m_random);
+        state.lease.holderLeft(steadyNow(), m_random);
     }
     if (state.lease.shouldRenew(steadyNow())) {
         co_await renew(group, state);
@@ -308,8 +309,8 @@
             co_return;
         }
     }
-    const auto record = ownRecord();
-    const auto version = co_await write(group.id, record, expected);
+    const auto ownLease = ownRecord();
+    const auto version = co_await write(group.id, ownLease, expected);
     if (!version) {
         state.lease.lost(steadyNow(), m_random);
         co_return;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -180,7 +180,7 @@
         return m_state.attempts.count() == 0 && admission->shouldWait(servers.currentStep(choice.server, now), waited);
     }
     return choice.reason == ChoiceReason::GroupsClosed && servers.isForming(m_state.service, now)
-        && waited < longestQueueingTime(*m_state.route);
+        && waited < admission->firstEventLimit;
 }
 
 std::optional<StreamAdmission> CallHandler::streamAdmission() const
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -148,7 +148,7 @@
 
 void GatewayThread::applyGroupNotice(const GroupNotice &notice)
 {
-    if (notice.event == static_cast<std::uint8_t>(GroupEvent::Opened)) {
+    if (notice.event == GroupEvent::Opened) {
         m_servers.recordGroupOpened(GroupId(notice.group), notice.epoch);
     }
 }
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -49,7 +49,7 @@
     }
 }
 
-void CoordinatorLease::holderBecameUnresponsive(SteadyTime now, Random &random)
+void CoordinatorLease::holderLeft(SteadyTime now, Random &random)
 {
     if (m_isHeld || hasUnresponsiveHolder()) {
         return;
@@ -58,11 +58,6 @@
     m_acquireAt = std::min<SteadyTime>(m_acquireAt, now + takeoverDelay(random));
 }
 
-void CoordinatorLease::holderLeft(SteadyTime now, Random &random)
-{
-    holderBecameUnresponsive(now, random);
-}
-
 Microseconds CoordinatorLease::takeoverDelay(Random &random) const
 {
     // The holder may have left a step held, so the delay of less fit hosts is limited as well.
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -50,10 +50,7 @@
     /// Processes a lease read from the store. It may be seconds old.
     void observe(const LeaseRecord &record, const CoordinatorFitness &fitness, SteadyTime now, Random &random);
 
-    /// The holder has become unresponsive: its lease is acquired before it expires.
-    void holderBecameUnresponsive(SteadyTime now, Random &random);
-
-    /// The holder has given up the lease: it is acquired like that of an unresponsive holder.
+    /// The holder has become unresponsive or has given up the lease, which is then acquired before it expires.
     void holderLeft(SteadyTime now, Random &random);
 
     /// The store is available again. A holder that is still responsive gets time for a renewal, which was impossible
@@ -97,7 +94,7 @@
     bool m_isHeld = false;
     /// Additional delay of this host that grows with the time it takes to send a map.
     Microseconds m_mapTransferDelay{0};
-    /// Version of the lease for which holderBecameUnresponsive() was handled.
+    /// Version of the lease for which holderLeft() was handled.
     std::uint64_t m_unresponsiveHolderVersion = 0;
 };
 
--- a/src/traffic/groupnotice.h
+++ b/src/traffic/groupnotice.h
@@ -28,13 +28,20 @@
     });
 }
 
+} // namespace Cardamomhill
+
+MSGPACK_ADD_ENUM(Cardamomhill::GroupEvent)
+
+namespace Cardamomhill
+{
+
 /// A message of a group's coordinator to the other entry hosts. It arrives before the same fact shows in the store. A
 /// format of its own, which hosts that know only LoadNotice ignore.
 struct GroupNotice {
     static constexpr std::uint8_t CurrentFormat = 1;
 
     std::uint8_t format = CurrentFormat;
-    std::uint8_t event = 0;
+    GroupEvent event = GroupEvent::Opened;
     std::string host;
     std::string group;
     std::uint64_t epoch = 0;
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -163,8 +163,8 @@
         return slots * (1 + m_options.queuedCallsPerSlot);
     }
     const double maxCalls = slots * (1 + m_options.queuedCallsPerEngineSlot);
-    const auto activity = m_groupActivity.find(groupMembership->group);
-    const auto step = activity == m_groupActivity.end() ? Microseconds(0) : activity->second.slowSteps.meanDuration();
+    const auto *activity = activityOf(entry.server);
+    const auto step = activity == nullptr ? Microseconds(0) : activity->slowSteps.meanDuration();
     return admission && step > Microseconds(0) ? std::min(maxCalls, admission->maxCalls(slots, step)) : maxCalls;
 }
 
@@ -190,7 +190,7 @@
     for (const auto &[id, entry] : m_entries) {
         if (const auto &groupMembership = entry.server.groupMembership) {
             auto &epoch = epochs[groupMembership->group];
-            epoch = std::max({epoch, groupMembership->epoch, openedEpochOf(groupMembership->group)});
+            epoch = std::max({epoch, groupMembership->epoch, openedEpochOf(entry.server)});
         }
     }
     m_unavailableGroups.clear();
@@ -216,7 +216,7 @@
     if (!groupMembership) {
         return true;
     }
-    const bool isOpen = groupMembership->isOpen || groupMembership->epoch < openedEpochOf(groupMembership->group);
+    const bool isOpen = groupMembership->isOpen || groupMembership->epoch < openedEpochOf(entry.server);
     return isOpen && !m_unavailableGroups.contains(groupMembership->group);
 }
 
@@ -227,10 +227,17 @@
     updateUnavailableGroups();
 }
 
-std::uint64_t ServerTable::openedEpochOf(const GroupId &group) const
+const ServerTable::GroupActivity *ServerTable::activityOf(const DiscoveredServer &server) const
 {
-    const auto activity = m_groupActivity.find(group);
-    return activity == m_groupActivity.end() ? 0 : activity->second.openedEpoch;
+    const auto found
+        = server.groupMembership ? m_groupActivity.find(server.groupMembership->group) : m_groupActivity.end();
+    return found == m_groupActivity.end() ? nullptr : &found->second;
+}
+
+std::uint64_t ServerTable::openedEpochOf(const DiscoveredServer &server) const
+{
+    const auto *activity = activityOf(server);
+    return activity == nullptr ? 0 : activity->openedEpoch;
 }
 
 bool ServerTable::isForming(const ServiceId &service, SteadyTime now) const
@@ -318,10 +325,8 @@
 Microseconds ServerTable::currentStep(const BackendServerId &id, SteadyTime now) const
 {
     const auto *found = server(id);
-    const auto activity = found != nullptr && found->groupMembership
-        ? m_groupActivity.find(found->groupMembership->group)
-        : m_groupActivity.end();
-    return activity == m_groupActivity.end() ? Microseconds(0) : activity->second.slowSteps.currentDuration(now);
+    const auto *activity = found == nullptr ? nullptr : activityOf(*found);
+    return activity == nullptr ? Microseconds(0) : activity->slowSteps.currentDuration(now);
 }
 
 SteadyTime ServerTable::lastReceivedAt(const BackendServerId &id) const
@@ -330,9 +335,8 @@
     if (found == m_entries.end()) {
         return {};
     }
-    const auto &groupMembership = found->second.server.groupMembership;
-    const auto group = groupMembership ? m_groupActivity.find(groupMembership->group) : m_groupActivity.end();
-    return group == m_groupActivity.end() ? found->second.receivedAt : group->second.receivedAt;
+    const auto *activity = activityOf(found->second.server);
+    return activity == nullptr ? found->second.receivedAt : activity->receivedAt;
 }
 
 bool ServerTable::isAvailable(const BackendServerId &id) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -134,7 +134,6 @@
     /// Calls in progress from which the server counts as full.
     double maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const;
     void updateUnavailableGroups();
-    std::uint64_t openedEpochOf(const GroupId &group) const;
     /// The number of failures after decay.
     double failuresOf(const Entry &entry, SteadyTime now) const;
     /// The estimated calls in progress at the server, of all entry hosts.
@@ -155,6 +154,10 @@
         /// The latest epoch of recordGroupOpened().
         std::uint64_t openedEpoch = 0;
     };
+    /// The activity of a server's group; nullptr if it has no group or none was recorded.
+    const GroupActivity *activityOf(const DiscoveredServer &server) const;
+    std::uint64_t openedEpochOf(const DiscoveredServer &server) const;
+
     std::unordered_map<GroupId, GroupActivity> m_groupActivity;
     /// Groups with a rank that was replaced or is in an unreachable failure domain.
     std::set<GroupId> m_unavailableGroups;
--- a/src/traffic/slowstepdetector.cpp
+++ b/src/traffic/slowstepdetector.cpp
@@ -29,7 +29,7 @@
     }
     m_lastStepAt = now;
     m_lastDuration = gap;
-    if (gap > MaxStep || (isWarmedUp() && duration > m_options.pauseFactor * m_meanMicroseconds)) {
+    if (isPause(gap)) {
         m_consecutiveSlow = 0;
         return false;
     }
@@ -50,9 +50,13 @@
 {
     const auto elapsed = std::chrono::duration_cast<Microseconds>(now - m_lastStepAt);
     const auto longest = std::max(elapsed, m_lastDuration);
-    const bool isPaused
-        = longest > MaxStep || static_cast<double>(longest.count()) > m_options.pauseFactor * m_meanMicroseconds;
-    return isWarmedUp() && !isPaused ? longest : Microseconds(0);
+    return isWarmedUp() && !isPause(longest) ? longest : Microseconds(0);
+}
+
+bool SlowStepDetector::isPause(Microseconds gap) const
+{
+    return gap > MaxStep
+        || (isWarmedUp() && static_cast<double>(gap.count()) > m_options.pauseFactor * m_meanMicroseconds);
 }
 
 bool SlowStepDetector::isWarmedUp() const
--- a/src/traffic/slowstepdetector.h
+++ b/src/traffic/slowstepdetector.h
@@ -41,6 +41,8 @@
 
 private:
     bool isWarmedUp() const;
+    /// Whether a gap between arrivals is a pause between calls, not a step.
+    bool isPause(Microseconds gap) const;
 
     SlowStepDetectorOptions m_options;
     SteadyTime m_lastStepAt{};
--- a/src/traffic/streamadmission.cpp
+++ b/src/traffic/streamadmission.cpp
@@ -21,16 +21,9 @@
 constexpr double QuickStepFraction = 0.5;
 /// A stream that has waited for less has just arrived.
 constexpr Milliseconds MinWait{5};
-/// Fraction of the time that a caller waits for a first event. The rest is left to make the event.
-constexpr double QueueingFraction = 0.8;
 
 } // namespace
 
-Milliseconds longestQueueingTime(const Route &route)
-{
-    return std::chrono::duration_cast<Milliseconds>(callerTimeoutFor(route) * QueueingFraction);
-}
-
 double StreamAdmission::maxCalls(double slots, Microseconds step) const
 {
     const auto stepTime = static_cast<double>(step.count());
@@ -57,7 +50,7 @@
     if (!isStream || engine.meanAnswerTokens == 0 || engine.tokensPerStep == 0) {
         return std::nullopt;
     }
-    return StreamAdmission{longestQueueingTime(route),
+    return StreamAdmission{streamTimeoutsFor(route).queueTimeout,
                            static_cast<double>(engine.meanAnswerTokens) / engine.tokensPerStep,
                            route.latencyObjective,
                            route.pauseObjective};
--- a/src/traffic/streamadmission.h
+++ b/src/traffic/streamadmission.h
@@ -16,7 +16,7 @@
 /// queue is so long that its caller leaves before the first event, and a stream that still has time waits while the
 /// steps of the group are slow.
 struct StreamAdmission {
-    /// Longest expected time to the first event.
+    /// Longest time to the first event that its caller waits for, with a margin.
     Milliseconds firstEventLimit{0};
     /// Mean number of steps with an event in one answer.
     double stepsPerAnswer = 0;
@@ -37,9 +37,6 @@
     bool shouldWait(Microseconds currentStep, Microseconds waited) const;
 };
 
-/// Longest time for which a stream of a route may be queued so that its caller still waits for its first event.
-Milliseconds longestQueueingTime(const Route &route);
-
 /// The limits for streams of a route. Nothing if the engine's profile is incomplete.
 std::optional<StreamAdmission> streamAdmissionFor(const Route &route, const EngineProfile &engine);
 
--- a/src/traffic/streamtimeouts.cpp
+++ b/src/traffic/streamtimeouts.cpp
@@ -18,6 +18,8 @@
 /// Fractions of the caller's timeout. The rest is left for the first event from another server.
 constexpr double StalledStreamFraction = 0.6;
 constexpr double StalledGroupFraction = 0.35;
+/// The rest is left to make the first event.
+constexpr double QueueFraction = 0.8;
 
 Milliseconds fractionOf(Milliseconds time, double fraction)
 {
@@ -26,17 +28,14 @@
 
 } // namespace
 
-Milliseconds callerTimeoutFor(const Route &route)
-{
-    return std::max({MinCallerTimeout,
-                     CallerTimeoutLatencies * route.latencyObjective,
-                     CallerTimeoutPauses * route.pauseObjective});
-}
-
 StreamTimeouts streamTimeoutsFor(const Route &route)
 {
-    const auto callerTimeout = callerTimeoutFor(route);
-    return {fractionOf(callerTimeout, StalledGroupFraction), fractionOf(callerTimeout, StalledStreamFraction)};
+    const auto callerTimeout = std::max({MinCallerTimeout,
+                                         CallerTimeoutLatencies * route.latencyObjective,
+                                         CallerTimeoutPauses * route.pauseObjective});
+    return {fractionOf(callerTimeout, StalledGroupFraction),
+            fractionOf(callerTimeout, StalledStreamFraction),
+            fractionOf(callerTimeout, QueueFraction)};
 }
 
 } // namespace Cardamomhill
--- a/src/traffic/streamtimeouts.h
+++ b/src/traffic/streamtimeouts.h
@@ -15,11 +15,10 @@
     Milliseconds stalledGroupTimeout{0};
     /// For a stream that has delivered events, even if other streams of its group continue.
     Milliseconds stalledStreamTimeout{0};
+    /// How long a stream may be queued so that its caller still waits for its first event.
+    Milliseconds queueTimeout{0};
 };
 
-/// Time without an event, also before the first one, after which callers give up a stream of a route.
-Milliseconds callerTimeoutFor(const Route &route);
-
 /// The limits for streams of a route.
 StreamTimeouts streamTimeoutsFor(const Route &route);
 
--- a/src/wire/msgpackcodec.h
+++ b/src/wire/msgpackcodec.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "wire/wireerror.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -41,4 +42,17 @@
     return unpackMsgpackWith<T>(bytes, [](const msgpack::object &object) { return object.as<T>(); });
 }
 
+/// Decodes a value that is packed as an array of this many fields. Another length is an error: msgpack would leave the
+/// fields that a shorter array lacks at their defaults.
+template<class T>
+Result<T, WireError> unpackMsgpackArray(std::string_view bytes, std::uint32_t fieldCount)
+{
+    return unpackMsgpackWith<T>(bytes, [&](const msgpack::object &object) -> Result<T, WireError> {
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != fieldCount) {
+            return failure(WireError{WireErrorCode::Malformed, bytes.size()});
+        }
+        return object.as<T>();
+    });
+}
+
 } // namespace Cardamomhill
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -96,13 +96,13 @@
     CoordinatorLease lease("a", "1");
     lease.observe({6, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
     CHECK(lease.holder() == "b");
-    lease.holderBecameUnresponsive(Start + Seconds(1), random);
+    lease.holderLeft(Start + Seconds(1), random);
     CHECK(lease.shouldAcquire(Start + Milliseconds(1500)));
     // The holder has renewed it after all.
     lease.observe({7, "b", "1"}, CoordinatorFitness{Locality::Local}, Start + Milliseconds(1500), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(2)));
     lease.acquired(8, Start + Seconds(2));
-    lease.holderBecameUnresponsive(Start + Seconds(2), random);
+    lease.holderLeft(Start + Seconds(2), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(3)));
 }
 
@@ -208,7 +208,7 @@
         CoordinatorLease lease("a", "1");
         lease.observe({5, "b", "1"}, CoordinatorFitness{Locality::Local}, Start, random);
         auto unresponsive = lease;
-        unresponsive.holderBecameUnresponsive(back - Seconds(1), random);
+        unresponsive.holderLeft(back - Seconds(1), random);
         lease.storeBecameAvailable(back, random);
         unresponsive.storeBecameAvailable(back, random);
         CHECK_FALSE(lease.shouldAcquire(back + options.lifetime - Milliseconds(1)));
--- a/tests/groupcoordinatormanagertest.cpp
+++ b/tests/groupcoordinatormanagertest.cpp
@@ -139,9 +139,8 @@
     host.manager.stop();
     host.context.run_for(Milliseconds(500));
     CHECK(host.holder().empty());
-    const auto left = static_cast<std::uint8_t>(GroupEvent::CoordinatorLeft);
     REQUIRE_FALSE(host.notices.empty());
-    CHECK(host.notices.back().event == left);
+    CHECK(host.notices.back().event == GroupEvent::CoordinatorLeft);
     CHECK(host.notices.back().group == Group);
     CHECK(host.notices.back().host == "host-a");
 }
@@ -151,7 +150,7 @@
     Host host;
     host.context.run_for(Milliseconds(600));
     GroupNotice notice;
-    notice.event = static_cast<std::uint8_t>(GroupEvent::CoordinatorLeft);
+    notice.event = GroupEvent::CoordinatorLeft;
     notice.group = Group;
     notice.host = "host-c";
     host.manager.onGroupNotice(notice);
--- a/tests/groupnoticetest.cpp
+++ b/tests/groupnoticetest.cpp
@@ -14,7 +14,7 @@
 GroupNotice openedNotice()
 {
     GroupNotice notice;
-    notice.event = static_cast<std::uint8_t>(GroupEvent::Opened);
+    notice.event = GroupEvent::Opened;
     notice.host = "host-a";
     notice.group = "g";
     notice.epoch = 3;
@@ -39,7 +39,7 @@
 TEST_CASE("notices with an unknown event or format, and arbitrary bytes, are rejected")
 {
     auto unknownEvent = openedNotice();
-    unknownEvent.event = 2;
+    unknownEvent.event = static_cast<GroupEvent>(2);
     CHECK_FALSE(unpackGroupNotice(packGroupNotice(unknownEvent)).has_value());
     auto unknownFormat = openedNotice();
     unknownFormat.format = 2;
