Log what a stop waits for, which calls it takes and how it ends

Cause: a stop logged its beginning and its end. The five hypotheses about cut calls (docs/incidents/planned-stop-cut-calls.md) could not be told apart: not when the listening socket closed, which calls were taken after SIGTERM, how many ran at the end, nor whether the process ended or was killed. Change: listener-closed, taken-while-draining, drain-progress twice a second, exit with counts and times; a gauge and a counter. The setting termination_grace_s tells the process when it is killed; it is logged and has no other effect yet. No decision changes.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -80,6 +80,7 @@
         co_return;
     }
     m_thread.callStarted();
+    recordArrivalWhileDraining();
     m_exchange.watchDisconnect([this] {
         m_state.isCallerGone = true;
         if (m_currentAttempt != nullptr) {
@@ -304,6 +305,19 @@
     co_await sendProblem(m_exchange, std::move(problem));
 }
 
+void CallHandler::recordArrivalWhileDraining()
+{
+    const auto drainingTime = m_thread.drainingTime();
+    if (!drainingTime) {
+        return;
+    }
+    m_thread.metrics().counter("calls_taken_draining_total").add();
+    logEvent(
+        LogLevel::Info,
+        "taken-while-draining",
+        {{"request", m_state.head.id}, {"draining_ms", drainingTime->count()}, {"limit_ms", remainingTime().count()}});
+}
+
 void CallHandler::recordOutcome(std::string_view outcome)
 {
     const auto now = steadyNow();
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -38,6 +38,8 @@
     Task<> answerWithoutServer(const ServerChoice &choice);
     Task<> answerFailure();
     Task<> refuse(Problem problem);
+    /// Logs and counts a call that arrives while the process drains.
+    void recordArrivalWhileDraining();
     void recordOutcome(std::string_view outcome);
     Milliseconds remainingTime() const;
 
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -26,6 +26,8 @@
 {
 
 constexpr Milliseconds ExitCheckPeriod{20};
+/// How often a process that drains logs what it still waits for.
+constexpr Milliseconds DrainLogPeriod{500};
 /// How long the process waits for connections without a call after it has closed the listening socket, so that requests
 /// already being sent can arrive.
 constexpr Milliseconds IdleConnectionGrace{1000};
@@ -149,8 +151,14 @@
     void startDraining()
     {
         m_isDraining = true;
+        m_drainingSince = steadyNow();
+        m_metrics.gauge("draining").set(1);
         m_groupCoordinatorManager.stop();
-        logEvent(LogLevel::Info, "draining", {{"calls", m_trafficThread.callCount()}});
+        logEvent(LogLevel::Info,
+                 "draining",
+                 {{"calls", m_trafficThread.callCount()},
+                  {"listener_closes_ms", m_settings.drainGrace.count()},
+                  {"killed_ms", m_settings.terminationGrace.count()}});
         asio::post(m_trafficThread.context(), [this] { m_trafficThread.startDraining(); });
         m_timer.expires_after(m_settings.drainGrace);
         m_timer.async_wait([this](SystemError) {
@@ -176,14 +184,38 @@
         // A request may still be arriving.
         const bool isReading = connections > 0 && steadyNow() < m_connectionGraceEndsAt;
         if (m_trafficThread.callCount() > 0 || isReading) {
+            logDrainProgress(connections);
             scheduleExitCheck();
             return;
         }
-        logEvent(LogLevel::Info, "exit", {{"reason", "drained"}});
+        logEvent(LogLevel::Info,
+                 "exit",
+                 {{"reason", "drained"},
+                  {"calls", m_trafficThread.callCount()},
+                  {"connections", connections},
+                  {"draining_ms", drainingTime().count()}});
         m_trafficThread.stop();
         m_context.stop();
     }
 
+    void logDrainProgress(std::size_t connections)
+    {
+        if (steadyNow() < m_nextDrainLog) {
+            return;
+        }
+        m_nextDrainLog = steadyNow() + DrainLogPeriod;
+        logEvent(LogLevel::Info,
+                 "drain-progress",
+                 {{"calls", m_trafficThread.callCount()},
+                  {"connections", connections},
+                  {"draining_ms", drainingTime().count()}});
+    }
+
+    Milliseconds drainingTime() const
+    {
+        return std::chrono::duration_cast<Milliseconds>(steadyNow() - m_drainingSince);
+    }
+
     bool isReady() const
     {
         return m_control.isReady() && m_trafficThread.canServe() && !m_isDraining;
@@ -215,6 +247,8 @@
     HostDirectory m_hostDirectory;
     OperatorServer m_operatorServer;
     bool m_isDraining = false;
+    SteadyTime m_drainingSince{};
+    SteadyTime m_nextDrainLog{};
     SteadyTime m_connectionGraceEndsAt{};
 };
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -31,6 +31,8 @@
     std::uint32_t callsPerRetry = 6;
     /// Time between becoming not ready and closing the listening socket.
     Milliseconds drainGrace{3000};
+    /// Time after SIGTERM at which the platform kills the process.
+    Milliseconds terminationGrace{30'000};
     /// Whether this host may coordinate changes of the expert maps of engine groups. Requires engines that refuse
     /// orders with an old fencing token.
     bool coordinatesGroups = false;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -165,7 +165,7 @@
 
 void GatewayThread::startDraining()
 {
-    m_isDraining = true;
+    m_drainingSince = steadyNow();
     m_httpServer.setCloseAfterAnswers(true);
 }
 
@@ -210,13 +210,24 @@
     if (canServe != m_canServe) {
         logEvent(LogLevel::Warning, canServe ? "serving-again" : "cut-off", {{"calls", m_callCount.load()}});
         m_canServe = canServe;
-        m_httpServer.setCloseAfterAnswers(m_isDraining || !canServe);
+        m_httpServer.setCloseAfterAnswers(m_drainingSince || !canServe);
     }
 }
 
 void GatewayThread::stopAccepting()
 {
-    m_httpServer.stopAccepting();
+    const auto backlog = m_httpServer.stopAccepting();
+    logEvent(LogLevel::Info,
+             "listener-closed",
+             {{"backlog", backlog}, {"connections", connectionCount()}, {"calls", callCount()}});
+}
+
+std::optional<Milliseconds> GatewayThread::drainingTime() const
+{
+    if (!m_drainingSince) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Milliseconds>(steadyNow() - *m_drainingSince);
 }
 
 std::size_t GatewayThread::connectionCount() const
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -18,6 +18,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -71,6 +72,8 @@
     /// Closes callers' connections after their answers, so that callers connect to another host before this one stops.
     void startDraining();
     void stopAccepting();
+    /// Time since startDraining(), or nothing before it.
+    std::optional<Milliseconds> drainingTime() const;
     /// Open connections of callers.
     std::size_t connectionCount() const;
 
@@ -129,7 +132,7 @@
     std::uint32_t m_maxHostCount;
     Reachability m_reachability;
     PeerExchange m_peerExchange;
-    bool m_isDraining = false;
+    std::optional<SteadyTime> m_drainingSince;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
     std::unordered_set<Attempt *> m_attempts;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -105,14 +105,15 @@
     m_closesAfterAnswers = closes || m_isStopping;
 }
 
-void HttpServer::stopAccepting()
+std::size_t HttpServer::stopAccepting()
 {
     m_isStopping = true;
     m_closesAfterAnswers = true;
-    acceptBacklog();
+    const auto backlog = acceptBacklog();
     SystemError ignored;
     m_acceptor.close(ignored);
     spawn(m_context.get_executor(), "http-close-idle", closeIdleConnections());
+    return backlog;
 }
 
 std::size_t HttpServer::connectionCount() const
@@ -132,8 +133,9 @@
     }
 }
 
-void HttpServer::acceptBacklog()
+std::size_t HttpServer::acceptBacklog()
 {
+    std::size_t accepted = 0;
     SystemError error;
     m_acceptor.non_blocking(true, error);
     while (!error) {
@@ -141,8 +143,10 @@
         m_acceptor.accept(socket, error);
         if (!error) {
             startConnection(std::move(socket));
+            ++accepted;
         }
     }
+    return accepted;
 }
 
 void HttpServer::startConnection(tcp::socket socket)
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -35,7 +35,8 @@
     /// Stops listening and closes each connection after its next answer. Connections that wait in the backlog are still
     /// served, and so are requests that arrive on idle connections for a short time, since their callers do not know
     /// yet that the server stops.
-    void stopAccepting();
+    /// @return how many connections were in the backlog
+    std::size_t stopAccepting();
 
     std::size_t connectionCount() const;
 
@@ -43,7 +44,7 @@
     struct Connection;
 
     Task<> acceptLoop();
-    void acceptBacklog();
+    std::size_t acceptBacklog();
     void startConnection(tcp::socket socket);
     Task<> closeIdleConnections();
     Task<> serveConnection(std::shared_ptr<Connection> connection);
