Add a failing test of a call that a stop takes and then cuts

A stream that begins before SIGTERM ends late in the stop; its kept connection takes one more call, which the kill cuts. Change: plannedstoptest runs a real gateway with a store and a server, and stops it as the platform does.

--- /dev/null
+++ b/tests/plannedstoptest.cpp
@@ -0,0 +1,225 @@
+#include "control/controladdress.h"
+#include "net/httpclient.h"
+#include "net/httpclientconnection.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+#include "soak/childprocess.h"
+#include "soak/documents.h"
+#include "soak/freeendpoint.h"
+#include "standins/directbackend.h"
+#include "standins/platformstore.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+constexpr Milliseconds DrainGrace{500};
+constexpr Milliseconds TerminationGrace{2000};
+constexpr Milliseconds AnswerTimeout{4000};
+constexpr Milliseconds StartTimeout{15000};
+constexpr Milliseconds PollInterval{20};
+constexpr Milliseconds EventInterval{100};
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+
+/// What a caller got for one call.
+struct CallResult {
+    unsigned status = 0;
+    bool isComplete = false;
+    bool closesConnection = false;
+    std::string body;
+    Milliseconds duration{0};
+};
+
+/// A gateway in a process of its own, with a store and a server in this process. It is sent SIGTERM and, after its
+/// grace time, SIGKILL, as the platform does.
+class StoppedGateway
+{
+public:
+    StoppedGateway()
+        : m_store(m_context)
+        , m_server(m_context, "s1", [this](const HttpRequest &request) { ++runs[std::string(request.body())]; })
+        , m_storeAddress(freeEndpoint(m_context))
+        , m_listen(freeEndpoint(m_context))
+        , m_operatorListen(freeEndpoint(m_context))
+        , m_directory(std::filesystem::temp_directory_path() / ("plannedstop-" + std::to_string(m_listen.port())))
+    {
+        const auto serverAddress = freeEndpoint(m_context);
+        REQUIRE(m_store.listen(m_storeAddress).has_value());
+        REQUIRE(m_server.listen(serverAddress).has_value());
+        const ServerEntry entry{"s1", controlAddress(serverAddress).value(), 1, false};
+        m_store.put("servers", "s1", nlohmann::json::parse(serverDocument(entry)));
+        m_store.put("config", "main", nlohmann::json::parse(configurationDocument(1)));
+        startProcess();
+    }
+
+    ~StoppedGateway()
+    {
+        m_process.reset();
+        std::filesystem::remove_all(m_directory);
+    }
+
+    StoppedGateway(const StoppedGateway &) = delete;
+    StoppedGateway &operator=(const StoppedGateway &) = delete;
+
+    /// Runs the scenario to its end and then the process to its own.
+    void run(Task<> scenario)
+    {
+        bool hasEnded = false;
+        asio::co_spawn(m_context, std::move(scenario), [&hasEnded](const std::exception_ptr &exception) {
+            hasEnded = true;
+            CHECK(!exception);
+        });
+        while (!hasEnded || (m_killsAt && !m_process->hasEnded())) {
+            if (m_killsAt && steadyNow() >= *m_killsAt && !m_process->hasEnded()) {
+                wasKilled = true;
+                m_process->signal(SIGKILL);
+            }
+            m_context.restart();
+            m_context.run_for(PollInterval);
+        }
+    }
+
+    void terminate()
+    {
+        m_process->signal(SIGTERM);
+        m_killsAt = steadyNow() + TerminationGrace;
+    }
+
+    Task<> sleep(Milliseconds time)
+    {
+        asio::steady_timer timer(m_context, time);
+        SystemError ignored;
+        co_await timer.async_wait(storeError(ignored));
+    }
+
+    Task<std::unique_ptr<HttpClientConnection>> connect()
+    {
+        auto connection = std::make_unique<HttpClientConnection>(m_context);
+        const auto connected = co_await connection->connect(m_listen, AnswerTimeout);
+        CHECK(connected.has_value());
+        co_return connection;
+    }
+
+    /// Sends a stream of so many events, EventInterval apart, and reads all of its answer.
+    Task<CallResult> stream(HttpClientConnection &connection, const std::string &id, int events)
+    {
+        auto request = makeHttpRequest("POST", "/draft/stream", id);
+        request.set("Host", "shop.example");
+        request.set("Authorization", "Token k");
+        request.set("Cardamomhill-Request-Id", id);
+        request.set("Cardamomhill-Request-Deadline", std::to_string(AnswerTimeout.count()));
+        request.set("X-Events", std::to_string(events));
+        request.set("X-Event-Interval-Ms", std::to_string(EventInterval.count()));
+        CallResult result;
+        const auto begun = steadyNow();
+        const auto started = co_await connection.start(std::move(request), AnswerTimeout);
+        if (started.has_value()) {
+            result.status = connection.status();
+            result.closesConnection = connection.head()["Connection"] == "close";
+            auto piece = co_await connection.readSome(AnswerTimeout);
+            while (piece.has_value() && piece.value()) {
+                result.body += *piece.value();
+                piece = co_await connection.readSome(AnswerTimeout);
+            }
+            result.isComplete = piece.has_value();
+            connection.reset();
+        }
+        result.duration = std::chrono::duration_cast<Milliseconds>(steadyNow() - begun);
+        co_return result;
+    }
+
+    std::string log() const
+    {
+        std::ifstream file(m_directory / "log");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    std::map<std::string, int> runs;
+    bool wasKilled = false;
+
+private:
+    void startProcess()
+    {
+        const auto *program = std::getenv("CARDAMOMHILL_PROGRAM");
+        REQUIRE(program != nullptr);
+        std::filesystem::create_directories(m_directory);
+        const auto settings = m_directory / "settings.yaml";
+        std::ofstream(settings) << "host: h1\nfailure_domain: d1\nlisten: " << controlAddress(m_listen).value()
+                                << "\noperator_listen: " << controlAddress(m_operatorListen).value()
+                                << "\npeer_listen: " << controlAddress(freeEndpoint(m_context)).value()
+                                << "\nplatform: " << controlAddress(m_storeAddress).value()
+                                << "\ndrain_grace_ms: " << DrainGrace.count()
+                                << "\ntermination_grace_s: " << std::chrono::duration<double>(TerminationGrace).count()
+                                << "\n";
+        m_process = std::make_unique<ChildProcess>(
+            std::vector<std::string>{program, "gateway", "--settings", settings.string()}, m_directory / "log");
+        run(waitUntilReady());
+    }
+
+    Task<> waitUntilReady()
+    {
+        const auto deadline = steadyNow() + StartTimeout;
+        HttpClient client(m_context, m_operatorListen);
+        bool isReady = false;
+        while (!isReady && steadyNow() < deadline) {
+            co_await sleep(PollInterval);
+            auto request = makeHttpRequest("GET", "/readyz");
+            const auto answer = co_await client.call(std::move(request), AnswerTimeout);
+            isReady = answer.has_value() && answer.value().status == Ok;
+        }
+        CHECK(isReady);
+    }
+
+    asio::io_context m_context;
+    PlatformStore m_store;
+    DirectBackend m_server;
+    tcp::endpoint m_storeAddress;
+    tcp::endpoint m_listen;
+    tcp::endpoint m_operatorListen;
+    std::filesystem::path m_directory;
+    std::unique_ptr<ChildProcess> m_process;
+    std::optional<SteadyTime> m_killsAt;
+};
+
+/// Whether the caller has all that it is owed: the whole answer, or a refusal of a call that did not run.
+bool isAnsweredOrNotRun(StoppedGateway &gateway, const std::string &id, const CallResult &result)
+{
+    return result.isComplete && (result.status == Ok || (result.status == Unavailable && gateway.runs[id] == 0));
+}
+
+} // namespace
+
+TEST_CASE("a call on a kept connection late in a stop is not begun and then cut when the process is killed")
+{
+    StoppedGateway gateway;
+    CallResult first;
+    CallResult late;
+    const std::string firstId = "first";
+    const std::string lateId = "late";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        asio::steady_timer stop(co_await asio::this_coro::executor, EventInterval + EventInterval / 2);
+        stop.async_wait([&gateway](SystemError) { gateway.terminate(); });
+        first = co_await gateway.stream(*connection, firstId, 12);
+        late = co_await gateway.stream(*connection, lateId, 14);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CAPTURE(late.status);
+    CAPTURE(late.body);
+    CHECK(first.isComplete);
+    // An answer that began before the stop keeps its connection.
+    REQUIRE_FALSE(first.closesConnection);
+    CHECK(isAnsweredOrNotRun(gateway, lateId, late));
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -37,6 +37,13 @@
     return "Content-Length: " + std::to_string(body.size()) + "\r\n";
 }
 
+/// A number that the caller states in a header, or the default.
+int numberIn(const HttpRequest &request, const char *header, int defaultValue)
+{
+    const auto text = request[header];
+    return text.empty() ? defaultValue : std::stoi(std::string(text));
+}
+
 std::string chunk(const std::string &text)
 {
     char size[20];
@@ -175,13 +182,15 @@
         = responseHead(request, Ok, SealHeader + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
     bool sent = co_await write(connection, start);
     asio::steady_timer timer(m_context);
-    for (int number = first; sent && number <= EventCount; ++number) {
+    const int count = numberIn(request, "X-Events", EventCount);
+    const Milliseconds interval(numberIn(request, "X-Event-Interval-Ms", EventInterval.count()));
+    for (int number = first; sent && number <= count; ++number) {
         if (breaks && number > EventsBeforeBreak) {
             const std::string part = chunk(eventText(number).substr(0, 5));
             co_await write(connection, part);
             co_return false;
         }
-        timer.expires_after(EventInterval);
+        timer.expires_after(interval);
         SystemError error;
         co_await timer.async_wait(storeError(error));
         const std::string event = chunk(eventText(number));
