Admit calls in a stop only if they are likely to end before the kill

Callers saw streams break off, and others lost theirs without any event: a host that was told to stop went on taking calls as if it had all the time of their routes. Cause: a drain had a beginning and no end. The process was not told its grace time, and draining was a property of answers, decided when their heads were written, instead of one of admission. A kept connection whose answer had begun before SIGTERM took one more call whenever that answer ended, up to the kill. Change: EntryDrain knows the grace time and admits a call that must end before the process does, or, while new callers arrive, one whose like usually end in time (CallDurations, nine in ten of the latest calls of the service). All others are refused at once with 503, not-sent, Retry-After 0 and Connection: close, so they run elsewhere.

--- a/src/drain/entrydrain.cpp
+++ b/src/drain/entrydrain.cpp
@@ -1,10 +1,13 @@
 #include "drain/entrydrain.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
-EntryDrain::EntryDrain(Microseconds gracePeriod)
+EntryDrain::EntryDrain(Microseconds gracePeriod, std::optional<Microseconds> terminationGrace)
     : m_gracePeriod(gracePeriod)
+    , m_terminationGrace(terminationGrace)
 {
 }
 
@@ -32,9 +35,25 @@
 
 void EntryDrain::onTick(SteadyTime now)
 {
-    if (isLeaving() && now - m_decision.since() >= m_gracePeriod) {
-        m_isClosed = true;
+    if (!isLeaving()) {
+        return;
+    }
+    m_isClosed = m_isClosed || elapsed(now) >= m_gracePeriod;
+    if (m_terminationGrace) {
+        m_mustEndCalls = m_mustEndCalls || elapsed(now) >= *m_terminationGrace - exitMargin();
+        m_isOverdue = m_isOverdue || elapsed(now) >= *m_terminationGrace - exitMargin() / 2;
+        m_isClosed = m_isClosed || m_mustEndCalls;
+    }
+}
+
+bool EntryDrain::admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const
+{
+    if (!isLeaving() || !m_terminationGrace) {
+        return true;
     }
+    const auto left = *m_terminationGrace - exitMargin() - elapsed(now);
+    const bool acceptsNewCallers = elapsed(now) < m_gracePeriod;
+    return limit <= left || (acceptsNewCallers && left > Microseconds(0) && usual.value_or(Microseconds(0)) <= left);
 }
 
 bool EntryDrain::isLeaving() const
@@ -57,9 +76,24 @@
     return !m_isClosed;
 }
 
+bool EntryDrain::mustEndCalls() const
+{
+    return m_mustEndCalls;
+}
+
 bool EntryDrain::shouldExit() const
 {
-    return m_isClosed && m_finalStreamCount == 0U;
+    return m_isOverdue || (m_isClosed && m_finalStreamCount == 0U);
+}
+
+Microseconds EntryDrain::elapsed(SteadyTime now) const
+{
+    return isLeaving() ? std::chrono::duration_cast<Microseconds>(now - m_decision.since()) : Microseconds(0);
+}
+
+Microseconds EntryDrain::exitMargin() const
+{
+    return std::min(maxExitMargin, m_terminationGrace.value_or(maxExitMargin) / exitMarginDivisor);
 }
 
 } // namespace Cardamomhill
--- a/src/drain/entrydrain.h
+++ b/src/drain/entrydrain.h
@@ -3,17 +3,25 @@
 #include "drain/leavedecision.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace Cardamomhill
 {
 
 /// Graceful shutdown of an entry process: first it reports that it is not ready, so that the platform's load balancer
-/// sends no new callers; after a grace period it accepts no new connections; it exits after the last stream.
+/// sends no new callers; after a grace period it accepts no new connections; it exits after the last stream, or shortly
+/// before the platform kills it. Throughout, it admits only calls that are likely to end before that.
 class EntryDrain
 {
 public:
+    /// How long before the kill the process ends what still runs, so that callers get an answer where one is possible.
+    static constexpr Microseconds maxExitMargin = Milliseconds(400);
+    /// The margin is at most the termination grace divided by this.
+    static constexpr int exitMarginDivisor = 5;
+
     /// The grace period must be longer than the platform's load balancer needs to detect the change of readiness.
-    explicit EntryDrain(Microseconds gracePeriod);
+    /// @param terminationGrace time from the decision to leave until the platform kills the process, if it does
+    explicit EntryDrain(Microseconds gracePeriod, std::optional<Microseconds> terminationGrace = std::nullopt);
 
     void onTerminate(SteadyTime now);
     void onRetired(SteadyTime now);
@@ -24,18 +32,35 @@
     void onStreamCount(std::uint64_t open, bool connectionsClosed);
     void onTick(SteadyTime now);
 
+    /// Whether a call that arrives now may begin. Once the process leaves, a call is admitted if it must end before the
+    /// process does, or, while connections are accepted, if calls like it usually end before that.
+    /// @param limit the longest time that the call may take
+    /// @param usual how long such calls take, if that is known
+    bool admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const;
+
     bool isLeaving() const;
     LeaveReason reason() const;
     bool isReady() const;
     /// When false, listeners and idle connections must be closed. Until then, answers of a leaving process carry
     /// `Connection: close`.
     bool acceptsConnections() const;
+    /// True shortly before the kill: calls in progress must be ended.
+    bool mustEndCalls() const;
+    /// Whether nothing is in progress, or the calls that had to be ended have had half of the margin to end.
     bool shouldExit() const;
 
+    /// Time since the decision to leave; zero before it.
+    Microseconds elapsed(SteadyTime now) const;
+
 private:
+    Microseconds exitMargin() const;
+
     Microseconds m_gracePeriod;
+    std::optional<Microseconds> m_terminationGrace;
     LeaveDecision m_decision;
     bool m_isClosed = false;
+    bool m_mustEndCalls = false;
+    bool m_isOverdue = false;
     std::optional<std::uint64_t> m_finalStreamCount;
 };
 
--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -57,6 +57,7 @@
     {"refused", "detail", "no-server", "no server of the service is registered"},
     {"refused", "status", "401", "the key belongs to no organisation in the configuration in force"},
     {"refused", "status", "404", "the configuration in force has no route for this host and path"},
+    {"refused", "detail", "the host is stopping", "calls like it usually do not end before the process is killed"},
     {"refused", "problem", "not-ready", "the process had no configuration yet"},
     {"refused", "problem", "not-run", "the servers that were asked did not run it, and no further attempt was allowed"},
     {"taken-while-draining",
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -33,6 +33,8 @@
 constexpr Milliseconds NoServerRetryAfter{1000};
 /// A group that lost a rank abandons its steps after one or two seconds and is then formed again.
 constexpr Milliseconds GroupRetryAfter{2000};
+/// The other hosts can take the calls of one that stops at once.
+constexpr Milliseconds StoppingRetryAfter{0};
 /// How often a call that waits looks whether it can be sent.
 constexpr Milliseconds QueueCheckPeriod{10};
 /// Largest random fraction by which Retry-After is lengthened, so that callers refused at the same time do not retry at
@@ -123,6 +125,10 @@
         limit = std::min(limit, *m_state.head.remainingTime);
     }
     m_state.deadline = m_state.startedAt + limit;
+    if (!m_thread.admitsCall(m_state.service, limit)) {
+        return Problem{
+            ProblemKind::NotReady, StatusUnavailable, "not-sent", "the host is stopping", StoppingRetryAfter};
+    }
     return std::nullopt;
 }
 
@@ -324,6 +330,9 @@
     const auto duration = now - m_state.startedAt;
     m_thread.metrics().counter("calls_total{outcome=\"" + std::string(outcome) + "\"}").add();
     m_thread.metrics().latency("call_seconds").record(duration);
+    if (!m_state.isCallerGone) {
+        m_thread.recordCallDuration(m_state.service, std::chrono::duration_cast<Microseconds>(duration));
+    }
     const auto first = m_state.firstByteAt.value_or(now) - m_state.startedAt;
     m_thread.metrics().latency("first_byte_seconds").record(first);
     logEvent(LogLevel::Info,
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -76,6 +76,7 @@
                           applyGroupNotice(notice);
                           m_observers.onGroupNotice(notice);
                       }})
+    , m_drain(settings.drainGrace, settings.terminationGrace)
 {
 }
 
@@ -165,7 +166,7 @@
 
 void GatewayThread::startDraining()
 {
-    m_drainingSince = steadyNow();
+    m_drain.onTerminate(steadyNow());
     m_httpServer.setCloseAfterAnswers(true);
 }
 
@@ -210,7 +211,7 @@
     if (canServe != m_canServe) {
         logEvent(LogLevel::Warning, canServe ? "serving-again" : "cut-off", {{"calls", m_callCount.load()}});
         m_canServe = canServe;
-        m_httpServer.setCloseAfterAnswers(m_drainingSince || !canServe);
+        m_httpServer.setCloseAfterAnswers(m_drain.isLeaving() || !canServe);
     }
 }
 
@@ -224,10 +225,22 @@
 
 std::optional<Milliseconds> GatewayThread::drainingTime() const
 {
-    if (!m_drainingSince) {
+    if (!m_drain.isLeaving()) {
         return std::nullopt;
     }
-    return std::chrono::duration_cast<Milliseconds>(steadyNow() - *m_drainingSince);
+    return std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow()));
+}
+
+bool GatewayThread::admitsCall(const ServiceId &service, Milliseconds limit) const
+{
+    const auto durations = m_callDurations.find(service);
+    return m_drain.admits(
+        steadyNow(), limit, durations == m_callDurations.end() ? std::nullopt : durations->second.usual());
+}
+
+void GatewayThread::recordCallDuration(const ServiceId &service, Microseconds duration)
+{
+    m_callDurations[service].record(duration);
 }
 
 std::size_t GatewayThread::connectionCount() const
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -4,12 +4,14 @@
 #include "core/identifiers.h"
 #include "core/random.h"
 #include "core/result.h"
+#include "drain/entrydrain.h"
 #include "gateway/backendconnectionpool.h"
 #include "gateway/peerexchange.h"
 #include "net/asio.h"
 #include "net/httpserver.h"
 #include "net/neterror.h"
 #include "routing/retrybudget.h"
+#include "traffic/calldurations.h"
 #include "traffic/reachability.h"
 #include "traffic/servertable.h"
 #include "traffic/trafficconfiguration.h"
@@ -74,6 +76,10 @@
     void stopAccepting();
     /// Time since startDraining(), or nothing before it.
     std::optional<Milliseconds> drainingTime() const;
+    /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
+    /// likely to end before it is killed may.
+    bool admitsCall(const ServiceId &service, Milliseconds limit) const;
+    void recordCallDuration(const ServiceId &service, Microseconds duration);
     /// Open connections of callers.
     std::size_t connectionCount() const;
 
@@ -132,7 +138,8 @@
     std::uint32_t m_maxHostCount;
     Reachability m_reachability;
     PeerExchange m_peerExchange;
-    std::optional<SteadyTime> m_drainingSince;
+    EntryDrain m_drain;
+    std::unordered_map<ServiceId, CallDurations> m_callDurations;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
     std::unordered_set<Attempt *> m_attempts;
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -5,6 +5,7 @@
 
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/calldurations.h"
 #include "traffic/callhead.h"
 #include "traffic/eventsplitter.h"
 #include "traffic/serverregistry.h"
--- a/tests/draintest.cpp
+++ b/tests/draintest.cpp
@@ -247,4 +247,33 @@
     }));
 }
 
+TEST_CASE("a process that leaves admits no call that would run when it is killed")
+{
+    const Microseconds grace = Seconds(3);
+    const Microseconds killed = Seconds(8);
+    const Microseconds unlimited = Seconds(60);
+    EntryDrain drain(grace, killed);
+    const SteadyTime start{Seconds(100)};
+    CHECK(drain.admits(start, unlimited, unlimited));
+    drain.onTerminate(start);
+    SUBCASE("a call that must end before the process does is admitted at any time")
+    {
+        CHECK(drain.admits(start + Seconds(6), Milliseconds(1600), unlimited));
+        CHECK_FALSE(drain.admits(start + Seconds(6), Milliseconds(1601), Milliseconds(10)));
+    }
+    SUBCASE("while connections are accepted, a longer one is admitted if calls like it usually end in time")
+    {
+        CHECK(drain.admits(start + Seconds(2), unlimited, Milliseconds(5600)));
+        CHECK_FALSE(drain.admits(start + Seconds(2), unlimited, Milliseconds(5601)));
+        CHECK(drain.admits(start + Milliseconds(2999), unlimited, std::nullopt));
+        CHECK_FALSE(drain.admits(start + grace, unlimited, Milliseconds(1)));
+    }
+    SUBCASE("without a time of the kill, every call is admitted")
+    {
+        EntryDrain endless(grace);
+        endless.onTerminate(start);
+        CHECK(endless.admits(start + Seconds(50), unlimited, unlimited));
+    }
+}
+
 } // namespace Cardamomhill
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -223,3 +223,31 @@
     REQUIRE_FALSE(first.closesConnection);
     CHECK(isAnsweredOrNotRun(gateway, lateId, late));
 }
+
+TEST_CASE("a call that usually takes longer than a stopping process has left is refused at once and not run")
+{
+    StoppedGateway gateway;
+    CallResult taken;
+    CallResult refused;
+    const std::string earlierId = "earlier";
+    const std::string takenId = "taken";
+    const std::string refusedId = "refused";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        const auto earlier = co_await gateway.stream(*connection, earlierId, 15);
+        CHECK(earlier.isComplete);
+        auto second = co_await gateway.connect();
+        gateway.terminate();
+        taken = co_await gateway.stream(*connection, takenId, 1);
+        co_await gateway.sleep(EventInterval * 3);
+        refused = co_await gateway.stream(*second, refusedId, 15);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(taken.status == Ok);
+    CHECK(refused.status == Unavailable);
+    CHECK(refused.closesConnection);
+    CHECK(gateway.runs[refusedId] == 0);
+    CHECK(refused.duration < EventInterval);
+    CHECK_FALSE(gateway.wasKilled);
+}
