Decide the exit of a stopping gateway on the thread that serves its callers

Callers lost a request that crossed the end of a stop: a second after the listening socket had closed, the process exited as soon as no call was in progress, although an answer had just ended on a kept connection and its caller could still send. Cause: the control thread decided from two counts of the traffic thread, one of them read later than the other, and a fixed second for connections stood in for knowing whether they were still open. A call that arrived between count and exit was dropped. Change: the traffic thread runs the drain with EntryDrain and exits in the same step in which it sees that no connection is left, or shortly before the kill. Both timers of the control thread are gone. The narrower race, a call between count and exit, was not reproduced; it is excluded by construction.

--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -10,7 +10,6 @@
 #include "gateway/storecodec.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
-#include "net/steadynow.h"
 #include "objectstore/storeavailability.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -25,13 +24,6 @@
 namespace
 {
 
-constexpr Milliseconds ExitCheckPeriod{20};
-/// How often a process that drains logs what it still waits for.
-constexpr Milliseconds DrainLogPeriod{500};
-/// How long the process waits for connections without a call after it has closed the listening socket, so that requests
-/// already being sent can arrive.
-constexpr Milliseconds IdleConnectionGrace{1000};
-
 /// Owns the components of a gateway process and its two threads: the control thread, which is the main thread, and the
 /// traffic thread.
 class GatewayProgram
@@ -43,7 +35,6 @@
                    const EngineCodec &engineCodec)
         : m_settings(settings)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
-        , m_timer(m_context)
         , m_trafficThread(
               settings,
               callCodec,
@@ -59,7 +50,8 @@
                },
                [this](const GroupNotice &notice) {
                    asio::post(m_context, [this, notice] { m_groupCoordinatorManager.onGroupNotice(notice); });
-               }})
+               },
+               [this] { m_context.stop(); }})
         , m_storeRelay(m_context)
         , m_groupCoordinatorManager(
               m_context,
@@ -151,7 +143,6 @@
     void startDraining()
     {
         m_isDraining = true;
-        m_drainingSince = steadyNow();
         m_metrics.gauge("draining").set(1);
         m_groupCoordinatorManager.stop();
         logEvent(LogLevel::Info,
@@ -160,60 +151,6 @@
                   {"listener_closes_ms", m_settings.drainGrace.count()},
                   {"killed_ms", m_settings.terminationGrace.count()}});
         asio::post(m_trafficThread.context(), [this] { m_trafficThread.startDraining(); });
-        m_timer.expires_after(m_settings.drainGrace);
-        m_timer.async_wait([this](SystemError) {
-            asio::post(m_trafficThread.context(), [this] { m_trafficThread.stopAccepting(); });
-            m_connectionGraceEndsAt = steadyNow() + IdleConnectionGrace;
-            scheduleExitCheck();
-        });
-    }
-
-    void scheduleExitCheck()
-    {
-        m_timer.expires_after(ExitCheckPeriod);
-        m_timer.async_wait([this](SystemError) {
-            asio::post(m_trafficThread.context(), [this] {
-                const auto connections = m_trafficThread.connectionCount();
-                asio::post(m_context, [this, connections] { exitIfIdle(connections); });
-            });
-        });
-    }
-
-    void exitIfIdle(std::size_t connections)
-    {
-        // A request may still be arriving.
-        const bool isReading = connections > 0 && steadyNow() < m_connectionGraceEndsAt;
-        if (m_trafficThread.callCount() > 0 || isReading) {
-            logDrainProgress(connections);
-            scheduleExitCheck();
-            return;
-        }
-        logEvent(LogLevel::Info,
-                 "exit",
-                 {{"reason", "drained"},
-                  {"calls", m_trafficThread.callCount()},
-                  {"connections", connections},
-                  {"draining_ms", drainingTime().count()}});
-        m_trafficThread.stop();
-        m_context.stop();
-    }
-
-    void logDrainProgress(std::size_t connections)
-    {
-        if (steadyNow() < m_nextDrainLog) {
-            return;
-        }
-        m_nextDrainLog = steadyNow() + DrainLogPeriod;
-        logEvent(LogLevel::Info,
-                 "drain-progress",
-                 {{"calls", m_trafficThread.callCount()},
-                  {"connections", connections},
-                  {"draining_ms", drainingTime().count()}});
-    }
-
-    Milliseconds drainingTime() const
-    {
-        return std::chrono::duration_cast<Milliseconds>(steadyNow() - m_drainingSince);
     }
 
     bool isReady() const
@@ -239,7 +176,6 @@
     MetricsRegistry m_metrics;
     StoreAvailability m_storeAvailability;
     asio::signal_set m_signals;
-    asio::steady_timer m_timer;
     GatewayThread m_trafficThread;
     StoreRelay m_storeRelay;
     GroupCoordinatorManager m_groupCoordinatorManager;
@@ -247,9 +183,6 @@
     HostDirectory m_hostDirectory;
     OperatorServer m_operatorServer;
     bool m_isDraining = false;
-    SteadyTime m_drainingSince{};
-    SteadyTime m_nextDrainLog{};
-    SteadyTime m_connectionGraceEndsAt{};
 };
 
 } // namespace
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -25,6 +25,9 @@
 
 constexpr Milliseconds TickPeriod{100};
 constexpr std::uint64_t TicksPerMaintenance = 10;
+constexpr Milliseconds DrainTickPeriod{20};
+/// Progress is logged twice a second.
+constexpr std::uint64_t DrainTicksPerLog = 25;
 /// Slowness (time of a server's work relative to its usual time) from which on its streams move to other servers. The
 /// streams of one slow rank delay those of all ranks of its group.
 constexpr double StreamRetrySlowness = 2;
@@ -168,6 +171,7 @@
 {
     m_drain.onTerminate(steadyNow());
     m_httpServer.setCloseAfterAnswers(true);
+    spawn(m_context.get_executor(), "gateway-drain", drainLoop());
 }
 
 bool GatewayThread::canServe() const
@@ -354,6 +358,40 @@
     return Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor(m_random)));
 }
 
+void GatewayThread::logDrain(std::string_view event, std::string_view reason) const
+{
+    logEvent(LogLevel::Info,
+             event,
+             {{"reason", reason},
+              {"calls", callCount()},
+              {"connections", connectionCount()},
+              {"draining_ms", std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow())).count()}});
+}
+
+Task<> GatewayThread::drainLoop()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    bool isListening = true;
+    for (std::uint64_t ticks = 1; !error && !m_drain.shouldExit(); ++ticks) {
+        timer.expires_after(DrainTickPeriod);
+        co_await timer.async_wait(storeError(error));
+        m_drain.onTick(steadyNow());
+        if (isListening && !m_drain.acceptsConnections()) {
+            isListening = false;
+            stopAccepting();
+        }
+        m_drain.onStreamCount(connectionCount(), !isListening);
+        if (ticks % DrainTicksPerLog == 0) {
+            logDrain("drain-progress", isListening ? "listening" : "closing");
+        }
+    }
+    // Decided on this thread and without waiting, so that no call can arrive in between.
+    logDrain("exit", m_drain.mustEndCalls() ? "time-over" : "drained");
+    m_context.stop();
+    m_observers.onDrained();
+}
+
 Task<> GatewayThread::tickLoop()
 {
     asio::steady_timer timer(m_context);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -51,6 +52,8 @@
         std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
         /// The coordinator of a group on another host sent a notice. It may be a repetition.
         std::function<void(const GroupNotice &)> onGroupNotice;
+        /// Draining is over and no further call can be taken.
+        std::function<void()> onDrained;
     };
 
     GatewayThread(const GatewaySettings &settings,
@@ -71,9 +74,10 @@
     /// Tells the other entry hosts about a group that this process coordinates.
     void sendGroupNotice(const GroupNotice &notice);
     void setPeers(const std::vector<tcp::endpoint> &hosts);
-    /// Closes callers' connections after their answers, so that callers connect to another host before this one stops.
+    /// Closes callers' connections after their answers, so that callers connect to another host before this one stops,
+    /// later the listening socket, and shortly before the process is killed what still runs. Ends run() when no
+    /// connection is left or the time is over.
     void startDraining();
-    void stopAccepting();
     /// Time since startDraining(), or nothing before it.
     std::optional<Milliseconds> drainingTime() const;
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
@@ -114,6 +118,9 @@
 
 private:
     Task<> tickLoop();
+    Task<> drainLoop();
+    void stopAccepting();
+    void logDrain(std::string_view event, std::string_view reason) const;
     void applyGroupNotice(const GroupNotice &notice);
     void checkReachability();
     bool canServeAllEngines() const;
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -25,6 +25,7 @@
 
 constexpr Milliseconds DrainGrace{500};
 constexpr Milliseconds TerminationGrace{2000};
+constexpr Milliseconds RouteTimeout{6000};
 constexpr Milliseconds AnswerTimeout{4000};
 constexpr Milliseconds StartTimeout{15000};
 constexpr Milliseconds PollInterval{20};
@@ -59,7 +60,11 @@
         REQUIRE(m_server.listen(serverAddress).has_value());
         const ServerEntry entry{"s1", controlAddress(serverAddress).value(), 1, false};
         m_store.put("servers", "s1", nlohmann::json::parse(serverDocument(entry)));
-        m_store.put("config", "main", nlohmann::json::parse(configurationDocument(1)));
+        auto configuration = nlohmann::json::parse(configurationDocument(1));
+        for (auto &route : configuration["routes"]) {
+            route["timeout-ms"] = RouteTimeout.count();
+        }
+        m_store.put("config", "main", configuration);
         startProcess();
     }
 
@@ -114,16 +119,25 @@
     /// Sends a stream of so many events, EventInterval apart, and reads all of its answer.
     Task<CallResult> stream(HttpClientConnection &connection, const std::string &id, int events)
     {
-        auto request = makeHttpRequest("POST", "/draft/stream", id);
-        request.set("Host", "shop.example");
-        request.set("Authorization", "Token k");
-        request.set("Cardamomhill-Request-Id", id);
-        request.set("Cardamomhill-Request-Deadline", std::to_string(AnswerTimeout.count()));
+        auto request = makeCall("/draft/stream", id);
         request.set("X-Events", std::to_string(events));
         request.set("X-Event-Interval-Ms", std::to_string(EventInterval.count()));
+        co_return co_await call(connection, request);
+    }
+
+    /// Sends a call that must not be repeated and whose answer takes so long.
+    Task<CallResult> pay(HttpClientConnection &connection, const std::string &id, Milliseconds delay)
+    {
+        auto request = makeCall("/pay/slow", id);
+        request.set("X-Delay-Ms", std::to_string(delay.count()));
+        co_return co_await call(connection, request);
+    }
+
+    Task<CallResult> call(HttpClientConnection &connection, const HttpRequest &request)
+    {
         CallResult result;
         const auto begun = steadyNow();
-        const auto started = co_await connection.start(std::move(request), AnswerTimeout);
+        const auto started = co_await connection.start(request, AnswerTimeout);
         if (started.has_value()) {
             result.status = connection.status();
             result.closesConnection = connection.head()["Connection"] == "close";
@@ -149,6 +163,16 @@
     bool wasKilled = false;
 
 private:
+    static HttpRequest makeCall(const std::string &path, const std::string &id)
+    {
+        auto request = makeHttpRequest("POST", path, id);
+        request.set("Host", "shop.example");
+        request.set("Authorization", "Token k");
+        request.set("Cardamomhill-Request-Id", id);
+        request.set("Cardamomhill-Request-Deadline", std::to_string(AnswerTimeout.count()));
+        return request;
+    }
+
     void startProcess()
     {
         const auto *program = std::getenv("CARDAMOMHILL_PROGRAM");
@@ -251,3 +275,26 @@
     CHECK(refused.duration < EventInterval);
     CHECK_FALSE(gateway.wasKilled);
 }
+
+TEST_CASE("a process does not exit while a caller whose answer has just ended may still send on its connection")
+{
+    StoppedGateway gateway;
+    CallResult first;
+    CallResult next;
+    const std::string firstId = "first";
+    const std::string nextId = "next";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        asio::steady_timer stop(co_await asio::this_coro::executor, EventInterval + EventInterval / 2);
+        stop.async_wait([&gateway](SystemError) { gateway.terminate(); });
+        first = co_await gateway.stream(*connection, firstId, 17);
+        co_await gateway.sleep(EventInterval);
+        next = co_await gateway.stream(*connection, nextId, 5);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    REQUIRE_FALSE(first.closesConnection);
+    CHECK(next.status == Unavailable);
+    CHECK(next.isComplete);
+    CHECK(gateway.runs[nextId] == 0);
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -311,7 +311,7 @@
         co_return false;
     }
     if (behaviour == "slow") {
-        asio::steady_timer timer(m_context, SlowAnswerDelay);
+        asio::steady_timer timer(m_context, Milliseconds(numberIn(request, "X-Delay-Ms", SlowAnswerDelay.count())));
         SystemError error;
         co_await timer.async_wait(storeError(error));
     }
