End calls that still run shortly before the kill, and tell their callers

Callers of calls that could not end in the grace time got a closed connection and no status; the log of the process ended in the middle, since it was killed. Cause: nothing in the process acted on the end of the grace time. Each is logged as ended-early and counted; then the process exits.

--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -60,6 +60,7 @@
     {"refused", "detail", "the host is stopping", "calls like it usually do not end before the process is killed"},
     {"refused", "problem", "not-ready", "the process had no configuration yet"},
     {"refused", "problem", "not-run", "the servers that were asked did not run it, and no further attempt was allowed"},
+    {"ended-early", "", "", "the host was about to be killed, so it gave the call up"},
     {"taken-while-draining",
      "",
      "",
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -88,9 +88,10 @@
     co_return m_state.isCallerGone ? AttemptEnd::CallerGone : end;
 }
 
-void Attempt::cancel()
+void Attempt::cancel(std::string_view cause)
 {
     if (m_connection) {
+        m_cancelCause = cause;
         m_connection->cancel();
     }
 }
@@ -99,9 +100,8 @@
 {
     const bool canRetry = m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
         && m_thread.retryBudget(m_state.service).hasRetry();
-    if (!m_state.isCallerGone && m_connection && canRetry) {
-        m_cancelCause = cause;
-        m_connection->cancel();
+    if (!m_state.isCallerGone && canRetry) {
+        cancel(cause);
     }
 }
 
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -31,8 +31,9 @@
 
     Task<AttemptEnd> run();
 
-    /// Closes the connection to the server, because the caller has disconnected.
-    void cancel();
+    /// Closes the connection to the server, because nobody waits for its answer any more.
+    /// @param cause becomes the cause of the attempt's end
+    void cancel(std::string_view cause);
 
     /// Cancels a stream for a retry if its server is unavailable or unresponsive. To be called periodically.
     void checkProgress(SteadyTime now);
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -81,17 +81,37 @@
         co_await refuse(std::move(*problem));
         co_return;
     }
-    m_thread.callStarted();
+    m_thread.callStarted(*this);
     recordArrivalWhileDraining();
     m_exchange.watchDisconnect([this] {
         m_state.isCallerGone = true;
         if (m_currentAttempt != nullptr) {
-            m_currentAttempt->cancel();
+            m_currentAttempt->cancel("the caller has disconnected");
         }
     });
     co_await sendToServers();
     m_exchange.stopWatching();
-    m_thread.callEnded();
+    m_thread.callEnded(*this);
+}
+
+void CallHandler::endEarly()
+{
+    if (m_state.isEndedEarly) {
+        return;
+    }
+    const auto now = steadyNow();
+    m_state.isEndedEarly = true;
+    m_state.deadline = std::min(m_state.deadline, now);
+    m_thread.metrics().counter("calls_ended_early_total").add();
+    logEvent(LogLevel::Warning,
+             "ended-early",
+             {{"request", m_state.head.id},
+              {"attempts", m_state.attempts.count()},
+              {"events", m_state.eventCount},
+              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(now - m_state.startedAt).count()}});
+    if (m_currentAttempt != nullptr) {
+        m_currentAttempt->cancel("the host is stopping");
+    }
 }
 
 std::optional<Problem> CallHandler::resolveCall()
@@ -141,6 +161,10 @@
             recordOutcome(nameOf(AttemptEnd::CallerGone));
             co_return;
         }
+        if (m_state.isEndedEarly) {
+            co_await answerFailure();
+            co_return;
+        }
         if (!choice.hasServer()) {
             co_await answerWithoutServer(choice);
             co_return;
@@ -166,7 +190,7 @@
         const auto now = steadyNow();
         auto choice
             = m_thread.servers().choose(m_state.service, m_state.triedServers, admission, now, m_thread.random());
-        if (error || m_state.isCallerGone || !shouldWait(choice, admission, now)) {
+        if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, admission, now)) {
             co_return choice;
         }
         timer.expires_after(QueueCheckPeriod);
@@ -278,11 +302,12 @@
     }
     if (m_state.attempts.isCertainlyNotRun()) {
         Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
-        problem.retryAfter = m_thread.addJitter(FullRetryAfter, RetryAfterJitter);
+        problem.retryAfter
+            = m_state.isEndedEarly ? StoppingRetryAfter : m_thread.addJitter(FullRetryAfter, RetryAfterJitter);
         co_await refuse(std::move(problem));
         co_return;
     }
-    const bool isTimeout = remainingTime() <= Milliseconds(1);
+    const bool isTimeout = !m_state.isEndedEarly && remainingTime() <= Milliseconds(1);
     Problem problem{isTimeout ? ProblemKind::TimedOut : ProblemKind::AnswerUnknown,
                     isTimeout ? StatusGatewayTimeout : StatusBadGateway,
                     "unknown",
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -25,6 +25,9 @@
 
     Task<> run();
 
+    /// Gives the call up, because the process is about to be killed, and answers the caller as far as that is possible.
+    void endEarly();
+
 private:
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -45,6 +45,8 @@
     std::size_t eventCount = 0;
     bool hasAnswerBegun = false;
     bool isCallerGone = false;
+    /// The process ends before the call does.
+    bool isEndedEarly = false;
 
     /// Time until the call's deadline; never negative.
     Milliseconds remainingTime(SteadyTime now) const
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -257,14 +257,16 @@
     return m_callCount;
 }
 
-void GatewayThread::callStarted()
+void GatewayThread::callStarted(CallHandler &call)
 {
-    ++m_callCount;
+    m_calls.insert(&call);
+    m_callCount = m_calls.size();
 }
 
-void GatewayThread::callEnded()
+void GatewayThread::callEnded(CallHandler &call)
 {
-    --m_callCount;
+    m_calls.erase(&call);
+    m_callCount = m_calls.size();
 }
 
 const std::shared_ptr<const TrafficConfiguration> &GatewayThread::configuration() const
@@ -381,6 +383,11 @@
             isListening = false;
             stopAccepting();
         }
+        if (m_drain.mustEndCalls()) {
+            for (auto *const call : m_calls) {
+                call->endEarly();
+            }
+        }
         m_drain.onStreamCount(connectionCount(), !isListening);
         if (ticks % DrainTicksPerLog == 0) {
             logDrain("drain-progress", isListening ? "listening" : "closing");
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -33,6 +33,7 @@
 
 class Attempt;
 class CallCodec;
+class CallHandler;
 class LatencySummary;
 class MetricsRegistry;
 struct GatewaySettings;
@@ -98,8 +99,8 @@
 
     /// Calls in progress. Thread-safe.
     std::size_t callCount() const;
-    void callStarted();
-    void callEnded();
+    void callStarted(CallHandler &call);
+    void callEnded(CallHandler &call);
 
     const std::shared_ptr<const TrafficConfiguration> &configuration() const;
     const CallCodec &codec() const;
@@ -150,6 +151,9 @@
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
     std::unordered_set<Attempt *> m_attempts;
+    /// The calls in progress.
+    std::unordered_set<CallHandler *> m_calls;
+    /// The number of calls in progress, for other threads.
     std::atomic<std::size_t> m_callCount{0};
 };
 
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -31,6 +31,7 @@
 constexpr Milliseconds PollInterval{20};
 constexpr Milliseconds EventInterval{100};
 constexpr unsigned Ok = 200;
+constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
 
 /// What a caller got for one call.
@@ -276,6 +277,35 @@
     CHECK_FALSE(gateway.wasKilled);
 }
 
+TEST_CASE("calls that still run shortly before the kill are ended by the process, which tells their callers")
+{
+    StoppedGateway gateway;
+    CallResult stream;
+    CallResult payment;
+    const std::string streamId = "stream";
+    const std::string paymentId = "payment";
+    const auto pay = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        payment = co_await gateway.pay(*connection, paymentId, AnswerTimeout);
+    };
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        asio::co_spawn(co_await asio::this_coro::executor, pay(), asio::detached);
+        asio::steady_timer stop(co_await asio::this_coro::executor, EventInterval);
+        stop.async_wait([&gateway](SystemError) { gateway.terminate(); });
+        stream = co_await gateway.stream(*connection, streamId, 40);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK_FALSE(gateway.wasKilled);
+    CHECK(stream.status == Ok);
+    CHECK_FALSE(stream.isComplete);
+    CHECK(stream.body.ends_with("\n\n"));
+    CHECK(payment.status == BadGateway);
+    CHECK(payment.isComplete);
+    CHECK(gateway.log().find("event=exit reason=time-over") != std::string::npos);
+}
+
 TEST_CASE("a process does not exit while a caller whose answer has just ended may still send on its connection")
 {
     StoppedGateway gateway;
