Take a server out of choice when it states in an answer that it is leaving

Callers' requests went on to servers that had said Server-Leaving in their answers, since only registrations were read: late, stale or missing ones kept the server in use.

The header is read from every answer of a server, answers to other calls included, and ServerStatements keeps it for the process (id, start, address), not for the registration, so a changed, removed, repeated or old entry does not bring the server back. Calls that are connecting are not sent, idle connections are closed, calls in progress go on. A late answer of an earlier process does not count against the process that now has its id, and connections to an earlier process are closed when a new one is registered.

Answers to the coordinator's reads and orders are not looked at: they are not passed on to callers.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -82,6 +82,10 @@
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
+    if (!m_thread.servers().maySend(m_process)) {
+        m_cause = "the server takes no calls now";
+        co_return AttemptEnd::Withdrawn;
+    }
     m_lastArrival = steadyNow();
     m_thread.attempts().insert(this);
     const auto end = co_await sendRequest();
@@ -123,6 +127,7 @@
         m_cause = "the server has no usable address";
         co_return false;
     }
+    m_process = processOf(*server);
     // The server may close an idle connection while the call is sent. The call may then have run, so only repeatable
     // calls use one.
     if (m_state.route->isRepeatable()) {
@@ -171,6 +176,8 @@
 {
     for (int skipped = 0; started.has_value(); ++skipped) {
         m_answer = m_thread.codec().parseAnswer(m_connection->head());
+        // An answer to another call comes from the same server too.
+        m_thread.recordStatements(m_process, m_answer);
         if (m_answer.callId == m_state.head.id) {
             break;
         }
@@ -408,7 +415,7 @@
 
 void Attempt::releaseConnection()
 {
-    if (m_connection->isReusable()) {
+    if (m_connection->isReusable() && m_thread.mayReuseConnection(m_process)) {
         m_thread.connectionPool().release(m_server, std::move(m_connection), m_answer.keepAlive, steadyNow());
     }
 }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -9,6 +9,7 @@
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
 #include "traffic/eventsplitter.h"
+#include "traffic/serverprocess.h"
 
 #include <memory>
 #include <string>
@@ -71,6 +72,8 @@
     HttpExchange &m_exchange;
     CallState &m_state;
     BackendServerId m_server;
+    /// The process that was registered when the attempt began to connect.
+    ServerProcess m_process;
     std::unique_ptr<HttpClientConnection> m_connection;
     /// The connection was used for earlier calls.
     bool m_isReused = false;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -118,12 +118,39 @@
 
 void GatewayThread::applyServers(const ServerChanges &changes)
 {
+    for (const auto &server : changes.updated) {
+        const auto *known = m_servers.server(server.id);
+        if (known != nullptr && processOf(*known) != processOf(server)) {
+            m_connectionPool.closeAll(server.id);
+        }
+    }
     m_servers.apply(changes);
     for (const auto &id : changes.removed) {
         m_connectionPool.closeAll(id);
     }
 }
 
+void GatewayThread::recordStatements(const ServerProcess &process, const AnswerHead &answer)
+{
+    // Another process has the address then, and states nothing about the one that the call was sent to.
+    if (answer.isOtherInstance) {
+        return;
+    }
+    if (answer.isLeaving && m_servers.recordLeaving(process, steadyNow())) {
+        m_connectionPool.closeAll(process.id);
+        m_metrics.counter("servers_leaving_stated_total").add();
+        logEvent(LogLevel::Info,
+                 "server-leaving",
+                 {{"server", process.id.value()}, {"address", process.address}, {"source", "answer"}});
+    }
+}
+
+bool GatewayThread::mayReuseConnection(const ServerProcess &process) const
+{
+    const auto *known = m_servers.server(process.id);
+    return known != nullptr && processOf(*known) == process && m_servers.maySend(process);
+}
+
 void GatewayThread::setOwnSlowServers(const SlowdownFactors &slowdownFactors)
 {
     m_peerExchange.setOwnSlowServers(slowdownFactors);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -13,6 +13,7 @@
 #include "routing/retrybudget.h"
 #include "traffic/calldurations.h"
 #include "traffic/reachability.h"
+#include "traffic/serverprocess.h"
 #include "traffic/servertable.h"
 #include "traffic/trafficconfiguration.h"
 
@@ -36,6 +37,7 @@
 class CallHandler;
 class LatencySummary;
 class MetricsRegistry;
+struct AnswerHead;
 struct GatewaySettings;
 
 /// The traffic thread of a gateway with all state that it needs to serve calls. While run() is running, only stop(),
@@ -94,6 +96,12 @@
     /// Data of an answer was received from a backend server.
     void recordArrival(const BackendServerId &server, SteadyTime now);
 
+    /// Records what a process of a backend server stated about itself in an answer.
+    void recordStatements(const ServerProcess &process, const AnswerHead &answer);
+
+    /// Whether connections to this process may be kept for later calls.
+    bool mayReuseConnection(const ServerProcess &process) const;
+
     /// An attempt to connect to a backend server has ended.
     void recordConnectResult(const FailureDomainId &domain, bool success);
 
--- a/src/traffic/answerhead.h
+++ b/src/traffic/answerhead.h
@@ -30,6 +30,8 @@
     bool isOtherInstance = false;
     /// The body has a content encoding, which no caller asked for.
     bool hasContentEncoding = false;
+    /// The server states that it is shutting down and wants no new calls.
+    bool isLeaving = false;
     std::optional<ServerStatedLoad> load;
     /// How long the server keeps an idle connection open.
     std::optional<Seconds> keepAlive;
--- a/src/traffic/attemptend.h
+++ b/src/traffic/attemptend.h
@@ -14,6 +14,8 @@
     CallerGone,
     /// No connection was made, so nothing was sent.
     NotSent,
+    /// The server stated, while the attempt was connecting, that it takes no calls now, so nothing was sent.
+    Withdrawn,
     /// The server states that it did not run the call.
     NotRun,
     /// Another instance now has the address; it did not run the call.
@@ -32,6 +34,7 @@
         {AttemptEnd::Delivered, "delivered"},
         {AttemptEnd::CallerGone, "caller-gone"},
         {AttemptEnd::NotSent, "not-sent"},
+        {AttemptEnd::Withdrawn, "withdrawn"},
         {AttemptEnd::NotRun, "not-run"},
         {AttemptEnd::OtherInstance, "other-instance"},
         {AttemptEnd::ServerError, "server-error"},
@@ -43,7 +46,8 @@
 /// Whether it is certain that the attempt did not run the call.
 constexpr bool didNotRun(AttemptEnd end)
 {
-    return end == AttemptEnd::NotSent || end == AttemptEnd::NotRun || end == AttemptEnd::OtherInstance;
+    return end == AttemptEnd::NotSent || end == AttemptEnd::Withdrawn || end == AttemptEnd::NotRun
+        || end == AttemptEnd::OtherInstance;
 }
 
 } // namespace Cardamomhill
--- a/src/traffic/attempthistory.cpp
+++ b/src/traffic/attempthistory.cpp
@@ -18,7 +18,7 @@
 
 bool reachedServer(AttemptEnd end)
 {
-    return end != AttemptEnd::NotSent;
+    return end != AttemptEnd::NotSent && end != AttemptEnd::Withdrawn;
 }
 
 bool reachedService(AttemptEnd end)
--- a/src/traffic/attempthistory.h
+++ b/src/traffic/attempthistory.h
@@ -20,7 +20,7 @@
     void add(AttemptEnd end);
 
     std::size_t count() const;
-    /// Attempts that reached a server of the service: all but NotSent and OtherInstance.
+    /// Attempts that reached a server of the service: all but NotSent, Withdrawn and OtherInstance.
     std::size_t sentCount() const;
 
     /// Whether it is certain that no attempt ran the call.
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -18,6 +18,7 @@
     switch (end) {
     case AttemptEnd::Delivered:
     case AttemptEnd::CallerGone:
+    case AttemptEnd::Withdrawn:
         return 0;
     case AttemptEnd::ServerError:
         return 0.3;
@@ -113,7 +114,7 @@
     while (healthy < m_options.sampledServers && !order.isDone()) {
         const auto &id = found->second[order.next()];
         const auto &entry = m_entries.at(id);
-        if (entry.server.isLeaving) {
+        if (isLeaving(entry)) {
             continue;
         }
         if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
@@ -220,6 +221,21 @@
     return isOpen && !m_unavailableGroups.contains(groupMembership->group);
 }
 
+bool ServerTable::isLeaving(const Entry &entry) const
+{
+    return entry.server.isLeaving || m_statements.isLeaving(processOf(entry.server));
+}
+
+bool ServerTable::recordLeaving(const ServerProcess &process, SteadyTime now)
+{
+    return m_statements.recordLeaving(process, now);
+}
+
+bool ServerTable::maySend(const ServerProcess &process) const
+{
+    return !m_statements.isLeaving(process);
+}
+
 void ServerTable::recordGroupOpened(const GroupId &group, std::uint64_t epoch)
 {
     auto &openedEpoch = m_groupActivity[group].openedEpoch;
@@ -252,7 +268,7 @@
     return found != m_services.end()
         && std::any_of(found->second.begin(), found->second.end(), [this](const BackendServerId &id) {
                const auto &entry = m_entries.at(id);
-               return !entry.server.isLeaving && isAvailable(entry);
+               return !isLeaving(entry) && isAvailable(entry);
            });
 }
 
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -8,6 +8,8 @@
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
+#include "traffic/serverprocess.h"
+#include "traffic/serverstatements.h"
 #include "traffic/slowdownfactors.h"
 #include "traffic/slowstepdetector.h"
 #include "traffic/streamadmission.h"
@@ -71,6 +73,14 @@
     /// unreachable has just come back, and none is missing.
     bool isForming(const ServiceId &service, SteadyTime now) const;
 
+    /// Records that a process of a server has stated in an answer that it is leaving. No registration of that process
+    /// makes it take calls again. Returns false if that was known or a later process has the id.
+    bool recordLeaving(const ServerProcess &process, SteadyTime now);
+
+    /// Whether a call that was to be sent to this process may still be sent, after what the process has stated about
+    /// itself. Says nothing about its registration.
+    bool maySend(const ServerProcess &process) const;
+
     /// Whether any server of the service can take calls.
     bool canServe(const ServiceId &service) const;
 
@@ -131,6 +141,8 @@
     };
 
     bool isAvailable(const Entry &entry) const;
+    /// Whether the registration or the server itself says so.
+    bool isLeaving(const Entry &entry) const;
     /// Calls in progress from which the server counts as full.
     double maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const;
     void updateUnavailableGroups();
@@ -143,6 +155,7 @@
     ServerTableOptions m_options;
     std::unordered_map<BackendServerId, Entry> m_entries;
     std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
+    ServerStatements m_statements;
     ServerLoads m_peerLoads;
     SlowdownFactors m_slowdownFactors;
     std::set<FailureDomainId> m_unreachable;
--- a/tests/attempthistorytest.cpp
+++ b/tests/attempthistorytest.cpp
@@ -36,6 +36,7 @@
 {
     const auto payment = route(CallKind::NonIdempotent, 3);
     CHECK(verdictAfter(payment, {AttemptEnd::NotSent}) == RetryVerdict::Retry);
+    CHECK(verdictAfter(payment, {AttemptEnd::Withdrawn}) == RetryVerdict::Retry);
     CHECK(verdictAfter(payment, {AttemptEnd::NotRun}) == RetryVerdict::Retry);
     CHECK(verdictAfter(payment, {AttemptEnd::OtherInstance}) == RetryVerdict::Retry);
     for (const auto end : {AttemptEnd::Broken, AttemptEnd::TimedOut, AttemptEnd::ServerError}) {
@@ -70,6 +71,8 @@
     AttemptHistory unsent;
     unsent.add(AttemptEnd::NotSent);
     CHECK(unsent.retry(lookup, Left, budget) == RetryVerdict::Retry);
+    unsent.add(AttemptEnd::Withdrawn);
+    CHECK(unsent.retry(lookup, Left, budget) == RetryVerdict::Retry);
 }
 
 TEST_CASE("a retry after another instance refused the call takes from the budget, since a server was reached")
--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -240,3 +240,77 @@
     table.recordGroupOpened(GroupId("g"), 2);
     CHECK_FALSE(table.isForming(Service, Start + Seconds(2)));
 }
+
+TEST_CASE("a server that states that it is leaving gets no calls from then on, whatever is registered")
+{
+    ServerTable table;
+    auto leaving = server("a");
+    leaving.address = "10.0.0.1:80";
+    leaving.startedAt = 7;
+    const auto process = processOf(leaving);
+    table.apply({{leaving}, {}});
+    CHECK(table.recordLeaving(process, Start));
+    CHECK_FALSE(table.recordLeaving(process, Start));
+    const auto takesCalls = [&table](SteadyTime now) {
+        Random random(1);
+        return table.choose(Service, {}, {}, now, random).hasServer();
+    };
+    CHECK_FALSE(takesCalls(Start));
+    CHECK_FALSE(table.canServe(Service));
+    CHECK_FALSE(table.maySend(process));
+    // Its streams go on.
+    CHECK(table.isAvailable(leaving.id));
+
+    SUBCASE("a changed, removed and repeated registration does not bring it back")
+    {
+        leaving.slots = 5;
+        table.apply({{leaving}, {}});
+        CHECK_FALSE(takesCalls(Start + Seconds(1)));
+        table.apply({{}, {leaving.id}});
+        table.apply({{leaving}, {}});
+        CHECK_FALSE(takesCalls(Start + Seconds(60)));
+        leaving.isLeaving = true;
+        table.apply({{leaving}, {}});
+        leaving.isLeaving = false;
+        table.apply({{leaving}, {}});
+        CHECK_FALSE(takesCalls(Start + Seconds(600)));
+    }
+    SUBCASE("nor does an old copy of the registration of an earlier process")
+    {
+        leaving.startedAt = 6;
+        leaving.address = "10.0.0.2:80";
+        table.apply({{leaving}, {}});
+        CHECK_FALSE(takesCalls(Start));
+        CHECK_FALSE(table.canServe(Service));
+    }
+    SUBCASE("a new process with its id takes calls, also after a late answer of the earlier one")
+    {
+        leaving.startedAt = 8;
+        table.apply({{leaving}, {}});
+        table.recordLeaving(process, Start);
+        CHECK(takesCalls(Start));
+        CHECK(table.recordLeaving(processOf(leaving), Start));
+        CHECK_FALSE(table.recordLeaving(process, Start));
+        CHECK_FALSE(takesCalls(Start));
+    }
+    SUBCASE("so does one with another address")
+    {
+        leaving.address = "10.0.0.1:81";
+        table.apply({{leaving}, {}});
+        CHECK(takesCalls(Start));
+        CHECK(table.canServe(Service));
+    }
+}
+
+TEST_CASE("a late answer of an earlier process takes no calls from the process that now has its id")
+{
+    ServerTable table;
+    auto current = server("a");
+    current.startedAt = 7;
+    const auto earlier = processOf(current);
+    current.startedAt = 8;
+    table.apply({{current}, {}});
+    table.recordLeaving(earlier, Start);
+    CHECK(table.canServe(Service));
+    CHECK(choices(table, 1)["a"] == 1);
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -30,6 +30,7 @@
 constexpr std::size_t FillerBytes = 1000;
 constexpr const char *RequestIdHeader = "Cardamomhill-Request-Id";
 const std::string SealHeader = "Cardamomhill-Response-Seal: seal\r\n";
+const std::string LeavingHeader = "Server-Leaving: 1\r\n";
 const std::string NotExecutedHeader = "Cardamomhill-Not-Executed: 1\r\n";
 
 std::string contentLengthHeader(const std::string &body)
@@ -88,6 +89,21 @@
     return m_acceptor.local_endpoint();
 }
 
+void DirectBackend::setLeaving(bool isLeaving)
+{
+    m_isLeaving = isLeaving;
+}
+
+void DirectBackend::setRetryAfter(std::string retryAfter)
+{
+    m_retryAfter = std::move(retryAfter);
+}
+
+std::uint64_t DirectBackend::callCount() const
+{
+    return m_callCount;
+}
+
 void DirectBackend::stop()
 {
     SystemError ignored;
@@ -147,7 +163,7 @@
 std::string DirectBackend::responseHead(const HttpRequest &request, unsigned status, const std::string &headers) const
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + RequestIdHeader + ": "
-        + std::string(request[RequestIdHeader]) + "\r\n" + headers + "\r\n";
+        + std::string(request[RequestIdHeader]) + "\r\n" + (m_isLeaving ? LeavingHeader : "") + headers + "\r\n";
 }
 
 std::string DirectBackend::description(const HttpRequest &request) const
@@ -254,11 +270,17 @@
         const std::string text = responseHead(request, Ok, contentLengthHeader(body)) + body;
         co_return co_await write(connection, text);
     }
+    ++m_callCount;
     const std::string instance(request["Cardamomhill-Target-Instance"]);
     if (!instance.empty() && instance != m_id) {
         const std::string text = responseHead(request, Misdirected, NotExecutedHeader + "Content-Length: 0\r\n");
         co_return co_await write(connection, text);
     }
+    if (!m_retryAfter.empty()) {
+        const std::string text = responseHead(
+            request, Unavailable, NotExecutedHeader + "Retry-After: " + m_retryAfter + "\r\nContent-Length: 0\r\n");
+        co_return co_await write(connection, text);
+    }
     const bool isFaulty = m_id.starts_with("bad");
     if (behaviour == "stream" || behaviour == "broken-stream") {
         countRun(request);
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -38,6 +38,15 @@
     Result<void, NetError> listen(const tcp::endpoint &endpoint);
     tcp::endpoint endpoint() const;
 
+    /// States in all further answers that this server is leaving.
+    void setLeaving(bool isLeaving);
+
+    /// Answers all further calls with 503, not run, and this value of Retry-After. An empty text ends that.
+    void setRetryAfter(std::string retryAfter);
+
+    /// The number of calls that have been received, whether they were run or refused.
+    std::uint64_t callCount() const;
+
     /// Closes all connections without finishing answers, like a killed process. The object must outlive all its
     /// coroutines.
     void stop();
@@ -66,6 +75,9 @@
     std::list<std::weak_ptr<Connection>> m_connections;
     std::map<std::string, std::uint64_t> m_runs;
     std::uint64_t m_abandoned = 0;
+    std::uint64_t m_callCount = 0;
+    bool m_isLeaving = false;
+    std::string m_retryAfter;
 };
 
 } // namespace Cardamomhill
