Send a server no calls for the time that it asks for with a 503

A server's 503 may carry Retry-After.

ServerStatements keeps the end of that time for the process. The choice skips held servers, calls that are connecting are not sent, a shorter time does not end an earlier one, and a new process clears it. Calls that only held servers could serve are refused at once (all-held) with the end of the first hold.

Only a 503 to the call itself counts: a repeated answer to an earlier call states a time that began with its first copy.

--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -56,6 +56,7 @@
     {"retry-decided", "verdict", "too-late", "too little time was left before the deadline for a further attempt"},
     {"retry-decided", "verdict", "retry", "it was sent again"},
     {"refused", "detail", "all-full", "every server had its largest allowed number of waiting calls"},
+    {"refused", "detail", "all-held", "every server had refused a call and asked for no calls for a while"},
     {"refused", "detail", "groups-closed", "all groups of the service were re-forming or unreachable"},
     {"refused", "detail", "all-tried", "each server of the service had been tried"},
     {"refused", "detail", "no-server", "no server of the service is registered"},
@@ -102,6 +103,7 @@
     {"switch-phase", "expert map of ", "group"},
     {"server-present", "server ", "server"},
     {"server-leaving", "server ", "server"},
+    {"server-held", "server ", "server"},
     {"server-gone", "server ", "server"},
 });
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -82,7 +82,7 @@
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
-    if (!m_thread.servers().maySend(m_process)) {
+    if (!m_thread.servers().maySend(m_process, steadyNow())) {
         m_cause = "the server takes no calls now";
         co_return AttemptEnd::Withdrawn;
     }
@@ -165,6 +165,8 @@
     if (started.has_error()) {
         co_return endFromError(started.error());
     }
+    // A repeated answer to an earlier call states a time that began with the first copy.
+    m_thread.recordHold(m_process, m_answer);
     recordArrival();
     if (m_answer.load) {
         m_thread.servers().updateStatedLoad(m_server, *m_answer.load, steadyNow());
@@ -177,7 +179,7 @@
     for (int skipped = 0; started.has_value(); ++skipped) {
         m_answer = m_thread.codec().parseAnswer(m_connection->head());
         // An answer to another call comes from the same server too.
-        m_thread.recordStatements(m_process, m_answer);
+        m_thread.recordLeaving(m_process, m_answer);
         if (m_answer.callId == m_state.head.id) {
             break;
         }
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -281,9 +281,10 @@
         co_await answerFailure();
         co_return;
     }
-    const auto kind = choice.reason == ChoiceReason::AllFull ? ProblemKind::Overloaded : ProblemKind::NoBackendServer;
+    const bool isOverloaded = choice.reason == ChoiceReason::AllFull || choice.reason == ChoiceReason::AllHeld;
+    const auto kind = isOverloaded ? ProblemKind::Overloaded : ProblemKind::NoBackendServer;
     Problem problem{kind, StatusUnavailable, "not-sent", std::string(nameOf(choice.reason)), {}};
-    problem.retryAfter = m_thread.addJitter(retryAfterOf(choice.reason), RetryAfterJitter);
+    problem.retryAfter = m_thread.addJitter(timeUntilServed(retryAfterOf(choice.reason)), RetryAfterJitter);
     co_await refuse(std::move(problem));
 }
 
@@ -302,8 +303,9 @@
     }
     if (m_state.attempts.isCertainlyNotRun()) {
         Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
-        problem.retryAfter
-            = m_state.isEndedEarly ? StoppingRetryAfter : m_thread.addJitter(FullRetryAfter, RetryAfterJitter);
+        problem.retryAfter = m_state.isEndedEarly
+            ? StoppingRetryAfter
+            : m_thread.addJitter(timeUntilServed(FullRetryAfter), RetryAfterJitter);
         co_await refuse(std::move(problem));
         co_return;
     }
@@ -372,6 +374,13 @@
               {"total_ms", std::chrono::duration_cast<Milliseconds>(duration).count()}});
 }
 
+Milliseconds CallHandler::timeUntilServed(Milliseconds usual) const
+{
+    const auto now = steadyNow();
+    const auto heldUntil = m_thread.servers().heldUntil(m_state.service, now);
+    return heldUntil ? std::chrono::ceil<Milliseconds>(*heldUntil - now) : usual;
+}
+
 Milliseconds CallHandler::remainingTime() const
 {
     return m_state.remainingTime(steadyNow());
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -44,6 +44,9 @@
     /// Logs and counts a call that arrives while the process drains.
     void recordArrivalWhileDraining();
     void recordOutcome(std::string_view outcome);
+    /// The time after which a server takes calls again if all servers have stated that they want none, else the usual
+    /// one.
+    Milliseconds timeUntilServed(Milliseconds usual) const;
     Milliseconds remainingTime() const;
 
     GatewayThread &m_thread;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -130,7 +130,7 @@
     }
 }
 
-void GatewayThread::recordStatements(const ServerProcess &process, const AnswerHead &answer)
+void GatewayThread::recordLeaving(const ServerProcess &process, const AnswerHead &answer)
 {
     // Another process has the address then, and states nothing about the one that the call was sent to.
     if (answer.isOtherInstance) {
@@ -145,10 +145,19 @@
     }
 }
 
+void GatewayThread::recordHold(const ServerProcess &process, const AnswerHead &answer)
+{
+    const auto time = answer.holdTime();
+    if (time && m_servers.recordHold(process, *time, steadyNow())) {
+        m_metrics.counter("server_holds_total").add();
+        logEvent(LogLevel::Info, "server-held", {{"server", process.id.value()}, {"retry_after_ms", time->count()}});
+    }
+}
+
 bool GatewayThread::mayReuseConnection(const ServerProcess &process) const
 {
     const auto *known = m_servers.server(process.id);
-    return known != nullptr && processOf(*known) == process && m_servers.maySend(process);
+    return known != nullptr && processOf(*known) == process && m_servers.isStaying(process);
 }
 
 void GatewayThread::setOwnSlowServers(const SlowdownFactors &slowdownFactors)
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -96,8 +96,10 @@
     /// Data of an answer was received from a backend server.
     void recordArrival(const BackendServerId &server, SteadyTime now);
 
-    /// Records what a process of a backend server stated about itself in an answer.
-    void recordStatements(const ServerProcess &process, const AnswerHead &answer);
+    /// Records whether a process of a backend server stated in an answer that it is leaving.
+    void recordLeaving(const ServerProcess &process, const AnswerHead &answer);
+    /// Records whether it stated in an answer that it wants no calls for a while.
+    void recordHold(const ServerProcess &process, const AnswerHead &answer);
 
     /// Whether connections to this process may be kept for later calls.
     bool mayReuseConnection(const ServerProcess &process) const;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -14,5 +14,6 @@
 #include "net/listen.h"
 #include "net/neterror.h"
 #include "net/notification.h"
+#include "net/retryafter.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
--- a/src/traffic/answerhead.h
+++ b/src/traffic/answerhead.h
@@ -32,10 +32,19 @@
     bool hasContentEncoding = false;
     /// The server states that it is shutting down and wants no new calls.
     bool isLeaving = false;
+    /// When the caller may come back. What that means depends on the status.
+    std::optional<Milliseconds> retryAfter;
     std::optional<ServerStatedLoad> load;
     /// How long the server keeps an idle connection open.
     std::optional<Seconds> keepAlive;
 
+    /// For how long the server wants no calls from this host, if it turned this one away for that reason.
+    std::optional<Milliseconds> holdTime() const
+    {
+        constexpr unsigned Unavailable = 503;
+        return status == Unavailable ? retryAfter : std::nullopt;
+    }
+
     bool isSuccess() const
     {
         constexpr unsigned FirstSuccess = 200;
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -18,6 +18,8 @@
     AllTried,
     /// No server has room: the slots and the allowed queues of the available ones are in use.
     AllFull,
+    /// All servers that could take the call have stated that they want no calls for a while.
+    AllHeld,
     /// The servers that were not tried are unreachable, or in groups that take no calls while they are formed again.
     GroupsClosed,
 };
@@ -30,6 +32,7 @@
         {ChoiceReason::NoServer, "no-server"},
         {ChoiceReason::AllTried, "all-tried"},
         {ChoiceReason::AllFull, "all-full"},
+        {ChoiceReason::AllHeld, "all-held"},
         {ChoiceReason::GroupsClosed, "groups-closed"},
     });
 }
--- a/src/traffic/serverstatements.h
+++ b/src/traffic/serverstatements.h
@@ -19,10 +19,18 @@
 
     bool isLeaving(const ServerProcess &process) const;
 
+    /// Records that a process wants no calls for so long; a longer time than that of an earlier statement extends it.
+    /// Returns whether it takes calls no more only from now on.
+    bool recordHold(const ServerProcess &process, Microseconds time, SteadyTime now);
+
+    /// Until when a process wants no calls; a time in the past if it has stated nothing.
+    SteadyTime heldUntil(const ServerProcess &process) const;
+
 private:
     struct Statement {
         ServerProcess process;
         bool isLeaving = false;
+        SteadyTime heldUntil{};
         SteadyTime updatedAt{};
     };
 
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -56,6 +56,7 @@
             m_services[server.service].push_back(server.id);
         }
         entry.server = server;
+        entry.process = processOf(server);
         entry.key = serverKey(server.id);
         entry.isGone = false;
     }
@@ -109,6 +110,7 @@
     bool isBestAvoided = true;
     bool sawFull = false;
     bool sawClosed = false;
+    bool sawHeld = false;
     std::size_t healthy = 0;
     internal::RandomOrder order(found->second.size(), random);
     while (healthy < m_options.sampledServers && !order.isDone()) {
@@ -125,6 +127,10 @@
             sawClosed = true;
             continue;
         }
+        if (m_statements.heldUntil(entry.process) > now) {
+            sawHeld = true;
+            continue;
+        }
         const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
         const double load = loadOf(entry, now);
         if (load >= maxCallsOf(entry, admission)) {
@@ -150,6 +156,8 @@
         choice.reason = isBestAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
     } else if (sawFull) {
         choice.reason = ChoiceReason::AllFull;
+    } else if (sawHeld) {
+        choice.reason = ChoiceReason::AllHeld;
     } else if (sawClosed) {
         choice.reason = ChoiceReason::GroupsClosed;
     }
@@ -223,7 +231,7 @@
 
 bool ServerTable::isLeaving(const Entry &entry) const
 {
-    return entry.server.isLeaving || m_statements.isLeaving(processOf(entry.server));
+    return entry.server.isLeaving || m_statements.isLeaving(entry.process);
 }
 
 bool ServerTable::recordLeaving(const ServerProcess &process, SteadyTime now)
@@ -231,11 +239,42 @@
     return m_statements.recordLeaving(process, now);
 }
 
-bool ServerTable::maySend(const ServerProcess &process) const
+bool ServerTable::recordHold(const ServerProcess &process, Microseconds time, SteadyTime now)
+{
+    return m_statements.recordHold(process, time, now);
+}
+
+bool ServerTable::maySend(const ServerProcess &process, SteadyTime now) const
+{
+    return isStaying(process) && m_statements.heldUntil(process) <= now;
+}
+
+bool ServerTable::isStaying(const ServerProcess &process) const
 {
     return !m_statements.isLeaving(process);
 }
 
+std::optional<SteadyTime> ServerTable::heldUntil(const ServiceId &service, SteadyTime now) const
+{
+    const auto found = m_services.find(service);
+    std::optional<SteadyTime> earliest;
+    if (found == m_services.end()) {
+        return earliest;
+    }
+    for (const auto &id : found->second) {
+        const auto &entry = m_entries.at(id);
+        if (isLeaving(entry) || !isAvailable(entry)) {
+            continue;
+        }
+        const auto end = m_statements.heldUntil(entry.process);
+        if (end <= now) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(end), end);
+    }
+    return earliest;
+}
+
 void ServerTable::recordGroupOpened(const GroupId &group, std::uint64_t epoch)
 {
     auto &openedEpoch = m_groupActivity[group].openedEpoch;
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -77,11 +77,21 @@
     /// makes it take calls again. Returns false if that was known or a later process has the id.
     bool recordLeaving(const ServerProcess &process, SteadyTime now);
 
+    /// Records that a process of a server has stated that it wants no calls for so long. Returns whether that is new:
+    /// it was not held before.
+    bool recordHold(const ServerProcess &process, Microseconds time, SteadyTime now);
+
     /// Whether a call that was to be sent to this process may still be sent, after what the process has stated about
     /// itself. Says nothing about its registration.
-    bool maySend(const ServerProcess &process) const;
+    bool maySend(const ServerProcess &process, SteadyTime now) const;
+
+    /// Whether a process has not stated that it is leaving.
+    bool isStaying(const ServerProcess &process) const;
+
+    /// When the first server of the service takes calls again, if all that could take calls want none for a while.
+    std::optional<SteadyTime> heldUntil(const ServiceId &service, SteadyTime now) const;
 
-    /// Whether any server of the service can take calls.
+    /// Whether any server of the service can take calls, now or at the end of its hold.
     bool canServe(const ServiceId &service) const;
 
     /// Chooses the least loaded of a random sample of the servers of a service, without those that were tried.
@@ -123,6 +133,7 @@
 private:
     struct Entry {
         DiscoveredServer server;
+        ServerProcess process;
         ServerKey key = 0;
         std::uint32_t inProgress = 0;
         /// The server is no longer registered. Its entry is kept until its calls in progress have ended.
--- a/tests/serverstatementstest.cpp
+++ b/tests/serverstatementstest.cpp
@@ -20,6 +20,29 @@
     co_return answered;
 }
 
+/// Sends as many slow calls at once as give every server a part of them, and returns how many were answered with
+/// success.
+Task<int> sendAtOnce(LoopbackGateway &gateway, std::string name)
+{
+    constexpr int Calls = 16;
+    int ended = 0;
+    int answered = 0;
+    for (int i = 0; i < Calls; ++i) {
+        auto request = LoopbackGateway::makeCall("/safe/slow", name + std::to_string(i));
+        request.set("X-Delay-Ms", "50");
+        const auto onEnd = [&ended, &answered](const std::exception_ptr &, const CallResult &result) {
+            ++ended;
+            answered += result.status == Ok ? 1 : 0;
+        };
+        auto call = gateway.call(std::move(request));
+        asio::co_spawn(co_await asio::this_coro::executor, std::move(call), onEnd);
+    }
+    while (ended < Calls) {
+        co_await gateway.sleep(Milliseconds(5));
+    }
+    co_return answered;
+}
+
 } // namespace
 
 TEST_CASE("a server that says in an answer that it is leaving gets no further call, whatever the store says")
@@ -117,3 +140,78 @@
     CHECK(refused.status == Unavailable);
     CHECK(gateway.runs["next"].empty());
 }
+
+TEST_CASE("a server gets no calls for the time that it asked for when it refused one, and then gets calls again")
+{
+    LoopbackGateway gateway({"s1", "s2"});
+    auto &held = gateway.server("s1");
+    std::uint64_t callsAtStart = 0;
+    std::uint64_t callsInHold = 0;
+    std::uint64_t callsAfterHold = 0;
+    int answered = 0;
+    int sent = 0;
+    constexpr Milliseconds Hold{2500};
+    constexpr Milliseconds Margin{150};
+    const auto scenario = [&]() -> Task<> {
+        held.setRetryAfter("2.5");
+        const std::string path = "/safe/ok";
+        const std::string first = "first";
+        while (held.callCount() == 0) {
+            co_await sendCalls(gateway, first, 1, Ok, path);
+        }
+        const auto heldAt = steadyNow();
+        held.setRetryAfter("");
+        callsAtStart = held.callCount();
+        for (; steadyNow() < heldAt + Hold - Margin; ++sent) {
+            const std::string name = "during" + std::to_string(sent) + "-";
+            answered += co_await sendAtOnce(gateway, name) / 16;
+        }
+        callsInHold = held.callCount() - callsAtStart;
+        co_await gateway.sleep(2 * Margin);
+        const std::string after = "after";
+        co_await sendAtOnce(gateway, after);
+        callsAfterHold = held.callCount() - callsAtStart - callsInHold;
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(sent > 5);
+    CHECK(answered == sent);
+    CHECK(callsInHold == 0);
+    CHECK(callsAfterHold > 0);
+}
+
+TEST_CASE("calls that only held servers could serve are refused at once with the time at which one can")
+{
+    LoopbackGateway gateway({"s1"});
+    CallResult first;
+    std::vector<CallResult> refused;
+    CallResult restarted;
+    const auto scenario = [&]() -> Task<> {
+        gateway.server("s1").setRetryAfter("3");
+        auto request = LoopbackGateway::makeCall("/pay/ok", "first");
+        first = co_await gateway.call(std::move(request));
+        for (const auto *path : {"/safe/ok", "/pay/ok", "/draft/stream"}) {
+            auto next = LoopbackGateway::makeCall(path, "next");
+            refused.push_back(co_await gateway.call(std::move(next)));
+        }
+        CHECK(gateway.server("s1").callCount() == 1);
+        gateway.server("s1").setRetryAfter("");
+        gateway.registerServer("s1", 2);
+        co_await gateway.sleep(Milliseconds(1500));
+        auto last = LoopbackGateway::makeCall("/pay/ok", "restarted");
+        restarted = co_await gateway.call(std::move(last));
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(first.status == Unavailable);
+    for (const auto &result : refused) {
+        CHECK(result.status == Unavailable);
+        CHECK(result.duration < Milliseconds(300));
+        const auto retryAfter = result.retryAfter.empty() ? 0.0 : std::stod(result.retryAfter);
+        CHECK(retryAfter > 2.5);
+        CHECK(retryAfter < 6.1);
+    }
+    CHECK(gateway.runs["next"].empty());
+    CHECK(restarted.status == Ok);
+    CHECK(gateway.log().find("detail=all-held") != std::string::npos);
+}
--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -257,7 +257,8 @@
     };
     CHECK_FALSE(takesCalls(Start));
     CHECK_FALSE(table.canServe(Service));
-    CHECK_FALSE(table.maySend(process));
+    CHECK_FALSE(table.maySend(process, Start));
+    CHECK_FALSE(table.isStaying(process));
     // Its streams go on.
     CHECK(table.isAvailable(leaving.id));
 
@@ -314,3 +315,79 @@
     CHECK(table.canServe(Service));
     CHECK(choices(table, 1)["a"] == 1);
 }
+
+TEST_CASE("a server that wants no calls for a while gets none until then, and a later statement only extends that")
+{
+    ServerTable table;
+    auto held = server("a");
+    held.startedAt = 7;
+    const auto process = processOf(held);
+    table.apply({{held, server("b")}, {}});
+    const auto isChosen = [&table](SteadyTime now) {
+        Random random(1);
+        return table.choose(Service, {BackendServerId("b")}, {}, now, random).hasServer();
+    };
+    CHECK(table.recordHold(process, Seconds(2), Start));
+    CHECK_FALSE(isChosen(Start));
+    CHECK_FALSE(isChosen(Start + Milliseconds(1999)));
+    CHECK_FALSE(table.maySend(process, Start + Milliseconds(1999)));
+    CHECK(isChosen(Start + Seconds(2)));
+    CHECK(table.maySend(process, Start + Seconds(2)));
+    CHECK(choices(table, 4)["a"] == 0);
+    CHECK(table.canServe(Service));
+    CHECK(table.isAvailable(held.id));
+
+    SUBCASE("a shorter time changes nothing and a longer one extends it")
+    {
+        CHECK_FALSE(table.recordHold(process, Milliseconds(100), Start + Seconds(1)));
+        CHECK_FALSE(table.recordHold(process, Milliseconds(0), Start + Seconds(1)));
+        CHECK_FALSE(isChosen(Start + Milliseconds(1999)));
+        CHECK_FALSE(table.recordHold(process, Seconds(2), Start + Seconds(1)));
+        CHECK_FALSE(isChosen(Start + Milliseconds(2999)));
+        CHECK(isChosen(Start + Seconds(3)));
+    }
+    SUBCASE("a huge time is limited")
+    {
+        table.recordHold(process, Seconds(86'400), Start);
+        CHECK_FALSE(isChosen(Start + Seconds(59)));
+        CHECK(isChosen(Start + Seconds(60)));
+    }
+    SUBCASE("a repeated registration of the process changes nothing, a new process takes calls")
+    {
+        table.apply({{}, {held.id}});
+        table.apply({{held}, {}});
+        CHECK_FALSE(isChosen(Start));
+        held.startedAt = 8;
+        table.apply({{held}, {}});
+        CHECK(isChosen(Start));
+        CHECK(table.maySend(processOf(held), Start));
+    }
+    SUBCASE("a hold does not hide that the server is leaving")
+    {
+        CHECK(table.recordLeaving(process, Start));
+        CHECK_FALSE(isChosen(Start + Seconds(60)));
+    }
+}
+
+TEST_CASE("when all servers that could take a call are held, the reason says so and the end of the first hold is known")
+{
+    ServerTable table;
+    const auto a = server("a");
+    const auto b = server("b");
+    auto leaving = server("c");
+    leaving.isLeaving = true;
+    table.apply({{a, b, leaving, server("d", "d2")}, {}});
+    table.setUnreachable({FailureDomainId("d2")}, Start);
+    CHECK_FALSE(table.heldUntil(Service, Start).has_value());
+    table.recordHold(processOf(a), Seconds(3), Start);
+    CHECK_FALSE(table.heldUntil(Service, Start).has_value());
+    table.recordHold(processOf(b), Seconds(2), Start);
+    CHECK(table.heldUntil(Service, Start) == Start + Seconds(2));
+    CHECK_FALSE(table.heldUntil(Service, Start + Seconds(2)).has_value());
+    CHECK_FALSE(table.heldUntil(ServiceId("none"), Start).has_value());
+    Random random(1);
+    const auto choice = table.choose(Service, {}, {}, Start, random);
+    CHECK_FALSE(choice.hasServer());
+    CHECK(choice.reason == ChoiceReason::AllHeld);
+    CHECK(table.choose(Service, {}, {}, Start + Seconds(2), random).server == b.id);
+}
