Share the drain of an HTTP server and the reading of the grace time

The entry process is to drain as the gateway does, so the loop that drains, the admission by time left and the reading of termination_grace_s are moved to where both can use them.

--- /dev/null
+++ b/src/control/serverdrain.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "core/identifiers.h"
+#include "drain/entrydrain.h"
+#include "net/asio.h"
+#include "traffic/calldurations.h"
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+
+namespace Cardamomhill
+{
+
+class HttpServer;
+
+/// Drains the HTTP server of one traffic thread, on that thread: first the server closes connections after their
+/// answers, then it stops listening, and shortly before the process is killed what still runs is ended.
+class ServerDrain
+{
+public:
+    struct Handlers {
+        /// The number of calls in progress.
+        std::function<std::size_t()> callCount;
+        /// Ends the calls in progress. May be called repeatedly.
+        std::function<void()> endCalls;
+        /// Draining is over, because no connection is left (`drained`) or the time is (`time-over`). No call can begin
+        /// between this decision and the handler, which must end the thread's context.
+        std::function<void(std::string_view reason)> onDrained;
+    };
+
+    ServerDrain(asio::io_context &context, HttpServer &server, const EntryDrain &drain, Handlers handlers);
+
+    void start();
+    bool isDraining() const;
+    /// Time since start(), or nothing before it.
+    std::optional<Milliseconds> drainingTime() const;
+
+    /// Whether a call may begin, given the longest time that it may take. Once the server drains, only calls that are
+    /// likely to end before the process is killed may.
+    bool admits(const ServiceId &service, Milliseconds limit) const;
+    void recordCallDuration(const ServiceId &service, Microseconds duration);
+
+    /// Logs an event of the drain with the numbers of calls and connections.
+    void log(std::string_view event, std::string_view reason) const;
+
+private:
+    Task<> drainLoop();
+    void stopAccepting();
+
+    asio::io_context &m_context;
+    HttpServer &m_server;
+    EntryDrain m_drain;
+    Handlers m_handlers;
+    std::unordered_map<ServiceId, CallDurations> m_callDurations;
+};
+
+} // namespace Cardamomhill
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -10,8 +10,6 @@
 
 constexpr std::int64_t MaxRetrySlack = 1'000'000;
 constexpr std::int64_t MaxCallsPerRetry = 1000;
-constexpr double MinTerminationGraceSeconds = 0.5;
-constexpr double MaxTerminationGraceSeconds = 3600;
 constexpr double MinLinkMegabitsPerSecond = 0.1;
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
 
@@ -32,9 +30,7 @@
     settings.callsPerRetry
         = static_cast<std::uint32_t>(reader.integer("calls_per_retry", settings.callsPerRetry, 1, MaxCallsPerRetry));
     settings.drainGrace = reader.drainGrace(settings.drainGrace);
-    const auto defaultGrace = std::chrono::duration<double>(settings.terminationGrace).count();
-    settings.terminationGrace = std::chrono::round<Milliseconds>(std::chrono::duration<double>(
-        reader.decimal("termination_grace_s", defaultGrace, MinTerminationGraceSeconds, MaxTerminationGraceSeconds)));
+    settings.terminationGrace = reader.terminationGrace(settings.terminationGrace);
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.linkMegabitsPerSecond = reader.decimal(
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -25,9 +25,6 @@
 
 constexpr Milliseconds TickPeriod{100};
 constexpr std::uint64_t TicksPerMaintenance = 10;
-constexpr Milliseconds DrainTickPeriod{20};
-/// Progress is logged twice a second.
-constexpr std::uint64_t DrainTicksPerLog = 25;
 /// Slowness (time of a server's work relative to its usual time) from which on its streams move to other servers. The
 /// streams of one slow rank delay those of all ranks of its group.
 constexpr double StreamRetrySlowness = 2;
@@ -79,7 +76,20 @@
                           applyGroupNotice(notice);
                           m_observers.onGroupNotice(notice);
                       }})
-    , m_drain(settings.drainGrace, settings.terminationGrace)
+    , m_drain(m_context,
+              m_httpServer,
+              EntryDrain(settings.drainGrace, settings.terminationGrace),
+              {[this] { return callCount(); },
+               [this] {
+                   for (auto *const call : m_calls) {
+                       call->endEarly();
+                   }
+               },
+               [this](std::string_view reason) {
+                   m_drain.log("exit", reason);
+                   m_context.stop();
+                   m_observers.onDrained();
+               }})
 {
 }
 
@@ -205,9 +215,7 @@
 
 void GatewayThread::startDraining()
 {
-    m_drain.onTerminate(steadyNow());
-    m_httpServer.setCloseAfterAnswers(true);
-    spawn(m_context.get_executor(), "gateway-drain", drainLoop());
+    m_drain.start();
 }
 
 bool GatewayThread::canServe() const
@@ -251,41 +259,23 @@
     if (canServe != m_canServe) {
         logEvent(LogLevel::Warning, canServe ? "serving-again" : "cut-off", {{"calls", m_callCount.load()}});
         m_canServe = canServe;
-        m_httpServer.setCloseAfterAnswers(m_drain.isLeaving() || !canServe);
+        m_httpServer.setCloseAfterAnswers(m_drain.isDraining() || !canServe);
     }
 }
 
-void GatewayThread::stopAccepting()
-{
-    const auto backlog = m_httpServer.stopAccepting();
-    logEvent(LogLevel::Info,
-             "listener-closed",
-             {{"backlog", backlog}, {"connections", connectionCount()}, {"calls", callCount()}});
-}
-
 std::optional<Milliseconds> GatewayThread::drainingTime() const
 {
-    if (!m_drain.isLeaving()) {
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow()));
+    return m_drain.drainingTime();
 }
 
 bool GatewayThread::admitsCall(const ServiceId &service, Milliseconds limit) const
 {
-    const auto durations = m_callDurations.find(service);
-    return m_drain.admits(
-        steadyNow(), limit, durations == m_callDurations.end() ? std::nullopt : durations->second.usual());
+    return m_drain.admits(service, limit);
 }
 
 void GatewayThread::recordCallDuration(const ServiceId &service, Microseconds duration)
 {
-    m_callDurations[service].record(duration);
-}
-
-std::size_t GatewayThread::connectionCount() const
-{
-    return m_httpServer.connectionCount();
+    m_drain.recordCallDuration(service, duration);
 }
 
 std::size_t GatewayThread::callCount() const
@@ -396,45 +386,6 @@
     return Milliseconds(static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor(m_random)));
 }
 
-void GatewayThread::logDrain(std::string_view event, std::string_view reason) const
-{
-    logEvent(LogLevel::Info,
-             event,
-             {{"reason", reason},
-              {"calls", callCount()},
-              {"connections", connectionCount()},
-              {"draining_ms", std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow())).count()}});
-}
-
-Task<> GatewayThread::drainLoop()
-{
-    asio::steady_timer timer(m_context);
-    SystemError error;
-    bool isListening = true;
-    for (std::uint64_t ticks = 1; !error && !m_drain.shouldExit(); ++ticks) {
-        timer.expires_after(DrainTickPeriod);
-        co_await timer.async_wait(storeError(error));
-        m_drain.onTick(steadyNow());
-        if (isListening && !m_drain.acceptsConnections()) {
-            isListening = false;
-            stopAccepting();
-        }
-        if (m_drain.mustEndCalls()) {
-            for (auto *const call : m_calls) {
-                call->endEarly();
-            }
-        }
-        m_drain.onStreamCount(connectionCount(), !isListening);
-        if (ticks % DrainTicksPerLog == 0) {
-            logDrain("drain-progress", isListening ? "listening" : "closing");
-        }
-    }
-    // Decided on this thread and without waiting, so that no call can arrive in between.
-    logDrain("exit", m_drain.mustEndCalls() ? "time-over" : "drained");
-    m_context.stop();
-    m_observers.onDrained();
-}
-
 Task<> GatewayThread::tickLoop()
 {
     asio::steady_timer timer(m_context);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -1,17 +1,16 @@
 #pragma once
 
+#include "control/serverdrain.h"
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "core/random.h"
 #include "core/result.h"
-#include "drain/entrydrain.h"
 #include "gateway/backendconnectionpool.h"
 #include "gateway/peerexchange.h"
 #include "net/asio.h"
 #include "net/httpserver.h"
 #include "net/neterror.h"
 #include "routing/retrybudget.h"
-#include "traffic/calldurations.h"
 #include "traffic/reachability.h"
 #include "traffic/serverprocess.h"
 #include "traffic/servertable.h"
@@ -24,7 +23,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -87,8 +85,6 @@
     /// likely to end before it is killed may.
     bool admitsCall(const ServiceId &service, Milliseconds limit) const;
     void recordCallDuration(const ServiceId &service, Microseconds duration);
-    /// Open connections of callers.
-    std::size_t connectionCount() const;
 
     /// False while this host is cut off by a network partition and cannot serve all engine services. Thread-safe.
     bool canServe() const;
@@ -129,9 +125,6 @@
 
 private:
     Task<> tickLoop();
-    Task<> drainLoop();
-    void stopAccepting();
-    void logDrain(std::string_view event, std::string_view reason) const;
     void applyGroupNotice(const GroupNotice &notice);
     void checkReachability();
     bool canServeAllEngines() const;
@@ -156,8 +149,7 @@
     std::uint32_t m_maxHostCount;
     Reachability m_reachability;
     PeerExchange m_peerExchange;
-    EntryDrain m_drain;
-    std::unordered_map<ServiceId, CallDurations> m_callDurations;
+    ServerDrain m_drain;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
     std::unordered_set<Attempt *> m_attempts;
--- a/src/settings/agentsettings.cpp
+++ b/src/settings/agentsettings.cpp
@@ -17,6 +17,7 @@
     settings.engine = reader.endpoint("engine");
     settings.platform = reader.endpoint("platform");
     settings.seeds = reader.endpoints("seeds");
+    settings.terminationGrace = reader.terminationGrace(settings.terminationGrace);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/settings/agentsettings.h
+++ b/src/settings/agentsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "core/result.h"
 #include "logging/loglevel.h"
@@ -29,6 +30,8 @@
     boost::asio::ip::tcp::endpoint platform;
     /// Control addresses of some entry processes of the same failure domain, to contact first.
     std::vector<boost::asio::ip::tcp::endpoint> seeds;
+    /// Time after SIGTERM at which the platform kills the process.
+    Milliseconds terminationGrace{30'000};
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/settings/entrysettings.cpp
+++ b/src/settings/entrysettings.cpp
@@ -28,6 +28,7 @@
     settings.concurrency
         = static_cast<std::uint32_t>(reader.integer("concurrency", settings.concurrency, 1, MaxConcurrency));
     settings.drainGrace = reader.drainGrace(settings.drainGrace);
+    settings.terminationGrace = reader.terminationGrace(settings.terminationGrace);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -34,6 +34,8 @@
     std::uint32_t concurrency = 1024;
     /// Time between reporting "not ready" and closing the listening socket.
     Milliseconds drainGrace{3000};
+    /// Time after SIGTERM at which the platform kills the process.
+    Milliseconds terminationGrace{30'000};
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -100,6 +100,16 @@
     return Milliseconds(integer("drain_grace_ms", defaultValue.count(), 0, MaxDrainGraceMs));
 }
 
+Milliseconds SettingsReader::terminationGrace(Milliseconds defaultValue)
+{
+    constexpr double MinSeconds = 0.5;
+    constexpr double MaxSeconds = 3600;
+    using DecimalSeconds = std::chrono::duration<double>;
+    const auto defaultSeconds = DecimalSeconds(defaultValue).count();
+    return std::chrono::round<Milliseconds>(
+        DecimalSeconds(decimal("termination_grace_s", defaultSeconds, MinSeconds, MaxSeconds)));
+}
+
 bool SettingsReader::boolean(const std::string &key, bool defaultValue)
 {
     const std::string accepted = "true or false";
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -28,6 +28,8 @@
     double decimal(const std::string &key, double defaultValue, double min, double max);
     /// Reads `drain_grace_ms`, a setting of all kinds of entry host.
     Milliseconds drainGrace(Milliseconds defaultValue);
+    /// Reads `termination_grace_s`, a setting of all processes that drain.
+    Milliseconds terminationGrace(Milliseconds defaultValue);
     bool boolean(const std::string &key, bool defaultValue);
     /// Reads "address:port" with an IP address.
     boost::asio::ip::tcp::endpoint endpoint(const std::string &key);
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -98,6 +98,17 @@
     }
 }
 
+TEST_CASE("the time of the kill after SIGTERM is read in seconds, with a fraction and within limits")
+{
+    CHECK(readEntrySettings(TemporaryFile(ValidEntry).path()).value().terminationGrace == Seconds(30));
+    CHECK(readEntrySettings(TemporaryFile(ValidEntry + "termination_grace_s: 7.5\n").path()).value().terminationGrace
+          == Milliseconds(7500));
+    const TemporaryFile tooShort(ValidEntry + "termination_grace_s: 0.4\n");
+    const auto settings = readEntrySettings(tooShort.path());
+    REQUIRE(settings.has_error());
+    CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "termination_grace_s", 8));
+}
+
 TEST_CASE("a missing file and malformed YAML have their own error codes")
 {
     CHECK(readAgentSettings("no-such-file.yaml").error().front().code == SettingsErrorCode::Unreadable);
