Let the entry process drain to an end that it knows

Before: its exit was decided on the control thread 50 ms after the listening socket closed, from counts of requests in progress: a request that was half read got no answer (fleetstoptest, '... does not exit while a request is arriving ...': connection closed without a status), and connections that were idle got no time. It was not told when it is killed: a stream of 4 s and a whole answer were cut by SIGKILL after 2 s without a word to the caller of the latter. It kept connections open after answers and took requests that could not end in time. Cause: the same as in the gateway: a drain without an end, as a property of answers, and an exit decided on one thread from counts of others. Change: each traffic thread drains by itself with EntryDrain, by the loop of the gateway (ServerDrain), with termination_grace_s; it ends its own context in the step that decides so, and the process ends when all have. Requests are admitted by the time left; what runs shortly before the kill is ended with 502, 503 if no agent got it, or a broken stream.

--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -141,13 +141,14 @@
     }
 }
 
-void AgentLink::release(std::uint64_t attempt)
+bool AgentLink::release(std::uint64_t attempt)
 {
     const auto found = m_outstanding.find(attempt);
     if (found == m_outstanding.end()) {
-        return;
+        return true;
     }
-    if (m_helloReply && found->second->isSent) {
+    const bool wasSent = found->second->isSent;
+    if (m_helloReply && wasSent) {
         if (found->second->isFinal) {
             m_connection->send(Acknowledge{attempt, AllFrames});
         } else {
@@ -155,6 +156,7 @@
         }
     }
     m_outstanding.erase(found);
+    return wasSent;
 }
 
 Task<> AgentLink::run()
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -57,8 +57,9 @@
     /// Acknowledges the frames delivered so far to the agent, which may then drop its copies.
     void acknowledge(std::uint64_t attempt);
 
-    /// Drops an attempt. One that is still running is cancelled at the agent.
-    void release(std::uint64_t attempt);
+    /// Drops an attempt. One that is still running is cancelled at the agent. Returns whether the agent may have
+    /// received it.
+    bool release(std::uint64_t attempt);
 
 private:
     struct OutstandingAttempt;
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -14,6 +14,8 @@
 
 #include <memory>
 #include <numeric>
+#include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -23,7 +25,8 @@
 namespace
 {
 
-constexpr Milliseconds ExitCheckPeriod{50};
+/// The reason of a thread that had to end no request.
+constexpr std::string_view DrainedReason = "drained";
 
 /// An entry process: its traffic threads and the control thread, which handles configuration, membership and signals.
 class EntryProgram
@@ -32,7 +35,6 @@
     explicit EntryProgram(const EntrySettings &settings)
         : m_settings(settings)
         , m_signals(m_control, SIGTERM, SIGINT)
-        , m_timer(m_control)
         , m_entryControl(m_control,
                          settings,
                          m_metrics,
@@ -42,7 +44,10 @@
     {
         const auto incarnation = static_cast<std::uint64_t>(wallNow().time_since_epoch().count());
         for (unsigned i = 0; i < settings.trafficThreads; ++i) {
-            m_traffic.push_back(std::make_unique<TrafficThread>(settings, i, incarnation, m_metrics));
+            m_traffic.push_back(
+                std::make_unique<TrafficThread>(settings, i, incarnation, m_metrics, [this](std::string_view reason) {
+                    asio::post(m_control, [this, text = std::string(reason)] { onThreadDrained(text); });
+                }));
         }
     }
 
@@ -88,31 +93,29 @@
     void startDraining()
     {
         m_isDraining = true;
+        m_metrics.gauge("draining").set(1);
         m_entryControl.leave();
-        logEvent(LogLevel::Info, "draining", {{"requests", requestCount()}});
-        m_timer.expires_after(m_settings.drainGrace);
-        m_timer.async_wait([this](SystemError) {
-            for (const auto &traffic : m_traffic) {
-                asio::post(traffic->context(), [thread = traffic.get()] { thread->stopAccepting(); });
-            }
-            exitWhenIdle();
-        });
+        logEvent(LogLevel::Info,
+                 "draining",
+                 {{"requests", requestCount()},
+                  {"listener_closes_ms", m_settings.drainGrace.count()},
+                  {"killed_ms", m_settings.terminationGrace.count()}});
+        m_drainingThreads = m_traffic.size();
+        for (const auto &traffic : m_traffic) {
+            asio::post(traffic->context(), [thread = traffic.get()] { thread->startDraining(); });
+        }
     }
 
-    void exitWhenIdle()
+    /// A traffic thread has ended. Each decides about its own end, since a request may arrive at it at any time before.
+    void onThreadDrained(std::string_view reason)
     {
-        m_timer.expires_after(ExitCheckPeriod);
-        m_timer.async_wait([this](SystemError) {
-            if (requestCount() > 0) {
-                exitWhenIdle();
-                return;
-            }
-            logEvent(LogLevel::Info, "exit", {{"reason", "drained"}});
-            for (const auto &traffic : m_traffic) {
-                traffic->stop();
-            }
+        if (m_exitReason.empty() || reason != DrainedReason) {
+            m_exitReason = reason;
+        }
+        if (--m_drainingThreads == 0) {
+            logEvent(LogLevel::Info, "exit", {{"reason", m_exitReason}, {"requests", requestCount()}});
             m_control.stop();
-        });
+        }
     }
 
     std::size_t requestCount() const
@@ -145,10 +148,11 @@
     MetricsRegistry m_metrics;
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     asio::signal_set m_signals;
-    asio::steady_timer m_timer;
     EntryControl m_entryControl;
     OperatorServer m_operator;
     bool m_isDraining = false;
+    std::size_t m_drainingThreads = 0;
+    std::string m_exitReason;
 };
 
 } // namespace
--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -70,6 +70,11 @@
         co_await refuse(std::move(*keyProblem));
         co_return;
     }
+    auto timeProblem = checkTimeLeft();
+    if (timeProblem) {
+        co_await refuse(std::move(*timeProblem));
+        co_return;
+    }
     const auto admitted = m_thread.routing().admit(m_request);
     if (admitted.has_error()) {
         const auto &refusal = admitted.error();
@@ -79,12 +84,52 @@
         co_await refuse(std::move(problem));
         co_return;
     }
-    m_thread.requestStarted();
+    m_thread.requestStarted(*this);
+    recordArrivalWhileDraining();
     co_await serveAdmitted();
-    m_thread.requestEnded();
+    m_thread.requestEnded(*this);
     m_thread.routing().release(m_request);
 }
 
+void RequestHandler::endEarly()
+{
+    if (m_isEndedEarly) {
+        return;
+    }
+    m_isEndedEarly = true;
+    m_thread.metrics().counter("requests_ended_early_total").add();
+    logEvent(LogLevel::Warning,
+             "ended-early",
+             {{"request", m_request.id.value()},
+              {"attempts", m_attempts.count()},
+              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_startedAt).count()}});
+    if (m_channel) {
+        m_channel->abandon();
+    }
+}
+
+std::optional<Problem> RequestHandler::checkTimeLeft() const
+{
+    const auto limit = std::chrono::duration_cast<Milliseconds>(m_request.deadline - m_startedAt);
+    if (m_thread.admitsRequest(m_request.service->id, limit)) {
+        return std::nullopt;
+    }
+    return Problem{ProblemKind::NotReady, 503, "not-sent", "the host is stopping", Milliseconds(0)};
+}
+
+void RequestHandler::recordArrivalWhileDraining()
+{
+    const auto drainingTime = m_thread.drainingTime();
+    if (!drainingTime) {
+        return;
+    }
+    m_thread.metrics().counter("requests_taken_draining_total").add();
+    const auto limit = std::chrono::duration_cast<Milliseconds>(m_request.deadline - m_startedAt);
+    logEvent(LogLevel::Info,
+             "taken-while-draining",
+             {{"request", m_request.id.value()}, {"draining_ms", drainingTime->count()}, {"limit_ms", limit.count()}});
+}
+
 Task<> RequestHandler::serveAdmitted()
 {
     NextStep next = NextStep::Retry;
@@ -166,15 +211,26 @@
     auto execute = m_thread.makeExecute(m_request);
     const auto id = execute.attempt;
     const auto channel = link->execute(std::move(execute));
-    m_exchange.watchDisconnect([channel] { channel->abandon(); });
+    m_channel = channel;
+    bool isCallerGone = false;
+    m_exchange.watchDisconnect([channel, &isCallerGone] {
+        isCallerGone = true;
+        channel->abandon();
+    });
     AnswerRelay relay(m_exchange, *channel, [link, id] { link->acknowledge(id); });
     const auto end = co_await relay.run(m_request.deadline);
     m_exchange.stopWatching();
-    link->release(id);
+    m_channel.reset();
+    const bool wasSent = link->release(id);
     if (relay.firstByteAt()) {
         m_thread.metrics().latency("first_byte_seconds").record(*relay.firstByteAt() - m_startedAt);
     }
     RelayedAttempt relayed{end, relay.failure()};
+    if (end == RelayEnd::CallerDisconnected && m_isEndedEarly && !isCallerGone) {
+        relayed.end = m_exchange.hasAnswerBegun() ? RelayEnd::BrokenAnswer : RelayEnd::FailedBeforeAnswer;
+        relayed.failure = wasSent ? AttemptEvent(AttemptFailed{AttemptOutcome::Unknown, AttemptReason::Leaving, 0})
+                                  : AttemptEvent(AttemptNotSent());
+    }
     co_return relayed;
 }
 
@@ -189,8 +245,7 @@
 
 Task<RequestHandler::NextStep> RequestHandler::handleFailure(const AttemptEvent &failure, bool answerStarted)
 {
-    const auto retry = m_thread.routing().mayRetry(m_request, m_attempts, answerStarted);
-    if (retry.has_value()) {
+    if (!m_isEndedEarly && m_thread.routing().mayRetry(m_request, m_attempts, answerStarted).has_value()) {
         m_thread.metrics().counter("retries_total").add();
         co_return NextStep::Retry;
     }
@@ -240,6 +295,9 @@
     const auto duration = steadyNow() - m_startedAt;
     m_thread.metrics().counter("requests_total{outcome=\"" + std::string(outcome) + "\"}").add();
     m_thread.metrics().latency("request_seconds").record(duration);
+    if (outcome != nameOf(RelayEnd::CallerDisconnected)) {
+        m_thread.recordDuration(m_request.service->id, std::chrono::duration_cast<Microseconds>(duration));
+    }
     logEvent(LogLevel::Info,
              "request-ended",
              {{"request", m_request.id.value()},
--- a/src/entry/requesthandler.h
+++ b/src/entry/requesthandler.h
@@ -17,6 +17,7 @@
 {
 
 class AgentLink;
+class AttemptChannel;
 class HttpExchange;
 class TrafficThread;
 
@@ -29,6 +30,9 @@
 
     Task<> run();
 
+    /// Ends the request shortly before the process is killed, so that its caller gets an answer or a broken stream.
+    void endEarly();
+
 private:
     /// What to do after an attempt.
     enum class NextStep { Stop, Retry };
@@ -42,6 +46,9 @@
     Task<> serveAdmitted();
     Task<> issueKey();
     std::optional<Problem> findSlotOwner();
+    /// The refusal of a request that is not likely to end before the process is killed, or nothing.
+    std::optional<Problem> checkTimeLeft() const;
+    void recordArrivalWhileDraining();
     Task<NextStep> attempt();
     Task<RelayedAttempt> relayAttempt(std::shared_ptr<AgentLink> link);
     Task<> finishWithoutFailure(RelayEnd end);
@@ -58,6 +65,9 @@
     std::optional<BackendServerId> m_slotOwner;
     std::vector<BackendServerId> m_tried;
     AttemptLog m_attempts;
+    /// The channel of the current attempt, or null.
+    std::shared_ptr<AttemptChannel> m_channel;
+    bool m_isEndedEarly = false;
 };
 
 } // namespace Cardamomhill
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -32,7 +32,8 @@
 TrafficThread::TrafficThread(const EntrySettings &settings,
                              unsigned index,
                              std::uint64_t incarnation,
-                             MetricsRegistry &metrics)
+                             MetricsRegistry &metrics,
+                             DrainObserver onDrained)
     : m_settings(settings)
     , m_peer(settings.host.value() + "/" + std::to_string(index))
     , m_incarnation(incarnation)
@@ -46,6 +47,20 @@
     , m_configuration(std::make_shared<const Configuration>())
     , m_routing(
           settings.failureDomain, std::max(1U, settings.concurrency / settings.trafficThreads), std::random_device()())
+    , m_drain(m_context,
+              m_http,
+              EntryDrain(settings.drainGrace, settings.terminationGrace),
+              {[this] { return requestCount(); },
+               [this] {
+                   for (auto *const request : m_requests) {
+                       request->endEarly();
+                   }
+               },
+               [this, onDrained = std::move(onDrained)](std::string_view reason) {
+                   m_drain.log("thread-drained", reason);
+                   m_context.stop();
+                   onDrained(reason);
+               }})
 {
 }
 
@@ -62,11 +77,6 @@
     m_context.run();
 }
 
-void TrafficThread::stop()
-{
-    m_context.stop();
-}
-
 asio::io_context &TrafficThread::context()
 {
     return m_context;
@@ -124,9 +134,24 @@
     }
 }
 
-void TrafficThread::stopAccepting()
+void TrafficThread::startDraining()
+{
+    m_drain.start();
+}
+
+std::optional<Milliseconds> TrafficThread::drainingTime() const
+{
+    return m_drain.drainingTime();
+}
+
+bool TrafficThread::admitsRequest(const ServiceId &service, Milliseconds limit) const
+{
+    return m_drain.admits(service, limit);
+}
+
+void TrafficThread::recordDuration(const ServiceId &service, Microseconds duration)
 {
-    m_http.stopAccepting();
+    m_drain.recordCallDuration(service, duration);
 }
 
 std::size_t TrafficThread::requestCount() const
@@ -178,14 +203,16 @@
     return execute;
 }
 
-void TrafficThread::requestStarted()
+void TrafficThread::requestStarted(RequestHandler &request)
 {
-    ++m_requestCount;
+    m_requests.insert(&request);
+    m_requestCount = m_requests.size();
 }
 
-void TrafficThread::requestEnded()
+void TrafficThread::requestEnded(RequestHandler &request)
 {
-    --m_requestCount;
+    m_requests.erase(&request);
+    m_requestCount = m_requests.size();
 }
 
 } // namespace Cardamomhill
--- a/src/entry/trafficthread.h
+++ b/src/entry/trafficthread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/serverdrain.h"
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "core/result.h"
@@ -11,9 +12,13 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 #include <vector>
 
 namespace Cardamomhill
@@ -22,6 +27,7 @@
 class AgentLink;
 class Configuration;
 class MetricsRegistry;
+class RequestHandler;
 struct BackendServer;
 struct CallerRequest;
 struct EntrySettings;
@@ -32,14 +38,20 @@
 class TrafficThread
 {
 public:
-    TrafficThread(const EntrySettings &settings, unsigned index, std::uint64_t incarnation, MetricsRegistry &metrics);
+    /// Called on the traffic thread when it has drained, with the reason. No request can begin after that.
+    using DrainObserver = std::function<void(std::string_view)>;
+
+    TrafficThread(const EntrySettings &settings,
+                  unsigned index,
+                  std::uint64_t incarnation,
+                  MetricsRegistry &metrics,
+                  DrainObserver onDrained);
     ~TrafficThread();
 
     Result<void, NetError> listen();
 
-    /// Runs until stop() is called.
+    /// Runs until the thread has drained.
     void run();
-    void stop();
 
     asio::io_context &context();
 
@@ -49,8 +61,9 @@
     /// Updates the states and loads of backend servers from membership; called on this thread.
     void updateServers(const std::vector<ServerStatus> &servers);
 
-    /// Accepts no new connections from now on; called on this thread.
-    void stopAccepting();
+    /// Closes callers' connections after their answers, later the listening socket, and shortly before the process is
+    /// killed what still runs. Ends run() when no connection is left or the time is over. Called on this thread.
+    void startDraining();
 
     /// Requests in progress; called by any thread.
     std::size_t requestCount() const;
@@ -63,8 +76,14 @@
     /// The link to the agent of a backend server; null when the server is no longer configured.
     std::shared_ptr<AgentLink> link(const BackendServerId &server) const;
     Execute makeExecute(const CallerRequest &request);
-    void requestStarted();
-    void requestEnded();
+    void requestStarted(RequestHandler &request);
+    void requestEnded(RequestHandler &request);
+    /// Time since startDraining(), or nothing before it.
+    std::optional<Milliseconds> drainingTime() const;
+    /// Whether a request may begin, given the longest time that it may take. Once the process drains, only requests
+    /// that are likely to end before it is killed may.
+    bool admitsRequest(const ServiceId &service, Milliseconds limit) const;
+    void recordDuration(const ServiceId &service, Microseconds duration);
 
 private:
     void retireChangedLinks();
@@ -82,7 +101,10 @@
     std::uint64_t m_nextLink = 1;
     std::uint64_t m_nextAttempt = 1;
     std::uint64_t m_nextRequest = 1;
+    std::unordered_set<RequestHandler *> m_requests;
+    /// The number of requests in progress, for other threads.
     std::atomic<std::size_t> m_requestCount{0};
+    ServerDrain m_drain;
 };
 
 } // namespace Cardamomhill
--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -91,6 +91,7 @@
     {"draining", "process", ""},
     {"listener-closed", "process", ""},
     {"drain-progress", "process", ""},
+    {"thread-drained", "process", ""},
     {"exit", "process", ""},
     {"configuration-in-force", "configuration", ""},
     {"store-lost", "store ", "kind"},
