--- a/bench/relay/relayfleet.h
+++ b/bench/relay/relayfleet.h
@@ -47,7 +47,7 @@
     RelayFleet()
         : m_burst(m_burstContext)
         , m_burstAgent(m_burstAgentContext, {BackendServerId("burst"), 1}, local(BurstPort), local(1), m_metrics)
-        , m_entry(settings(), 0, 1, m_metrics)
+        , m_entry(settings(), 0, 1, m_metrics, {})
     {
         for (std::uint16_t i = 0; i < Engines; ++i) {
             m_engines.push_back(std::make_unique<BackendService>(m_engineContext, Milliseconds(33)));
@@ -68,7 +68,7 @@
         for (auto *context : {&m_engineContext, &m_burstContext, &m_engineAgentContext, &m_burstAgentContext}) {
             context->stop();
         }
-        m_entry.stop();
+        m_entry.context().stop();
         for (auto &thread : m_threads) {
             thread.join();
         }
