--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -23,10 +23,10 @@
 /// `slow`, `unnamed` (no request id), `endless-head`, `endless-foreign` (an endless body with the id of another
 /// request), `endless-event`, `trickle` (single bytes that never complete an event). A server whose id does not begin
 /// with `bad` answers all of them correctly. Headers `X-Events` and `X-Event-Interval-Ms` state how many events a
-/// stream has and the time between them; `X-Delay-Ms` states the delay of `slow`. A call for another instance gets 421.
-/// Answers are written as plain text rather than through an HTTP library, so that they can violate the protocol. GET
-/// /runs/ID returns how often a call ran here; GET /abandoned returns how many connections the caller closed before it
-/// had the whole answer.
+/// stream has and the time between them; `X-Last-Interval-Ms` states the time before the last one,
+/// `X-Delay-Ms` the delay of `slow`. A call for another instance gets 421. Answers are written as plain text rather
+/// than through an HTTP library, so that they can violate the protocol. GET /runs/ID returns how often a call ran here;
+/// GET /abandoned returns how many connections the caller closed before it had the whole answer.
 class DirectBackend
 {
 public:
