Keep a begun stream at its silent server if no other server could continue it

Callers lost streams, in stops and outside of them, whose servers were silent for 1.2 s and went on: the attempt was closed first, and only then was it asked whether another server could take the stream, so that it was cut off. Cause: cancelForRetry() asked the route, the time and the retry budget, not the servers. Change: once an answer has begun, an attempt is given up only if another server can be chosen now; the question is asked again at each check. Before the first event a stream is still given up, since its caller gets a whole 502 that says when to return.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -102,13 +102,23 @@
 
 void Attempt::cancelForRetry(std::string_view cause)
 {
-    const bool canRetry = m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
+    // The answer that has begun would be cut if no other server could continue it.
+    const bool canContinue = !m_state.hasAnswerBegun || hasOtherServer();
+    const bool canRetry = canContinue
+        && m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
         && m_thread.retryBudget(m_state.service).hasRetry();
     if (!m_state.isCallerGone && canRetry) {
         cancel(cause);
     }
 }
 
+bool Attempt::hasOtherServer() const
+{
+    return m_thread.servers()
+        .choose(m_state.service, m_state.triedServers, m_state.admission, steadyNow(), m_thread.random())
+        .hasServer();
+}
+
 const BackendServerId &Attempt::server() const
 {
     return m_server;
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -39,7 +39,8 @@
     /// Cancels a stream for a retry if its server is unavailable or unresponsive. To be called periodically.
     void checkProgress(SteadyTime now);
 
-    /// Cancels the attempt if the route, the time left and the retry budget allow another one.
+    /// Cancels the attempt if the route, the time left and the retry budget allow another one, and, once the answer has
+    /// begun, if another server can continue it.
     /// @param cause becomes the cause of the attempt's end
     void cancelForRetry(std::string_view cause);
 
@@ -65,6 +66,7 @@
     Milliseconds remainingTime() const;
     /// Timeout for the head of the answer. Leaves time for another attempt if one is allowed.
     Milliseconds answerTimeout() const;
+    bool hasOtherServer() const;
     void recordArrival();
     void releaseConnection();
 
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -155,6 +155,7 @@
 Task<> CallHandler::sendToServers()
 {
     m_thread.retryBudget(m_state.service).recordFirstAttempt();
+    m_state.admission = streamAdmission();
     while (true) {
         const auto choice = co_await chooseServer();
         if (m_state.isCallerGone) {
@@ -183,14 +184,13 @@
 
 Task<ServerChoice> CallHandler::chooseServer()
 {
-    const auto admission = streamAdmission();
     asio::steady_timer timer(m_thread.context());
     SystemError error;
     while (true) {
         const auto now = steadyNow();
-        auto choice
-            = m_thread.servers().choose(m_state.service, m_state.triedServers, admission, now, m_thread.random());
-        if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, admission, now)) {
+        auto choice = m_thread.servers().choose(
+            m_state.service, m_state.triedServers, m_state.admission, now, m_thread.random());
+        if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, now)) {
             co_return choice;
         }
         timer.expires_after(QueueCheckPeriod);
@@ -198,10 +198,9 @@
     }
 }
 
-bool CallHandler::shouldWait(const ServerChoice &choice,
-                             const std::optional<StreamAdmission> &admission,
-                             SteadyTime now) const
+bool CallHandler::shouldWait(const ServerChoice &choice, SteadyTime now) const
 {
+    const auto &admission = m_state.admission;
     if (!admission) {
         return false;
     }
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -34,7 +34,7 @@
     Task<> sendToServers();
     /// Chooses a server. A stream waits while its group is being formed or makes slow steps.
     Task<ServerChoice> chooseServer();
-    bool shouldWait(const ServerChoice &choice, const std::optional<StreamAdmission> &admission, SteadyTime now) const;
+    bool shouldWait(const ServerChoice &choice, SteadyTime now) const;
     std::optional<StreamAdmission> streamAdmission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     bool decideRetry(AttemptEnd end);
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -4,6 +4,7 @@
 #include "net/httpexchange.h"
 #include "traffic/attempthistory.h"
 #include "traffic/callhead.h"
+#include "traffic/streamadmission.h"
 #include "traffic/trafficconfiguration.h"
 
 #include <algorithm>
@@ -33,6 +34,8 @@
     OrganisationId organisation;
     SteadyTime startedAt{};
     SteadyTime deadline{};
+    /// Limits the queues in which a new stream may wait; nothing for other calls.
+    std::optional<StreamAdmission> admission;
     AttemptHistory attempts;
     std::vector<BackendServerId> triedServers;
     std::optional<FallbackAnswer> fallbackAnswer;
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -352,6 +352,25 @@
     CHECK(gateway.runs[nextId] == 0);
 }
 
+TEST_CASE("a stream whose server is silent for a while is not cut when no other server could continue it")
+{
+    StoppedGateway gateway;
+    CallResult stream;
+    const std::string streamId = "stream";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        auto request = StoppedGateway::makeStream(streamId, 4);
+        request.set("X-Last-Interval-Ms", "1600");
+        stream = co_await gateway.call(*connection, request);
+        gateway.terminate();
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CAPTURE(stream.body);
+    CHECK(stream.status == Ok);
+    CHECK(stream.isComplete);
+}
+
 TEST_CASE("a second SIGTERM and a SIGHUP in a stop cut no call")
 {
     StoppedGateway gateway;
