Judge in a stop how long a call takes by the calls of its own route

Callers of long streams were cut by a stop although the host could know better: short calls of the same service made a stream look short, and a host without a finished call took every stream. Cause: CallDurations was kept by service, and an unknown duration counted as none. Change: durations are kept by route, and a call whose usual duration is not known is admitted only if its limit fits. The last 0.1 s of the grace period admits only calls whose limit fits, since they may have been sent later than they arrived; the margin before the kill is an eighth of a short grace time, so that it lies in its last sixth. draintest said that an unknown duration is admitted; it now says the opposite, and checks the bound as closely as before. Nothing is computed while the process does not stop.

--- a/src/control/serverdrain.cpp
+++ b/src/control/serverdrain.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds TickPeriod{20};
 /// Progress is logged twice a second.
 constexpr std::uint64_t TicksPerLog = 25;
+constexpr std::size_t MaxCallClasses = 1024;
 
 } // namespace
 
@@ -45,16 +46,23 @@
     return std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow()));
 }
 
-bool ServerDrain::admits(const ServiceId &service, Milliseconds limit) const
+bool ServerDrain::admits(const std::string &callClass, Milliseconds limit) const
 {
-    const auto durations = m_callDurations.find(service);
+    if (!isDraining()) {
+        return true;
+    }
+    const auto durations = m_callDurations.find(callClass);
     return m_drain.admits(
         steadyNow(), limit, durations == m_callDurations.end() ? std::nullopt : durations->second.usual());
 }
 
-void ServerDrain::recordCallDuration(const ServiceId &service, Microseconds duration)
+void ServerDrain::recordCallDuration(const std::string &callClass, Microseconds duration)
 {
-    m_callDurations[service].record(duration);
+    // Classes of routes that are gone are forgotten with all others.
+    if (m_callDurations.size() >= MaxCallClasses && !m_callDurations.contains(callClass)) {
+        m_callDurations.clear();
+    }
+    m_callDurations[callClass].record(duration);
 }
 
 void ServerDrain::log(std::string_view event, std::string_view reason) const
--- a/src/control/serverdrain.h
+++ b/src/control/serverdrain.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/clocktypes.h"
-#include "core/identifiers.h"
 #include "drain/entrydrain.h"
 #include "net/asio.h"
 #include "traffic/calldurations.h"
@@ -9,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -41,8 +41,9 @@
 
     /// Whether a call may begin, given the longest time that it may take. Once the server drains, only calls that are
     /// likely to end before the process is killed may.
-    bool admits(const ServiceId &service, Milliseconds limit) const;
-    void recordCallDuration(const ServiceId &service, Microseconds duration);
+    /// @param callClass names the calls that usually take equally long, such as those of one route
+    bool admits(const std::string &callClass, Milliseconds limit) const;
+    void recordCallDuration(const std::string &callClass, Microseconds duration);
 
     /// Logs an event of the drain with the numbers of calls and connections.
     void log(std::string_view event, std::string_view reason) const;
@@ -55,7 +56,7 @@
     HttpServer &m_server;
     EntryDrain m_drain;
     Handlers m_handlers;
-    std::unordered_map<ServiceId, CallDurations> m_callDurations;
+    std::unordered_map<std::string, CallDurations> m_callDurations;
 };
 
 } // namespace Cardamomhill
--- a/src/drain/entrydrain.cpp
+++ b/src/drain/entrydrain.cpp
@@ -52,8 +52,8 @@
         return true;
     }
     const auto left = *m_terminationGrace - exitMargin() - elapsed(now);
-    const bool acceptsNewCallers = elapsed(now) < m_gracePeriod;
-    return limit <= left || (acceptsNewCallers && left > Microseconds(0) && usual.value_or(Microseconds(0)) <= left);
+    const bool acceptsNewCallers = elapsed(now) < m_gracePeriod - admissionMargin;
+    return limit <= left || (acceptsNewCallers && usual && *usual <= left);
 }
 
 bool EntryDrain::isLeaving() const
--- a/src/drain/entrydrain.h
+++ b/src/drain/entrydrain.h
@@ -17,7 +17,10 @@
     /// How long before the kill the process ends what still runs, so that callers get an answer where one is possible.
     static constexpr Microseconds maxExitMargin = Milliseconds(400);
     /// The margin is at most the termination grace divided by this.
-    static constexpr int exitMarginDivisor = 5;
+    static constexpr int exitMarginDivisor = 8;
+    /// How long before the end of the grace period only calls that must end in time are admitted, since a caller may
+    /// have sent a call later than the process received it.
+    static constexpr Microseconds admissionMargin = Milliseconds(100);
 
     /// The grace period must be longer than the platform's load balancer needs to detect the change of readiness.
     /// @param terminationGrace time from the decision to leave until the platform kills the process, if it does
@@ -33,9 +36,9 @@
     void onTick(SteadyTime now);
 
     /// Whether a call that arrives now may begin. Once the process leaves, a call is admitted if it must end before the
-    /// process does, or, while connections are accepted, if calls like it usually end before that.
+    /// process does, or, while connections are accepted, if calls like it are known to end before that usually.
     /// @param limit the longest time that the call may take
-    /// @param usual how long such calls take, if that is known
+    /// @param usual how long such calls take, or nothing if that is not known
     bool admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const;
 
     bool isLeaving() const;
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -146,12 +146,12 @@
 
 bool TrafficThread::admitsRequest(const ServiceId &service, Milliseconds limit) const
 {
-    return m_drain.admits(service, limit);
+    return m_drain.admits(service.value(), limit);
 }
 
 void TrafficThread::recordDuration(const ServiceId &service, Microseconds duration)
 {
-    m_drain.recordCallDuration(service, duration);
+    m_drain.recordCallDuration(service.value(), duration);
 }
 
 std::size_t TrafficThread::requestCount() const
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -145,7 +145,7 @@
         limit = std::min(limit, *m_state.head.remainingTime);
     }
     m_state.deadline = m_state.startedAt + limit;
-    if (!m_thread.admitsCall(m_state.service, limit)) {
+    if (!m_thread.admitsCall(*m_state.route, limit)) {
         return Problem{
             ProblemKind::NotReady, StatusUnavailable, "not-sent", "the host is stopping", StoppingRetryAfter};
     }
@@ -357,7 +357,7 @@
     m_thread.metrics().counter("calls_total{outcome=\"" + std::string(outcome) + "\"}").add();
     m_thread.metrics().latency("call_seconds").record(duration);
     if (!m_state.isCallerGone) {
-        m_thread.recordCallDuration(m_state.service, std::chrono::duration_cast<Microseconds>(duration));
+        m_thread.recordCallDuration(*m_state.route, std::chrono::duration_cast<Microseconds>(duration));
     }
     const auto first = m_state.firstByteAt.value_or(now) - m_state.startedAt;
     m_thread.metrics().latency("first_byte_seconds").record(first);
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -268,14 +268,14 @@
     return m_drain.drainingTime();
 }
 
-bool GatewayThread::admitsCall(const ServiceId &service, Milliseconds limit) const
+bool GatewayThread::admitsCall(const Route &route, Milliseconds limit) const
 {
-    return m_drain.admits(service, limit);
+    return m_drain.admits(route.hostName + route.pathPrefix, limit);
 }
 
-void GatewayThread::recordCallDuration(const ServiceId &service, Microseconds duration)
+void GatewayThread::recordCallDuration(const Route &route, Microseconds duration)
 {
-    m_drain.recordCallDuration(service, duration);
+    m_drain.recordCallDuration(route.hostName + route.pathPrefix, duration);
 }
 
 std::size_t GatewayThread::callCount() const
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -37,6 +37,7 @@
 class MetricsRegistry;
 struct AnswerHead;
 struct GatewaySettings;
+struct Route;
 
 /// The traffic thread of a gateway with all state that it needs to serve calls. While run() is running, only stop(),
 /// context() and functions that are marked as thread-safe may be called on other threads.
@@ -83,8 +84,8 @@
     std::optional<Milliseconds> drainingTime() const;
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
     /// likely to end before it is killed may.
-    bool admitsCall(const ServiceId &service, Milliseconds limit) const;
-    void recordCallDuration(const ServiceId &service, Microseconds duration);
+    bool admitsCall(const Route &route, Milliseconds limit) const;
+    void recordCallDuration(const Route &route, Microseconds duration);
 
     /// False while this host is cut off by a network partition and cannot serve all engine services. Thread-safe.
     bool canServe() const;
--- a/tests/draintest.cpp
+++ b/tests/draintest.cpp
@@ -265,8 +265,13 @@
     {
         CHECK(drain.admits(start + Seconds(2), unlimited, Milliseconds(5600)));
         CHECK_FALSE(drain.admits(start + Seconds(2), unlimited, Milliseconds(5601)));
-        CHECK(drain.admits(start + Milliseconds(2999), unlimited, std::nullopt));
-        CHECK_FALSE(drain.admits(start + grace, unlimited, Milliseconds(1)));
+        CHECK(drain.admits(start + Milliseconds(2899), unlimited, Milliseconds(1)));
+        CHECK_FALSE(drain.admits(start + Milliseconds(2900), unlimited, Milliseconds(1)));
+    }
+    SUBCASE("a longer one is refused if it is not known how long calls like it take")
+    {
+        CHECK_FALSE(drain.admits(start + Milliseconds(1), unlimited, std::nullopt));
+        CHECK(drain.admits(start + Milliseconds(1), Seconds(7), std::nullopt));
     }
     SUBCASE("without a time of the kill, every call is admitted")
     {
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -303,6 +303,29 @@
     CHECK_FALSE(gateway.wasKilled);
 }
 
+TEST_CASE("a long stream is not begun in a stop because other calls of its service are short, or none has ended yet")
+{
+    for (const int payments : {0, 10}) {
+        StoppedGateway gateway;
+        CallResult late;
+        const std::string lateId = "late";
+        const auto scenario = [&]() -> Task<> {
+            auto connection = co_await gateway.connect();
+            for (int number = 0; number < payments; ++number) {
+                const auto id = "payment" + std::to_string(number);
+                co_await gateway.pay(*connection, id, Milliseconds(2), ShortDeadline);
+            }
+            gateway.terminate();
+            co_await gateway.sleep(EventInterval);
+            late = co_await gateway.stream(*connection, lateId, 50);
+        };
+        gateway.run(scenario());
+        CAPTURE(payments);
+        CAPTURE(gateway.log());
+        CHECK(isAnsweredOrNotRun(gateway, lateId, late));
+    }
+}
+
 TEST_CASE("calls that still run shortly before the kill are ended by the process, which tells their callers")
 {
     StoppedGateway gateway;
