Keep the sets of calls and attempts valid until the last of them is gone

Cause: since a stop may exit with calls in progress, the context's destructor ends them when the sets that they leave were already destroyed; and an exception out of a call would have left its handler in the set of calls. Change: the sets are declared before the context, and a call leaves its set in its destructor. ended-early counts the attempt in progress, as it said 0 for a call that a server was running.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -74,6 +74,11 @@
     m_state.startedAt = steadyNow();
 }
 
+CallHandler::~CallHandler()
+{
+    m_thread.callEnded(*this);
+}
+
 Task<> CallHandler::run()
 {
     auto problem = resolveCall();
@@ -91,7 +96,6 @@
     });
     co_await sendToServers();
     m_exchange.stopWatching();
-    m_thread.callEnded(*this);
 }
 
 void CallHandler::endEarly()
@@ -106,7 +110,7 @@
     logEvent(LogLevel::Warning,
              "ended-early",
              {{"request", m_state.head.id},
-              {"attempts", m_state.attempts.count()},
+              {"attempts", m_state.attempts.count() + (m_currentAttempt == nullptr ? 0 : 1)},
               {"events", m_state.eventCount},
               {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(now - m_state.startedAt).count()}});
     if (m_currentAttempt != nullptr) {
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -22,6 +22,9 @@
 {
 public:
     CallHandler(GatewayThread &thread, HttpExchange &exchange);
+    ~CallHandler();
+    CallHandler(const CallHandler &) = delete;
+    CallHandler &operator=(const CallHandler &) = delete;
 
     Task<> run();
 
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -107,6 +107,7 @@
     /// Calls in progress. Thread-safe.
     std::size_t callCount() const;
     void callStarted(CallHandler &call);
+    /// May be called for a call that has not started.
     void callEnded(CallHandler &call);
 
     const std::shared_ptr<const TrafficConfiguration> &configuration() const;
@@ -140,6 +141,12 @@
     MetricsRegistry &m_metrics;
     LatencySummary &m_eventPauses;
     Observers m_observers;
+    // Before the context, whose destructor ends the calls that still run when the time of a stop is over.
+    std::unordered_set<Attempt *> m_attempts;
+    /// The calls in progress.
+    std::unordered_set<CallHandler *> m_calls;
+    /// The number of calls in progress, for other threads.
+    std::atomic<std::size_t> m_callCount{0};
     asio::io_context m_context;
     HttpServer m_httpServer;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
@@ -153,11 +160,6 @@
     ServerDrain m_drain;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
-    std::unordered_set<Attempt *> m_attempts;
-    /// The calls in progress.
-    std::unordered_set<CallHandler *> m_calls;
-    /// The number of calls in progress, for other threads.
-    std::atomic<std::size_t> m_callCount{0};
 };
 
 } // namespace Cardamomhill
