Read on for a while before a connection is closed after its last answer

Before: a caller that sent another request while a large last answer was on its way, and read slowly, got 128,000 bytes of an answer of 2 MiB and then a reset (httpservertest, 'a caller that sends more while a last, large answer is on its way ...'). Cause: the server closed the socket as soon as the answer was written to it. The kernel resets a connection that is closed with unread bytes and discards what it has not yet sent. Change: the server ends sending and then reads and discards until the caller closes, for 0.3 s at most; after a refused request for 1 s, as before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -26,8 +26,10 @@
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusPayloadTooLarge = 413;
 constexpr unsigned StatusHeaderTooLarge = 431;
-/// Limits, in time and bytes, on what is read and discarded after a request was refused before it was read whole.
-constexpr Milliseconds DiscardTimeout{1000};
+/// How long a server reads on and discards what it gets before it closes a connection: while a caller may still send
+/// the rest of a request that was refused, and after the last answer, when a caller may have sent another request.
+constexpr Milliseconds RefusedDiscardTimeout{1000};
+constexpr Milliseconds LastDiscardTimeout{300};
 constexpr std::size_t MaxDiscardedBytes = 8 * 1024 * 1024;
 constexpr std::size_t DiscardBufferBytes = 16 * 1024;
 /// How long idle connections stay open once the server stops, for requests that callers have sent or are about to send.
@@ -76,6 +78,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool isIdle = true;
+    /// How long to read on before the connection is closed.
+    Milliseconds discardTimeout = LastDiscardTimeout;
 };
 
 HttpServer::HttpServer(asio::io_context &context, HttpLimits limits, Handler handler)
@@ -188,8 +192,7 @@
     while (reusable) {
         reusable = co_await serveRequest(*connection);
     }
-    SystemError ignored;
-    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    co_await discardUnread(*connection);
     connection->stream.close();
 }
 
@@ -238,7 +241,7 @@
         exchange.stopWatching();
     } else if (status != 0) {
         co_await exchange.sendAnswer(status, std::string(ProblemType), problemJson(status));
-        co_await discardUnread(connection);
+        connection.discardTimeout = RefusedDiscardTimeout;
     }
     co_return exchange.isReusable();
 }
@@ -247,7 +250,7 @@
 {
     SystemError error;
     connection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    connection.stream.expires_after(DiscardTimeout);
+    connection.stream.expires_after(connection.discardTimeout);
     std::vector<char> piece(DiscardBufferBytes);
     for (std::size_t discarded = 0; !error && discarded < MaxDiscardedBytes;) {
         discarded += co_await connection.stream.async_read_some(asio::buffer(piece), storeError(error));
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -49,8 +49,8 @@
     Task<> closeIdleConnections();
     Task<> serveConnection(std::shared_ptr<Connection> connection);
     Task<bool> serveRequest(Connection &connection);
-    /// Reads and discards data for a while after a request was refused before it was read whole. Closing at once would
-    /// reset the connection, and a caller that is still sending might lose the answer.
+    /// Ends sending, then reads and discards data until the caller closes, for a limited time. Closing with unread data
+    /// would reset the connection, and the caller would lose what it has not received of the answer.
     Task<> discardUnread(Connection &connection);
     /// Cancels reads on the connection once the request timeout has elapsed, unless the timer is cancelled before.
     std::shared_ptr<asio::steady_timer> startRequestTimer(Connection &connection);
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -115,11 +115,11 @@
 
 /// A server and its callers on one thread, so that the time of the stop is exact.
 struct StoppedServer {
-    StoppedServer()
+    explicit StoppedServer(std::string answer = "ok")
         : server(context,
                  HttpLimits(),
-                 [](HttpExchange &exchange) -> Task<> {
-                     const std::string body = "ok";
+                 [answer](HttpExchange &exchange) -> Task<> {
+                     const std::string body = answer;
                      co_await exchange.sendAnswer(200, "", body);
                  })
         , endpoint(freeEndpoint(context))
@@ -241,3 +241,30 @@
     stopped.run(100);
     CHECK(isAnswered(received(caller)));
 }
+
+TEST_CASE("a caller that sends more while a last, large answer is on its way and reads slowly gets the whole answer")
+{
+    constexpr std::size_t AnswerBytes = 2 * BodyBytes;
+    StoppedServer stopped(std::string(AnswerBytes, 'x'));
+    stopped.server.setCloseAfterAnswers(true);
+    auto caller = stopped.connect();
+    sendRequest(caller);
+    stopped.run(20);
+    // The server has read the first request; this one stays unread.
+    sendRequest(caller);
+    caller.non_blocking(true);
+    std::string all;
+    SystemError error;
+    std::vector<char> piece(PieceBytes);
+    while (!error) {
+        stopped.run(1);
+        const auto size = caller.read_some(asio::buffer(piece), error);
+        all.append(piece.data(), size);
+        if (error == asio::error::would_block) {
+            error = {};
+        }
+    }
+    CHECK(error == asio::error::eof);
+    CHECK(all.starts_with("HTTP/1.1 200"));
+    CHECK(all.size() > AnswerBytes);
+}
