Let the agent's drain end before the kill, and its exit wait for entry processes

Before: the agent exited 0 to 50 ms after the last engine call had ended, whether or not entry processes had its notice or the end of an answer; what they sent meanwhile was lost without an answer, so that its outcome was unknown. It was not told when it is killed: work that took longer than the grace time was cut by SIGKILL. Cause: AgentDrain, which demands acknowledged notices and answers, was not wired, and had no end. Change: the agent server decides with AgentDrain on its own thread; termination_grace_s gives the drain its end, at which attempts are ended and entry processes told (TerminationDeadline, shared with EntryDrain).

--- a/src/agent/agentprogram.cpp
+++ b/src/agent/agentprogram.cpp
@@ -22,7 +22,9 @@
 namespace
 {
 
-constexpr Milliseconds ExitCheckPeriod{50};
+constexpr Milliseconds DrainTickPeriod{20};
+/// Progress is logged twice a second.
+constexpr std::uint64_t DrainTicksPerLog = 25;
 constexpr Milliseconds LoadReportPeriod{200};
 
 /// The control thread and the traffic thread of an agent process, with the objects that run on them.
@@ -38,6 +40,7 @@
                    {settings.backendServer, static_cast<std::uint64_t>(wallNow().time_since_epoch().count())},
                    settings.engine,
                    settings.platform,
+                   settings.terminationGrace,
                    m_metrics)
         , m_agentControl(m_control,
                          settings,
@@ -57,7 +60,10 @@
             if (!error) {
                 m_isLeaving = true;
                 m_agentControl.leave();
-                asio::post(m_traffic, [this] { exitWhenIdle(); });
+                asio::post(m_traffic, [this] {
+                    m_server.startLeaving();
+                    continueLeaving(1);
+                });
             }
         });
         std::thread control([this] { m_control.run(); });
@@ -73,17 +79,24 @@
         asio::post(m_traffic, [this, configuration] { m_server.apply(*configuration); });
     }
 
-    /// Starts to leave, then checks periodically whether requests still run, and exits when none does.
-    void exitWhenIdle()
+    /// Checks periodically whether the process must exit. Decides that on the traffic thread, so that nothing can
+    /// arrive between the decision and the exit.
+    void continueLeaving(std::uint64_t tick)
     {
-        m_server.startLeaving();
-        if (m_server.runningCount() == 0) {
-            logEvent(LogLevel::Info, "exit", {{"reason", "left"}});
+        const bool mustExit = m_server.continueLeaving();
+        if (mustExit) {
+            logEvent(
+                LogLevel::Info,
+                "exit",
+                {{"reason", m_server.hasEndedWork() ? "time-over" : "left"}, {"running", m_server.runningCount()}});
             m_traffic.stop();
             return;
         }
-        m_exitTimer.expires_after(ExitCheckPeriod);
-        m_exitTimer.async_wait([this](SystemError) { exitWhenIdle(); });
+        if (tick % DrainTicksPerLog == 0) {
+            logEvent(LogLevel::Info, "drain-progress", {{"running", m_server.runningCount()}});
+        }
+        m_exitTimer.expires_after(DrainTickPeriod);
+        m_exitTimer.async_wait([this, tick](SystemError) { continueLeaving(tick + 1); });
     }
 
     /// Passes the load from the traffic thread to the control thread, periodically.
--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -14,6 +14,7 @@
 #include "net/spawn.h"
 #include "net/steadynow.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace Cardamomhill
@@ -36,6 +37,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t connectionNumber = 0;
     std::shared_ptr<FramedConnection> connection;
+    /// Identifies `connection` in the drain.
+    AgentDrain::ConnectionId drainId = 0;
 
     AttemptId attemptId(std::uint64_t attempt) const
     {
@@ -77,9 +80,9 @@
         m_server.sendLoad(m_peer, message.number);
     }
 
-    /// Ignored: the notice is sent once over TCP, and the agent exits when no request runs, whoever acknowledged it.
     void operator()(const LeavingAcknowledged &)
     {
+        m_server.m_drain.onAcknowledged(m_peer.drainId);
     }
 
     /// Messages that only agents send.
@@ -98,6 +101,7 @@
                          Identity identity,
                          const tcp::endpoint &engine,
                          const tcp::endpoint &platform,
+                         Milliseconds terminationGrace,
                          MetricsRegistry &metrics)
     : m_context(context)
     , m_identity(std::move(identity))
@@ -106,6 +110,7 @@
     , m_acceptor(context)
     , m_housekeepingTimer(context)
     , m_keyed(std::make_unique<KeyedExecutions>(context, m_identity.backendServer, engine, platform, metrics))
+    , m_drain(terminationGrace)
 {
 }
 
@@ -167,12 +172,16 @@
     peer->incarnation = hello.incarnation;
     peer->connectionNumber = hello.connection;
     peer->connection = connection;
+    peer->drainId = m_nextConnection++;
     connection->setHandlers(
         [this, current = peer.get()](const Message &message) { handleMessage(*current, message); },
-        [name = hello.peer](const NetError &error) {
+        [this, name = hello.peer, drainId = peer->drainId](const NetError &error) {
+            m_drain.onDisconnected(drainId);
             logEvent(LogLevel::Info, "entry-connection-closed", {{"peer", name}, {"reason", error.message()}});
         });
-    connection->send(HelloReply{m_identity.backendServer.value(), m_identity.incarnation, m_isLeaving});
+    connection->send(HelloReply{m_identity.backendServer.value(), m_identity.incarnation, m_drain.isLeaving()});
+    m_drain.onConnected(peer->drainId, steadyNow());
+    sendLeavingNotices();
 }
 
 void AgentServer::handleMessage(Peer &peer, const Message &message)
@@ -187,7 +196,7 @@
         // A duplicate: the entry process requests a known attempt only with Resume.
         return;
     }
-    if (m_isLeaving && execute.idempotencyKey.empty()) {
+    if (!m_drain.acceptsNewWork() && execute.idempotencyKey.empty()) {
         peer.connection->send(AttemptEnded{execute.attempt, AttemptOutcome::NotRun, AttemptReason::Leaving, 0});
         return;
     }
@@ -271,20 +280,62 @@
 
 LoadReport AgentServer::makeLoadReport()
 {
-    return {++m_loadSequence, static_cast<std::uint32_t>(runningCount()), 0, m_isLeaving ? 0 : m_capacity};
+    return {++m_loadSequence, static_cast<std::uint32_t>(runningCount()), 0, m_drain.isLeaving() ? 0 : m_capacity};
 }
 
 void AgentServer::startLeaving()
 {
-    if (m_isLeaving) {
-        return;
-    }
-    m_isLeaving = true;
+    m_drain.onTerminate(steadyNow());
     m_keyed->leave();
     logEvent(LogLevel::Info, "leaving", {{"running", runningCount()}});
-    for (const auto &[name, peer] : m_peers) {
-        peer->connection->send(LeavingNotice{m_identity.incarnation});
+    sendLeavingNotices();
+}
+
+bool AgentServer::continueLeaving()
+{
+    m_drain.onTick(steadyNow());
+    sendLeavingNotices();
+    if (m_drain.mustEndWork()) {
+        endWork();
     }
+    m_drain.onRunningCount(unfinishedCount(), true);
+    return m_drain.shouldExit();
+}
+
+bool AgentServer::hasEndedWork() const
+{
+    return m_drain.mustEndWork();
+}
+
+void AgentServer::sendLeavingNotices()
+{
+    for (const auto id : m_drain.takeNotices()) {
+        for (const auto &[name, peer] : m_peers) {
+            if (peer->drainId == id) {
+                peer->connection->send(LeavingNotice{m_identity.incarnation});
+            }
+        }
+    }
+}
+
+void AgentServer::endWork()
+{
+    for (const auto &[id, attempt] : m_attempts) {
+        if (attempt->state() == AttemptState::Running) {
+            m_metrics.counter("attempts_ended_early_total").add();
+            logEvent(LogLevel::Warning, "ended-early", {{"peer", id.peer}, {"attempt", id.attempt}});
+            attempt->endEarly();
+        }
+    }
+}
+
+std::size_t AgentServer::unfinishedCount() const
+{
+    const auto unacknowledged = std::count_if(m_attempts.begin(), m_attempts.end(), [](const auto &entry) {
+        const auto &attempt = *entry.second;
+        return attempt.state() != AttemptState::Running && !attempt.isRemovable() && !attempt.disconnectedSince();
+    });
+    return runningCount() + static_cast<std::size_t>(unacknowledged);
 }
 
 void AgentServer::apply(const Configuration &configuration)
--- a/src/agent/agentserver.h
+++ b/src/agent/agentserver.h
@@ -5,6 +5,7 @@
 #include "core/identifiers.h"
 #include "core/loadreport.h"
 #include "core/result.h"
+#include "drain/agentdrain.h"
 #include "net/asio.h"
 #include "net/neterror.h"
 #include "wire/message.h"
@@ -37,6 +38,7 @@
                 Identity identity,
                 const tcp::endpoint &engine,
                 const tcp::endpoint &platform,
+                Milliseconds terminationGrace,
                 MetricsRegistry &metrics);
     ~AgentServer();
 
@@ -46,6 +48,14 @@
     /// Stops accepting new work and notifies every connected entry process.
     void startLeaving();
 
+    /// Call every 20 ms after startLeaving(). Shortly before the process is killed, ends what still runs. Returns
+    /// whether the process must exit, on this thread and at once: nothing runs, each connected entry process has all
+    /// answers and knows that this agent leaves; or the time is over.
+    bool continueLeaving();
+
+    /// Whether requests had to be ended since the time was over.
+    bool hasEndedWork() const;
+
     /// Applies a configuration.
     void apply(const Configuration &configuration);
 
@@ -71,6 +81,10 @@
     void cancel(const AttemptId &id);
     /// The heartbeat number is 0 for a report that does not answer a heartbeat.
     void sendLoad(Peer &peer, std::uint64_t heartbeatNumber);
+    void sendLeavingNotices();
+    void endWork();
+    /// Running requests, and answers that a connected entry process has not acknowledged.
+    std::size_t unfinishedCount() const;
     void removeFinishedAttempts();
     void cancelDisconnectedAttempts();
     std::shared_ptr<AttemptStream> findAttempt(const AttemptId &id) const;
@@ -87,7 +101,8 @@
     std::size_t m_runningCalls = 0;
     std::uint64_t m_loadSequence = 0;
     std::uint32_t m_capacity = 0;
-    bool m_isLeaving = false;
+    AgentDrain m_drain;
+    AgentDrain::ConnectionId m_nextConnection = 1;
 };
 
 } // namespace Cardamomhill
--- a/src/agent/attemptstream.cpp
+++ b/src/agent/attemptstream.cpp
@@ -109,6 +109,15 @@
     }
 }
 
+void AttemptStream::endEarly()
+{
+    endWithoutAnswer(AttemptOutcome::Unknown, AttemptReason::Leaving);
+    m_roomNotification.notify();
+    if (const auto handler = std::exchange(m_onCancel, nullptr)) {
+        handler();
+    }
+}
+
 void AttemptStream::failAnswer(AttemptReason reason)
 {
     if (m_state == AttemptState::Running) {
--- a/src/agent/attemptstream.h
+++ b/src/agent/attemptstream.h
@@ -48,6 +48,8 @@
 
     /// Ends the attempt before its answer has begun.
     void endWithoutAnswer(AttemptOutcome outcome, AttemptReason reason);
+    /// Ends a running attempt because the agent is about to be killed, and tells the entry process.
+    void endEarly();
 
     /// Ends an answer that has begun but cannot be completed.
     void failAnswer(AttemptReason reason);
--- a/src/drain/agentdrain.cpp
+++ b/src/drain/agentdrain.cpp
@@ -6,6 +6,11 @@
 namespace Cardamomhill
 {
 
+AgentDrain::AgentDrain(std::optional<Microseconds> terminationGrace)
+    : m_deadline(terminationGrace)
+{
+}
+
 void AgentDrain::onTerminate(SteadyTime now)
 {
     m_decision.leave(LeaveReason::Terminated, now);
@@ -54,6 +59,11 @@
 void AgentDrain::onTick(SteadyTime now)
 {
     queueDueNotices(now);
+    if (isLeaving()) {
+        const auto elapsed = std::chrono::duration_cast<Microseconds>(now - m_decision.since());
+        m_mustEndWork = m_mustEndWork || m_deadline.mustEnd(elapsed);
+        m_isOverdue = m_isOverdue || m_deadline.isOverdue(elapsed);
+    }
 }
 
 void AgentDrain::queueDueNotices(SteadyTime now)
@@ -94,11 +104,16 @@
     return std::exchange(m_dueNotices, {});
 }
 
+bool AgentDrain::mustEndWork() const
+{
+    return m_mustEndWork;
+}
+
 bool AgentDrain::shouldExit() const
 {
     const bool allNoticesDone
         = std::all_of(m_notices.begin(), m_notices.end(), [](const auto &entry) { return entry.second.isDone; });
-    return isLeaving() && m_finalRunningCount == 0U && allNoticesDone;
+    return m_isOverdue || (isLeaving() && m_finalRunningCount == 0U && allNoticesDone);
 }
 
 } // namespace Cardamomhill
--- a/src/drain/agentdrain.h
+++ b/src/drain/agentdrain.h
@@ -1,16 +1,18 @@
 #pragma once
 
 #include "drain/leavedecision.h"
+#include "drain/terminationdeadline.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Cardamomhill
 {
 
 /// Graceful shutdown of an agent: once it has to leave it accepts no new work, notifies the entry processes, completes
-/// the running requests and exits.
+/// the running requests and exits, shortly before the platform kills it at the latest.
 class AgentDrain
 {
 public:
@@ -22,6 +24,9 @@
     static constexpr Microseconds noticeTimeout = Seconds(3);
     static constexpr Microseconds noticeInterval = Milliseconds(200);
 
+    /// @param terminationGrace time from the decision to leave until the platform kills the process, if it does
+    explicit AgentDrain(std::optional<Microseconds> terminationGrace = std::nullopt);
+
     void onTerminate(SteadyTime now);
     void onRetired(SteadyTime now);
     /// Call with the state of this host in a host list, or nothing if the list lacks it.
@@ -42,7 +47,10 @@
     bool acceptsNewWork() const;
     /// Returns the connections on which to send the leaving notice now.
     std::vector<ConnectionId> takeNotices();
-    /// Whether nothing runs or can be admitted, and each entry process has acknowledged the notice or timed out.
+    /// True shortly before the kill: requests in progress must be ended.
+    bool mustEndWork() const;
+    /// Whether nothing runs or can be admitted, and each entry process has acknowledged the notice or timed out; or the
+    /// requests that had to be ended have had half of the margin to end.
     bool shouldExit() const;
 
 private:
@@ -54,10 +62,13 @@
 
     void queueDueNotices(SteadyTime now);
 
+    TerminationDeadline m_deadline;
     LeaveDecision m_decision;
     std::map<ConnectionId, Notice> m_notices;
     std::vector<ConnectionId> m_dueNotices;
     std::optional<std::uint64_t> m_finalRunningCount;
+    bool m_mustEndWork = false;
+    bool m_isOverdue = false;
 };
 
 } // namespace Cardamomhill
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -6,3 +6,4 @@
 #include "drain/entrydrain.h"
 #include "drain/leavedecision.h"
 #include "drain/leavereason.h"
+#include "drain/terminationdeadline.h"
--- a/src/drain/entrydrain.cpp
+++ b/src/drain/entrydrain.cpp
@@ -1,13 +1,11 @@
 #include "drain/entrydrain.h"
 
-#include <algorithm>
-
 namespace Cardamomhill
 {
 
 EntryDrain::EntryDrain(Microseconds gracePeriod, std::optional<Microseconds> terminationGrace)
     : m_gracePeriod(gracePeriod)
-    , m_terminationGrace(terminationGrace)
+    , m_deadline(terminationGrace)
 {
 }
 
@@ -39,21 +37,19 @@
         return;
     }
     m_isClosed = m_isClosed || elapsed(now) >= m_gracePeriod;
-    if (m_terminationGrace) {
-        m_mustEndCalls = m_mustEndCalls || elapsed(now) >= *m_terminationGrace - exitMargin();
-        m_isOverdue = m_isOverdue || elapsed(now) >= *m_terminationGrace - exitMargin() / 2;
-        m_isClosed = m_isClosed || m_mustEndCalls;
-    }
+    m_mustEndCalls = m_mustEndCalls || m_deadline.mustEnd(elapsed(now));
+    m_isOverdue = m_isOverdue || m_deadline.isOverdue(elapsed(now));
+    m_isClosed = m_isClosed || m_mustEndCalls;
 }
 
 bool EntryDrain::admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const
 {
-    if (!isLeaving() || !m_terminationGrace) {
+    const auto timeLeft = m_deadline.timeLeft(elapsed(now));
+    if (!isLeaving() || !timeLeft) {
         return true;
     }
-    const auto left = *m_terminationGrace - exitMargin() - elapsed(now);
     const bool acceptsNewCallers = elapsed(now) < m_gracePeriod - admissionMargin;
-    return limit <= left || (acceptsNewCallers && usual && *usual <= left);
+    return limit <= *timeLeft || (acceptsNewCallers && usual && *usual <= *timeLeft);
 }
 
 bool EntryDrain::isLeaving() const
@@ -91,9 +87,4 @@
     return isLeaving() ? std::chrono::duration_cast<Microseconds>(now - m_decision.since()) : Microseconds(0);
 }
 
-Microseconds EntryDrain::exitMargin() const
-{
-    return std::min(maxExitMargin, m_terminationGrace.value_or(maxExitMargin) / exitMarginDivisor);
-}
-
 } // namespace Cardamomhill
--- a/src/drain/entrydrain.h
+++ b/src/drain/entrydrain.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "drain/leavedecision.h"
+#include "drain/terminationdeadline.h"
 
 #include <cstdint>
 #include <optional>
@@ -14,10 +15,6 @@
 class EntryDrain
 {
 public:
-    /// How long before the kill the process ends what still runs, so that callers get an answer where one is possible.
-    static constexpr Microseconds maxExitMargin = Milliseconds(400);
-    /// The margin is at most the termination grace divided by this.
-    static constexpr int exitMarginDivisor = 8;
     /// How long before the end of the grace period only calls that must end in time are admitted, since a caller may
     /// have sent a call later than the process received it.
     static constexpr Microseconds admissionMargin = Milliseconds(100);
@@ -56,10 +53,8 @@
     Microseconds elapsed(SteadyTime now) const;
 
 private:
-    Microseconds exitMargin() const;
-
     Microseconds m_gracePeriod;
-    std::optional<Microseconds> m_terminationGrace;
+    TerminationDeadline m_deadline;
     LeaveDecision m_decision;
     bool m_isClosed = false;
     bool m_mustEndCalls = false;
--- a/tests/fleetstoptest.cpp
+++ b/tests/fleetstoptest.cpp
@@ -1,4 +1,5 @@
 #include "control/controladdress.h"
+#include "net/framedconnection.h"
 #include "net/httpclient.h"
 #include "net/httpclientconnection.h"
 #include "net/steadynow.h"
@@ -6,6 +7,7 @@
 #include "soak/freeendpoint.h"
 #include "standins/backendservice.h"
 #include "standins/objectplatform.h"
+#include "wire/message.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -18,6 +20,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <limits>
 #include <map>
 #include <sstream>
 
@@ -134,6 +137,18 @@
         co_return connection;
     }
 
+    /// Connects to the agent and introduces itself as an entry process. Messages of the agent are appended.
+    std::shared_ptr<FramedConnection> connectToAgent(std::vector<Message> &messages)
+    {
+        tcp::socket socket(m_context);
+        socket.connect(m_agentListen);
+        auto connection = std::make_shared<FramedConnection>(std::move(socket));
+        connection->start([&messages](Message message) { messages.push_back(std::move(message)); },
+                          [](const NetError &) {});
+        connection->send(Hello{"test", 1, 1});
+        return connection;
+    }
+
     tcp::socket connectSocket()
     {
         tcp::socket socket(m_context);
@@ -409,3 +424,97 @@
     CHECK(answers[Ok] <= 1);
     CHECK(answers[0] <= 1);
 }
+
+TEST_CASE("requests that still run shortly before the kill are ended by the agent, which tells the entry process")
+{
+    StoppedFleet fleet;
+    RequestResult stream;
+    RequestResult whole;
+    const auto askForWhole = [&]() -> Task<> {
+        auto connection = co_await fleet.connect();
+        whole = co_await fleet.generate(*connection, 80, false);
+    };
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await fleet.connect();
+        asio::co_spawn(co_await asio::this_coro::executor, askForWhole(), asio::detached);
+        asio::steady_timer stop(co_await asio::this_coro::executor, StepTime * 2);
+        stop.async_wait([&fleet](SystemError) { fleet.terminate(*fleet.agent); });
+        stream = co_await fleet.generate(*connection, 80, true);
+    };
+    fleet.run(scenario());
+    const auto log = fleet.log("agent");
+    CAPTURE(log);
+    CHECK_FALSE(fleet.wasKilled);
+    CHECK(stream.status == Ok);
+    CHECK_FALSE(stream.isComplete);
+    CHECK(stream.body.ends_with("\n\n"));
+    // It may be repeated, but there is no other server.
+    CHECK(whole.status == Unavailable);
+    CHECK(whole.isComplete);
+    CHECK(whole.body.find(R"("outcome":"unknown")") != std::string::npos);
+    CHECK(countOf(log, "event=ended-early") == 2);
+    CHECK(countOf(log, "event=exit reason=time-over") == 1);
+}
+
+TEST_CASE("an agent exits only when the entry processes know that it leaves, and refuses what they sent before")
+{
+    StoppedFleet fleet;
+    std::vector<Message> messages;
+    std::shared_ptr<FramedConnection> connection;
+    const auto scenario = [&]() -> Task<> {
+        connection = fleet.connectToAgent(messages);
+        co_await fleet.sleep(StepTime);
+        fleet.terminate(*fleet.agent);
+        co_await fleet.sleep(StepTime * 4);
+        Execute execute;
+        execute.attempt = 1;
+        execute.service = "chat";
+        execute.remainingMs = 1000;
+        connection->send(execute);
+        co_await fleet.sleep(StepTime);
+        connection->send(LeavingAcknowledged{1});
+    };
+    fleet.run(scenario());
+    CAPTURE(fleet.log("agent"));
+    const AttemptEnded *refusal = nullptr;
+    for (const auto &message : messages) {
+        const auto *ended = std::get_if<AttemptEnded>(&message);
+        refusal = ended != nullptr ? ended : refusal;
+    }
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->outcome == AttemptOutcome::NotRun);
+    CHECK(refusal->reason == AttemptReason::Leaving);
+    CHECK_FALSE(fleet.wasKilled);
+    CHECK(countOf(fleet.log("agent"), "event=exit reason=left") == 1);
+}
+
+TEST_CASE("an agent does not exit before an entry process has the whole of an answer")
+{
+    StoppedFleet fleet;
+    std::vector<Message> messages;
+    std::shared_ptr<FramedConnection> connection;
+    bool wasRunning = false;
+    const auto scenario = [&]() -> Task<> {
+        connection = fleet.connectToAgent(messages);
+        Execute execute;
+        execute.attempt = 1;
+        execute.service = "chat";
+        execute.method = "POST";
+        execute.target = "/generate";
+        execute.body = R"({"prompt":"a","tokens":1})";
+        execute.remainingMs = 1000;
+        connection->send(execute);
+        co_await fleet.sleep(StepTime / 2);
+        fleet.terminate(*fleet.agent);
+        co_await fleet.sleep(StepTime);
+        connection->send(LeavingAcknowledged{1});
+        co_await fleet.sleep(StepTime * 6);
+        wasRunning = !fleet.agent->hasEnded();
+        connection->send(Acknowledge{1, std::numeric_limits<std::uint64_t>::max()});
+    };
+    fleet.run(scenario());
+    CAPTURE(fleet.log("agent"));
+    CHECK(wasRunning);
+    CHECK_FALSE(fleet.wasKilled);
+    CHECK(countOf(fleet.log("agent"), "event=exit reason=left") == 1);
+}
