--- a/bench/configurationbench.cpp
+++ b/bench/configurationbench.cpp
@@ -110,7 +110,7 @@
     settings.failureDomain = FailureDomainId("domain-1");
     MetricsRegistry metrics;
     const double before = heapBytes();
-    TrafficThread thread(settings, 0, 1, metrics, {});
+    TrafficThread thread(settings, 0, 1, metrics, [](std::string_view) {});
     thread.apply(process->snapshot);
     const double bytes = heapBytes() - before;
     std::printf("traffic thread with %5lu servers: %8.2f MB, %6.0f B for each server\n",
--- a/bench/relay/relayfleet.h
+++ b/bench/relay/relayfleet.h
@@ -38,6 +38,7 @@
     static constexpr std::uint16_t FirstEnginePort = 28510;
     static constexpr std::uint16_t FirstEngineAgentPort = 28550;
     static constexpr const char *Token = "bench";
+    static constexpr Milliseconds TerminationGrace{30'000};
 
     static tcp::endpoint local(std::uint16_t port)
     {
@@ -46,8 +47,13 @@
 
     RelayFleet()
         : m_burst(m_burstContext)
-        , m_burstAgent(m_burstAgentContext, {BackendServerId("burst"), 1}, local(BurstPort), local(1), m_metrics)
-        , m_entry(settings(), 0, 1, m_metrics, {})
+        , m_burstAgent(m_burstAgentContext,
+                       {BackendServerId("burst"), 1},
+                       local(BurstPort),
+                       local(1),
+                       TerminationGrace,
+                       m_metrics)
+        , m_entry(settings(), 0, 1, m_metrics, [](std::string_view) {})
     {
         for (std::uint16_t i = 0; i < Engines; ++i) {
             m_engines.push_back(std::make_unique<BackendService>(m_engineContext, Milliseconds(33)));
@@ -56,6 +62,7 @@
                                               AgentServer::Identity{BackendServerId(engineName(i)), 1},
                                               local(static_cast<std::uint16_t>(FirstEnginePort + i)),
                                               local(1),
+                                              TerminationGrace,
                                               m_metrics));
         }
     }
