Parse all JSON from outside in one place that limits its depth

What callers saw: a machine that read an entry nested 100,000 deep ended with SIGSEGV, and again at each start, so all calls that it served were lost.

Cause: nlohmann::json parses without recursion but dumps, copies and compares with one call a level, and no place that parses limited the depth.

Change: parseJson() in core rejects texts nested deeper than 64 before it parses them, with a typed error that has a code and a position but nothing of the text, which may be 1 MB.

Measured: "a page with a deeply nested item is parsed or rejected without ending the process" (oddentriestest) ended with SIGSEGV before and passes now. parsejsontest (with a property over random brackets, quotes and bytes) passes.

--- a/src/agent/keyedexecutions.cpp
+++ b/src/agent/keyedexecutions.cpp
@@ -313,8 +313,7 @@
         m_handover->handleCallFailure(call.id, steadyNow());
         co_return;
     }
-    const auto json = nlohmann::json::parse(object.value().value, nullptr, false);
-    const auto table = SlotTable::fromJson(json, object.value().version);
+    const auto table = SlotTable::fromText(object.value().value, object.value().version);
     if (table.has_error()) {
         logEvent(LogLevel::Error, "slot-table-refused", {{"error", table.error().message()}});
         m_handover->handleCallFailure(call.id, steadyNow());
--- a/src/cli/objectcommand.cpp
+++ b/src/cli/objectcommand.cpp
@@ -6,6 +6,7 @@
 #include "config/configurationbuilder.h"
 #include "control/objectwriter.h"
 #include "control/platformclient.h"
+#include "core/parsejson.h"
 #include "net/address.h"
 #include "net/steadynow.h"
 
@@ -64,8 +65,8 @@
         return false;
     }
     const auto text = assignment.substr(equals + 1);
-    auto parsed = nlohmann::json::parse(text, nullptr, false);
-    value[assignment.substr(0, equals)] = parsed.is_discarded() ? nlohmann::json(text) : std::move(parsed);
+    auto parsed = parseJson(text);
+    value[assignment.substr(0, equals)] = parsed.has_value() ? std::move(parsed.value()) : nlohmann::json(text);
     return true;
 }
 
@@ -75,11 +76,12 @@
 {
     if (!options.valueFile.empty()) {
         const auto text = readFile(options.valueFile);
-        value = text ? nlohmann::json::parse(*text, nullptr, false) : nlohmann::json();
-        if (!value.is_object()) {
+        auto parsed = parseJson(text.value_or(std::string()));
+        if (parsed.has_error() || !parsed.value().is_object()) {
             std::cerr << options.valueFile << ": cannot be read or is not a JSON object\n";
             return std::nullopt;
         }
+        value = std::move(parsed.value());
     }
     for (const auto &assignment : options.assignments) {
         if (!assign(value, assignment)) {
@@ -139,7 +141,8 @@
         }
         auto value = nlohmann::json::object();
         if (!object.value().retired) {
-            value = nlohmann::json::parse(object.value().value);
+            // Was parsed and encoded by toVersionedObject().
+            value = parseJson(object.value().value).value();
         }
         co_return co_await write(std::move(value), base);
     }
--- a/src/cli/slotscommand.cpp
+++ b/src/cli/slotscommand.cpp
@@ -59,8 +59,7 @@
         if (object.has_error()) {
             co_return fail(object.error().message());
         }
-        const auto json = nlohmann::json::parse(object.value().value, nullptr, false);
-        const auto table = SlotTable::fromJson(json, object.value().version);
+        const auto table = SlotTable::fromText(object.value().value, object.value().version);
         if (table.has_error()) {
             co_return fail(table.error().message());
         }
@@ -128,8 +127,7 @@
         if (object.has_error()) {
             co_return fail("the write may or may not have taken effect: " + object.error().message());
         }
-        const auto json = nlohmann::json::parse(object.value().value, nullptr, false);
-        const auto table = SlotTable::fromJson(json, object.value().version);
+        const auto table = SlotTable::fromText(object.value().value, object.value().version);
         if (table.has_error()) {
             co_return fail(table.error().message());
         }
--- a/src/config/objectreader.cpp
+++ b/src/config/objectreader.cpp
@@ -1,6 +1,7 @@
 #include "config/objectreader.h"
 
 #include "config/objectname.h"
+#include "core/parsejson.h"
 
 namespace Cardamomhill::internal
 {
@@ -18,14 +19,15 @@
 
 ObjectReader::ObjectReader(const std::string &kind, const std::string &name, std::string_view json)
     : m_object(kind + "/" + name)
-    , m_value(nlohmann::json::parse(json, nullptr, false))
 {
     if (!isValidObjectName(name)) {
         addError(ConfigErrorCode::InvalidName, "", std::string(AcceptedObjectNames));
     }
-    if (!m_value.is_object()) {
+    auto parsed = parseJson(json);
+    if (parsed.has_value() && parsed.value().is_object()) {
+        m_value = std::move(parsed.value());
+    } else {
         addError(ConfigErrorCode::MalformedJson, "", "a JSON object");
-        m_value = nlohmann::json::object();
     }
     // Fields of every object, written by conditional updates or to retire it; not part of the configuration itself.
     m_knownFields = {"operation", "previousOperations", "retired"};
--- a/src/config/objectreader.h
+++ b/src/config/objectreader.h
@@ -66,7 +66,7 @@
     void reportUnknownFields();
 
     std::string m_object;
-    nlohmann::json m_value;
+    nlohmann::json m_value = nlohmann::json::object();
     std::set<std::string> m_knownFields;
     ConfigErrors m_errors;
 };
--- a/src/control/defaultobjectapi.cpp
+++ b/src/control/defaultobjectapi.cpp
@@ -1,9 +1,8 @@
 #include "control/defaultobjectapi.h"
 
+#include "core/parsejson.h"
 #include "net/httpclient.h"
 
-#include <nlohmann/json.hpp>
-
 namespace Cardamomhill
 {
 
@@ -80,8 +79,12 @@
 Result<PlatformObject, PlatformCallError> DefaultObjectApi::parseObject(const ObjectKey & /*key*/,
                                                                         const std::string &body) const
 {
+    const auto json = parseJson(body);
+    if (json.has_error()) {
+        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, json.error().message()});
+    }
     try {
-        return objectOf(nlohmann::json::parse(body));
+        return objectOf(json.value());
     } catch (const nlohmann::json::exception &error) {
         return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
     }
@@ -90,8 +93,12 @@
 Result<ObjectPage, PlatformCallError> DefaultObjectApi::parsePage(const std::string & /*kind*/,
                                                                   const std::string &body) const
 {
+    const auto parsed = parseJson(body);
+    if (parsed.has_error()) {
+        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, parsed.error().message()});
+    }
     try {
-        const auto json = nlohmann::json::parse(body);
+        const auto &json = parsed.value();
         ObjectPage page;
         page.revision = json.at("revision").get<std::uint64_t>();
         for (const auto &object : json.at("objects")) {
--- a/src/execution/slottable.cpp
+++ b/src/execution/slottable.cpp
@@ -1,5 +1,7 @@
 #include "execution/slottable.h"
 
+#include "core/parsejson.h"
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -178,12 +180,22 @@
     return table;
 }
 
+Result<SlotTable, SlotTableError> SlotTable::fromText(std::string_view text, std::uint64_t version)
+{
+    const auto value = parseJson(text);
+    if (value.has_error()) {
+        return failure(errorAt(SlotTableErrorCode::NotAnObject, ""));
+    }
+    return fromJson(value.value(), version);
+}
+
 Result<SlotTable, SlotTableError> SlotTable::fromExchangedJson(std::string_view json)
 {
-    auto value = nlohmann::json::parse(json, nullptr, false);
-    if (!value.is_object()) {
+    auto parsed = parseJson(json);
+    if (parsed.has_error() || !parsed.value().is_object()) {
         return failure(errorAt(SlotTableErrorCode::NotAnObject, ""));
     }
+    auto &value = parsed.value();
     value["operation"] = "copy";
     value["previousOperations"] = nlohmann::json::array();
     return fromJson(value, 0);
--- a/src/execution/slottable.h
+++ b/src/execution/slottable.h
@@ -27,6 +27,9 @@
     /// Reads the value of the platform object. Unknown fields are an error, since rewriting the table would lose them.
     static Result<SlotTable, SlotTableError> fromJson(const nlohmann::json &value, std::uint64_t version);
 
+    /// The same for the text of that value.
+    static Result<SlotTable, SlotTableError> fromText(std::string_view text, std::uint64_t version);
+
     /// Reads a copy that processes exchange. It lacks the fields `operation` and `previousOperations`, which only
     /// writers need, and it has no version, so it is never the base of a write.
     static Result<SlotTable, SlotTableError> fromExchangedJson(std::string_view json);
--- a/src/objectstore/conditionalwriter.cpp
+++ b/src/objectstore/conditionalwriter.cpp
@@ -1,11 +1,10 @@
 #include "objectstore/conditionalwriter.h"
 
+#include "core/parsejson.h"
 #include "objectstore/operationhistory.h"
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 namespace Cardamomhill
 {
 
@@ -26,10 +25,11 @@
 
 Result<ConditionalWriter, PlatformError> ConditionalWriter::create(ConditionalChange change, SteadyTime deadline)
 {
-    auto value = nlohmann::json::parse(change.value, nullptr, false);
-    if (!value.is_object()) {
+    auto parsed = parseJson(change.value);
+    if (parsed.has_error() || !parsed.value().is_object()) {
         return failure(makeError(PlatformErrorCode::NotAnObject, change, "the new value is not a JSON object"));
     }
+    auto &value = parsed.value();
     if (change.operation.empty()) {
         return failure(makeError(PlatformErrorCode::ReservedField, change, "the operation id is empty"));
     }
--- a/src/objectstore/operationhistory.cpp
+++ b/src/objectstore/operationhistory.cpp
@@ -1,8 +1,9 @@
 #include "objectstore/operationhistory.h"
 
-#include <algorithm>
+#include "core/jsonfield.h"
+#include "core/parsejson.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 
 namespace Cardamomhill
 {
@@ -17,20 +18,15 @@
     return operation.rfind(VersionPrefix, 0) == 0;
 }
 
-std::string stringField(const nlohmann::json &value, const char *name)
-{
-    const auto field = value.find(name);
-    return field != value.end() && field->is_string() ? field->get<std::string>() : std::string();
-}
-
 } // namespace
 
 OperationHistory OperationHistory::fromObject(const PlatformObject &object)
 {
     OperationHistory history;
-    const auto value = nlohmann::json::parse(object.value, nullptr, false);
-    if (value.is_object()) {
-        history.m_current = stringField(value, OperationField);
+    const auto parsed = parseJson(object.value);
+    if (parsed.has_value() && parsed.value().is_object()) {
+        const auto &value = parsed.value();
+        history.m_current = jsonString(value, OperationField);
         const auto previous = value.find(PreviousOperationsField);
         if (!history.m_current.empty() && previous != value.end() && previous->is_array()) {
             for (const auto &operation : *previous) {
--- a/src/objectstore/platformobject.cpp
+++ b/src/objectstore/platformobject.cpp
@@ -1,18 +1,18 @@
 #include "objectstore/platformobject.h"
 
+#include "core/parsejson.h"
 #include "objectstore/operationhistory.h"
 
-#include <nlohmann/json.hpp>
-
 namespace Cardamomhill
 {
 
 Result<VersionedObject, PlatformError> toVersionedObject(const PlatformObject &object)
 {
-    auto value = nlohmann::json::parse(object.value, nullptr, false);
-    if (!value.is_object()) {
+    auto parsed = parseJson(object.value);
+    if (parsed.has_error() || !parsed.value().is_object()) {
         return failure(PlatformError{PlatformErrorCode::NotAnObject, object.key, "the value is not a JSON object"});
     }
+    auto &value = parsed.value();
     const auto retired = value.find("retired");
     if (retired != value.end() && !retired->is_boolean()) {
         return failure(
