Read the own kinds of the store although a field has another type

One registered host whose address is a number, or one lease whose host is a number, left by another writer, and the machine lists no hosts or coordinates no group any more until it is started again.

Cause: nlohmann::json::value() returns its default only for a missing field and throws for one of another type. The exception ended the coroutine that follows the kind. The body of a request for a key was read in the same way.

Change: jsonString() returns an empty string in both cases. Registered hosts, leases and that body are read with it, and parsed by parseJson().

The body of a request for a key has no test.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -1,6 +1,8 @@
 #include "control/hostdirectory.h"
 
 #include "control/controladdress.h"
+#include "core/jsonfield.h"
+#include "core/parsejson.h"
 #include "logging/logging.h"
 #include "net/address.h"
 #include "net/spawn.h"
@@ -103,7 +105,9 @@
         if (present.has_error()) {
             co_return false;
         }
-        if (present.value().value == value) {
+        const auto presentValue = parseJson(present.value().value);
+        if (presentValue.has_value()
+            && jsonString(presentValue.value(), "address") == controlAddress(m_address).value()) {
             co_return true;
         }
         written = co_await m_client.write(key, present.value().version, value);
@@ -124,8 +128,8 @@
     m_availability.onSuccess();
     std::vector<tcp::endpoint> hosts;
     for (const auto &object : page.value().objects) {
-        const auto value = nlohmann::json::parse(object.value, nullptr, false);
-        const auto address = value.is_object() ? parseAddress(value.value("address", std::string())) : std::nullopt;
+        const auto value = parseJson(object.value);
+        const auto address = value.has_value() ? parseAddress(jsonString(value.value(), "address")) : std::nullopt;
         if (address && *address != m_address) {
             hosts.push_back(*address);
         }
--- a/src/coordinator/groupcoordinatormanager.cpp
+++ b/src/coordinator/groupcoordinatormanager.cpp
@@ -2,6 +2,8 @@
 
 #include "coordinator/groupcoordinator.h"
 #include "core/joinwithcommas.h"
+#include "core/jsonfield.h"
+#include "core/parsejson.h"
 #include "logging/logging.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
@@ -33,10 +35,10 @@
 {
     LeaseRecord record;
     record.version = object.version;
-    const auto value = nlohmann::json::parse(object.value, nullptr, false);
-    if (value.is_object()) {
-        record.host = value.value("host", std::string());
-        record.incarnation = value.value("incarnation", std::string());
+    const auto value = parseJson(object.value);
+    if (value.has_value()) {
+        record.host = jsonString(value.value(), "host");
+        record.incarnation = jsonString(value.value(), "incarnation");
     }
     return record;
 }
--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -4,6 +4,8 @@
 #include "config/organisation.h"
 #include "config/profile.h"
 #include "config/service.h"
+#include "core/jsonfield.h"
+#include "core/parsejson.h"
 #include "entry/agentlink.h"
 #include "entry/attemptchannel.h"
 #include "entry/attemptproblem.h"
@@ -146,8 +148,8 @@
         co_await refuse({ProblemKind::TokenInvalid, 401, "not-sent", "no organisation has this bearer token", {}});
         co_return;
     }
-    const auto body = nlohmann::json::parse(m_exchange.request().body(), nullptr, false);
-    const auto name = body.is_object() ? body.value("service", std::string()) : std::string();
+    const auto body = parseJson(m_exchange.request().body());
+    const auto name = body.has_value() ? jsonString(body.value(), "service") : std::string();
     if (configuration->service(ServiceId(name)) == nullptr) {
         co_await refuse({ProblemKind::ServiceUnknown, 404, "not-sent", R"(the body is {"service": "<name>"})", {}});
         co_return;
--- a/tests/groupcoordinatormanagertest.cpp
+++ b/tests/groupcoordinatormanagertest.cpp
@@ -161,3 +161,12 @@
     host.context.run_for(Milliseconds(1200));
     CHECK(host.holder() == "host-a");
 }
+
+TEST_CASE("a lease whose fields have other types, left by another writer, does not end the coordination")
+{
+    Host host;
+    host.store.put(LeaseKind, Group, {{"host", 7}, {"incarnation", nlohmann::json::array()}});
+    // A lease that is not renewed is acquired after some seconds.
+    host.context.run_for(Seconds(13));
+    CHECK(host.holder() == "host-a");
+}
