Split a page of the store into its items before parsing them

What callers saw: while another writer's entry with a number like 1e999, bytes that aren't UTF-8, half of a surrogate pair or a cut-off text was among the servers, a running machine followed nothing more, and one that started never served.

Cause: a page, whose items come from several writers, was parsed as one document that fails as a whole.

Change: splitPage() finds the texts of the items by their structure (brackets, commas, colons and quotes), without parsing or recursion. Where the structure of an item is broken, the next one begins at a bracket that a member's name follows, and the end of the array is where the rest of the page can be parsed. The name and revision of an item are parsed by themselves, and its spec is kept as written, so that only the object's user meets what cannot be parsed, also behind a relay. An item without a readable name is left out, logged (objects-unreadable) and counted (objects_unreadable_total). The default object API does the same. A page without any name that has a successor fails, instead of ending the list early. The stand-in store can keep raw bytes and returns them unchanged.

--- a/src/control/defaultobjectapi.cpp
+++ b/src/control/defaultobjectapi.cpp
@@ -1,6 +1,9 @@
 #include "control/defaultobjectapi.h"
 
+#include "core/jsonpage.h"
+#include "core/jsonstructure.h"
 #include "core/parsejson.h"
+#include "core/wholenumber.h"
 #include "net/httpclient.h"
 
 namespace Cardamomhill
@@ -14,13 +17,29 @@
     return "/objects/" + key.kind + "/" + key.name;
 }
 
-PlatformObject objectOf(const nlohmann::json &json)
+/// The object in a text whose value may be unreadable; nothing if another member is.
+std::optional<PlatformObject> objectOf(std::string_view text)
 {
-    PlatformObject object;
-    object.key = {json.at("kind").get<std::string>(), json.at("name").get<std::string>()};
-    object.version = json.at("version").get<std::uint64_t>();
-    object.value = json.at("value").dump();
-    return object;
+    const auto members = membersOf(text);
+    const auto kind = parseJson(members.value("kind"));
+    const auto name = parseJson(members.value("name"));
+    const auto version = parseJson(members.value("version"));
+    if (kind.has_error() || name.has_error() || version.has_error() || !kind.value().is_string()
+        || !name.value().is_string()) {
+        return std::nullopt;
+    }
+    const auto number = wholeNumber<std::uint64_t>(version.value());
+    if (!number) {
+        return std::nullopt;
+    }
+    const auto value = members.isWhole ? members.value("value") : std::string_view();
+    return PlatformObject{
+        {kind.value().get<std::string>(), name.value().get<std::string>()}, *number, std::string(value)};
+}
+
+PlatformCallError malformed(const std::string &cause)
+{
+    return {PlatformCallErrorCode::MalformedAnswer, cause};
 }
 
 } // namespace
@@ -79,35 +98,38 @@
 Result<PlatformObject, PlatformCallError> DefaultObjectApi::parseObject(const ObjectKey & /*key*/,
                                                                         const std::string &body) const
 {
-    const auto json = parseJson(body);
-    if (json.has_error()) {
-        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, json.error().message()});
-    }
-    try {
-        return objectOf(json.value());
-    } catch (const nlohmann::json::exception &error) {
-        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
+    auto object = objectOf(body);
+    if (!object) {
+        return failure(malformed("no kind, name or version"));
     }
+    return std::move(*object);
 }
 
 Result<ObjectPage, PlatformCallError> DefaultObjectApi::parsePage(const std::string & /*kind*/,
                                                                   const std::string &body) const
 {
-    const auto parsed = parseJson(body);
-    if (parsed.has_error()) {
-        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, parsed.error().message()});
+    static const JsonPageNames Names{{"objects"}, {"kind", "name", "value", "version"}};
+    const auto split = splitPage(body, Names);
+    if (split.has_error()) {
+        return failure(malformed(split.error().message()));
+    }
+    const auto &envelope = split.value().envelope;
+    const auto revision
+        = envelope.contains("revision") ? wholeNumber<std::uint64_t>(envelope["revision"]) : std::nullopt;
+    if (!revision) {
+        return failure(malformed("no revision"));
     }
-    try {
-        const auto &json = parsed.value();
-        ObjectPage page;
-        page.revision = json.at("revision").get<std::uint64_t>();
-        for (const auto &object : json.at("objects")) {
-            page.objects.push_back(objectOf(object));
+    ObjectPage page;
+    page.revision = *revision;
+    for (const auto element : split.value().elements) {
+        auto object = objectOf(element);
+        if (object) {
+            page.objects.push_back(std::move(*object));
+        } else {
+            ++page.unreadableCount;
         }
-        return page;
-    } catch (const nlohmann::json::exception &error) {
-        return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, error.what()});
     }
+    return page;
 }
 
 } // namespace Cardamomhill
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -1,6 +1,7 @@
 #include "control/platformclient.h"
 
 #include "control/defaultobjectapi.h"
+#include "logging/logging.h"
 
 namespace Cardamomhill
 {
@@ -45,7 +46,12 @@
         }
         // The first page's revision is kept, so that a watch from it also reports changes made between two pages.
         all.revision = after.empty() ? page.value().revision : all.revision;
-        all.hasMore = page.value().hasMore && !page.value().objects.empty();
+        all.hasMore = page.value().hasMore;
+        all.unreadableCount += page.value().unreadableCount;
+        if (all.hasMore && page.value().objects.empty()) {
+            // Without a name the next page cannot be requested, and a list that ends here would be incomplete.
+            co_return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, "a page without names"});
+        }
         for (auto &object : page.value().objects) {
             after = object.key.name;
             all.objects.push_back(std::move(object));
@@ -95,7 +101,16 @@
     if (body.has_error()) {
         co_return failure(body.error());
     }
-    co_return m_codec->parsePage(kind, body.value());
+    auto page = m_codec->parsePage(kind, body.value());
+    if (page.has_value() && page.value().unreadableCount > 0) {
+        logEvent(LogLevel::Warning,
+                 "objects-unreadable",
+                 {{"kind", kind},
+                  {"count", page.value().unreadableCount},
+                  {"revision", page.value().revision},
+                  {"cause", "no readable name"}});
+    }
+    co_return page;
 }
 
 Task<Result<std::string, PlatformCallError>> PlatformClient::call(HttpRequest request, Milliseconds timeout)
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -9,6 +9,8 @@
 #include "core/joinwithcommas.h"
 #include "core/jsonerror.h"
 #include "core/jsonfield.h"
+#include "core/jsonpage.h"
+#include "core/jsonstructure.h"
 #include "core/loadreport.h"
 #include "core/memberstate.h"
 #include "core/nametable.h"
@@ -16,3 +18,4 @@
 #include "core/parsenumber.h"
 #include "core/random.h"
 #include "core/result.h"
+#include "core/wholenumber.h"
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -93,8 +93,14 @@
     return m_serverRegistry.size();
 }
 
+void GatewayControl::countUnreadable(const ObjectPage &page)
+{
+    m_metrics.counter("objects_unreadable_total").add(page.unreadableCount);
+}
+
 void GatewayControl::applyConfiguration(const ObjectPage &page)
 {
+    countUnreadable(page);
     for (const auto &object : page.objects) {
         if (object.key.name != m_codec.configurationName()) {
             continue;
@@ -140,6 +146,7 @@
 
 std::vector<DiscoveredServer> GatewayControl::readServers(const ObjectPage &page)
 {
+    countUnreadable(page);
     std::vector<DiscoveredServer> servers;
     for (const auto &object : page.objects) {
         auto server = m_codec.parseServer(object);
--- a/src/gateway/gatewaycontrol.h
+++ b/src/gateway/gatewaycontrol.h
@@ -47,6 +47,8 @@
     std::size_t serverCount() const;
 
 private:
+    /// Counts objects that were left out of a page; PlatformClient logs them.
+    void countUnreadable(const ObjectPage &page);
     void applyConfiguration(const ObjectPage &page);
     void replaceServers(const ObjectPage &page);
     void updateServers(const ObjectPage &page);
--- a/src/objectstore/objectpage.h
+++ b/src/objectstore/objectpage.h
@@ -2,6 +2,7 @@
 
 #include "objectstore/platformobject.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
     std::vector<std::string> removed;
     /// The list is incomplete: more objects follow the last one.
     bool hasMore = false;
+    /// Number of objects or events that were left out because their names cannot be read.
+    std::size_t unreadableCount = 0;
 
     /// Adds the next change in the store's order; it replaces an earlier change of the same object.
     void addChanged(PlatformObject object);
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -1,5 +1,6 @@
 #include "standins/platformstore.h"
 
+#include "core/parsejson.h"
 #include "net/httpexchange.h"
 #include "net/steadynow.h"
 
@@ -37,19 +38,24 @@
     return {{"error", error}};
 }
 
-nlohmann::json listJson(const nlohmann::json &items, std::uint64_t revision)
+nlohmann::json metadataJson(const std::string &name, std::uint64_t revision)
 {
-    return {{"items", items}, {"has-more", false}, {"store-revision", revision}};
+    return {{"name", name}, {"mod-revision", revision}};
 }
 
-nlohmann::json eventsJson(const nlohmann::json &events, std::uint64_t revision)
+/// Elements are joined as texts, since some of them cannot be parsed.
+std::string pageText(const char *array, const std::vector<std::string> &elements, std::uint64_t revision)
 {
-    return {{"events", events}, {"store-revision", revision}};
+    std::string text = std::string("{\"") + array + "\":[";
+    for (const auto &element : elements) {
+        text += (text.back() == '[' ? "" : ",") + element;
+    }
+    return text + "],\"has-more\":false,\"store-revision\":" + std::to_string(revision) + "}";
 }
 
-nlohmann::json objectJson(const std::string &name, std::uint64_t revision, const nlohmann::json &spec)
+std::string objectText(const std::string &name, std::uint64_t revision, const std::string &spec)
 {
-    return {{"metadata", {{"name", name}, {"mod-revision", revision}}}, {"spec", spec}};
+    return R"({"metadata":)" + metadataJson(name, revision).dump() + R"(,"spec":)" + spec + "}";
 }
 
 } // namespace
@@ -72,23 +78,33 @@
 }
 
 void PlatformStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
+{
+    putRaw(kind, name, spec.dump());
+}
+
+void PlatformStore::putRaw(const std::string &kind, const std::string &name, const std::string &spec)
+{
+    putRawItem(kind, name, objectText(name, m_revision + 1, spec));
+}
+
+void PlatformStore::putRawItem(const std::string &kind, const std::string &name, const std::string &item)
 {
     const Key key{kind, name};
-    m_objects[key] = objectJson(name, m_revision + 1, spec);
-    recordChange(key, m_objects[key], false);
+    m_objects[key] = {m_revision + 1, item};
+    recordChange(key, item, false);
 }
 
 void PlatformStore::remove(const std::string &kind, const std::string &name)
 {
     const Key key{kind, name};
-    const Json object = m_objects.at(key);
+    const auto text = m_objects.at(key).text;
     m_objects.erase(key);
-    recordChange(key, object, true);
+    recordChange(key, text, true);
 }
 
 nlohmann::json PlatformStore::object(const std::string &kind, const std::string &name) const
 {
-    return m_objects.at({kind, name});
+    return Json::parse(m_objects.at({kind, name}).text);
 }
 
 std::uint64_t PlatformStore::callCount() const
@@ -102,6 +118,11 @@
     co_await exchange.sendAnswer(status, "application/json", body);
 }
 
+Task<> PlatformStore::sendText(HttpExchange &exchange, unsigned status, const std::string &body)
+{
+    co_await exchange.sendAnswer(status, "application/json", body);
+}
+
 Task<> PlatformStore::answer(HttpExchange &exchange)
 {
     const std::string target(exchange.request().target());
@@ -114,6 +135,10 @@
         co_await answerFaults(exchange);
         co_return;
     }
+    if (path.starts_with("/raw")) {
+        co_await answerRaw(exchange, path);
+        co_return;
+    }
     ++m_calls;
     if (m_isDown) {
         co_await send(exchange, Unavailable, errorJson("down"));
@@ -134,13 +159,28 @@
     } else if (found == m_objects.end()) {
         co_await send(exchange, NotFound, errorJson("no such object"));
     } else if (method == "DELETE") {
-        const Json object = found->second;
+        const auto text = found->second.text;
         remove(key.first, key.second);
-        co_await send(exchange, Ok, object);
+        co_await sendText(exchange, Ok, text);
+    } else {
+        const auto text = found->second.text;
+        co_await sendText(exchange, Ok, text);
+    }
+}
+
+Task<> PlatformStore::answerRaw(HttpExchange &exchange, const std::string &path)
+{
+    const auto kindStart = path.find('/', 1) + 1;
+    const auto nameStart = path.find('/', kindStart) + 1;
+    const auto kind = path.substr(kindStart, nameStart - kindStart - 1);
+    const auto name = path.substr(nameStart);
+    if (path.starts_with("/raw-item/")) {
+        putRawItem(kind, name, exchange.request().body());
     } else {
-        const Json object = found->second;
-        co_await send(exchange, Ok, object);
+        putRaw(kind, name, exchange.request().body());
     }
+    const std::string done = "{}";
+    co_await sendText(exchange, Ok, done);
 }
 
 Task<> PlatformStore::answerKind(HttpExchange &exchange, const std::string &kind, const std::string &query)
@@ -152,65 +192,66 @@
         co_await answerWatch(exchange, kind, since, wait);
         co_return;
     }
-    Json items = Json::array();
+    std::vector<std::string> items;
     for (const auto &[key, object] : m_objects) {
         if (key.first == kind) {
-            items.push_back(object);
+            items.push_back(object.text);
         }
     }
-    const Json page = listJson(items, m_revision);
-    co_await send(exchange, Ok, page);
+    const auto page = pageText("items", items, m_revision);
+    co_await sendText(exchange, Ok, page);
 }
 
 Task<> PlatformStore::answerWatch(HttpExchange &exchange, std::string kind, std::uint64_t since, Milliseconds wait)
 {
     const auto end = steadyNow() + wait;
     const auto watchCutsBefore = m_watchCuts;
-    Json events = eventsSince(kind, since);
+    auto events = eventsSince(kind, since);
     while (events.empty() && steadyNow() < end && since >= m_oldestWatchRevision && !m_isDown
            && m_watchCuts == watchCutsBefore) {
         Notification notification(m_context);
         const auto position = m_openWatches.insert(m_openWatches.end(), &notification);
         co_await notification.waitUntil(end);
         m_openWatches.erase(position);
-        events = m_isMute ? Json::array() : eventsSince(kind, since);
+        events = m_isMute ? std::vector<std::string>() : eventsSince(kind, since);
     }
     if (m_isDown || m_watchCuts != watchCutsBefore) {
         exchange.abort();
     } else if (since < m_oldestWatchRevision) {
         co_await send(exchange, Gone, errorJson("history"));
     } else {
-        const Json page = eventsJson(events, m_revision);
-        co_await send(exchange, Ok, page);
+        const auto page = pageText("events", events, m_revision);
+        co_await sendText(exchange, Ok, page);
     }
 }
 
 Task<> PlatformStore::answerWrite(HttpExchange &exchange, const Key &key, bool creates)
 {
-    const auto body = Json::parse(exchange.request().body(), nullptr, false);
-    if (!body.is_object() || !body.contains("spec")) {
+    const auto parsed = parseJson(exchange.request().body());
+    if (parsed.has_error() || !parsed.value().is_object() || !parsed.value().contains("spec")) {
         co_await send(exchange, BadRequest, errorJson("not an object with a spec"));
         co_return;
     }
+    const auto &body = parsed.value();
     const Json metadata = body.value("metadata", Json::object());
     const Key named{key.first, creates ? metadata.value("name", key.second) : key.second};
     const auto found = m_objects.find(named);
     const bool exists = found != m_objects.end();
-    const std::uint64_t currentRevision = exists ? found->second["metadata"]["mod-revision"].get<std::uint64_t>() : 0;
+    const std::uint64_t currentRevision = exists ? found->second.revision : 0;
     const auto expected = metadata.value("mod-revision", currentRevision);
     if ((creates && exists) || expected != currentRevision) {
-        const Json object = exists ? found->second : errorJson("no such object");
-        co_await send(exchange, Conflict, object);
+        const auto text = exists ? found->second.text : errorJson("no such object").dump();
+        co_await sendText(exchange, Conflict, text);
         co_return;
     }
     put(named.first, named.second, body["spec"]);
-    const Json object = m_objects.at(named);
+    const auto text = m_objects.at(named).text;
     if (m_writesToLose > 0) {
         --m_writesToLose;
         exchange.abort();
         co_return;
     }
-    co_await send(exchange, Ok, object);
+    co_await sendText(exchange, Ok, text);
 }
 
 Task<> PlatformStore::answerFaults(HttpExchange &exchange)
@@ -242,9 +283,9 @@
     }
 }
 
-PlatformStore::Json PlatformStore::eventsSince(const std::string &kind, std::uint64_t since) const
+std::vector<std::string> PlatformStore::eventsSince(const std::string &kind, std::uint64_t since) const
 {
-    Json events = Json::array();
+    std::vector<std::string> events;
     for (const auto &change : m_history) {
         if (change.kind == kind && change.revision > since) {
             events.push_back(change.event);
@@ -253,10 +294,11 @@
     return events;
 }
 
-void PlatformStore::recordChange(const Key &key, Json object, bool removed)
+void PlatformStore::recordChange(const Key &key, const std::string &object, bool removed)
 {
     ++m_revision;
-    m_history.push_back({m_revision, key.first, Json{{"removed", removed}, {"object", std::move(object)}}});
+    const std::string event = R"({"object":)" + object + R"(,"removed":)" + (removed ? "true" : "false") + "}";
+    m_history.push_back({m_revision, key.first, event});
     notifyWatches();
 }
 
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -22,7 +23,8 @@
 /// takes "down" (requests get 503, open watches are closed), "lose_writes" (this many writes are applied but get no
 /// answer), "drop_history" (a watch from an earlier revision gets 410), "mute" (open watches receive no events),
 /// "forget" (a watch that resumes misses earlier events without an error) and "cut_watches" (closes the connections of
-/// open watches).
+/// open watches). PUT /raw/KIND/NAME stores the body as the spec of an object, and PUT /raw-item/KIND/NAME as the whole
+/// object, without parsing them, as another writer may leave them.
 class PlatformStore
 {
 public:
@@ -33,6 +35,10 @@
     void setDown(bool isDown);
     /// Creates or replaces an object, whatever its revision is.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    /// The same with the bytes of the spec as they are, which need not be JSON. Answers contain them unchanged.
+    void putRaw(const std::string &kind, const std::string &name, const std::string &spec);
+    /// The same for a whole item, which need not have a readable name.
+    void putRawItem(const std::string &kind, const std::string &name, const std::string &item);
     void remove(const std::string &kind, const std::string &name);
     /// An object with its metadata and spec.
     nlohmann::json object(const std::string &kind, const std::string &name) const;
@@ -43,10 +49,16 @@
     using Json = nlohmann::json;
     using Key = std::pair<std::string, std::string>;
 
+    struct Object {
+        std::uint64_t revision = 0;
+        /// Encoded, with its metadata.
+        std::string text;
+    };
+
     struct Change {
         std::uint64_t revision = 0;
         std::string kind;
-        Json event;
+        std::string event;
     };
 
     Task<> answer(HttpExchange &exchange);
@@ -54,14 +66,16 @@
     Task<> answerWatch(HttpExchange &exchange, std::string kind, std::uint64_t since, Milliseconds wait);
     Task<> answerWrite(HttpExchange &exchange, const Key &key, bool creates);
     Task<> answerFaults(HttpExchange &exchange);
+    Task<> answerRaw(HttpExchange &exchange, const std::string &path);
     Task<> send(HttpExchange &exchange, unsigned status, const Json &json);
+    Task<> sendText(HttpExchange &exchange, unsigned status, const std::string &body);
     void notifyWatches();
-    Json eventsSince(const std::string &kind, std::uint64_t since) const;
-    void recordChange(const Key &key, Json object, bool removed);
+    std::vector<std::string> eventsSince(const std::string &kind, std::uint64_t since) const;
+    void recordChange(const Key &key, const std::string &object, bool removed);
 
     asio::io_context &m_context;
     HttpServer m_server;
-    std::map<Key, Json> m_objects;
+    std::map<Key, Object> m_objects;
     std::deque<Change> m_history;
     std::list<Notification *> m_openWatches;
     std::uint64_t m_revision = 1;
--- a/tests/storerelaytest.cpp
+++ b/tests/storerelaytest.cpp
@@ -297,3 +297,28 @@
     });
     CHECK(neverThrows);
 }
+
+TEST_CASE("hosts that follow a relay, and the relays, go on following beside unreadable entries")
+{
+    Domain domain(10);
+    domain.announceHosts();
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    int count = 0;
+    for (const std::string &odd : {deep, std::string("1e999"), std::string("\"\xff\""), std::string(R"({"a":"b)")}) {
+        domain.store.putRaw(Kind, "odd-" + std::to_string(count), odd);
+        domain.run(SettlingTime);
+        const auto name = "server-" + std::to_string(++count);
+        domain.store.put(Kind, name, {{"port", 1}});
+        domain.run(SettlingTime);
+        for (const auto &host : domain.hosts) {
+            CHECK(host->versions.contains(name));
+        }
+    }
+    domain.store.putRawItem(Kind, "nameless", R"({"metadata":7,"spec":{}})");
+    domain.store.put(Kind, "last", {{"port", 1}});
+    domain.run(SettlingTime);
+    for (const auto &host : domain.hosts) {
+        CHECK(host->versions.contains("last"));
+        CHECK(host->hasContact);
+    }
+}
