Stop using a server whose entry becomes one that names no server

What callers saw: nothing reported. A server whose entry another writer replaced by an unreadable one stayed in use with what its earlier entry said until the next list, while a machine that listed just then didn't use it.

Cause: updateServers() ignored a rejected registration, so the earlier one stayed; a list left it out.

Change: a rejected registration removes the server of its name at once, in lists and watches alike, and without the grace period that a missing registration may have after an outage of the store.

--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -155,6 +155,8 @@
         } else {
             logEvent(LogLevel::Warning, "registration-rejected", {{"error", server.error().message()}});
             m_metrics.counter("registrations_rejected_total").add();
+            // In a list and in a watch alike.
+            m_serverRegistry.reject(BackendServerId(object.key.name));
         }
     }
     return servers;
--- a/src/gateway/gatewaycontrol.h
+++ b/src/gateway/gatewaycontrol.h
@@ -52,6 +52,7 @@
     void applyConfiguration(const ObjectPage &page);
     void replaceServers(const ObjectPage &page);
     void updateServers(const ObjectPage &page);
+    /// The servers of a page. Removes those whose registrations are rejected.
     std::vector<DiscoveredServer> readServers(const ObjectPage &page);
     void publishServers();
     Task<> tickLoop();
--- a/src/traffic/serverregistry.cpp
+++ b/src/traffic/serverregistry.cpp
@@ -57,6 +57,13 @@
     drop(id);
 }
 
+void ServerRegistry::reject(const BackendServerId &id)
+{
+    if (m_entries.contains(id)) {
+        drop(id);
+    }
+}
+
 void ServerRegistry::drop(const BackendServerId &id)
 {
     m_entries.erase(id);
--- a/src/traffic/serverregistry.h
+++ b/src/traffic/serverregistry.h
@@ -32,6 +32,8 @@
     void replaceAll(const std::vector<DiscoveredServer> &servers, SteadyTime now);
     void put(const DiscoveredServer &server);
     void remove(const BackendServerId &id, SteadyTime now);
+    /// Removes the server at once, without a grace period: its registration is present but names no server to use.
+    void reject(const BackendServerId &id);
 
     /// Records that the store no longer answers, or that it answers again.
     void onStoreUnavailable();
--- a/tests/serverregistrytest.cpp
+++ b/tests/serverregistrytest.cpp
@@ -87,3 +87,17 @@
     CHECK(changes.removed.empty());
     CHECK_FALSE(changes.updated.empty());
 }
+
+TEST_CASE("a server whose registration is rejected is gone at once, also in the grace period after an outage")
+{
+    ServerRegistry registry;
+    registry.replaceAll({server("a"), server("b")}, Start);
+    registry.takeChanges();
+    registry.onStoreUnavailable();
+    registry.onStoreAvailable(Start + Seconds(10));
+    registry.reject(BackendServerId("a"));
+    CHECK(registry.takeChanges().removed == std::vector{BackendServerId("a")});
+    registry.reject(BackendServerId("a"));
+    registry.reject(BackendServerId("unknown"));
+    CHECK(registry.takeChanges().isEmpty());
+}
