Read numbers of registrations, configurations and reports with range checks

What callers saw: no harm that was measured.

Cause: nlohmann::json::get() converts any number without a check, and an address wasn't checked before its use.

Change: wholeNumber() and numberField() accept only whole numbers that fit; durations and means of the configuration may have a fraction, which is cut off as before. An address that isn't an IP address with a valid port is rejected. The errors are typed (out-of-range).

Measured: four cases of numberrangetest failed before and pass now.

--- a/src/coordinator/enginereaderror.h
+++ b/src/coordinator/enginereaderror.h
@@ -10,6 +10,8 @@
 
 enum class EngineReadErrorCode : std::uint8_t {
     MalformedAnswer,
+    /// A number is negative, too large or no whole number.
+    OutOfRange,
     Refused,
     Unreachable,
 };
@@ -18,6 +20,7 @@
 {
     return std::to_array<NamedValue<EngineReadErrorCode>>({
         {EngineReadErrorCode::MalformedAnswer, "malformed-answer"},
+        {EngineReadErrorCode::OutOfRange, "out-of-range"},
         {EngineReadErrorCode::Refused, "refused"},
         {EngineReadErrorCode::Unreachable, "unreachable"},
     });
--- a/src/core/wholenumber.h
+++ b/src/core/wholenumber.h
@@ -19,7 +19,7 @@
     /// Up to here a double represents every whole number.
     constexpr double MaxExactDouble = 9007199254740992.0;
     std::uint64_t number = 0;
-    if (value.is_number_unsigned()) {
+    if (value.is_number_integer() && (value.is_number_unsigned() || value.get<std::int64_t>() >= 0)) {
         number = value.get<std::uint64_t>();
     } else if (value.is_number_float()) {
         const auto real = value.get<double>();
--- a/src/gateway/storeparseerror.h
+++ b/src/gateway/storeparseerror.h
@@ -11,6 +11,8 @@
 enum class StoreParseErrorCode : std::uint8_t {
     Malformed,
     MissingField,
+    /// A number is negative, too large or no whole number, or an address has no valid port.
+    OutOfRange,
     UnknownValue,
 };
 
@@ -19,6 +21,7 @@
     return std::to_array<NamedValue<StoreParseErrorCode>>({
         {StoreParseErrorCode::Malformed, "malformed"},
         {StoreParseErrorCode::MissingField, "missing-field"},
+        {StoreParseErrorCode::OutOfRange, "out-of-range"},
         {StoreParseErrorCode::UnknownValue, "unknown-value"},
     });
 }
--- /dev/null
+++ b/tests/numberrangetest.cpp
@@ -0,0 +1,123 @@
+#include "core/wholenumber.h"
+
+#include "platform/engine.h"
+#include "platform/store.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+/// Numbers that are not whole, are negative or do not fit 32 bits.
+const std::vector<std::string> OddNumbers{"-1", "4294967296", "18446744073709551616", "0.5", "1e30", "-0.5"};
+
+Result<DiscoveredServer, StoreParseError> parseServer(const std::string &fields)
+{
+    return Platform::Store().parseServer(
+        {{"servers", "s1"}, 7, R"({"service":"shop","zone":"d1","state":"ready",)" + fields + "}"});
+}
+
+Result<std::shared_ptr<const TrafficConfiguration>, StoreParseError> parseConfiguration(const std::string &members)
+{
+    return Platform::Store().parseConfiguration({{"config", "main"}, 7, "{" + members + "}"});
+}
+
+template<class Value, class Error>
+void checkOutOfRange(const Result<Value, Error> &result, const std::string &input)
+{
+    REQUIRE_MESSAGE(result.has_error(), input);
+    CHECK_MESSAGE(nameOf(result.error().code) == "out-of-range", input);
+}
+
+} // namespace
+
+TEST_CASE("a whole number is read only if it fits the type")
+{
+    CHECK(wholeNumber<std::uint16_t>(65535) == 65535);
+    CHECK(wholeNumber<std::uint16_t>(4.0) == 4);
+    CHECK(wholeNumber<std::uint64_t>(UINT64_MAX) == UINT64_MAX);
+    for (const auto &odd : {nlohmann::json(65536),
+                            nlohmann::json(-1),
+                            nlohmann::json(0.5),
+                            nlohmann::json(1e300),
+                            nlohmann::json("4"),
+                            nlohmann::json(true),
+                            nlohmann::json(nullptr)}) {
+        CHECK_FALSE(wholeNumber<std::uint16_t>(odd).has_value());
+    }
+}
+
+TEST_CASE("a registration whose slots or group are no numbers that fit names no server")
+{
+    const std::string address = R"("address":"127.0.0.1:9")";
+    CHECK(parseServer(address + R"(,"slots":4)").value().slots == 4);
+    const auto group = [&](const std::string &epoch, const std::string &rank, const std::string &size) {
+        return address + R"(,"slots":4,"group":{"name":"g","state":"open","epoch":)" + epoch + R"(,"rank":)" + rank
+            + R"(},"size":)" + size;
+    };
+    CHECK(parseServer(group("3", "1", "2")).value().groupMembership->epoch == 3);
+    for (const auto &odd : OddNumbers) {
+        checkOutOfRange(parseServer(address + R"(,"slots":)" + odd), odd);
+        checkOutOfRange(parseServer(group("3", odd, "2")), odd);
+        checkOutOfRange(parseServer(group("3", "1", odd)), odd);
+    }
+    for (const std::string odd : {"-1", "18446744073709551616", "0.5"}) {
+        checkOutOfRange(parseServer(group(odd, "1", "2")), odd);
+        checkOutOfRange(parseServer(address + R"(,"slots":4,"born":)" + odd), odd);
+    }
+    CHECK(parseServer(address + R"(,"slots":4,"group":7)").has_error());
+}
+
+TEST_CASE("a registration whose address has no valid port names no server")
+{
+    for (const std::string odd : {"127.0.0.1:65536",
+                                  "127.0.0.1:0",
+                                  "127.0.0.1:-1",
+                                  "127.0.0.1:9x",
+                                  "127.0.0.1:",
+                                  "127.0.0.1",
+                                  "",
+                                  "127.0.0.1:4294967305"}) {
+        checkOutOfRange(parseServer(R"("slots":4,"address":")" + odd + '"'), odd);
+    }
+    CHECK(parseServer(R"("slots":4,"address":"[::1]:9")").has_value());
+}
+
+TEST_CASE("a configuration with a number that does not fit is rejected as a whole")
+{
+    const auto route = [](const std::string &field, const std::string &value) {
+        return R"("version":1,"services":[],"routes":[{"hostname":"h","path-prefix":"/","route-type":"idempotent","service":"s",")"
+            + field + R"(":)" + value + "}]";
+    };
+    CHECK(parseConfiguration(route("timeout-ms", "1500.5")).has_value());
+    for (const auto &odd : OddNumbers) {
+        checkOutOfRange(parseConfiguration(route("priority", odd)), odd);
+        checkOutOfRange(parseConfiguration(route("max-attempts", odd)), odd);
+    }
+    checkOutOfRange(parseConfiguration(route("timeout-ms", "-1")), "-1");
+    checkOutOfRange(parseConfiguration(route("timeout-ms", "1e30")), "1e30");
+    checkOutOfRange(parseConfiguration(R"("version":-1,"services":[],"routes":[])"), "version");
+}
+
+TEST_CASE("a report of an engine with a number that does not fit is rejected")
+{
+    const Platform::Engine engine;
+    const auto state = [](const std::string &epoch, const std::string &running) {
+        return R"({"group":{"epoch":)" + epoch + R"(,"state":"open"},"step":1,"map":1,"num-running":)" + running + "}";
+    };
+    CHECK(engine.parseState(state("3", "4")).value().runningRequests == 4);
+    checkOutOfRange(engine.parseState(state("-3", "4")), "epoch");
+    CHECK(engine.parseCounts(R"({"epoch":3,"counts":[1,2]})").value().counts == std::vector<std::uint64_t>{1, 2});
+    CHECK(engine.parseHeldExperts(R"({"epoch":3,"map":{"version":1,"experts":[[1,2]]}})").value().experts.size() == 1);
+    for (const auto &odd : OddNumbers) {
+        checkOutOfRange(engine.parseState(state("3", odd)), odd);
+        checkOutOfRange(engine.parseHeldExperts(R"({"epoch":3,"map":{"version":1,"experts":[[)" + odd + "]]}}"), odd);
+    }
+    checkOutOfRange(engine.parseCounts(R"({"epoch":3,"counts":[-1]})"), "counts");
+    checkOutOfRange(engine.parseCounts(R"({"epoch":3,"counts":7})"), "counts");
+}
