Continue a broken stream only with an answer of the same media type

A stream broke and was resumed at a server that answered 200, signed, with a body that is no event stream. The caller got that body in the middle of its stream, or, where the body was empty, a stream that ended as if it were complete.

An answer to a resumed stream must now have the media type of the answer that has begun. Otherwise the attempt counts as broken, as for errors and unsigned answers.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -230,6 +230,9 @@
         co_return endAsBroken("status " + std::to_string(m_answer.status)
                               + " without a statement that the call did not run");
     }
+    if (m_state.hasAnswerBegun && m_answer.isSuccess() && m_answer.mediaType != m_state.mediaType) {
+        co_return endAsBroken("an answer of another type to a resumed stream");
+    }
     if (m_answer.isSuccess() && m_state.route->kind == CallKind::Stream) {
         co_return co_await relayEvents();
     }
@@ -352,6 +355,7 @@
         co_return true;
     }
     m_state.hasAnswerBegun = true;
+    m_state.mediaType = m_answer.mediaType;
     m_state.firstByteAt = steadyNow();
     co_return co_await m_exchange.beginChunkedAnswer(m_answer.status, "", answerHeaders());
 }
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -47,6 +47,8 @@
     Microseconds longestEventPause{0};
     std::size_t eventCount = 0;
     bool hasAnswerBegun = false;
+    /// Media type of the answer that has begun.
+    std::string mediaType;
     bool isCallerGone = false;
     /// The process ends before the call does.
     bool isEndedEarly = false;
--- a/src/traffic/answerhead.h
+++ b/src/traffic/answerhead.h
@@ -30,6 +30,8 @@
     bool isOtherInstance = false;
     /// The body has a content encoding, which no caller asked for.
     bool hasContentEncoding = false;
+    /// Type and subtype of the body in lower case, without parameters; empty if not stated.
+    std::string mediaType;
     /// The server states that it is shutting down and wants no new calls.
     bool isLeaving = false;
     /// When the caller may come back. What that means depends on the status.
--- a/tests/answerheadtest.cpp
+++ b/tests/answerheadtest.cpp
@@ -120,3 +120,11 @@
         RC_ASSERT(time->count() - thousandths <= 1);
     }));
 }
+
+TEST_CASE("the media type of an answer has no parameters and no capitals")
+{
+    CHECK(parsed("Content-Type", {"text/event-stream"}).mediaType == "text/event-stream");
+    CHECK(parsed("Content-Type", {"Text/Event-Stream ; charset=utf-8"}).mediaType == "text/event-stream");
+    CHECK(parsed("Content-Type", {"text/plain"}).mediaType == "text/plain");
+    CHECK(parsed("Content-Type", {}).mediaType.empty());
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
 constexpr unsigned Misdirected = 421;
 constexpr unsigned ServerError = 500;
 constexpr unsigned Unavailable = 503;
@@ -27,6 +28,8 @@
 constexpr Milliseconds EventInterval{20};
 constexpr Milliseconds SlowAnswerDelay{400};
 constexpr Milliseconds TrickleInterval{200};
+/// Time between two segments that are to arrive one by one.
+constexpr Milliseconds SegmentInterval{15};
 constexpr std::size_t FillerBytes = 1000;
 constexpr const char *RequestIdHeader = "Cardamomhill-Request-Id";
 const std::string SealHeader = "Cardamomhill-Response-Seal: seal\r\n";
@@ -52,6 +55,13 @@
     return size + text + "\r\n";
 }
 
+/// A refusal of the call with this id, or one that names no call.
+std::string refusalText(const std::string &id)
+{
+    return "HTTP/1.1 503 X\r\n" + (id.empty() ? "" : std::string(RequestIdHeader) + ": " + id + "\r\n")
+        + NotExecutedHeader + "Content-Length: 5\r\n\r\nstale";
+}
+
 std::string eventText(int number)
 {
     return "id: " + std::to_string(number) + "\ndata: event-" + std::to_string(number) + "\n\n";
@@ -67,6 +77,8 @@
 
     tcp::socket socket;
     beast::flat_buffer buffer;
+    /// The id of the call before the current one.
+    std::string earlierId;
 };
 
 DirectBackend::DirectBackend(asio::io_context &context, std::string id, RunObserver onRun)
@@ -149,6 +161,7 @@
             co_return;
         }
         isOpen = co_await answer(*connection, request);
+        connection->earlierId = std::string(request[RequestIdHeader]);
     }
 }
 
@@ -221,6 +234,89 @@
     co_return sent;
 }
 
+Task<> DirectBackend::pause()
+{
+    asio::steady_timer timer(m_context, SegmentInterval);
+    SystemError ignored;
+    co_await timer.async_wait(storeError(ignored));
+}
+
+Task<bool> DirectBackend::answerWithRefusal(Connection &connection, const HttpRequest &request, const std::string &when)
+{
+    const std::string body = description(request);
+    const std::string correct = responseHead(request, Ok, SealHeader + contentLengthHeader(body)) + body;
+    const std::string own = refusalText(std::string(request[RequestIdHeader]));
+    const std::string earlier = refusalText(when == "unnamed" ? std::string() : connection.earlierId);
+    if (when == "after") {
+        const std::string both = correct + own;
+        co_return co_await write(connection, both);
+    }
+    if (when == "late") {
+        const bool sent = co_await write(connection, correct);
+        co_await pause();
+        co_return sent &&co_await write(connection, own);
+    }
+    if (connection.earlierId.empty()) {
+        co_return co_await write(connection, correct);
+    }
+    if (when == "joined") {
+        const std::string both = earlier + correct;
+        co_return co_await write(connection, both);
+    }
+    const auto splitAt = when == "split" ? earlier.find(connection.earlierId) + 1 : earlier.size();
+    const std::string first = earlier.substr(0, splitAt);
+    const std::string rest = earlier.substr(splitAt);
+    co_await write(connection, first);
+    co_await pause();
+    co_await write(connection, rest);
+    co_await pause();
+    co_return co_await write(connection, correct);
+}
+
+Task<bool> DirectBackend::refuseInSegments(Connection &connection, const HttpRequest &request)
+{
+    const std::string id(request[RequestIdHeader]);
+    const std::string text = refusalText(id);
+    const auto splitAt = text.find(id) + 1;
+    const std::string first = text.substr(0, splitAt);
+    const std::string rest = text.substr(splitAt);
+    co_await write(connection, first);
+    co_await pause();
+    co_return co_await write(connection, rest);
+}
+
+Task<bool> DirectBackend::answerResumed(Connection &connection, const HttpRequest &request, const std::string &fault)
+{
+    const std::string body = "error text\n\n";
+    const std::string length = contentLengthHeader(body);
+    const std::string events = "Content-Type: text/event-stream\r\n";
+    std::string text;
+    bool isKept = true;
+    if (fault == "error") {
+        text = responseHead(request, ServerError, SealHeader + length) + body;
+    } else if (fault == "refused") {
+        text = responseHead(request, Unavailable, NotExecutedHeader + length) + body;
+    } else if (fault == "unsigned") {
+        text = responseHead(request, Ok, length) + body;
+    } else if (fault == "plain") {
+        text = responseHead(request, Ok, SealHeader + "Content-Type: text/plain\r\n" + length) + body;
+    } else if (fault == "empty") {
+        text = responseHead(request, Ok, SealHeader + "Content-Type: text/plain\r\nContent-Length: 0\r\n");
+    } else if (fault == "not-found") {
+        text = responseHead(request, NotFound, SealHeader + length) + body;
+    } else if (fault == "cut-head") {
+        text = responseHead(request, Ok, SealHeader + events);
+        text.resize(text.size() / 2);
+        isKept = false;
+    } else {
+        // The head and the body of an error in place of the next chunk.
+        text = responseHead(request, Ok, SealHeader + events + "Transfer-Encoding: chunked\r\n")
+            + responseHead(request, ServerError, SealHeader + length) + body;
+    }
+    const bool sent = co_await write(connection, text);
+    co_return sent &&isKept;
+}
+
 Task<bool> DirectBackend::writeEndlessly(Connection &connection, const std::string &text, Milliseconds interval)
 {
     asio::steady_timer timer(m_context);
@@ -284,6 +380,24 @@
         co_return co_await write(connection, text);
     }
     const bool isFaulty = m_id.starts_with("bad");
+    constexpr std::string_view RefusalPrefix = "refusal-";
+    constexpr std::string_view ResumedPrefix = "resumed-";
+    if (isFaulty && behaviour.starts_with(RefusalPrefix)) {
+        countRun(request);
+        const std::string when = behaviour.substr(RefusalPrefix.size());
+        co_return co_await answerWithRefusal(connection, request, when);
+    }
+    if (isFaulty && behaviour == "own-refusal") {
+        co_return co_await refuseInSegments(connection, request);
+    }
+    if (behaviour.starts_with(ResumedPrefix)) {
+        countRun(request);
+        const std::string fault = behaviour.substr(ResumedPrefix.size());
+        if (request["Last-Event-Id"].empty()) {
+            co_return co_await stream(connection, request, true);
+        }
+        co_return co_await answerResumed(connection, request, fault);
+    }
     if (behaviour == "stream" || behaviour == "broken-stream") {
         countRun(request);
         co_return co_await stream(connection, request, isFaulty && behaviour == "broken-stream");
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -21,7 +21,12 @@
 /// seal), `unpromised` (503 that doesn't say that the call was not run), `silent` (no answer), `extra` (the answer
 /// twice), `misdirected` (421), `endless` (a body without a length, ended by closing), `stream`, `broken-stream`,
 /// `slow`, `unnamed` (no request id), `endless-head`, `endless-foreign` (an endless body with the id of another
-/// request), `endless-event`, `trickle` (single bytes that never complete an event). A server whose id does not begin
+/// request), `endless-event`, `trickle` (single bytes that never complete an event), `refusal-WHEN` (as `ok`, with a
+/// repeated refusal of an earlier call on the connection: `before` the answer, `joined` to it, `split` over segments
+/// before it, `unnamed` before it and without an id, or, with its own id, `after` or `late` after it), `own-refusal` (a
+/// refusal whose id is split over segments), `resumed-FAULT` (at any server a stream that breaks, and one with
+/// that fault if it is resumed: `error`, `refused`, `unsigned`, `plain`, `empty`, `not-found`, `cut-head`, `error-head`
+/// in place of a chunk). A server whose id does not begin
 /// with `bad` answers all of them correctly. Headers `X-Events` and `X-Event-Interval-Ms` state how many events a
 /// stream has and the time between them; `X-Last-Interval-Ms` states the time before the last one,
 /// `X-Delay-Ms` the delay of `slow`. A call for another instance gets 421. Answers are written as plain text rather
@@ -63,7 +68,11 @@
     /// Repeats the text until the caller closes the connection.
     Task<bool> writeEndlessly(Connection &connection, const std::string &text, Milliseconds interval);
     Task<bool> answerEndlessly(Connection &connection, const HttpRequest &request, const std::string &behaviour);
+    Task<bool> answerWithRefusal(Connection &connection, const HttpRequest &request, const std::string &when);
+    Task<bool> refuseInSegments(Connection &connection, const HttpRequest &request);
+    Task<bool> answerResumed(Connection &connection, const HttpRequest &request, const std::string &fault);
     Task<bool> write(Connection &connection, std::string text);
+    Task<> pause();
     void countRun(const HttpRequest &request);
     std::string responseHead(const HttpRequest &request, unsigned status, const std::string &headers) const;
     std::string description(const HttpRequest &request) const;
