End a stream that broke where no other server can continue it

A resumable stream broke after an event without an id. It was sent to another server from its start, and the caller got the first events twice. An answer that is no stream and had begun, since it is longer than 256 KiB, ran once more at another server although the caller could get nothing of that.

A call is sent again only if nothing of its answer was delivered, or events of which the last with data has an id. The verdict is not-resumable otherwise. Comments that keep a connection open change nothing.

foreignanswertest: before, the caller got both events twice and the call ran at two servers. The case of a long answer has no test of its own.

--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -51,6 +51,7 @@
     {"attempt-ended", "end", "server-error", "the server answered with an error; it counts as run"},
     {"attempt-ended", "end", "caller-gone", "the caller closed its connection, so the attempt was cancelled"},
     {"retry-decided", "verdict", "not-repeatable", "it may have run and must not run twice, so it was not sent again"},
+    {"retry-decided", "verdict", "not-resumable", "no other server could continue what the caller had received"},
     {"retry-decided", "verdict", "budget-empty", "this host had used up its share of the retry budget"},
     {"retry-decided", "verdict", "attempts-used", "the route allows no further attempt"},
     {"retry-decided", "verdict", "too-late", "too little time was left before the deadline for a further attempt"},
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -104,7 +104,7 @@
 {
     // The answer that has begun would be cut if no other server could continue it.
     const bool canContinue = !m_state.hasAnswerBegun || hasOtherServer();
-    const bool canRetry = canContinue
+    const bool canRetry = canContinue && m_state.isResumable()
         && m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
         && m_thread.retryBudget(m_state.service).hasRetry();
     if (!m_state.isCallerGone && canRetry) {
@@ -306,6 +306,8 @@
             if (!event->id.empty()) {
                 m_state.lastEventId = event->id;
             }
+            m_state.canResumeAfterLastEvent
+                = !event->id.empty() || (m_state.canResumeAfterLastEvent && !event->hasData);
             recordEvent();
         }
         if (m_eventSplitter.pendingBytes() > MaxEventBytes) {
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -263,7 +263,8 @@
 bool CallHandler::decideRetry(AttemptEnd end)
 {
     auto &budget = m_thread.retryBudget(m_state.service);
-    const auto verdict = m_state.attempts.retry(*m_state.route, remainingTime(), budget);
+    const auto verdict = m_state.isResumable() ? m_state.attempts.retry(*m_state.route, remainingTime(), budget)
+                                               : RetryVerdict::NotResumable;
     logEvent(LogLevel::Info,
              "retry-decided",
              {{"request", m_state.head.id},
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -41,6 +41,8 @@
     std::optional<FallbackAnswer> fallbackAnswer;
     /// Id of the last event that was delivered; at first the one that the caller resumes after.
     std::string lastEventId;
+    /// Whether the last event that was delivered has an id; true before the first one.
+    bool canResumeAfterLastEvent = true;
     std::optional<SteadyTime> firstByteAt;
     SteadyTime lastEventAt{};
     /// The longest time between two consecutive events when they were relayed.
@@ -53,6 +55,13 @@
     /// The process ends before the call does.
     bool isEndedEarly = false;
 
+    /// Whether another server could continue what was delivered of the answer: nothing, or events of which the last has
+    /// an id.
+    bool isResumable() const
+    {
+        return !hasAnswerBegun || (route->kind == CallKind::Stream && canResumeAfterLastEvent);
+    }
+
     /// Time until the call's deadline; never negative.
     Milliseconds remainingTime(SteadyTime now) const
     {
--- a/src/traffic/eventsplitter.cpp
+++ b/src/traffic/eventsplitter.cpp
@@ -63,6 +63,7 @@
     StreamEvent event;
     event.bytes = m_pending.substr(0, end);
     event.id = idOf(event.bytes);
+    event.hasData = event.bytes.starts_with("data") || event.bytes.find("\ndata") != std::string::npos;
     m_pending.erase(0, end);
     return event;
 }
--- a/src/traffic/eventsplitter.h
+++ b/src/traffic/eventsplitter.h
@@ -13,6 +13,8 @@
     std::string bytes;
     /// The value of its `id` field; empty if it has none.
     std::string id;
+    /// Whether it has a `data` field. Comments that keep a connection open have none.
+    bool hasData = false;
 };
 
 /// Splits the body of an event stream into complete events. Only these are passed on, so that a broken stream ends
--- a/src/traffic/retryverdict.h
+++ b/src/traffic/retryverdict.h
@@ -12,6 +12,8 @@
     Retry,
     /// The call may have run and must not run again.
     NotRepeatable,
+    /// A part of the answer was delivered that cannot be continued by another server.
+    NotResumable,
     AttemptsUsed,
     /// Too little time is left before the deadline.
     TooLate,
@@ -23,6 +25,7 @@
     return std::to_array<NamedValue<RetryVerdict>>({
         {RetryVerdict::Retry, "retry"},
         {RetryVerdict::NotRepeatable, "not-repeatable"},
+        {RetryVerdict::NotResumable, "not-resumable"},
         {RetryVerdict::AttemptsUsed, "attempts-used"},
         {RetryVerdict::TooLate, "too-late"},
         {RetryVerdict::BudgetEmpty, "budget-empty"},
--- a/tests/eventsplittertest.cpp
+++ b/tests/eventsplittertest.cpp
@@ -70,3 +70,14 @@
         RC_ASSERT(count == 20U);
     }));
 }
+
+TEST_CASE("an event with a data field is told from a comment and from an event with an id alone")
+{
+    EventSplitter splitter;
+    splitter.append("data: a\n\n: data\n\nid: 1\n\nid: 2\ndata\n\n");
+    for (const bool hasData : {true, false, false, true}) {
+        const auto event = splitter.next();
+        REQUIRE(event.has_value());
+        CHECK(event->hasData == hasData);
+    }
+}
--- a/tests/foreignanswertest.cpp
+++ b/tests/foreignanswertest.cpp
@@ -111,3 +111,18 @@
         }
     }
 }
+
+TEST_CASE("a stream that broke after an event without an id is not begun anew at another server")
+{
+    LoopbackGateway gateway({"s1", "s2"});
+    CallResult result;
+    const auto scenario = [&]() -> Task<> {
+        auto request = LoopbackGateway::makeCall("/draft/anonymous-stream", "stream");
+        result = co_await gateway.call(std::move(request));
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK_FALSE(result.isComplete);
+    CHECK(result.body == "data: a\n\n: comment\n\n");
+    CHECK(gateway.runsOf("stream") == 1);
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -387,6 +387,15 @@
         const std::string when = behaviour.substr(RefusalPrefix.size());
         co_return co_await answerWithRefusal(connection, request, when);
     }
+    if (behaviour == "anonymous-stream") {
+        countRun(request);
+        const std::string text
+            = responseHead(
+                  request, Ok, SealHeader + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
+            + chunk("data: a\n\n") + chunk(": comment\n\n");
+        co_await write(connection, text);
+        co_return false;
+    }
     if (isFaulty && behaviour == "own-refusal") {
         co_return co_await refuseInSegments(connection, request);
     }
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -23,15 +23,15 @@
 /// `slow`, `unnamed` (no request id), `endless-head`, `endless-foreign` (an endless body with the id of another
 /// request), `endless-event`, `trickle` (single bytes that never complete an event), `refusal-WHEN` (as `ok`, with a
 /// repeated refusal of an earlier call on the connection: `before` the answer, `joined` to it, `split` over segments
-/// before it, `unnamed` before it and without an id, or, with its own id, `after` or `late` after it), `own-refusal` (a
-/// refusal whose id is split over segments), `resumed-FAULT` (at any server a stream that breaks, and one with
-/// that fault if it is resumed: `error`, `refused`, `unsigned`, `plain`, `empty`, `not-found`, `cut-head`, `error-head`
-/// in place of a chunk). A server whose id does not begin
-/// with `bad` answers all of them correctly. Headers `X-Events` and `X-Event-Interval-Ms` state how many events a
-/// stream has and the time between them; `X-Last-Interval-Ms` states the time before the last one,
-/// `X-Delay-Ms` the delay of `slow`. A call for another instance gets 421. Answers are written as plain text rather
-/// than through an HTTP library, so that they can violate the protocol. GET /runs/ID returns how often a call ran here;
-/// GET /abandoned returns how many connections the caller closed before it had the whole answer.
+/// before it, `unnamed` before it and without an id, or, with its own id, `after` or `late` after it),
+/// `anonymous-stream` (breaks, without ids of events), `own-refusal` (a refusal whose id is split over segments),
+/// `resumed-FAULT` (at any server a stream that breaks, and one with that fault if it is resumed: `error`, `refused`,
+/// `unsigned`, `plain`, `empty`, `not-found`, `cut-head`, `error-head` in place of a chunk). A server whose id does not
+/// begin with `bad` answers all of them correctly. Headers `X-Events` and `X-Event-Interval-Ms` state how many events a
+/// stream has and the time between them; `X-Last-Interval-Ms` states the time before the last one, `X-Delay-Ms` the
+/// delay of `slow`. A call for another instance gets 421. Answers are written as plain text rather than through an HTTP
+/// library, so that they can violate the protocol. GET /runs/ID returns how often a call ran here; GET /abandoned
+/// returns how many connections the caller closed before it had the whole answer.
 class DirectBackend
 {
 public:
