--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -140,7 +140,8 @@
     m_process = processOf(*server);
     // The server may close an idle connection while the call is sent. The call may then have run, so only repeatable
     // calls use one.
-    if (m_state.route->isRepeatable()) {
+    // An answer to an earlier call could not be told from the answer to a call without an id.
+    if (m_state.route->isRepeatable() && !m_state.head.id.empty()) {
         m_connection = m_thread.connectionPool().acquire(m_server, steadyNow());
     }
     if (m_connection) {
--- a/tests/foreignanswertest.cpp
+++ b/tests/foreignanswertest.cpp
@@ -126,3 +126,21 @@
     CHECK(result.body == "data: a\n\n: comment\n\n");
     CHECK(gateway.runsOf("stream") == 1);
 }
+
+TEST_CASE("a call without an id gets no answer to an earlier call")
+{
+    LoopbackGateway gateway({"bad-1"});
+    int wrongAnswers = 0;
+    const auto scenario = [&]() -> Task<> {
+        for (int i = 0; i < 10; ++i) {
+            auto named = LoopbackGateway::makeCall("/safe/ok", "named");
+            co_await gateway.call(std::move(named));
+            auto unnamed = LoopbackGateway::makeCall("/safe/refusal-unnamed", "");
+            const auto result = co_await gateway.call(std::move(unnamed));
+            wrongAnswers += result.status == Ok ? 0 : 1;
+        }
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(wrongAnswers == 0);
+}
