--- a/tests/foreignanswertest.cpp
+++ b/tests/foreignanswertest.cpp
@@ -15,7 +15,7 @@
     std::string events;
     for (int number = 1; number <= EventsBeforeBreak; ++number) {
         const auto text = std::to_string(number);
-        events += "id: " + text + "\ndata: event-" + text + "\n\n";
+        events.append("id: ").append(text).append("\ndata: event-").append(text).append("\n\n");
     }
     return events;
 }
@@ -69,8 +69,9 @@
                 if (!isAlone) {
                     servers.emplace_back("good-1");
                 }
+                const auto path = std::string("/").append(route).append("/refusal-").append(when);
                 LoopbackGateway gateway(servers);
-                const auto violations = sendCalls(gateway, "/" + route + "/refusal-" + when, route == "safe");
+                const auto violations = sendCalls(gateway, path, route == "safe");
                 CHECK(violations.wrongAnswers == 0);
                 CHECK(violations.falsePromises == 0);
                 CHECK(violations.repeatedRuns == 0);
@@ -98,8 +99,9 @@
             CAPTURE(fault);
             LoopbackGateway gateway({"s1", "s2"});
             CallResult result;
+            const auto path = std::string("/").append(route).append("/resumed-").append(fault);
             const auto scenario = [&]() -> Task<> {
-                auto request = LoopbackGateway::makeCall("/" + route + "/resumed-" + fault, "stream");
+                auto request = LoopbackGateway::makeCall(path, "stream");
                 result = co_await gateway.call(std::move(request));
             };
             gateway.run(scenario());
