Request pages that cannot be read ever less often

What callers saw: a machine that read an unreadable page listed again 10 times a second, all of it charged.

Cause: an unreadable answer counted as an outage of the store, which each readable answer of another kind ended again.

Change: the follower of the kind waits 0.5 s after the first such answer and up to 5 s after later ones, until a watch succeeds. The store counts as available, for hosts and leases too, so that the other kinds are followed.

Measured: "pages of one kind that cannot be read are requested ever less often, and the other kind is followed" (gatewaycontroltest) failed before with 34 calls in 8 s, and passes now (at most 12).

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -122,7 +122,7 @@
 {
     const auto page = co_await m_client.listStale(HostKind);
     if (page.has_error()) {
-        m_availability.onFailure(steadyNow(), m_random);
+        page.error().isAnswer() ? m_availability.onSuccess() : m_availability.onFailure(steadyNow(), m_random);
         co_return;
     }
     m_availability.onSuccess();
--- a/src/control/objectfollower.cpp
+++ b/src/control/objectfollower.cpp
@@ -6,6 +6,7 @@
 #include "net/spawn.h"
 #include "net/steadynow.h"
 
+#include <algorithm>
 #include <random>
 
 namespace Cardamomhill
@@ -29,6 +30,8 @@
 /// The interval between two calls during a burst of changes, in halves of the regular interval. Servers are then
 /// followed every 1.2 s, well within the two seconds in which a leaving server must be known.
 constexpr int BurstIntervalHalves = 3;
+constexpr Milliseconds FirstUnreadableDelay{500};
+constexpr Milliseconds MaxUnreadableDelay{5000};
 
 } // namespace
 
@@ -50,6 +53,7 @@
     , m_relayed(dependencies.relayed)
     , m_observers(std::move(observers))
     , m_random(std::random_device()())
+    , m_unreadableBackoff(FirstUnreadableDelay, MaxUnreadableDelay)
 {
     m_availability.onUnavailable([this] {
         if (m_isRevisionFromRelay) {
@@ -134,7 +138,7 @@
     }
     if (!succeeded) {
         m_source.storeFailed(steadyNow());
-        co_return steadyNow() + ContactCheckPeriod;
+        co_return std::max(m_nextStoreCallAt, steadyNow() + ContactCheckPeriod);
     }
     m_source.storeAnswered(steadyNow());
     // Changes that are already present when a watch starts are part of a burst.
@@ -189,7 +193,7 @@
 {
     const auto page = co_await m_client.list(m_kind);
     if (page.has_error()) {
-        setContact(false, page.error().message());
+        callFailed(page.error());
         co_return false;
     }
     setContact(true, "listed");
@@ -219,11 +223,12 @@
         if (isHistoryGone) {
             m_availability.onSuccess();
         } else if (!isAborted) {
-            setContact(false, page.error().message());
+            callFailed(page.error());
         }
         co_return isHistoryGone || (isAborted && !m_availability.isUnavailable());
     }
     setContact(true, "watched");
+    m_unreadableBackoff.reset();
     if (page.value().revision < m_revision) {
         logEvent(LogLevel::Error,
                  "store-revision-went-back",
@@ -237,6 +242,20 @@
     co_return true;
 }
 
+void ObjectFollower::callFailed(const PlatformCallError &error)
+{
+    if (!error.isAnswer()) {
+        setContact(false, error.message());
+        return;
+    }
+    // Other kinds may be readable, so the store counts as available.
+    m_availability.onSuccess();
+    m_relayed.clear();
+    reportContact(false, error.message());
+    m_nextStoreCallAt
+        = steadyNow() + std::chrono::duration_cast<SteadyTime::duration>(m_unreadableBackoff.next(m_random));
+}
+
 void ObjectFollower::setContact(bool contact, std::string_view cause)
 {
     if (!contact) {
--- a/src/control/objectfollower.h
+++ b/src/control/objectfollower.h
@@ -5,6 +5,7 @@
 #include "core/clocktypes.h"
 #include "core/random.h"
 #include "net/asio.h"
+#include "objectstore/backoff.h"
 #include "objectstore/objectpage.h"
 #include "objectstore/storeavailability.h"
 #include "objectstore/storesource.h"
@@ -73,6 +74,8 @@
     /// Records whether a call to the store itself was answered, and reports it.
     void setContact(bool contact, std::string_view cause);
     void reportContact(bool contact, std::string_view cause);
+    /// Records that a call to the store failed, or that its answer cannot be read.
+    void callFailed(const PlatformCallError &error);
 
     asio::io_context &m_context;
     PlatformClient m_client;
@@ -85,6 +88,10 @@
     RelayedKind &m_relayed;
     Observers m_observers;
     Random m_random;
+    /// Delays calls after answers that cannot be read. Every such call is charged and would be answered in the same
+    /// way.
+    Backoff m_unreadableBackoff;
+    SteadyTime m_nextStoreCallAt{};
     std::uint64_t m_revision = 0;
     bool m_mustList = true;
     bool m_isWatching = false;
--- a/src/control/platformcallerror.h
+++ b/src/control/platformcallerror.h
@@ -38,6 +38,12 @@
     PlatformCallErrorCode code = PlatformCallErrorCode::Unavailable;
     std::string cause;
 
+    /// Whether the store itself answered, so that it is available.
+    bool isAnswer() const
+    {
+        return code != PlatformCallErrorCode::NotSent && code != PlatformCallErrorCode::Unavailable;
+    }
+
     std::string message() const
     {
         return "platform: " + std::string(nameOf(code)) + (cause.empty() ? "" : ": " + cause);
--- a/src/coordinator/groupcoordinatormanager.cpp
+++ b/src/coordinator/groupcoordinatormanager.cpp
@@ -228,7 +228,7 @@
 {
     const auto page = co_await m_client.listStale(LeaseKind);
     if (page.has_error()) {
-        m_availability.onFailure(steadyNow(), m_random);
+        page.error().isAnswer() ? m_availability.onSuccess() : m_availability.onFailure(steadyNow(), m_random);
         co_return;
     }
     m_availability.onSuccess();
--- a/tests/gatewaycontroltest.cpp
+++ b/tests/gatewaycontroltest.cpp
@@ -151,3 +151,27 @@
     site.context.run_for(SettlingTime);
     CHECK(gateway.servers == std::set<std::string>{"a", "b"});
 }
+
+TEST_CASE("pages of one kind that cannot be read are requested ever less often, and the other kind is followed")
+{
+    Site site;
+    site.store.put("config", "main", configuration(1));
+    site.store.put("servers", "a", registration());
+    Gateway gateway(site.context, site.endpoint);
+    site.context.run_for(SettlingTime);
+    REQUIRE(gateway.servers.size() == 1);
+    site.store.setPageText("servers", R"({"items":[)");
+    const auto before = site.store.callCount();
+    site.context.run_for(Seconds(8));
+    // Among them a few of the kind that is followed.
+    CHECK(site.store.callCount() - before >= 3);
+    CHECK(site.store.callCount() - before <= 12);
+    CHECK(gateway.servers.size() == 1);
+    site.store.put("config", "main", configuration(2));
+    site.context.run_for(SettlingTime);
+    CHECK(gateway.version == 2);
+    site.store.setPageText("servers", "");
+    site.store.put("servers", "b", registration());
+    site.context.run_for(Seconds(6));
+    CHECK(gateway.servers.size() == 2);
+}
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -102,6 +102,13 @@
     recordChange(key, text, true);
 }
 
+void PlatformStore::setPageText(const std::string &kind, const std::string &text)
+{
+    m_pageTexts[kind] = text;
+    ++m_watchCuts;
+    notifyWatches();
+}
+
 nlohmann::json PlatformStore::object(const std::string &kind, const std::string &name) const
 {
     return Json::parse(m_objects.at({kind, name}).text);
@@ -186,6 +193,11 @@
 Task<> PlatformStore::answerKind(HttpExchange &exchange, const std::string &kind, const std::string &query)
 {
     constexpr std::uint64_t NotAWatch = 0;
+    const auto pageTextOfKind = m_pageTexts[kind];
+    if (!pageTextOfKind.empty()) {
+        co_await sendText(exchange, Ok, pageTextOfKind);
+        co_return;
+    }
     const auto since = queryNumber(query, "watch", NotAWatch);
     if (since != NotAWatch) {
         const Milliseconds wait(static_cast<std::int64_t>(queryNumber(query, "wait-ms", 0)));
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -40,6 +40,8 @@
     /// The same for a whole item, which need not have a readable name.
     void putRawItem(const std::string &kind, const std::string &name, const std::string &item);
     void remove(const std::string &kind, const std::string &name);
+    /// Makes lists and watches of a kind return this text instead of a page; empty for pages.
+    void setPageText(const std::string &kind, const std::string &text);
     /// An object with its metadata and spec.
     nlohmann::json object(const std::string &kind, const std::string &name) const;
     /// Number of requests received, refused ones included.
@@ -76,6 +78,7 @@
     asio::io_context &m_context;
     HttpServer m_server;
     std::map<Key, Object> m_objects;
+    std::map<std::string, std::string> m_pageTexts;
     std::deque<Change> m_history;
     std::list<Notification *> m_openWatches;
     std::uint64_t m_revision = 1;
