Remove the servers of earlier entries in the test of odd entries

In a run of three entries two checks answered 3 of 4 calls: the servers that the test registers to see that they are followed have the address of good-1, which refuses calls to them, and a call has two attempts. They are removed after each entry.

--- a/tests/oddregistrationtest.sh
+++ b/tests/oddregistrationtest.sh
@@ -128,5 +128,8 @@
     kill "${PIDS[-1]}" 2>/dev/null || true
     wait "${PIDS[-1]}" 2>/dev/null || true
     remove "odd-$entry"
+    # They have the address of good-1, which refuses calls to them.
+    remove "after-$number"
+    remove "later-$number"
 done
 finish_expectations
