Stop gateways in the soak as a platform does, and check what callers lose

The server of the stand-ins tells when it has written an answer; hosts of the soak take their drain settings from outside.

--- a/tests/soak/soakhost.cpp
+++ b/tests/soak/soakhost.cpp
@@ -13,11 +13,13 @@
                    std::string name,
                    const tcp::endpoint &store,
                    std::string program,
-                   const std::string &directory)
+                   const std::string &directory,
+                   std::string drainSettings)
     : m_name(std::move(name))
     , m_program(std::move(program))
     , m_settingsFile(directory + "/" + m_name + ".yaml")
     , m_logFile(directory + "/" + m_name + ".log")
+    , m_drainSettings(std::move(drainSettings))
     , m_listen(freeEndpoint(context))
     , m_operatorListen(freeEndpoint(context))
     , m_peerListen(freeEndpoint(context))
@@ -35,7 +37,8 @@
     settings << "host: " << m_name << "\nfailure_domain: d1\nlisten: " << controlAddress(m_listen).value()
              << "\noperator_listen: " << controlAddress(m_operatorListen).value()
              << "\npeer_listen: " << controlAddress(m_peerListen).value()
-             << "\nplatform: " << controlAddress(m_storeLink.endpoint()).value() << "\ndrain_grace_ms: 300\n";
+             << "\nplatform: " << controlAddress(m_storeLink.endpoint()).value() << '\n'
+             << m_drainSettings;
     settings.close();
     m_process = std::make_unique<ChildProcess>(
         std::vector<std::string>{m_program, "gateway", "--settings", m_settingsFile}, m_logFile);
--- a/tests/soak/soakhost.h
+++ b/tests/soak/soakhost.h
@@ -14,11 +14,13 @@
 class SoakHost
 {
 public:
+    /// @param drainSettings lines of the settings file
     SoakHost(asio::io_context &context,
              std::string name,
              const tcp::endpoint &store,
              std::string program,
-             const std::string &directory);
+             const std::string &directory,
+             std::string drainSettings = "drain_grace_ms: 300\n");
 
     /// Writes the settings and starts the process.
     void start();
@@ -36,6 +38,7 @@
     std::string m_program;
     std::string m_settingsFile;
     std::string m_logFile;
+    std::string m_drainSettings;
     tcp::endpoint m_listen;
     tcp::endpoint m_operatorListen;
     tcp::endpoint m_peerListen;
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -1,5 +1,5 @@
 #include "core/parsenumber.h"
-#include "soak/soak.h"
+#include "soak/plannedstops.h"
 
 #include <exception>
 #include <iostream>
@@ -12,7 +12,27 @@
 
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
-      "[--servers N] [--callers N]\n";
+      "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting]]\n";
+
+int report(std::uint64_t seed,
+           const Cardamomhill::Ledger &ledger,
+           const std::map<std::string, std::size_t> &counts,
+           const std::string &countSuffix)
+{
+    std::cout << "seed " << seed << ':';
+    for (const auto &[outcome, count] : ledger.outcomes()) {
+        std::cout << ' ' << outcome << '=' << count;
+    }
+    for (const auto &[name, count] : counts) {
+        std::cout << ' ' << name << countSuffix << '=' << count;
+    }
+    std::cout << '\n';
+    const auto violations = ledger.violations();
+    for (const auto &violation : violations) {
+        std::cout << "VIOLATION " << violation << '\n';
+    }
+    return violations.empty() ? 0 : 1;
+}
 
 } // namespace
 
@@ -21,7 +41,9 @@
 {
     using namespace Cardamomhill;
 
-    SoakOptions options;
+    PlannedStopOptions stopOptions;
+    auto &options = stopOptions.soak;
+    bool isPlannedStops = false;
     const option longOptions[] = {{"program", required_argument, nullptr, 'p'},
                                   {"directory", required_argument, nullptr, 'd'},
                                   {"seed", required_argument, nullptr, 's'},
@@ -29,19 +51,28 @@
                                   {"hosts", required_argument, nullptr, 'h'},
                                   {"servers", required_argument, nullptr, 'b'},
                                   {"callers", required_argument, nullptr, 'c'},
+                                  {"planned-stops", no_argument, nullptr, 'P'},
+                                  {"grace-ms", required_argument, nullptr, 'g'},
+                                  {"no-grace-setting", no_argument, nullptr, 'n'},
                                   {nullptr, 0, nullptr, 0}};
     int optionId = 0;
     bool isValid = true;
     while ((optionId = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
-        const auto number = optionId == '?' ? 0 : parseNumber<std::uint64_t>(optarg).value_or(0);
+        const auto number = optarg == nullptr ? 0 : parseNumber<std::uint64_t>(optarg).value_or(0);
         if (optionId == 'p') {
             options.program = optarg;
         } else if (optionId == 'd') {
             options.directory = optarg;
+        } else if (optionId == 'P') {
+            isPlannedStops = true;
+        } else if (optionId == 'n') {
+            stopOptions.hasGraceSetting = false;
         } else if (number == 0) {
             isValid = false;
         } else if (optionId == 's') {
             options.seed = number;
+        } else if (optionId == 'g') {
+            stopOptions.terminationGrace = Milliseconds(number);
         } else if (optionId == 't') {
             options.duration = Seconds(number);
         } else if (optionId == 'h') {
@@ -57,21 +88,14 @@
         return 2;
     }
     try {
+        if (isPlannedStops) {
+            PlannedStops stops(stopOptions);
+            stops.run();
+            return report(options.seed, stops.ledger(), stops.counts(), "");
+        }
         Soak soak(options);
         soak.run();
-        std::cout << "seed " << options.seed << ':';
-        for (const auto &[outcome, count] : soak.ledger().outcomes()) {
-            std::cout << ' ' << outcome << '=' << count;
-        }
-        for (const auto &[check, count] : soak.checks()) {
-            std::cout << ' ' << check << "-checks=" << count;
-        }
-        std::cout << '\n';
-        const auto violations = soak.ledger().violations();
-        for (const auto &violation : violations) {
-            std::cout << "VIOLATION " << violation << '\n';
-        }
-        return violations.empty() ? 0 : 1;
+        return report(options.seed, soak.ledger(), soak.checks(), "-checks");
     } catch (const std::exception &error) {
         std::cerr << error.what() << '\n';
         return 1;
--- /dev/null
+++ b/tests/soak/stopcall.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "traffic/callkind.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace Cardamomhill
+{
+
+/// What the caller and the servers saw of one call around planned stops.
+struct StopCall {
+    CallKind kind = CallKind::Idempotent;
+    std::size_t host = 0;
+    /// Number of the host's process to which the connection led.
+    std::size_t process = 0;
+    bool isOnNewConnection = false;
+    SteadyTime sentAt{};
+    /// When the answer was complete or the connection had ended.
+    SteadyTime endedAt{};
+    /// When the call last began to run at a server; empty if it never ran.
+    std::optional<SteadyTime> lastRunAt;
+    /// When the server had written its whole answer; empty if it had not when the connection ended.
+    std::optional<SteadyTime> answeredAt;
+    unsigned status = 0;
+    bool isComplete = false;
+    /// The caller gave up, a second after the timeout of the route.
+    bool hasTimedOut = false;
+};
+
+} // namespace Cardamomhill
--- a/tests/soaktest.sh
+++ b/tests/soaktest.sh
@@ -1,19 +1,21 @@
 #!/usr/bin/env bash
 # A short soak with the seeds of tests/soak/seeds.txt: gateways in separate processes, with faults from outside.
-# SOAK_SEEDS="100 101" SOAK_SECONDS=20 runs other seeds, SOAK_JOBS of them at a time.
+# SOAK_SEEDS="100 101" SOAK_SECONDS=20 runs other seeds, SOAK_JOBS of them at a time; SOAK_ARGUMENTS are added.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD_DIRECTORY="${BUILD_DIRECTORY:-build}"
 JOBS="${SOAK_JOBS:-3}"
 DIRECTORY="$(mktemp -d)"
-PROGRAM="$BUILD_DIRECTORY/cardamomhill"
+PROGRAM="${SOAK_PROGRAM:-$BUILD_DIRECTORY/cardamomhill}"
 SOAK="$BUILD_DIRECTORY/tests/soak/cardamomhill-soak"
 export BUILD_DIRECTORY DIRECTORY PROGRAM SOAK
 
 run_seed() { # run_seed SEED SECONDS: keeps the logs of a run that fails
     local logs="$DIRECTORY/$1"
     mkdir -p "$logs"
-    if "$SOAK" --program "$PROGRAM" --directory "$logs" --seed "$1" --seconds "$2" >"$logs/soak.log" 2>&1; then
+    # shellcheck disable=SC2086
+    if "$SOAK" --program "$PROGRAM" --directory "$logs" --seed "$1" --seconds "$2" ${SOAK_ARGUMENTS:-} \
+        >"$logs/soak.log" 2>&1; then
         grep '^seed' "$logs/soak.log"
         rm -rf "$logs"
     else
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -81,10 +81,11 @@
     std::string earlierId;
 };
 
-DirectBackend::DirectBackend(asio::io_context &context, std::string id, RunObserver onRun)
+DirectBackend::DirectBackend(asio::io_context &context, std::string id, RunObserver onRun, RunObserver onAnswered)
     : m_context(context)
     , m_id(std::move(id))
     , m_onRun(std::move(onRun))
+    , m_onAnswered(std::move(onAnswered))
     , m_acceptor(context)
 {
 }
@@ -135,6 +136,13 @@
     }
 }
 
+void DirectBackend::notifyAnswered(const HttpRequest &request, bool wasSent) const
+{
+    if (wasSent && m_onAnswered) {
+        m_onAnswered(request);
+    }
+}
+
 Task<> DirectBackend::acceptLoop()
 {
     while (m_acceptor.is_open()) {
@@ -200,6 +208,7 @@
     const std::string text = responseHead(request, Ok, SealHeader + contentLengthHeader(body)) + body;
     const std::string copies = twice ? text + text : text;
     const bool sent = co_await write(connection, copies);
+    notifyAnswered(request, sent);
     co_return sent;
 }
 
@@ -231,6 +240,7 @@
         const std::string end = "0\r\n\r\n";
         sent = co_await write(connection, end);
     }
+    notifyAnswered(request, sent);
     co_return sent;
 }
 
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -38,7 +38,8 @@
     /// Notified of each call that runs here.
     using RunObserver = std::function<void(const HttpRequest &)>;
 
-    DirectBackend(asio::io_context &context, std::string id, RunObserver onRun = {});
+    /// @param onAnswered notified when the whole of a correct answer or stream has been written
+    DirectBackend(asio::io_context &context, std::string id, RunObserver onRun = {}, RunObserver onAnswered = {});
 
     Result<void, NetError> listen(const tcp::endpoint &endpoint);
     tcp::endpoint endpoint() const;
@@ -74,12 +75,14 @@
     Task<bool> write(Connection &connection, std::string text);
     Task<> pause();
     void countRun(const HttpRequest &request);
+    void notifyAnswered(const HttpRequest &request, bool wasSent) const;
     std::string responseHead(const HttpRequest &request, unsigned status, const std::string &headers) const;
     std::string description(const HttpRequest &request) const;
 
     asio::io_context &m_context;
     std::string m_id;
     RunObserver m_onRun;
+    RunObserver m_onAnswered;
     tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<Connection>> m_connections;
     std::map<std::string, std::uint64_t> m_runs;
