Let no gateway of the soak inherit the soak's sockets

Change: the child closes all descriptors but its output before it starts. A fixture of httpservertest, which the linter found, takes its text by reference.

--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -115,12 +115,12 @@
 
 /// A server and its callers on one thread, so that the time of the stop is exact.
 struct StoppedServer {
-    explicit StoppedServer(std::string answer = "ok")
+    explicit StoppedServer(const std::string &answer = "ok")
         : server(context,
                  HttpLimits(),
                  [answer](HttpExchange &exchange) -> Task<> {
-                     const std::string body = answer;
-                     co_await exchange.sendAnswer(200, "", body);
+                     std::string body = answer;
+                     co_await exchange.sendAnswer(200, "", std::move(body));
                  })
         , endpoint(freeEndpoint(context))
     {
--- a/tests/soak/childprocess.cpp
+++ b/tests/soak/childprocess.cpp
@@ -32,6 +32,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, OutputFileMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A socket of this process that the child inherits would stay open after this process has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = posix_spawn(&m_id, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
