--- a/tests/numberrangetest.cpp
+++ b/tests/numberrangetest.cpp
@@ -62,13 +62,17 @@
     };
     CHECK(parseServer(group("3", "1", "2")).value().groupMembership->epoch == 3);
     for (const auto &odd : OddNumbers) {
-        checkOutOfRange(parseServer(address + R"(,"slots":)" + odd), odd);
+        auto withSlots = address;
+        withSlots.append(R"(,"slots":)").append(odd);
+        checkOutOfRange(parseServer(withSlots), odd);
         checkOutOfRange(parseServer(group("3", odd, "2")), odd);
         checkOutOfRange(parseServer(group("3", "1", odd)), odd);
     }
     for (const std::string odd : {"-1", "18446744073709551616", "0.5"}) {
         checkOutOfRange(parseServer(group(odd, "1", "2")), odd);
-        checkOutOfRange(parseServer(address + R"(,"slots":4,"born":)" + odd), odd);
+        auto withStart = address;
+        withStart.append(R"(,"slots":4,"born":)").append(odd);
+        checkOutOfRange(parseServer(withStart), odd);
     }
     CHECK(parseServer(address + R"(,"slots":4,"group":7)").has_error());
 }
