--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -272,9 +272,15 @@
               {"verdict", nameOf(verdict)},
               {"sent", m_state.attempts.sentCount()},
               {"limit", m_state.route->attemptLimit},
-              {"left_ms", remainingTime().count()}});
+              {"left_ms", remainingTime().count()},
+              {"charged", m_state.attempts.isRetryCharged()},
+              {"retries_left", budget.retriesLeft()},
+              {"process_ms", m_thread.uptime().count()}});
     if (verdict == RetryVerdict::Retry) {
         m_thread.metrics().counter("retries_total").add();
+        if (m_state.attempts.isRetryCharged()) {
+            m_thread.metrics().counter("retries_charged_total").add();
+        }
     }
     return verdict == RetryVerdict::Retry;
 }
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -50,6 +50,7 @@
                              MetricsRegistry &metrics,
                              Observers observers)
     : m_settings(settings)
+    , m_startedAt(steadyNow())
     , m_codec(codec)
     , m_metrics(metrics)
     , m_eventPauses(metrics.latency("event_pause_seconds"))
@@ -380,6 +381,11 @@
     m_metrics.gauge("unreachable_domains").set(static_cast<std::int64_t>(m_servers.unreachable().size()));
 }
 
+Milliseconds GatewayThread::uptime() const
+{
+    return std::chrono::duration_cast<Milliseconds>(steadyNow() - m_startedAt);
+}
+
 Milliseconds GatewayThread::addJitter(Milliseconds time, double part)
 {
     std::uniform_real_distribution<double> factor(1, 1 + part);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -122,6 +122,9 @@
     Random &random();
     RetryBudget &retryBudget(const ServiceId &service);
 
+    /// Time since this process started.
+    Milliseconds uptime() const;
+
     /// Lengthens a time by a random fraction of itself between 0 and `part`.
     Milliseconds addJitter(Milliseconds time, double part);
 
@@ -137,6 +140,7 @@
     void applySlowdownFactors(const SlowdownFactors &slowdownFactors);
 
     const GatewaySettings &m_settings;
+    SteadyTime m_startedAt;
     const CallCodec &m_codec;
     MetricsRegistry &m_metrics;
     LatencySummary &m_eventPauses;
--- a/src/traffic/attempthistory.cpp
+++ b/src/traffic/attempthistory.cpp
@@ -55,10 +55,15 @@
     return history.evaluate(route, left) == RetryVerdict::Retry;
 }
 
+bool AttemptHistory::isRetryCharged() const
+{
+    return !m_ends.empty() && reachedServer(m_ends.back());
+}
+
 RetryVerdict AttemptHistory::retry(const Route &route, Milliseconds left, RetryBudget &budget) const
 {
     const auto verdict = evaluate(route, left);
-    if (verdict != RetryVerdict::Retry || m_ends.empty() || !reachedServer(m_ends.back())) {
+    if (verdict != RetryVerdict::Retry || !isRetryCharged()) {
         return verdict;
     }
     return budget.tryTakeToken() ? RetryVerdict::Retry : RetryVerdict::BudgetEmpty;
