Grant a restarted host its share of the retry slack only when the window has passed

Cause: the retry budget was a full token bucket in each new process, so every start granted the host's share of the fleet's slack again. Until hosts were heard the share was that of 24 hosts, and it was never less than one token. The class: state of one process that stands for a limit of the fleet. Change: RetryBudget counts first attempts and retries in a sliding window instead of saving credits. The slack is granted to a process only once the store lists its host: at once if the store had no registration of it before, else when the process is older than the window. The share may be a fraction and counts the hosts that the store lists. The window and the ratio come from the settings (retry_window_s, retry_ratio in place of calls_per_retry).

--- a/bench/routingbench.cpp
+++ b/bench/routingbench.cpp
@@ -701,6 +701,9 @@
     double serverSecondsPerAnswer = 0;
 };
 
+/// When the simulated process started: long enough ago to have its slack.
+constexpr SteadyTime LongAgo{-Seconds(3600)};
+
 /// Simulates servers with a phase in which half of the attempts fail after their full service time. Requests have a
 /// deadline of 3 s; an attempt past it is dropped at the head of the queue, but a running one is not cancelled.
 class FailureSimulation
@@ -767,7 +770,7 @@
             at(std::exponential_distribution<double>(rate)(m_random), [this] { arrive(); });
         }
         ++m_arrived[phaseOf(m_now)];
-        m_budget.recordFirstAttempt();
+        m_budget.recordFirstAttempt(atSecond(m_now));
         auto request = std::make_shared<Request>();
         request->arrival = m_now;
         attempt(request);
@@ -818,7 +821,7 @@
         }
         const RetryContext context{true, false, atSecond(request->arrival + DEADLINE_SECONDS)};
         // Without a retry budget, each decision gets a full one.
-        RetryBudget full;
+        RetryBudget full(RetryBudgetOptions(), LongAgo);
         RetryBudget &budget = m_useBudget ? m_budget : full;
         if (m_policy.decide(context, request->attempts, budget, atSecond(m_now)).has_value()) {
             attempt(request);
@@ -830,7 +833,7 @@
     RetryPolicy m_policy;
     Random m_random;
     double m_now = 0;
-    RetryBudget m_budget;
+    RetryBudget m_budget{RetryBudgetOptions(), LongAgo};
     std::multimap<double, std::function<void()>> m_events;
     std::array<Server, SERVERS> m_servers;
     std::array<std::size_t, 3> m_arrived{};
--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -53,14 +53,14 @@
                              std::string host,
                              tcp::endpoint address,
                              StoreAvailability &availability,
-                             Observer onHosts)
+                             Observers observers)
     : m_context(context)
     , m_client(context, platform, std::move(objectApi), CallTimeout)
     , m_host(std::move(host))
     , m_address(std::move(address))
     , m_availability(availability)
     , m_random(std::random_device()())
-    , m_onHosts(std::move(onHosts))
+    , m_observers(std::move(observers))
 {
 }
 
@@ -84,7 +84,7 @@
             co_await list();
         }
         if (!m_isRegistered && !m_availability.isUnavailable()) {
-            m_isRegistered = co_await registerHost();
+            co_await registerHost();
         }
         timer.expires_after(interval);
         if (m_isRegistered) {
@@ -94,28 +94,41 @@
     }
 }
 
-Task<bool> HostDirectory::registerHost()
+Task<> HostDirectory::registerHost()
 {
     const ObjectKey key{HostKind, m_host};
     const std::string value = nlohmann::json{{"address", controlAddress(m_address).value()}}.dump();
     // Most hosts start for the first time, so the object is read only if it turns out to exist.
     auto written = co_await m_client.write(key, 0, value);
+    const bool isFirstProcess = written.has_value();
     if (written.has_error() && written.error().code == PlatformCallErrorCode::Conflict) {
         const auto present = co_await m_client.read(key);
         if (present.has_error()) {
-            co_return false;
+            co_return;
         }
         const auto presentValue = parseJson(present.value().value);
         if (presentValue.has_value()
             && jsonString(presentValue.value(), "address") == controlAddress(m_address).value()) {
-            co_return true;
+            setRegistered(false);
+            co_return;
         }
         written = co_await m_client.write(key, present.value().version, value);
     }
     if (written.has_error()) {
         logEvent(LogLevel::Warning, "host-not-registered", {{"error", written.error().message().substr(0, 60)}});
+        co_return;
+    }
+    setRegistered(isFirstProcess);
+}
+
+void HostDirectory::setRegistered(bool isFirstProcess)
+{
+    if (m_isRegistered) {
+        return;
     }
-    co_return written.has_value();
+    m_isRegistered = true;
+    logEvent(LogLevel::Info, "host-registered", {{"host", m_host}, {"first_process", isFirstProcess}});
+    m_observers.onRegistered(isFirstProcess);
 }
 
 Task<> HostDirectory::list()
@@ -134,9 +147,11 @@
             hosts.push_back(*address);
         }
         // A previous process of this host may have registered the same address.
-        m_isRegistered = m_isRegistered || (object.key.name == m_host && address == m_address);
+        if (object.key.name == m_host && address == m_address) {
+            setRegistered(false);
+        }
     }
-    m_onHosts(hosts);
+    m_observers.onHosts(hosts);
 }
 
 } // namespace Cardamomhill
--- a/src/control/hostdirectory.h
+++ b/src/control/hostdirectory.h
@@ -18,8 +18,12 @@
 class HostDirectory
 {
 public:
-    /// Receives the addresses of all other registered hosts after each list.
-    using Observer = std::function<void(const std::vector<tcp::endpoint> &)>;
+    struct Observers {
+        /// Receives the addresses of all other registered hosts after each list.
+        std::function<void(const std::vector<tcp::endpoint> &)> onHosts;
+        /// The store lists this host. If it had no registration of it before, this is the host's first process.
+        std::function<void(bool isFirstProcess)> onRegistered = [](bool) {};
+    };
 
     HostDirectory(asio::io_context &context,
                   const tcp::endpoint &platform,
@@ -27,7 +31,7 @@
                   std::string host,
                   tcp::endpoint address,
                   StoreAvailability &availability,
-                  Observer onHosts);
+                  Observers observers);
 
     void start();
 
@@ -37,8 +41,8 @@
 
 private:
     Task<> run();
-    /// Returns whether the host is registered at its current address.
-    Task<bool> registerHost();
+    Task<> registerHost();
+    void setRegistered(bool isFirstProcess);
     Task<> list();
 
     asio::io_context &m_context;
@@ -47,7 +51,7 @@
     tcp::endpoint m_address;
     StoreAvailability &m_availability;
     Random m_random;
-    Observer m_onHosts;
+    Observers m_observers;
     /// Whether the store lists this host at its current address.
     bool m_isRegistered = false;
     StoreRole m_role = StoreRole::Direct;
--- a/src/entry/requestrouting.cpp
+++ b/src/entry/requestrouting.cpp
@@ -182,11 +182,12 @@
 Result<void, RetryRefusal>
 RequestRouting::mayRetry(const CallerRequest &request, const AttemptLog &attempts, bool answerStarted)
 {
-    auto &budget = m_budgets[request.service->id];
+    const auto now = steadyNow();
+    auto &budget = m_budgets.try_emplace(request.service->id, RetryBudgetOptions(), now).first->second;
     if (attempts.count() == 1) {
-        budget.recordFirstAttempt();
+        budget.recordFirstAttempt(now);
     }
-    return m_retryPolicy.decide({request.isIdempotent, answerStarted, request.deadline}, attempts, budget, steadyNow());
+    return m_retryPolicy.decide({request.isIdempotent, answerStarted, request.deadline}, attempts, budget, now);
 }
 
 bool RequestRouting::isAvailable(const BackendServerId &server) const
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -106,7 +106,7 @@
     const bool canContinue = !m_state.hasAnswerBegun || hasOtherServer();
     const bool canRetry = canContinue && m_state.isResumable()
         && m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
-        && m_thread.retryBudget(m_state.service).hasRetry();
+        && m_thread.retryBudget(m_state.service).hasRetry(steadyNow());
     if (!m_state.isCallerGone && canRetry) {
         cancel(cause);
     }
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -158,7 +158,7 @@
 
 Task<> CallHandler::sendToServers()
 {
-    m_thread.retryBudget(m_state.service).recordFirstAttempt();
+    m_thread.retryBudget(m_state.service).recordFirstAttempt(steadyNow());
     m_state.admission = streamAdmission();
     while (true) {
         const auto choice = co_await chooseServer();
@@ -263,7 +263,8 @@
 bool CallHandler::decideRetry(AttemptEnd end)
 {
     auto &budget = m_thread.retryBudget(m_state.service);
-    const auto verdict = m_state.isResumable() ? m_state.attempts.retry(*m_state.route, remainingTime(), budget)
+    const auto now = steadyNow();
+    const auto verdict = m_state.isResumable() ? m_state.attempts.retry(*m_state.route, remainingTime(), budget, now)
                                                : RetryVerdict::NotResumable;
     logEvent(LogLevel::Info,
              "retry-decided",
@@ -274,7 +275,7 @@
               {"limit", m_state.route->attemptLimit},
               {"left_ms", remainingTime().count()},
               {"charged", m_state.attempts.isRetryCharged()},
-              {"retries_left", budget.retriesLeft()},
+              {"retries_left", budget.retriesLeft(now)},
               {"process_ms", m_thread.uptime().count()}});
     if (verdict == RetryVerdict::Retry) {
         m_thread.metrics().counter("retries_total").add();
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -90,9 +90,14 @@
                           settings.host.value(),
                           settings.peerListen,
                           m_storeAvailability,
-                          [this](const std::vector<tcp::endpoint> &hosts) {
-                              asio::post(m_trafficThread.context(), [this, hosts] { m_trafficThread.setPeers(hosts); });
-                          })
+                          {[this](const std::vector<tcp::endpoint> &hosts) {
+                               asio::post(m_trafficThread.context(),
+                                          [this, hosts] { m_trafficThread.setPeers(hosts); });
+                           },
+                           [this](bool isFirstProcess) {
+                               asio::post(m_trafficThread.context(),
+                                          [this, isFirstProcess] { m_trafficThread.setRegistered(isFirstProcess); });
+                           }})
         , m_operatorServer(m_context, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
     {
     }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -9,7 +9,9 @@
 {
 
 constexpr std::int64_t MaxRetrySlack = 1'000'000;
-constexpr std::int64_t MaxCallsPerRetry = 1000;
+constexpr double MaxRetryRatio = 10;
+constexpr double MinRetryWindowSeconds = 1;
+constexpr double MaxRetryWindowSeconds = 3600;
 constexpr double MinLinkMegabitsPerSecond = 0.1;
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
 
@@ -27,8 +29,9 @@
     settings.platform = reader.endpoint("platform");
     settings.retrySlack
         = static_cast<std::uint32_t>(reader.integer("retry_slack", settings.retrySlack, 0, MaxRetrySlack));
-    settings.callsPerRetry
-        = static_cast<std::uint32_t>(reader.integer("calls_per_retry", settings.callsPerRetry, 1, MaxCallsPerRetry));
+    settings.retryRatio = reader.decimal("retry_ratio", settings.retryRatio, 0, MaxRetryRatio);
+    settings.retryWindow
+        = reader.seconds("retry_window_s", settings.retryWindow, MinRetryWindowSeconds, MaxRetryWindowSeconds);
     settings.drainGrace = reader.drainGrace(settings.drainGrace);
     settings.terminationGrace = reader.terminationGrace(settings.terminationGrace);
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -25,10 +25,10 @@
     /// Address for other entry hosts: load notices over UDP and relayed store changes over TCP.
     boost::asio::ip::tcp::endpoint peerListen;
     boost::asio::ip::tcp::endpoint platform;
-    /// Retries that all entry hosts together may make in a window beyond those that `callsPerRetry` allows.
+    /// Retries that all entry hosts together may make in a window for each call, and beyond that.
+    double retryRatio = 0.2;
     std::uint32_t retrySlack = 100;
-    /// First attempts that add one retry to the retry budget.
-    std::uint32_t callsPerRetry = 6;
+    Milliseconds retryWindow{10'000};
     /// Time between becoming not ready and closing the listening socket.
     Milliseconds drainGrace{3000};
     /// Time after SIGTERM at which the platform kills the process.
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -32,6 +32,8 @@
 constexpr std::uint32_t MinHostCount = 24;
 /// Fraction of the retry slack that is shared out. The rest covers hosts that are not known yet.
 constexpr double RetrySlackFraction = 0.85;
+/// Fraction of the retry ratio that is used, since each host counts its calls in a window of its own.
+constexpr double RetryRatioFraction = 0.83;
 
 HttpLimits httpLimitsOf(const CallerLimits &limits)
 {
@@ -51,6 +53,7 @@
                              Observers observers)
     : m_settings(settings)
     , m_startedAt(steadyNow())
+    , m_retrySlackFrom(SteadyTime::max())
     , m_codec(codec)
     , m_metrics(metrics)
     , m_eventPauses(metrics.latency("event_pause_seconds"))
@@ -206,6 +209,7 @@
 
 void GatewayThread::setPeers(const std::vector<tcp::endpoint> &hosts)
 {
+    m_maxHostCount = std::max(m_maxHostCount, static_cast<std::uint32_t>(hosts.size()) + 1);
     std::vector<asio::ip::udp::endpoint> peers;
     peers.reserve(hosts.size());
     for (const auto &host : hosts) {
@@ -214,6 +218,14 @@
     m_peerExchange.setPeers(std::move(peers));
 }
 
+void GatewayThread::setRegistered(bool isFirstProcess)
+{
+    m_retrySlackFrom = isFirstProcess ? m_startedAt : m_startedAt + m_settings.retryWindow;
+    for (auto &[service, budget] : m_retryBudgets) {
+        budget.setSlackFrom(m_retrySlackFrom);
+    }
+}
+
 void GatewayThread::startDraining()
 {
     m_drain.start();
@@ -343,35 +355,31 @@
         return found->second;
     }
     RetryBudgetOptions options;
-    options.attemptsPerRetry = m_settings.callsPerRetry;
-    options.burst = retryBudgetBurst();
-    return m_retryBudgets.emplace(service, RetryBudget(options)).first->second;
+    options.ratio = RetryRatioFraction * m_settings.retryRatio;
+    options.slack = retrySlackShare();
+    options.window = m_settings.retryWindow;
+    return m_retryBudgets.emplace(service, RetryBudget(options, m_retrySlackFrom)).first->second;
 }
 
-std::uint32_t GatewayThread::retryBudgetBurst() const
+double GatewayThread::retrySlackShare() const
 {
-    const auto burst = RetrySlackFraction * m_settings.retrySlack / m_maxHostCount;
-    return std::max(static_cast<std::uint32_t>(burst), 1U);
+    return RetrySlackFraction * m_settings.retrySlack / m_maxHostCount;
 }
 
 void GatewayThread::updateHostCount()
 {
     // Hosts on the other side of a network partition go on using their share, so the number never decreases.
-    const auto hosts = static_cast<std::uint32_t>(m_peerExchange.hostCount());
-    if (hosts <= m_maxHostCount) {
-        return;
-    }
-    m_maxHostCount = hosts;
+    m_maxHostCount = std::max(m_maxHostCount, static_cast<std::uint32_t>(m_peerExchange.hostCount()));
     for (auto &[service, budget] : m_retryBudgets) {
-        budget.setBurst(retryBudgetBurst());
+        budget.setSlack(retrySlackShare());
     }
 }
 
 void GatewayThread::updateGauges()
 {
-    std::uint32_t retriesLeft = retryBudgetBurst();
+    auto retriesLeft = static_cast<std::uint32_t>(retrySlackShare());
     for (const auto &[service, budget] : m_retryBudgets) {
-        retriesLeft = std::min(retriesLeft, budget.retriesLeft());
+        retriesLeft = std::min(retriesLeft, budget.retriesLeft(steadyNow()));
     }
     m_metrics.gauge("retries_left").set(retriesLeft);
     m_metrics.gauge("calls_in_progress").set(static_cast<std::int64_t>(m_callCount.load()));
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -76,6 +76,9 @@
     /// Tells the other entry hosts about a group that this process coordinates.
     void sendGroupNotice(const GroupNotice &notice);
     void setPeers(const std::vector<tcp::endpoint> &hosts);
+    /// The store lists this host. Only then its share of the retry slack is granted: at once if no earlier process of
+    /// the host can have spent it, else when this process is older than the window.
+    void setRegistered(bool isFirstProcess);
     /// Closes callers' connections after their answers, so that callers connect to another host before this one stops,
     /// later the listening socket, and shortly before the process is killed what still runs. Ends run() when no
     /// connection is left or the time is over.
@@ -133,14 +136,16 @@
     void applyGroupNotice(const GroupNotice &notice);
     void checkReachability();
     bool canServeAllEngines() const;
-    /// Largest number of retries that this host may accumulate for a service: its share of `retrySlack`.
-    std::uint32_t retryBudgetBurst() const;
+    /// This host's share of `retrySlack`.
+    double retrySlackShare() const;
     void updateHostCount();
     void updateGauges();
     void applySlowdownFactors(const SlowdownFactors &slowdownFactors);
 
     const GatewaySettings &m_settings;
     SteadyTime m_startedAt;
+    /// When this host's share of the retry slack is granted.
+    SteadyTime m_retrySlackFrom;
     const CallCodec &m_codec;
     MetricsRegistry &m_metrics;
     LatencySummary &m_eventPauses;
@@ -157,7 +162,7 @@
     ServerTable m_servers;
     BackendConnectionPool m_connectionPool;
     Random m_random;
-    /// The largest number of live entry hosts so far, this one included.
+    /// The largest number of entry hosts so far, this one included.
     std::uint32_t m_maxHostCount;
     Reachability m_reachability;
     PeerExchange m_peerExchange;
--- a/src/routing/retrybudget.cpp
+++ b/src/routing/retrybudget.cpp
@@ -5,49 +5,49 @@
 namespace Cardamomhill
 {
 
-RetryBudget::RetryBudget(RetryBudgetOptions options)
+RetryBudget::RetryBudget(RetryBudgetOptions options, SteadyTime slackFrom)
     : m_options(options)
-    , m_credits(creditsFor(options.burst))
+    , m_slackFrom(slackFrom)
+    , m_firstAttempts(options.window)
+    , m_retries(options.window)
 {
 }
 
-void RetryBudget::recordFirstAttempt()
+void RetryBudget::recordFirstAttempt(SteadyTime now)
 {
-    m_credits = std::min(m_credits + 1, creditsFor(m_options.burst));
+    m_firstAttempts.add(now);
 }
 
-void RetryBudget::setBurst(std::uint32_t burst)
+void RetryBudget::setSlack(double slack)
 {
-    if (burst > m_options.burst) {
-        m_credits += creditsFor(burst - m_options.burst);
-    }
-    m_options.burst = burst;
-    m_credits = std::min(m_credits, creditsFor(burst));
+    m_options.slack = slack;
 }
 
-std::uint64_t RetryBudget::creditsFor(std::uint32_t retries) const
+void RetryBudget::setSlackFrom(SteadyTime slackFrom)
 {
-    return std::uint64_t{retries} * m_options.attemptsPerRetry;
+    m_slackFrom = slackFrom;
 }
 
-bool RetryBudget::tryTakeToken()
+bool RetryBudget::tryTakeRetry(SteadyTime now)
 {
-    if (!hasRetry()) {
+    if (!hasRetry(now)) {
         return false;
     }
-    m_credits -= m_options.attemptsPerRetry;
+    m_retries.add(now);
     return true;
 }
 
-bool RetryBudget::hasRetry() const
+bool RetryBudget::hasRetry(SteadyTime now) const
 {
-    return retriesLeft() > 0;
+    return retriesLeft(now) > 0;
 }
 
-std::uint32_t RetryBudget::retriesLeft() const
+std::uint32_t RetryBudget::retriesLeft(SteadyTime now) const
 {
-    const bool isLimited = m_options.attemptsPerRetry > 0;
-    return isLimited ? static_cast<std::uint32_t>(m_credits / m_options.attemptsPerRetry) : 0;
+    const double slack = now >= m_slackFrom ? m_options.slack : 0;
+    const double allowed = m_options.ratio * static_cast<double>(m_firstAttempts.lowerBound(now)) + slack;
+    const double left = allowed - static_cast<double>(m_retries.upperBound(now));
+    return static_cast<std::uint32_t>(std::max(left, 0.0));
 }
 
 } // namespace Cardamomhill
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "core/clocktypes.h"
+#include "routing/slidingcount.h"
+
 #include <cstdint>
 
 namespace Cardamomhill
@@ -7,37 +10,42 @@
 
 /// Parameters of RetryBudget.
 struct RetryBudgetOptions {
-    /// First attempts that allow one retry: 10% overhead.
-    std::uint32_t attemptsPerRetry = 10;
-    /// Capacity of the bucket in retries; a new budget is full.
-    std::uint32_t burst = 10;
+    /// Retries that each first attempt of the window pays for: 10% overhead.
+    double ratio = 0.1;
+    /// Retries in each window beyond those. A fraction if many processes share few of them.
+    double slack = 10;
+    Microseconds window = Seconds(10);
 };
 
-/// A token bucket that limits retries to a fraction of the first attempts, so that retries do not overload servers that
-/// fail because of load. Each service has its own, or one failing service would use up the retries of the others.
+/// Limits retries to a fraction of the first attempts and a slack in any window of time, so that retries do not
+/// overload servers that fail because of load. Each service has its own, or one failing service would use up the
+/// retries of the others.
+///
+/// The slack belongs to a host rather than to a process: the process before this one may have spent it in the same
+/// window. So a process that follows another one has only what its calls pay for until it is older than the window.
 class RetryBudget
 {
 public:
-    explicit RetryBudget(RetryBudgetOptions options = {});
+    /// @param slackFrom when the slack is granted
+    RetryBudget(RetryBudgetOptions options, SteadyTime slackFrom);
 
-    void recordFirstAttempt();
+    void recordFirstAttempt(SteadyTime now);
 
-    /// Changes the capacity of the bucket. The retries added by a larger burst are available at once.
-    void setBurst(std::uint32_t burst);
+    void setSlack(double slack);
+    void setSlackFrom(SteadyTime slackFrom);
 
-    /// Consumes the token of one retry; returns false if there is none.
-    bool tryTakeToken();
+    /// Consumes one retry; returns false if none is left.
+    bool tryTakeRetry(SteadyTime now);
 
-    bool hasRetry() const;
+    bool hasRetry(SteadyTime now) const;
     /// Number of retries available now.
-    std::uint32_t retriesLeft() const;
+    std::uint32_t retriesLeft(SteadyTime now) const;
 
 private:
-    std::uint64_t creditsFor(std::uint32_t retries) const;
-
     RetryBudgetOptions m_options;
-    /// Fractions of a token: each first attempt adds 1, a retry costs `attemptsPerRetry`.
-    std::uint64_t m_credits;
+    SteadyTime m_slackFrom;
+    SlidingCount m_firstAttempts;
+    SlidingCount m_retries;
 };
 
 } // namespace Cardamomhill
--- a/src/routing/retrypolicy.cpp
+++ b/src/routing/retrypolicy.cpp
@@ -27,7 +27,7 @@
     if (context.deadline - now < m_options.minimumAttemptTime) {
         return refuse(RetryRefusalCode::DeadlineTooClose);
     }
-    if (!budget.tryTakeToken()) {
+    if (!budget.tryTakeRetry(now)) {
         return refuse(RetryRefusalCode::BudgetEmpty);
     }
     return success();
--- a/src/routing/retrypolicy.h
+++ b/src/routing/retrypolicy.h
@@ -32,7 +32,7 @@
 public:
     explicit RetryPolicy(RetryOptions options = {});
 
-    /// Success means: retry now, on a server that the request has not tried. Only then a token of the budget is used.
+    /// Success means: retry now, on a server that the request has not tried. Only then a retry of the budget is used.
     Result<void, RetryRefusal>
     decide(const RetryContext &context, const AttemptLog &attempts, RetryBudget &budget, SteadyTime now) const;
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -17,3 +17,4 @@
 #include "routing/router.h"
 #include "routing/routingdecision.h"
 #include "routing/routingerror.h"
+#include "routing/slidingcount.h"
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -104,10 +104,14 @@
 {
     constexpr double MinSeconds = 0.5;
     constexpr double MaxSeconds = 3600;
+    return seconds("termination_grace_s", defaultValue, MinSeconds, MaxSeconds);
+}
+
+Milliseconds SettingsReader::seconds(const std::string &key, Milliseconds defaultValue, double min, double max)
+{
     using DecimalSeconds = std::chrono::duration<double>;
     const auto defaultSeconds = DecimalSeconds(defaultValue).count();
-    return std::chrono::round<Milliseconds>(
-        DecimalSeconds(decimal("termination_grace_s", defaultSeconds, MinSeconds, MaxSeconds)));
+    return std::chrono::round<Milliseconds>(DecimalSeconds(decimal(key, defaultSeconds, min, max)));
 }
 
 bool SettingsReader::boolean(const std::string &key, bool defaultValue)
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -26,6 +26,8 @@
     std::string text(const std::string &key);
     std::int64_t integer(const std::string &key, std::int64_t defaultValue, std::int64_t min, std::int64_t max);
     double decimal(const std::string &key, double defaultValue, double min, double max);
+    /// Reads a time in seconds, which may have a fraction.
+    Milliseconds seconds(const std::string &key, Milliseconds defaultValue, double min, double max);
     /// Reads `drain_grace_ms`, a setting of all kinds of entry host.
     Milliseconds drainGrace(Milliseconds defaultValue);
     /// Reads `termination_grace_s`, a setting of all processes that drain.
--- a/src/traffic/attempthistory.cpp
+++ b/src/traffic/attempthistory.cpp
@@ -60,13 +60,13 @@
     return !m_ends.empty() && reachedServer(m_ends.back());
 }
 
-RetryVerdict AttemptHistory::retry(const Route &route, Milliseconds left, RetryBudget &budget) const
+RetryVerdict AttemptHistory::retry(const Route &route, Milliseconds left, RetryBudget &budget, SteadyTime now) const
 {
     const auto verdict = evaluate(route, left);
     if (verdict != RetryVerdict::Retry || !isRetryCharged()) {
         return verdict;
     }
-    return budget.tryTakeToken() ? RetryVerdict::Retry : RetryVerdict::BudgetEmpty;
+    return budget.tryTakeRetry(now) ? RetryVerdict::Retry : RetryVerdict::BudgetEmpty;
 }
 
 RetryVerdict AttemptHistory::evaluate(const Route &route, Milliseconds left) const
--- a/src/traffic/attempthistory.h
+++ b/src/traffic/attempthistory.h
@@ -29,12 +29,12 @@
     /// Whether the route would allow another attempt if the current one ended as given. Ignores the retry budget.
     bool allowsRetryAfter(AttemptEnd end, const Route &route, Milliseconds left) const;
 
-    /// Whether a retry now takes a token from the retry budget: the last attempt reached a server.
+    /// Whether a retry now is charged to the retry budget: the last attempt reached a server.
     bool isRetryCharged() const;
 
-    /// Decides whether to retry after an attempt without a complete answer. The retry takes a token from the budget,
+    /// Decides whether to retry after an attempt without a complete answer. The retry is charged to the budget,
     /// unless the last attempt reached no server and so added no load to one.
-    RetryVerdict retry(const Route &route, Milliseconds left, RetryBudget &budget) const;
+    RetryVerdict retry(const Route &route, Milliseconds left, RetryBudget &budget, SteadyTime now) const;
 
 private:
     /// Decides like retry(), but without the budget.
--- a/tests/attempthistorytest.cpp
+++ b/tests/attempthistorytest.cpp
@@ -10,6 +10,15 @@
 {
 
 constexpr Milliseconds Left{1000};
+const SteadyTime Now{Seconds(100)};
+
+/// A budget of a process that has run for long.
+RetryBudget budgetOf(double retries)
+{
+    RetryBudgetOptions options;
+    options.slack = retries;
+    return RetryBudget(options, Now - 2 * options.window);
+}
 
 Route route(CallKind kind, std::uint32_t limit, bool isResumable = false)
 {
@@ -26,8 +35,8 @@
     for (const auto end : ends) {
         history.add(end);
     }
-    RetryBudget budget;
-    return history.retry(route, left, budget);
+    auto budget = budgetOf(10);
+    return history.retry(route, left, budget, Now);
 }
 
 } // namespace
@@ -63,28 +72,24 @@
     CHECK(verdictAfter(lookup, {AttemptEnd::Broken}, Milliseconds(5)) == RetryVerdict::TooLate);
     AttemptHistory history;
     history.add(AttemptEnd::Broken);
-    RetryBudgetOptions options;
-    options.burst = 1;
-    RetryBudget budget(options);
-    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::Retry);
-    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::BudgetEmpty);
+    auto budget = budgetOf(1);
+    CHECK(history.retry(lookup, Left, budget, Now) == RetryVerdict::Retry);
+    CHECK(history.retry(lookup, Left, budget, Now) == RetryVerdict::BudgetEmpty);
     AttemptHistory unsent;
     unsent.add(AttemptEnd::NotSent);
-    CHECK(unsent.retry(lookup, Left, budget) == RetryVerdict::Retry);
+    CHECK(unsent.retry(lookup, Left, budget, Now) == RetryVerdict::Retry);
     unsent.add(AttemptEnd::Withdrawn);
-    CHECK(unsent.retry(lookup, Left, budget) == RetryVerdict::Retry);
+    CHECK(unsent.retry(lookup, Left, budget, Now) == RetryVerdict::Retry);
 }
 
 TEST_CASE("a retry after another instance refused the call takes from the budget, since a server was reached")
 {
     AttemptHistory history;
     history.add(AttemptEnd::OtherInstance);
-    RetryBudgetOptions options;
-    options.burst = 1;
-    RetryBudget budget(options);
+    auto budget = budgetOf(1);
     const auto lookup = route(CallKind::Idempotent, 5);
-    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::Retry);
-    CHECK(history.retry(lookup, Left, budget) == RetryVerdict::BudgetEmpty);
+    CHECK(history.retry(lookup, Left, budget, Now) == RetryVerdict::Retry);
+    CHECK(history.retry(lookup, Left, budget, Now) == RetryVerdict::BudgetEmpty);
 }
 
 TEST_CASE("a call is certain not to have run only if none of its attempts may have run it")
--- a/tests/oddentriestest.cpp
+++ b/tests/oddentriestest.cpp
@@ -33,7 +33,7 @@
                     "host-a",
                     tcp::endpoint(asio::ip::address_v4::loopback(), 7400),
                     availability,
-                    [this](const std::vector<tcp::endpoint> &listed) { hosts = listed; })
+                    {[this](const std::vector<tcp::endpoint> &listed) { hosts = listed; }})
     {
         REQUIRE(store.listen(storeEndpoint).has_value());
     }
--- a/tests/retrytest.cpp
+++ b/tests/retrytest.cpp
@@ -5,37 +5,81 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace Cardamomhill
 {
 
 namespace
 {
 
-constexpr std::uint32_t RETRY_BURST = 5;
-constexpr std::uint32_t ATTEMPTS_PER_RETRY = 10;
+constexpr double RetrySlack = 5;
+constexpr double RetryRatio = 0.1;
+constexpr Milliseconds Window{10000};
+const SteadyTime Start{Seconds(100)};
+/// When the slack of a process that started then is granted, if it has a predecessor.
+const SteadyTime SlackGranted = Start + Window;
+
+RetryBudgetOptions optionsWith(double ratio, double slack)
+{
+    return {ratio, slack, Window};
+}
+
+std::size_t countWithin(const std::vector<SteadyTime> &times, SteadyTime begin)
+{
+    return static_cast<std::size_t>(std::count_if(
+        times.begin(), times.end(), [begin](SteadyTime time) { return time >= begin && time < begin + Window; }));
+}
+
+/// First attempts and retries of one service at all hosts.
+struct FleetTraffic {
+    std::vector<SteadyTime> firstAttempts;
+    std::vector<SteadyTime> retries;
+
+    /// Whether any window has more retries than the first attempts in it, half a window before or a window before, and
+    /// the slack allow.
+    bool exceeds(double ratio, double slack) const
+    {
+        return std::any_of(retries.begin(), retries.end(), [&](SteadyTime begin) {
+            std::size_t paying = 0;
+            for (const auto shift : {Milliseconds(0), Window / 2, Window}) {
+                paying = std::max(paying, countWithin(firstAttempts, begin - shift));
+            }
+            return static_cast<double>(countWithin(retries, begin)) > ratio * static_cast<double>(paying) + slack;
+        });
+    }
+};
+
+/// How the hosts of a fleet restart.
+struct Restarts {
+    /// Out of a thousand events.
+    std::uint64_t perMille = 0;
+    /// Seeded fault: a process that starts has the budget of one that has run for long.
+    bool grantSlackAtOnce = false;
+};
 
-/// Whether more retries were granted in any window of a random sequence than burst and first attempts allow.
-bool exceedsRetryBudget(RetryBudgetOptions options, std::uint64_t seed)
+/// Plays a fleet whose hosts restart at random, under first attempts and retries at random, each host with its share of
+/// the slack.
+FleetTraffic playFleet(std::size_t hosts, RetryBudgetOptions share, Restarts restarts, std::uint64_t seed)
 {
     Random random(seed);
-    RetryBudget budget(options);
-    // Ten times the number of granted retries minus the number of first attempts, after each event.
-    std::vector<std::int64_t> excess{0};
-    for (int event = 0; event < 400; ++event) {
-        if (random() % 4 == 0) {
-            excess.push_back(excess.back() + (budget.tryTakeToken() ? ATTEMPTS_PER_RETRY : 0));
-        } else {
-            budget.recordFirstAttempt();
-            excess.push_back(excess.back() - 1);
+    FleetTraffic traffic;
+    std::vector<RetryBudget> budgets(hosts, RetryBudget(share, Start));
+    auto now = SlackGranted;
+    for (int event = 0; event < 3000; ++event) {
+        now += Milliseconds(random() % 20);
+        auto &budget = budgets[random() % hosts];
+        if (random() % 1000 < restarts.perMille) {
+            budget = RetryBudget(share, restarts.grantSlackAtOnce ? now : now + Window);
+        } else if (random() % 2 == 0) {
+            budget.recordFirstAttempt(now);
+            traffic.firstAttempts.push_back(now);
+        } else if (budget.tryTakeRetry(now)) {
+            traffic.retries.push_back(now);
         }
     }
-    std::int64_t lowest = 0;
-    bool exceeded = false;
-    for (const std::int64_t value : excess) {
-        lowest = std::min(lowest, value);
-        exceeded = exceeded || value - lowest > std::int64_t{RETRY_BURST} * ATTEMPTS_PER_RETRY;
-    }
-    return exceeded;
+    return traffic;
 }
 
 /// Seeded fault: reports the outcome of the last attempt as that of the request.
@@ -103,31 +147,70 @@
 
 } // namespace
 
-TEST_CASE("the retries added by a larger burst are available at once, and a smaller burst removes the excess")
+TEST_CASE("a larger slack is available at once, and a smaller one holds at once")
+{
+    RetryBudget budget(optionsWith(0, 1), Start);
+    CHECK(budget.tryTakeRetry(SlackGranted));
+    CHECK_FALSE(budget.tryTakeRetry(SlackGranted));
+    budget.setSlack(3);
+    CHECK(budget.tryTakeRetry(SlackGranted));
+    CHECK(budget.tryTakeRetry(SlackGranted));
+    CHECK_FALSE(budget.tryTakeRetry(SlackGranted));
+    budget.setSlack(5);
+    budget.setSlack(4);
+    CHECK(budget.tryTakeRetry(SlackGranted));
+    CHECK_FALSE(budget.tryTakeRetry(SlackGranted));
+}
+
+TEST_CASE("a process has only the retries that its calls pay for until its slack is granted")
+{
+    RetryBudget budget(optionsWith(RetryRatio, RetrySlack), SlackGranted);
+    const auto before = SlackGranted - Milliseconds(1);
+    CHECK_FALSE(budget.hasRetry(before));
+    for (int call = 0; call < 20; ++call) {
+        budget.recordFirstAttempt(before);
+    }
+    CHECK(budget.retriesLeft(before) == 2);
+    CHECK(budget.retriesLeft(SlackGranted) == 2 + RetrySlack);
+    RetryBudget first(optionsWith(RetryRatio, RetrySlack), SlackGranted);
+    first.setSlackFrom(Start);
+    CHECK(first.retriesLeft(Start) == RetrySlack);
+}
+
+TEST_CASE("what calls paid for and what was spent leave the window together")
 {
-    RetryBudgetOptions options;
-    options.burst = 1;
-    RetryBudget budget(options);
-    CHECK(budget.tryTakeToken());
-    CHECK_FALSE(budget.tryTakeToken());
-    budget.setBurst(3);
-    CHECK(budget.tryTakeToken());
-    CHECK(budget.tryTakeToken());
-    CHECK_FALSE(budget.tryTakeToken());
-    budget.setBurst(5);
-    budget.setBurst(1);
-    CHECK(budget.tryTakeToken());
-    CHECK_FALSE(budget.tryTakeToken());
+    RetryBudget budget(optionsWith(RetryRatio, 1), Start);
+    for (int call = 0; call < 30; ++call) {
+        budget.recordFirstAttempt(SlackGranted);
+    }
+    while (budget.tryTakeRetry(SlackGranted)) { }
+    CHECK(budget.retriesLeft(SlackGranted + Window - Seconds(1)) == 0);
+    CHECK(budget.retriesLeft(SlackGranted + 2 * Window) == 1);
 }
 
-TEST_CASE("retries stay within burst and 10% of the first attempts over any window")
+TEST_CASE("retries of a fleet whose hosts restart stay within the slack and a fraction of the first attempts")
 {
+    constexpr std::size_t Hosts = 12;
+    constexpr double FleetSlack = Hosts * RetrySlack;
     CHECK(rc::check("the budget is never exceeded", [](std::uint64_t seed) {
-        RC_ASSERT_FALSE(exceedsRetryBudget({ATTEMPTS_PER_RETRY, RETRY_BURST}, seed));
+        const auto share = optionsWith(RetryRatio, RetrySlack);
+        RC_ASSERT_FALSE(playFleet(Hosts, share, {seed % 60}, seed).exceeds(RetryRatio, FleetSlack));
     }));
-    // Seeded faults: a retry costs too little; the bucket holds too much.
-    CHECK(exceedsRetryBudget({ATTEMPTS_PER_RETRY - 3, RETRY_BURST}, 20261204));
-    CHECK(exceedsRetryBudget({ATTEMPTS_PER_RETRY, RETRY_BURST + 1}, 20261204));
+    const auto exceeds = [](double ratio, double slack, Restarts restarts) {
+        return playFleet(Hosts, optionsWith(ratio, slack), restarts, 20261204).exceeds(RetryRatio, FleetSlack);
+    };
+    // Seeded faults: a retry costs too little; the slack is too large; each start grants it again.
+    CHECK(exceeds(3 * RetryRatio, RetrySlack, {}));
+    CHECK(exceeds(RetryRatio, 2 * RetrySlack, {}));
+    CHECK(exceeds(RetryRatio, RetrySlack, {50, true}));
+}
+
+TEST_CASE("hosts that share fewer retries than they are make no more than those")
+{
+    constexpr std::size_t Hosts = 50;
+    constexpr double FleetSlack = 10;
+    const auto traffic = playFleet(Hosts, optionsWith(RetryRatio, FleetSlack / Hosts), {2}, 20261205);
+    CHECK_FALSE(traffic.exceeds(RetryRatio, FleetSlack));
 }
 
 TEST_CASE("a request is never reported as not run when one of its attempts may have run")
@@ -159,7 +242,7 @@
 TEST_CASE("a retry that could repeat work, follow a partial answer or miss the deadline is refused and costs no token")
 {
     const RetryPolicy policy;
-    RetryBudget budget({ATTEMPTS_PER_RETRY, 1});
+    RetryBudget budget(optionsWith(RetryRatio, 1), SteadyTime());
     AttemptLog log;
     log.end(log.start(), RequestOutcome::Unknown);
     const SteadyTime now{Seconds(1)};
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -163,6 +163,7 @@
                 }
             }
             CHECK(isReady);
+            co_await waitForLog(host, "event=host-registered");
             for (const auto &[id, server] : m_servers) {
                 co_await waitForLog(host, "event=server-present server=" + id);
             }
