Keep the ports of test fleets away from those of the shell tests

Cause: oddregistrationtest failed once beside 5 other tests: its last gateway was not ready, served none of 4 calls and followed nothing. Its port 29460 was in the range from which test fleets take free ports. With that port occupied on purpose, the same three checks fail and no other; the test alone passed. Change: freeEndpoint() takes ports from 10000 to 27999.

--- a/tests/soak/freeendpoint.cpp
+++ b/tests/soak/freeendpoint.cpp
@@ -9,7 +9,8 @@
 {
 
 constexpr unsigned FirstPort = 10000;
-constexpr unsigned PortCount = 20000;
+// The ports from 28000 on are those of the shell tests.
+constexpr unsigned PortCount = 18000;
 /// Distance between the first ports of processes with consecutive ids, so that concurrent ones try different ports.
 constexpr unsigned ProcessPortStride = 37;
 
