--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -1,5 +1,6 @@
 #include "gateway/callhandler.h"
 
+#include "core/joinwithcommas.h"
 #include "gateway/attempt.h"
 #include "gateway/callcodec.h"
 #include "gateway/gatewaythread.h"
@@ -254,6 +255,7 @@
                   {"server", choice.server.value()},
                   {"end", nameOf(end)},
                   {"cause", attempt.cause()},
+                  {"prompt", joinWithCommas(m_state.head.sharedPromptParts)},
                   {"events", m_state.eventCount},
                   {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()}});
     }
--- a/src/traffic/callhead.h
+++ b/src/traffic/callhead.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -22,6 +23,8 @@
     std::optional<Milliseconds> remainingTime;
     /// The event after which the caller resumes a stream; empty for a new stream.
     std::string lastEventId;
+    /// The parts of the prompt that other calls may share, in order: all but the last.
+    std::vector<std::string> sharedPromptParts;
 };
 
 } // namespace Cardamomhill
