Show that calls whose prompts crash servers reach one server after the other

Change: promptcrashtest sends calls to three gateways before eight servers, of which those with one part in their prompts crash their server; sound calls share their first part and their key.

--- /dev/null
+++ b/tests/promptcrashtest.cpp
@@ -0,0 +1,161 @@
+#include "support/gatewayfleet.h"
+
+#include <set>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+constexpr std::size_t HostCount = 3;
+constexpr int ServerCount = 8;
+constexpr Milliseconds BadInterval{200};
+constexpr Milliseconds SoundInterval{40};
+constexpr Milliseconds CrashDelay{30};
+constexpr Milliseconds RestartTime{2000};
+constexpr Milliseconds StableWindow{3000};
+constexpr Milliseconds Duration{14000};
+constexpr std::size_t CrashesToLearnFrom = 5;
+constexpr std::size_t MaxCallsAfterwards = 3;
+constexpr unsigned Ok = 200;
+const std::string PrefixHeader = "Cardamomhill-Prompt-Prefix";
+
+/// Servers that crash of calls with one part in their prompts, under calls with and without it.
+class CrashingFleet
+{
+public:
+    CrashingFleet()
+        : fleet(HostCount, serverIds(), "retry_slack: 1000\n")
+    {
+        fleet.onRun = [this](const std::string &server, const HttpRequest &request) { receive(server, request); };
+    }
+
+    Task<> run()
+    {
+        const auto end = steadyNow() + Duration;
+        fleet.spawnTask(sendAll("bad", BadInterval, end));
+        co_await sendAll("sound", SoundInterval, end);
+        while (m_openCalls > 0) {
+            co_await fleet.sleep(SoundInterval);
+        }
+    }
+
+    /// When the crashes that the fleet may learn from were over.
+    SteadyTime learnedAt() const
+    {
+        return crashes.empty() ? SteadyTime() : crashes[std::min(crashes.size(), CrashesToLearnFrom) - 1];
+    }
+
+    /// Calls with the part that reached a server although the fleet had to know it.
+    std::size_t lateArrivals() const
+    {
+        return countAfter(m_arrivals, learnedAt() + StableWindow);
+    }
+
+    /// Calls without the part that were sent when the fleet had to know it.
+    std::size_t soundCalls() const
+    {
+        return countAfter(m_soundCalls, learnedAt() + 2 * StableWindow);
+    }
+
+    /// Those of them that got a whole answer.
+    std::size_t soundAnswers() const
+    {
+        return countAfter(m_answeredCalls, learnedAt() + 2 * StableWindow);
+    }
+
+    GatewayFleet fleet;
+    std::vector<SteadyTime> crashes;
+
+private:
+    static std::size_t countAfter(const std::vector<SteadyTime> &times, SteadyTime begin)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(times.begin(), times.end(), [begin](SteadyTime time) { return time > begin; }));
+    }
+
+    static std::vector<std::string> serverIds()
+    {
+        std::vector<std::string> ids;
+        for (int number = 0; number < ServerCount; ++number) {
+            ids.push_back("s" + std::to_string(number));
+        }
+        return ids;
+    }
+
+    void receive(const std::string &server, const HttpRequest &request)
+    {
+        if (std::string(request[PrefixHeader]).find("bad:") != std::string::npos) {
+            m_arrivals.push_back(steadyNow());
+            fleet.spawnTask(crash(server));
+        }
+    }
+
+    Task<> crash(std::string server)
+    {
+        co_await fleet.sleep(CrashDelay);
+        if (!m_crashed.insert(server).second) {
+            co_return;
+        }
+        crashes.push_back(steadyNow());
+        fleet.server(server).stop();
+        co_await fleet.sleep(RestartTime);
+        fleet.store.remove("servers", server);
+        fleet.addServer("r" + std::to_string(++m_restarts), 1);
+    }
+
+    Task<> sendAll(std::string kind, Milliseconds interval, SteadyTime end)
+    {
+        for (int number = 0; steadyNow() < end; ++number) {
+            fleet.spawnTask(send(kind, number));
+            co_await fleet.sleep(interval);
+        }
+    }
+
+    Task<> send(std::string kind, int number)
+    {
+        ++m_openCalls;
+        const auto id = kind + std::to_string(number);
+        auto request = GatewayFleet::makeCall("/draft/stream", id);
+        const std::string middle = kind == "bad" ? "bad:20" : "topic" + std::to_string(number % 5) + ":20";
+        request.set(PrefixHeader, "common:40," + middle + "," + id + ":5");
+        const auto sentAt = steadyNow();
+        const auto result = co_await fleet.call(static_cast<std::size_t>(number) % HostCount, std::move(request));
+        if (kind == "sound") {
+            m_soundCalls.push_back(sentAt);
+        }
+        if (kind == "sound" && result.status == Ok && result.isComplete) {
+            m_answeredCalls.push_back(sentAt);
+        }
+        --m_openCalls;
+    }
+
+    std::vector<SteadyTime> m_arrivals;
+    /// When each call without the part was sent, and those that got a whole answer.
+    std::vector<SteadyTime> m_soundCalls;
+    std::vector<SteadyTime> m_answeredCalls;
+    std::set<std::string> m_crashed;
+    int m_restarts = 0;
+    int m_openCalls = 0;
+};
+
+} // namespace
+
+TEST_CASE(
+    "calls with a part in their prompts that crashes servers stop reaching servers, and calls without it are served")
+{
+    CrashingFleet crashing;
+    crashing.fleet.run(crashing.run());
+    MESSAGE(crashing.crashes.size(),
+            " crashes, ",
+            crashing.lateArrivals(),
+            " late arrivals, ",
+            crashing.soundAnswers(),
+            " of ",
+            crashing.soundCalls(),
+            " sound calls answered");
+    CHECK_FALSE(crashing.crashes.empty());
+    CHECK(crashing.lateArrivals() <= MaxCallsAfterwards);
+    CHECK(crashing.soundCalls() > 20);
+    CHECK(crashing.soundAnswers() * 2 > crashing.soundCalls());
+}
