Refuse calls whose prompts crash backend servers

Cause: nothing connected crashes with what the calls had in common. Each host saw one broken call a crash, retried it at the next server and forgot it. The class: a call that harms every server it is sent to is handled like one that met a faulty server. Change: PromptGuard checks whether a server whose connection broke before an answer went on still accepts connections, and tells the other hosts over the peer exchange which parts of prompts it was about to answer. Calls with a blocked part are refused with 503, not run, at once, attempts that wait at a server are cancelled, and a call that broke under a suspected part is not retried.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -32,6 +32,9 @@
 /// While another attempt is allowed, an attempt that is not a stream may use the route's timeout divided by this.
 constexpr int AttemptTimeoutDivisor = 2;
 
+/// Events with which an answer has gone on after its beginning. A server may send one and crash.
+constexpr std::size_t ProgressEvents = 2;
+
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned FirstServerError = 500;
 
@@ -82,6 +85,10 @@
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
+    if (m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+        m_cause = "a part of the prompt is blocked";
+        co_return AttemptEnd::Withdrawn;
+    }
     if (!m_thread.servers().maySend(m_process, steadyNow())) {
         m_cause = "the server takes no calls now";
         co_return AttemptEnd::Withdrawn;
@@ -89,6 +96,12 @@
     m_lastArrival = steadyNow();
     m_thread.attempts().insert(this);
     const auto end = co_await sendRequest();
+    const bool isBrokenByServer = end == AttemptEnd::Broken && m_cancelCause.empty() && !m_state.isCallerGone;
+    if (isBrokenByServer && !hasGoneOn()) {
+        auto &guard = m_thread.promptGuard();
+        m_state.isPromptSuspected = guard.isSuspected(m_state.head);
+        guard.recordBreak(m_process, m_state.head);
+    }
     co_return m_state.isCallerGone ? AttemptEnd::CallerGone : end;
 }
 
@@ -112,6 +125,27 @@
     }
 }
 
+void Attempt::cancelIfBlocked()
+{
+    if (!hasGoneOn() && m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+        cancel("a part of the prompt is blocked");
+    }
+}
+
+bool Attempt::hasGoneOn() const
+{
+    return m_eventCount >= ProgressEvents;
+}
+
+void Attempt::recordProgress()
+{
+    ++m_eventCount;
+    auto &guard = m_thread.promptGuard();
+    if (m_eventCount == ProgressEvents || (hasGoneOn() && guard.hasSuspects())) {
+        guard.recordSound(m_state.head);
+    }
+}
+
 bool Attempt::hasOtherServer() const
 {
     return m_thread.servers()
@@ -273,6 +307,9 @@
     }
     auto headers = answerHeaders();
     releaseConnection();
+    if (m_answer.isSuccess()) {
+        m_thread.promptGuard().recordSound(m_state.head);
+    }
     if (m_answer.status >= FirstServerError) {
         m_state.fallbackAnswer = FallbackAnswer{m_answer.status, std::move(headers), std::move(body)};
         m_cause = "status " + std::to_string(m_answer.status);
@@ -297,6 +334,7 @@
         m_eventSplitter.append(*piece.value());
         while (auto event = m_eventSplitter.next()) {
             recordArrival();
+            recordProgress();
             if (!event->id.empty() && !m_state.lastEventId.empty() && !isLaterEventId(event->id, m_state.lastEventId)) {
                 continue;
             }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -44,6 +44,9 @@
     /// @param cause becomes the cause of the attempt's end
     void cancelForRetry(std::string_view cause);
 
+    /// Cancels the attempt if a part of its prompt is blocked and its answer has not gone on.
+    void cancelIfBlocked();
+
     const BackendServerId &server() const;
 
     /// Why the attempt delivered no complete answer; empty if it did.
@@ -57,6 +60,9 @@
     Task<AttemptEnd> relayEvents();
     Task<AttemptEnd> endAnswer();
     void recordEvent();
+    /// Tells the prompt guard, once, that the answer has gone on; again while it suspects any prompt.
+    void recordProgress();
+    bool hasGoneOn() const;
     Task<bool> deliverEvent(std::string_view bytes);
     Task<bool> beginAnswer();
     Task<Result<void, NetError>> skipForeignAnswers(Result<void, NetError> started);
@@ -81,6 +87,8 @@
     bool m_isReused = false;
     AnswerHead m_answer;
     EventSplitter m_eventSplitter;
+    /// Whole events that this attempt received.
+    std::size_t m_eventCount = 0;
     std::string m_cause;
     /// When the head of the answer or the last whole event was received; before that, when the attempt began sending.
     SteadyTime m_lastArrival{};
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -150,6 +150,9 @@
         limit = std::min(limit, *m_state.head.remainingTime);
     }
     m_state.deadline = m_state.startedAt + limit;
+    if (auto problem = blockedProblem()) {
+        return problem;
+    }
     if (!m_thread.admitsCall(*m_state.route, limit)) {
         return Problem{
             ProblemKind::NotReady, StatusUnavailable, "not-sent", "the host is stopping", StoppingRetryAfter};
@@ -171,6 +174,10 @@
             co_await answerFailure();
             co_return;
         }
+        if (m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+            co_await answerFailure();
+            co_return;
+        }
         if (!choice.hasServer()) {
             co_await answerWithoutServer(choice);
             co_return;
@@ -262,12 +269,25 @@
     co_return end;
 }
 
+RetryVerdict CallHandler::retryVerdict(SteadyTime now)
+{
+    if (m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+        return RetryVerdict::PromptBlocked;
+    }
+    if (m_state.isPromptSuspected) {
+        return RetryVerdict::PromptSuspected;
+    }
+    if (!m_state.isResumable()) {
+        return RetryVerdict::NotResumable;
+    }
+    return m_state.attempts.retry(*m_state.route, remainingTime(), m_thread.retryBudget(m_state.service), now);
+}
+
 bool CallHandler::decideRetry(AttemptEnd end)
 {
     auto &budget = m_thread.retryBudget(m_state.service);
     const auto now = steadyNow();
-    const auto verdict = m_state.isResumable() ? m_state.attempts.retry(*m_state.route, remainingTime(), budget, now)
-                                               : RetryVerdict::NotResumable;
+    const auto verdict = retryVerdict(now);
     logEvent(LogLevel::Info,
              "retry-decided",
              {{"request", m_state.head.id},
@@ -288,6 +308,21 @@
     return verdict == RetryVerdict::Retry;
 }
 
+std::optional<Problem> CallHandler::blockedProblem()
+{
+    auto &guard = m_thread.promptGuard();
+    const auto *part = guard.blockedPartOf(m_state.head);
+    if (part == nullptr) {
+        return std::nullopt;
+    }
+    const bool wasSent = m_state.attempts.sentCount() > 0;
+    return Problem{ProblemKind::PromptBlocked,
+                   StatusUnavailable,
+                   wasSent ? "not-run" : "not-sent",
+                   "servers crashed under part " + *part + " of the prompt",
+                   guard.recordRefusal(*part)};
+}
+
 Task<> CallHandler::answerWithoutServer(const ServerChoice &choice)
 {
     if (m_state.attempts.count() > 0) {
@@ -315,6 +350,10 @@
         co_return;
     }
     if (m_state.attempts.isCertainlyNotRun()) {
+        if (auto blocked = blockedProblem()) {
+            co_await refuse(std::move(*blocked));
+            co_return;
+        }
         Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
         problem.retryAfter = m_state.isEndedEarly
             ? StoppingRetryAfter
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -41,6 +41,9 @@
     std::optional<StreamAdmission> streamAdmission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     bool decideRetry(AttemptEnd end);
+    RetryVerdict retryVerdict(SteadyTime now);
+    /// The refusal of a call whose prompt has a blocked part; nothing if it has none.
+    std::optional<Problem> blockedProblem();
     Task<> answerWithoutServer(const ServerChoice &choice);
     Task<> answerFailure();
     Task<> refuse(Problem problem);
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -52,6 +52,8 @@
     /// Media type of the answer that has begun.
     std::string mediaType;
     bool isCallerGone = false;
+    /// The last attempt broke when a server had already crashed under a part of the prompt.
+    bool isPromptSuspected = false;
     /// The process ends before the call does.
     bool isEndedEarly = false;
 
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -79,7 +79,14 @@
                       [this](const GroupNotice &notice) {
                           applyGroupNotice(notice);
                           m_observers.onGroupNotice(notice);
-                      }})
+                      },
+                      [this](const PromptNotice &notice) { m_promptGuard.processNotice(notice); }})
+    , m_promptGuard(m_context,
+                    settings.host.value(),
+                    metrics,
+                    m_random(),
+                    {[this](const PromptNotice &notice) { m_peerExchange.sendPromptNotice(notice); },
+                     [this] { cancelBlockedAttempts(); }})
     , m_drain(m_context,
               m_httpServer,
               EntryDrain(settings.drainGrace, settings.terminationGrace),
@@ -348,6 +355,18 @@
     return m_random;
 }
 
+PromptGuard &GatewayThread::promptGuard()
+{
+    return m_promptGuard;
+}
+
+void GatewayThread::cancelBlockedAttempts()
+{
+    for (auto *const attempt : m_attempts) {
+        attempt->cancelIfBlocked();
+    }
+}
+
 RetryBudget &GatewayThread::retryBudget(const ServiceId &service)
 {
     const auto found = m_retryBudgets.find(service);
@@ -411,6 +430,7 @@
             updateHostCount();
             updateGauges();
         }
+        m_promptGuard.tick(m_maxHostCount);
         m_peerExchange.tick();
         checkReachability();
         const auto now = steadyNow();
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -7,6 +7,7 @@
 #include "core/result.h"
 #include "gateway/backendconnectionpool.h"
 #include "gateway/peerexchange.h"
+#include "gateway/promptguard.h"
 #include "net/asio.h"
 #include "net/httpserver.h"
 #include "net/neterror.h"
@@ -124,6 +125,7 @@
     BackendConnectionPool &connectionPool();
     Random &random();
     RetryBudget &retryBudget(const ServiceId &service);
+    PromptGuard &promptGuard();
 
     /// Time since this process started.
     Milliseconds uptime() const;
@@ -134,6 +136,8 @@
 private:
     Task<> tickLoop();
     void applyGroupNotice(const GroupNotice &notice);
+    /// Ends the attempts whose prompts have a blocked part, before their servers begin to answer.
+    void cancelBlockedAttempts();
     void checkReachability();
     bool canServeAllEngines() const;
     /// This host's share of `retrySlack`.
@@ -166,6 +170,7 @@
     std::uint32_t m_maxHostCount;
     Reachability m_reachability;
     PeerExchange m_peerExchange;
+    PromptGuard m_promptGuard;
     ServerDrain m_drain;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -19,8 +19,8 @@
 
 /// Loads are published at least this often even without new notices, so that calls of unresponsive hosts are dropped.
 constexpr Milliseconds MaxPublicationInterval{500};
-/// Ticks in which a notice about a group is sent again.
-constexpr int GroupNoticeRepetitions = 2;
+/// Ticks in which a notice about a group or about prompts is sent again.
+constexpr int NoticeRepetitions = 2;
 
 } // namespace
 
@@ -86,11 +86,11 @@
     if (notice) {
         sendToPeers(packNotice(*notice));
     }
-    for (auto &groupNotice : m_groupNotices) {
-        sendToPeers(groupNotice.bytes);
-        --groupNotice.remaining;
+    for (auto &repeated : m_repeatedNotices) {
+        sendToPeers(repeated.bytes);
+        --repeated.remaining;
     }
-    std::erase_if(m_groupNotices, [](const RepeatedNotice &groupNotice) { return groupNotice.remaining <= 0; });
+    std::erase_if(m_repeatedNotices, [](const RepeatedNotice &repeated) { return repeated.remaining <= 0; });
     auto unresponsiveHosts = m_exchange.unresponsiveHosts(now);
     if (unresponsiveHosts != m_unresponsiveHosts) {
         m_unresponsiveHosts = std::move(unresponsiveHosts);
@@ -114,20 +114,31 @@
 
 void PeerExchange::sendGroupNotice(const GroupNotice &notice)
 {
-    auto bytes = packGroupNotice(notice);
+    sendRepeatedly(packGroupNotice(notice));
+}
+
+void PeerExchange::sendPromptNotice(const PromptNotice &notice)
+{
+    sendRepeatedly(packPromptNotice(notice));
+}
+
+void PeerExchange::sendRepeatedly(std::string bytes)
+{
     sendToPeers(bytes);
-    m_groupNotices.push_back({std::move(bytes), GroupNoticeRepetitions});
+    m_repeatedNotices.push_back({std::move(bytes), NoticeRepetitions});
 }
 
-void PeerExchange::processGroupNotice(std::string_view bytes)
+void PeerExchange::processOtherNotice(std::string_view bytes)
 {
-    const auto notice = unpackGroupNotice(bytes);
-    if (!notice) {
+    if (const auto groupNotice = unpackGroupNotice(bytes)) {
+        m_metrics.counter("group_notices_total").add();
+        m_observers.onGroupNotice(*groupNotice);
+    } else if (const auto promptNotice = unpackPromptNotice(bytes)) {
+        m_metrics.counter("prompt_notices_total").add();
+        m_observers.onPromptNotice(*promptNotice);
+    } else {
         m_metrics.counter("peer_notices_malformed_total").add();
-        return;
     }
-    m_metrics.counter("group_notices_total").add();
-    m_observers.onGroupNotice(*notice);
 }
 
 void PeerExchange::publish()
@@ -176,7 +187,7 @@
         }
         const auto notice = unpackNotice({m_buffer.data(), size});
         if (!notice) {
-            processGroupNotice({m_buffer.data(), size});
+            processOtherNotice({m_buffer.data(), size});
         } else if (m_exchange.processNotice(*notice, steadyNow())) {
             m_metrics.counter("peer_notices_total").add();
             auto &address = m_hostAddresses[notice->host];
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -7,6 +7,7 @@
 #include "objectstore/relayhost.h"
 #include "traffic/groupnotice.h"
 #include "traffic/loadexchange.h"
+#include "traffic/promptnotice.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -41,6 +42,8 @@
         std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
         /// The coordinator of a group on another host sent a notice. It may be a repetition.
         std::function<void(const GroupNotice &)> onGroupNotice;
+        /// Another host sent a notice about prompts. It may be a repetition.
+        std::function<void(const PromptNotice &)> onPromptNotice;
     };
 
     PeerExchange(asio::io_context &context,
@@ -59,6 +62,9 @@
     /// Sends a notice about a group to all peers, now and again in the next ticks, since it may be lost.
     void sendGroupNotice(const GroupNotice &notice);
 
+    /// Sends a notice about prompts to all peers, in the same way.
+    void sendPromptNotice(const PromptNotice &notice);
+
     /// Sends a notice and notifies the observers if one is due. To be called periodically.
     void tick();
 
@@ -70,7 +76,10 @@
 
     Task<> receive();
     void sendToPeers(std::string_view bytes);
-    void processGroupNotice(std::string_view bytes);
+    /// Sends a notice to all peers, and again in the next ticks.
+    void sendRepeatedly(std::string bytes);
+    /// Processes a notice that is no load notice.
+    void processOtherNotice(std::string_view bytes);
     void addPeer(const asio::ip::udp::endpoint &peer);
     void publish();
     void publishDomainHosts();
@@ -89,7 +98,7 @@
         std::string bytes;
         int remaining = 0;
     };
-    std::vector<RepeatedNotice> m_groupNotices;
+    std::vector<RepeatedNotice> m_repeatedNotices;
     bool m_hasNewNotices = false;
     SteadyTime m_nextPublicationAt{};
     std::array<char, MaxNoticeBytes> m_buffer{};
--- /dev/null
+++ b/src/gateway/promptguard.cpp
@@ -0,0 +1,223 @@
+#include "gateway/promptguard.h"
+
+#include "core/hash.h"
+#include "core/joinwithcommas.h"
+#include "logging/logging.h"
+#include "metrics/metricsregistry.h"
+#include "net/address.h"
+#include "net/httpclientconnection.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
+#include "traffic/callhead.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// A server that is up accepts a connection in milliseconds.
+constexpr Milliseconds ConnectTimeout{400};
+/// Bounds the size of a notice.
+constexpr std::size_t MaxSuspectsPerReport = 100;
+constexpr std::size_t MaxBlockedPerNotice = 100;
+/// How often all hosts together announce the blocked parts, for hosts that have just started.
+constexpr Milliseconds AnnouncementInterval{1000};
+constexpr double AnnouncementsPerInterval = 4;
+/// How many of the hosts that know a part as sound say so in the first tick, and by how much that number grows with
+/// each tick in which this host has not heard it from another one.
+constexpr double FirstSoundNotices = 4;
+constexpr double SoundNoticeGrowth = 3;
+
+std::uint64_t keyOf(const ServerProcess &process)
+{
+    return combineHashes(hash64(process.id.value()), hash64(process.address, process.startedAt));
+}
+
+} // namespace
+
+PromptGuard::PromptGuard(
+    asio::io_context &context, std::string host, MetricsRegistry &metrics, std::uint64_t seed, Observers observers)
+    : m_context(context)
+    , m_host(std::move(host))
+    , m_metrics(metrics)
+    , m_random(seed)
+    , m_observers(std::move(observers))
+{
+}
+
+const std::string *PromptGuard::blockedPartOf(const CallHead &call) const
+{
+    const auto now = steadyNow();
+    const auto &parts = call.sharedPromptParts;
+    const auto found
+        = std::find_if(parts.begin(), parts.end(), [&](const auto &part) { return m_blame.isBlocked(part, now); });
+    return found == parts.end() ? nullptr : &*found;
+}
+
+Milliseconds PromptGuard::recordRefusal(const std::string &part)
+{
+    m_metrics.counter("calls_prompt_blocked_total").add();
+    return m_blame.recordRefusal(part, steadyNow());
+}
+
+void PromptGuard::recordSound(const CallHead &call)
+{
+    for (const auto &part : call.sharedPromptParts) {
+        if (m_blame.recordSound(part, steadyNow())) {
+            m_soundParts.insert(part);
+        }
+    }
+}
+
+bool PromptGuard::isSuspected(const CallHead &call) const
+{
+    const auto &parts = call.sharedPromptParts;
+    return std::any_of(
+        parts.begin(), parts.end(), [this](const std::string &part) { return m_blame.isSuspected(part); });
+}
+
+bool PromptGuard::hasSuspects() const
+{
+    return m_blame.hasSuspects();
+}
+
+void PromptGuard::recordBreak(const ServerProcess &process, const CallHead &call)
+{
+    if (call.sharedPromptParts.empty()) {
+        return;
+    }
+    const auto key = keyOf(process);
+    const auto [found, isNew] = m_breaks.try_emplace(key, Break{process, {}});
+    std::uint32_t position = 0;
+    for (const auto &part : call.sharedPromptParts) {
+        if (found->second.suspects.size() < MaxSuspectsPerReport) {
+            found->second.suspects.try_emplace(part, PromptSuspect{part, position, m_blame.isKnownSound(part)});
+        }
+        ++position;
+    }
+    if (isNew) {
+        spawn(m_context.get_executor(), "crash-check", checkCrash(key));
+    }
+}
+
+Task<> PromptGuard::checkCrash(std::uint64_t key)
+{
+    const auto address = m_breaks.at(key).process.address;
+    const auto endpoint = parseAddress(address);
+    bool isUp = !endpoint;
+    if (endpoint) {
+        HttpClientConnection connection(m_context);
+        const auto connected = co_await connection.connect(*endpoint, ConnectTimeout);
+        isUp = connected.has_value();
+    }
+    const auto broken = std::move(m_breaks.at(key));
+    m_breaks.erase(key);
+    if (isUp) {
+        co_return;
+    }
+    CrashReport report{key, {}};
+    for (const auto &[part, suspect] : broken.suspects) {
+        report.suspects.push_back(suspect);
+    }
+    logEvent(LogLevel::Info,
+             "server-crashed",
+             {{"server", broken.process.id.value()},
+              {"address", address},
+              {"parts", joinWithCommas(report.suspects, [](const PromptSuspect &suspect) { return suspect.part; })}});
+    m_metrics.counter("server_crashes_total").add();
+    recordCrash(report);
+    m_unsent.crashes.push_back(std::move(report));
+}
+
+void PromptGuard::recordCrash(const CrashReport &report)
+{
+    m_blame.recordCrash(report.process, report.suspects, steadyNow());
+}
+
+void PromptGuard::processNotice(const PromptNotice &notice)
+{
+    if (notice.host == m_host) {
+        return;
+    }
+    const auto now = steadyNow();
+    for (const auto &report : notice.crashes) {
+        recordCrash(report);
+    }
+    for (const auto &part : notice.sound) {
+        m_blame.recordSound(part, now);
+        // All hosts know it from that one.
+        m_soundParts.erase(part);
+    }
+    bool isNew = false;
+    for (const auto &part : notice.blocked) {
+        if (m_blame.block(part, now)) {
+            isNew = true;
+            logEvent(LogLevel::Warning, "prompt-blocked", {{"part", part.part}, {"source", notice.host}});
+        }
+    }
+    if (isNew) {
+        m_observers.onBlocked();
+    }
+}
+
+void PromptGuard::tick(std::size_t hostCount)
+{
+    decide();
+    addSoundParts(hostCount);
+    if (m_unsent.blocked.empty() && isAnnouncementDue(hostCount)) {
+        m_unsent.blocked = m_blame.blockedParts(steadyNow());
+    }
+    if (m_unsent.isEmpty()) {
+        return;
+    }
+    m_unsent.blocked.resize(std::min(m_unsent.blocked.size(), MaxBlockedPerNotice));
+    m_unsent.host = m_host;
+    m_observers.onNotice(std::exchange(m_unsent, {}));
+}
+
+void PromptGuard::decide()
+{
+    const auto now = steadyNow();
+    const auto part = m_blame.decide(now);
+    if (!part) {
+        return;
+    }
+    logEvent(LogLevel::Warning, "prompt-blocked", {{"part", *part}, {"source", m_host}});
+    m_unsent.blocked = m_blame.blockedParts(now);
+    m_observers.onBlocked();
+}
+
+void PromptGuard::addSoundParts(std::size_t hostCount)
+{
+    if (m_soundParts.empty()) {
+        m_soundNotices = FirstSoundNotices;
+    } else if (isChosen(m_soundNotices, hostCount)) {
+        m_unsent.sound.assign(m_soundParts.begin(), m_soundParts.end());
+        m_soundParts.clear();
+    } else {
+        m_soundNotices *= SoundNoticeGrowth;
+    }
+}
+
+bool PromptGuard::isChosen(double chosenHosts, std::size_t hostCount)
+{
+    const auto count = static_cast<double>(std::max<std::size_t>(hostCount, 1));
+    return std::bernoulli_distribution(std::min(chosenHosts / count, 1.0))(m_random);
+}
+
+bool PromptGuard::isAnnouncementDue(std::size_t hostCount)
+{
+    const auto now = steadyNow();
+    if (now < m_nextAnnouncementAt) {
+        return false;
+    }
+    m_nextAnnouncementAt = now + AnnouncementInterval;
+    m_metrics.gauge("prompt_parts_blocked").set(static_cast<std::int64_t>(m_blame.blockedParts(now).size()));
+    return isChosen(AnnouncementsPerInterval, hostCount);
+}
+
+} // namespace Cardamomhill
--- a/src/traffic/retryverdict.h
+++ b/src/traffic/retryverdict.h
@@ -18,6 +18,10 @@
     /// Too little time is left before the deadline.
     TooLate,
     BudgetEmpty,
+    /// A part of the prompt is blocked.
+    PromptBlocked,
+    /// The call may be the one that crashes servers.
+    PromptSuspected,
 };
 
 constexpr auto nameTable(RetryVerdict)
@@ -29,6 +33,8 @@
         {RetryVerdict::AttemptsUsed, "attempts-used"},
         {RetryVerdict::TooLate, "too-late"},
         {RetryVerdict::BudgetEmpty, "budget-empty"},
+        {RetryVerdict::PromptBlocked, "prompt-blocked"},
+        {RetryVerdict::PromptSuspected, "prompt-suspected"},
     });
 }
 
