Take a stream that ends with its connection before its first event as broken

Cause: the end of such a connection counts as the end of the answer, whatever came before. Change: without any event the stream is broken; with events it ends as before. Result: cutanswertest failed before at this case alone (status 200) and passes now. Its other cases held before: heads cut after any third byte, whole, reset and cut answers without a length, streams cut inside an event.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -369,6 +369,11 @@
 
 Task<AttemptEnd> Attempt::endAnswer()
 {
+    const bool isStream = m_state.route->kind == CallKind::Stream;
+    if (isStream && m_eventCount == 0 && m_connection->endsWithConnection()) {
+        // A server that crashes closes its connections in the same way.
+        co_return endAsBroken("stream without events ended with its connection");
+    }
     if (m_eventSplitter.pendingBytes() > 0) {
         co_return endAsBroken("stream ended in the middle of an event");
     }
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -142,6 +142,11 @@
     co_return std::optional<std::string>(std::move(piece));
 }
 
+bool HttpClientConnection::endsWithConnection() const
+{
+    return m_parser->need_eof();
+}
+
 void HttpClientConnection::cancel()
 {
     m_stream.close();
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -44,6 +44,9 @@
     /// positive.
     Task<Result<std::optional<std::string>, NetError>> readSome(Milliseconds timeout);
 
+    /// Whether the end of the body is the end of the connection, because the answer states neither a length nor chunks.
+    bool endsWithConnection() const;
+
     /// Closes the connection at once, by which the server learns that the request is cancelled.
     void cancel();
 
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -112,6 +112,24 @@
     m_retryAfter = std::move(retryAfter);
 }
 
+void DirectBackend::setRawAnswer(std::function<RawAnswer(const HttpRequest &)> answer)
+{
+    m_rawAnswer = std::move(answer);
+}
+
+Task<> DirectBackend::answerRaw(Connection &connection, const HttpRequest &request)
+{
+    const auto answer = m_rawAnswer(request);
+    co_await write(connection, answer.bytes);
+    // Lets the bytes arrive, which a reset would discard.
+    co_await pause();
+    SystemError ignored;
+    if (answer.end == ConnectionEnd::Reset) {
+        connection.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    connection.socket.close(ignored);
+}
+
 std::uint64_t DirectBackend::callCount() const
 {
     return m_callCount;
@@ -389,6 +407,11 @@
             request, Unavailable, NotExecutedHeader + "Retry-After: " + m_retryAfter + "\r\nContent-Length: 0\r\n");
         co_return co_await write(connection, text);
     }
+    if (m_rawAnswer) {
+        countRun(request);
+        co_await answerRaw(connection, request);
+        co_return false;
+    }
     const bool isFaulty = m_id.starts_with("bad");
     constexpr std::string_view RefusalPrefix = "refusal-";
     constexpr std::string_view ResumedPrefix = "resumed-";
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -50,6 +50,18 @@
     /// Answers all further calls with 503, not run, and this value of Retry-After. An empty text ends that.
     void setRetryAfter(std::string retryAfter);
 
+    /// How a connection ends after a raw answer.
+    enum class ConnectionEnd : std::uint8_t { Closed, Reset };
+
+    /// The bytes of an answer and the end of its connection.
+    struct RawAnswer {
+        std::string bytes;
+        ConnectionEnd end = ConnectionEnd::Closed;
+    };
+
+    /// Answers all further calls so.
+    void setRawAnswer(std::function<RawAnswer(const HttpRequest &)> answer);
+
     /// The number of calls that have been received, whether they were run or refused.
     std::uint64_t callCount() const;
 
@@ -74,6 +86,7 @@
     Task<bool> answerResumed(Connection &connection, const HttpRequest &request, const std::string &fault);
     Task<bool> write(Connection &connection, std::string text);
     Task<> pause();
+    Task<> answerRaw(Connection &connection, const HttpRequest &request);
     void countRun(const HttpRequest &request);
     void notifyAnswered(const HttpRequest &request, bool wasSent) const;
     std::string responseHead(const HttpRequest &request, unsigned status, const std::string &headers) const;
@@ -90,6 +103,7 @@
     std::uint64_t m_callCount = 0;
     bool m_isLeaving = false;
     std::string m_retryAfter;
+    std::function<RawAnswer(const HttpRequest &)> m_rawAnswer;
 };
 
 } // namespace Cardamomhill
