Keep blocked parts of prompts in the store

Cause: a block was known to running processes only, so after a restart of all hosts the calls that crash servers were sent again until the crashes had been counted anew. Change: the hosts that reported the crashes add the blocked parts to their registration, which each process lists when it starts; a part that is cleared is removed. A host that has just seen an answer go on under a part refuses the block of another one and tells it.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -31,6 +31,26 @@
 /// Hosts of a new fleet start at the same time and may miss each other in their first lists, so these follow each other
 /// sooner. The interval doubles up to the regular one.
 constexpr Milliseconds FirstListInterval{500};
+/// Time between attempts to store blocked parts.
+constexpr Milliseconds StoreInterval{500};
+/// Field of a registration: the end of each block in Unix milliseconds, by part.
+constexpr const char *BlockedPartsField = "blocked_prompt_parts";
+
+/// Appends the parts that a registration keeps and whose blocks have not ended.
+void appendBlockedParts(const nlohmann::json &registration, std::vector<BlockedPart> &parts)
+{
+    const auto field = registration.is_object() ? registration.find(BlockedPartsField) : registration.end();
+    if (field == registration.end() || !field->is_object()) {
+        return;
+    }
+    for (const auto &[part, end] : field->items()) {
+        const auto now = wallNow().time_since_epoch().count();
+        const auto until = end.is_number_integer() ? end.get<std::int64_t>() : 0;
+        if (until > now) {
+            parts.push_back({part, static_cast<std::uint64_t>(until - now)});
+        }
+    }
+}
 
 Milliseconds listIntervalOf(StoreRole role)
 {
@@ -97,7 +117,7 @@
 Task<> HostDirectory::registerHost()
 {
     const ObjectKey key{HostKind, m_host};
-    const std::string value = nlohmann::json{{"address", controlAddress(m_address).value()}}.dump();
+    const auto value = registration();
     // Most hosts start for the first time, so the object is read only if it turns out to exist.
     auto written = co_await m_client.write(key, 0, value);
     const bool isFirstProcess = written.has_value();
@@ -107,7 +127,8 @@
             co_return;
         }
         const auto presentValue = parseJson(present.value().value);
-        if (presentValue.has_value()
+        // What an earlier process of this host has blocked stays.
+        if (m_areBlockedPartsStored && presentValue.has_value()
             && jsonString(presentValue.value(), "address") == controlAddress(m_address).value()) {
             setRegistered(false);
             co_return;
@@ -118,9 +139,49 @@
         logEvent(LogLevel::Warning, "host-not-registered", {{"error", written.error().message().substr(0, 60)}});
         co_return;
     }
+    m_areBlockedPartsStored = m_areBlockedPartsStored || value == registration();
     setRegistered(isFirstProcess);
 }
 
+std::string HostDirectory::registration() const
+{
+    nlohmann::json json{{"address", controlAddress(m_address).value()}};
+    for (const auto &[part, end] : m_blockedParts) {
+        json[BlockedPartsField][part] = end.time_since_epoch().count();
+    }
+    // Parts come from callers and need not be valid UTF-8.
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void HostDirectory::setBlockedParts(const std::vector<BlockedPart> &parts)
+{
+    m_blockedParts.clear();
+    for (const auto &part : parts) {
+        m_blockedParts[part.part] = wallNow() + part.remaining();
+    }
+    m_areBlockedPartsStored = false;
+    if (!m_isStoringBlockedParts) {
+        m_isStoringBlockedParts = true;
+        spawn(m_context.get_executor(), "host-directory-store", storeBlockedParts());
+    }
+}
+
+Task<> HostDirectory::storeBlockedParts()
+{
+    asio::steady_timer timer(m_context);
+    SystemError error;
+    while (!m_areBlockedPartsStored && !error) {
+        if (!m_availability.isUnavailable()) {
+            co_await registerHost();
+        }
+        if (!m_areBlockedPartsStored) {
+            timer.expires_after(StoreInterval);
+            co_await timer.async_wait(storeError(error));
+        }
+    }
+    m_isStoringBlockedParts = false;
+}
+
 void HostDirectory::setRegistered(bool isFirstProcess)
 {
     if (m_isRegistered) {
@@ -140,9 +201,13 @@
     }
     m_availability.onSuccess();
     std::vector<tcp::endpoint> hosts;
+    std::vector<BlockedPart> blockedParts;
     for (const auto &object : page.value().objects) {
         const auto value = parseJson(object.value);
         const auto address = value.has_value() ? parseAddress(jsonString(value.value(), "address")) : std::nullopt;
+        if (value.has_value()) {
+            appendBlockedParts(value.value(), blockedParts);
+        }
         if (address && *address != m_address) {
             hosts.push_back(*address);
         }
@@ -152,6 +217,11 @@
         }
     }
     m_observers.onHosts(hosts);
+    // Later ones come from the other hosts sooner.
+    if (!m_hasListed && !blockedParts.empty()) {
+        m_observers.onBlockedParts(blockedParts);
+    }
+    m_hasListed = true;
 }
 
 } // namespace Cardamomhill
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -51,6 +51,9 @@
                [this](const GroupNotice &notice) {
                    asio::post(m_context, [this, notice] { m_groupCoordinatorManager.onGroupNotice(notice); });
                },
+               [this](const std::vector<BlockedPart> &parts) {
+                   asio::post(m_context, [this, parts] { m_hostDirectory.setBlockedParts(parts); });
+               },
                [this] { m_context.stop(); }})
         , m_storeRelay(m_context)
         , m_groupCoordinatorManager(
@@ -84,20 +87,24 @@
                          asio::post(m_trafficThread.context(),
                                     [this, changes] { m_trafficThread.applyServers(changes); });
                      }})
-        , m_hostDirectory(m_context,
-                          settings.platform,
-                          storeCodec.objectApi(),
-                          settings.host.value(),
-                          settings.peerListen,
-                          m_storeAvailability,
-                          {[this](const std::vector<tcp::endpoint> &hosts) {
-                               asio::post(m_trafficThread.context(),
-                                          [this, hosts] { m_trafficThread.setPeers(hosts); });
-                           },
-                           [this](bool isFirstProcess) {
-                               asio::post(m_trafficThread.context(),
-                                          [this, isFirstProcess] { m_trafficThread.setRegistered(isFirstProcess); });
-                           }})
+        , m_hostDirectory(
+              m_context,
+              settings.platform,
+              storeCodec.objectApi(),
+              settings.host.value(),
+              settings.peerListen,
+              m_storeAvailability,
+              {[this](const std::vector<tcp::endpoint> &hosts) {
+                   asio::post(m_trafficThread.context(), [this, hosts] { m_trafficThread.setPeers(hosts); });
+               },
+               [this](bool isFirstProcess) {
+                   asio::post(m_trafficThread.context(),
+                              [this, isFirstProcess] { m_trafficThread.setRegistered(isFirstProcess); });
+               },
+               [this](const std::vector<BlockedPart> &parts) {
+                   asio::post(m_trafficThread.context(),
+                              [this, parts] { m_trafficThread.promptGuard().addBlockedParts(parts, "store"); });
+               }})
         , m_operatorServer(m_context, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
     {
     }
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -86,7 +86,8 @@
                     metrics,
                     m_random(),
                     {[this](const PromptNotice &notice) { m_peerExchange.sendPromptNotice(notice); },
-                     [this] { cancelBlockedAttempts(); }})
+                     [this] { cancelBlockedAttempts(); },
+                     m_observers.onBlockedParts})
     , m_drain(m_context,
               m_httpServer,
               EntryDrain(settings.drainGrace, settings.terminationGrace),
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -55,6 +55,8 @@
         std::function<void(const std::vector<RelayHost> &)> onDomainHosts;
         /// The coordinator of a group on another host sent a notice. It may be a repetition.
         std::function<void(const GroupNotice &)> onGroupNotice;
+        /// This host is to store the parts of prompts that are blocked.
+        std::function<void(const std::vector<BlockedPart> &)> onBlockedParts;
         /// Draining is over and no further call can be taken.
         std::function<void()> onDrained;
     };
--- a/src/gateway/promptguard.cpp
+++ b/src/gateway/promptguard.cpp
@@ -24,6 +24,8 @@
 /// Bounds the size of a notice.
 constexpr std::size_t MaxSuspectsPerReport = 100;
 constexpr std::size_t MaxBlockedPerNotice = 100;
+/// More are forgotten together; other hosts then store the block.
+constexpr std::size_t MaxReportedParts = 1000;
 /// How often all hosts together announce the blocked parts, for hosts that have just started.
 constexpr Milliseconds AnnouncementInterval{1000};
 constexpr double AnnouncementsPerInterval = 4;
@@ -69,6 +71,7 @@
     for (const auto &part : call.sharedPromptParts) {
         if (m_blame.recordSound(part, steadyNow())) {
             m_soundParts.insert(part);
+            removeStored(part);
         }
     }
 }
@@ -130,6 +133,12 @@
               {"parts", joinWithCommas(report.suspects, [](const PromptSuspect &suspect) { return suspect.part; })}});
     m_metrics.counter("server_crashes_total").add();
     recordCrash(report);
+    if (m_reportedParts.size() > MaxReportedParts) {
+        m_reportedParts.clear();
+    }
+    for (const auto &suspect : report.suspects) {
+        m_reportedParts.insert(suspect.part);
+    }
     m_unsent.crashes.push_back(std::move(report));
 }
 
@@ -149,14 +158,24 @@
     }
     for (const auto &part : notice.sound) {
         m_blame.recordSound(part, now);
+        removeStored(part);
         // All hosts know it from that one.
         m_soundParts.erase(part);
     }
+    addBlockedParts(notice.blocked, notice.host);
+}
+
+void PromptGuard::addBlockedParts(const std::vector<BlockedPart> &parts, std::string_view source)
+{
+    const auto now = steadyNow();
     bool isNew = false;
-    for (const auto &part : notice.blocked) {
+    for (const auto &part : parts) {
         if (m_blame.block(part, now)) {
             isNew = true;
-            logEvent(LogLevel::Warning, "prompt-blocked", {{"part", part.part}, {"source", notice.host}});
+            logEvent(LogLevel::Warning, "prompt-blocked", {{"part", part.part}, {"source", source}});
+            storeIfReported(part.part);
+        } else if (!m_blame.isBlocked(part.part, now) && m_blame.isKnownSound(part.part)) {
+            m_soundParts.insert(part.part);
         }
     }
     if (isNew) {
@@ -164,6 +183,23 @@
     }
 }
 
+void PromptGuard::storeIfReported(const std::string &part)
+{
+    // Only the hosts that reported it, since all hosts learn of a block at the same time.
+    if (m_reportedParts.erase(part) > 0) {
+        m_storedParts.insert(part);
+        m_observers.onStorable(m_blame.blockedParts(steadyNow()));
+    }
+}
+
+void PromptGuard::removeStored(const std::string &part)
+{
+    if (m_storedParts.erase(part) > 0) {
+        logEvent(LogLevel::Info, "prompt-cleared", {{"part", part}});
+        m_observers.onStorable(m_blame.blockedParts(steadyNow()));
+    }
+}
+
 void PromptGuard::tick(std::size_t hostCount)
 {
     decide();
@@ -189,6 +225,7 @@
     logEvent(LogLevel::Warning, "prompt-blocked", {{"part", *part}, {"source", m_host}});
     m_unsent.blocked = m_blame.blockedParts(now);
     m_observers.onBlocked();
+    storeIfReported(*part);
 }
 
 void PromptGuard::addSoundParts(std::size_t hostCount)
--- a/src/gateway/promptguard.h
+++ b/src/gateway/promptguard.h
@@ -31,6 +31,8 @@
         std::function<void(const PromptNotice &)> onNotice;
         /// A part of prompts is blocked from now on.
         std::function<void()> onBlocked;
+        /// This host is to store all parts that are blocked, since it has reported crashes under one that is new.
+        std::function<void(const std::vector<BlockedPart> &)> onStorable;
     };
 
     PromptGuard(
@@ -56,6 +58,10 @@
 
     void processNotice(const PromptNotice &notice);
 
+    /// Blocks the parts that another host, or an earlier process, has blocked.
+    /// @param source where that is known from
+    void addBlockedParts(const std::vector<BlockedPart> &parts, std::string_view source);
+
     /// Decides, and sends what the other hosts need to know. To be called periodically.
     /// @param hostCount number of entry hosts, which share the repetition of what all know
     void tick(std::size_t hostCount);
@@ -72,6 +78,9 @@
     Task<> checkCrash(std::uint64_t key);
     void recordCrash(const CrashReport &report);
     void decide();
+    void storeIfReported(const std::string &part);
+    /// Stores that a part is blocked no more, if this host has stored that it is.
+    void removeStored(const std::string &part);
     /// Adds the parts that were found sound to the next notice, at a random time, since many hosts find the same ones.
     void addSoundParts(std::size_t hostCount);
     bool isAnnouncementDue(std::size_t hostCount);
@@ -87,6 +96,10 @@
     /// Processes whose connections broke and that are being checked.
     std::unordered_map<std::uint64_t, Break> m_breaks;
     PromptNotice m_unsent;
+    /// Parts in this host's reports of crashes.
+    std::set<std::string> m_reportedParts;
+    /// Parts that this host has stored as blocked.
+    std::set<std::string> m_storedParts;
     /// Suspected or blocked parts under which an answer went on, until this host or another one has said so.
     std::set<std::string> m_soundParts;
     double m_soundNotices = 0;
--- a/src/traffic/promptblame.cpp
+++ b/src/traffic/promptblame.cpp
@@ -11,7 +11,8 @@
 
 /// Crashes that are kept for each part; more add nothing to the verdict.
 constexpr std::size_t MaxCrashesPerPart = 16;
-/// An old block that another host still announces does not outweigh an answer that went on this short ago.
+/// A block that another host announces does not outweigh an answer that went on this short ago and after all crashes
+/// that were reported.
 constexpr Seconds SoundPrecedence{5};
 constexpr Seconds DiscardInterval{1};
 
@@ -126,7 +127,7 @@
 bool PromptBlame::block(const BlockedPart &part, SteadyTime now)
 {
     const auto sound = m_soundAt.find(part.part);
-    if (sound != m_soundAt.end() && now - sound->second < SoundPrecedence) {
+    if (!isSuspected(part.part) && sound != m_soundAt.end() && now - sound->second < SoundPrecedence) {
         return false;
     }
     const bool isNew = !isBlocked(part.part, now);
--- a/src/traffic/promptblame.h
+++ b/src/traffic/promptblame.h
@@ -63,7 +63,8 @@
     /// @return the part that was blocked
     std::optional<std::string> decide(SteadyTime now);
 
-    /// Blocks a part as another host did. Returns whether it was not blocked yet.
+    /// Blocks a part as another host did, unless an answer has just gone on under it. Returns whether it was not
+    /// blocked yet.
     bool block(const BlockedPart &part, SteadyTime now);
 
     bool isBlocked(const std::string &part, SteadyTime now) const;
--- a/tests/promptblametest.cpp
+++ b/tests/promptblametest.cpp
@@ -153,6 +153,9 @@
     CHECK_FALSE(scene.blame.recordSound("a", scene.now));
     // Another host that has not heard it yet.
     CHECK_FALSE(scene.blame.block({"a", 60'000}, scene.now));
+    // Another host that has counted crashes after the last answer.
+    scene.crash({"a"}, Milliseconds(10));
+    CHECK(scene.blame.block({"a", 60'000}, scene.now));
 }
 
 TEST_CASE("of two parts that all crashes share, the one that fewer calls share is blocked, and the other one only if "
--- a/tests/promptcrashtest.cpp
+++ b/tests/promptcrashtest.cpp
@@ -30,9 +30,9 @@
         fleet.onRun = [this](const std::string &server, const HttpRequest &request) { receive(server, request); };
     }
 
-    Task<> run()
+    Task<> run(Milliseconds duration)
     {
-        const auto end = steadyNow() + Duration;
+        const auto end = steadyNow() + duration;
         fleet.spawnTask(sendAll("bad", BadInterval, end));
         co_await sendAll("sound", SoundInterval, end);
         while (m_openCalls > 0) {
@@ -40,6 +40,18 @@
         }
     }
 
+    /// Restarts all hosts at once.
+    Task<> restart()
+    {
+        for (std::size_t host = 0; host < HostCount; ++host) {
+            fleet.kill(host);
+        }
+        for (std::size_t host = 0; host < HostCount; ++host) {
+            fleet.start(host);
+        }
+        co_await fleet.waitUntilReady();
+    }
+
     /// When the crashes that the fleet may learn from were over.
     SteadyTime learnedAt() const
     {
@@ -145,7 +157,7 @@
     "calls with a part in their prompts that crashes servers stop reaching servers, and calls without it are served")
 {
     CrashingFleet crashing;
-    crashing.fleet.run(crashing.run());
+    crashing.fleet.run(crashing.run(Duration));
     MESSAGE(crashing.crashes.size(),
             " crashes, ",
             crashing.lateArrivals(),
@@ -159,3 +171,15 @@
     CHECK(crashing.soundCalls() > 20);
     CHECK(crashing.soundAnswers() * 2 > crashing.soundCalls());
 }
+
+TEST_CASE("calls with a part in their prompts that crashes servers reach no server after all hosts have restarted")
+{
+    constexpr Milliseconds ShortDuration{3000};
+    CrashingFleet crashing;
+    crashing.fleet.run(crashing.run(ShortDuration));
+    const auto crashes = crashing.crashes.size();
+    CHECK(crashes > 0);
+    crashing.fleet.run(crashing.restart());
+    crashing.fleet.run(crashing.run(ShortDuration));
+    CHECK(crashing.crashes.size() == crashes);
+}
