Bound the notices about prompts, and take only refused connections as crashes

Cause, by reading: a server behind a network partition accepts no connection either; three reports in one tick could exceed the receive buffer; a slow series of crashes was forgotten after a minute; a stream of one event cleared none of its parts. Suspicions last ten minutes. A notice has at most two reports. A stream that is delivered clears its parts.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -382,6 +382,9 @@
         co_return AttemptEnd::CallerGone;
     }
     const bool ended = co_await m_exchange.endChunkedAnswer();
+    if (!hasGoneOn()) {
+        m_thread.promptGuard().recordSound(m_state.head);
+    }
     releaseConnection();
     co_return ended ? AttemptEnd::Delivered : AttemptEnd::CallerGone;
 }
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -431,7 +431,7 @@
             updateHostCount();
             updateGauges();
         }
-        m_promptGuard.tick(m_maxHostCount);
+        m_promptGuard.tick(m_peerExchange.hostCount());
         m_peerExchange.tick();
         checkReachability();
         const auto now = steadyNow();
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -71,8 +71,8 @@
     std::size_t hostCount() const;
 
 private:
-    /// Size of the receive buffer. A notice with calls at 100 servers has about 1 kB.
-    static constexpr std::size_t MaxNoticeBytes = 8 * 1024;
+    /// Size of the receive buffer. A notice with calls at 100 servers has about 1 kB, one about prompts up to 14 kB.
+    static constexpr std::size_t MaxNoticeBytes = 16 * 1024;
 
     Task<> receive();
     void sendToPeers(std::string_view bytes);
--- a/src/gateway/promptguard.cpp
+++ b/src/gateway/promptguard.cpp
@@ -19,11 +19,13 @@
 namespace
 {
 
-/// A server that is up accepts a connection in milliseconds.
+/// A host that is up accepts or refuses a connection in milliseconds.
 constexpr Milliseconds ConnectTimeout{400};
-/// Bounds the size of a notice.
-constexpr std::size_t MaxSuspectsPerReport = 100;
-constexpr std::size_t MaxBlockedPerNotice = 100;
+/// These bound the size of a notice.
+constexpr std::size_t MaxSuspectsPerReport = 50;
+constexpr std::size_t MaxCrashesPerNotice = 2;
+constexpr std::size_t MaxBlockedPerNotice = 50;
+constexpr std::size_t MaxSoundPerNotice = 50;
 /// More are forgotten together; other hosts then store the block.
 constexpr std::size_t MaxReportedParts = 1000;
 /// How often all hosts together announce the blocked parts, for hosts that have just started.
@@ -111,15 +113,16 @@
 {
     const auto address = m_breaks.at(key).process.address;
     const auto endpoint = parseAddress(address);
-    bool isUp = !endpoint;
+    bool isRefused = false;
     if (endpoint) {
         HttpClientConnection connection(m_context);
         const auto connected = co_await connection.connect(*endpoint, ConnectTimeout);
-        isUp = connected.has_value();
+        // No answer at all comes from a network partition rather than from a crash.
+        isRefused = connected.has_error() && connected.error().code == NetErrorCode::ConnectRefused;
     }
     const auto broken = std::move(m_breaks.at(key));
     m_breaks.erase(key);
-    if (isUp) {
+    if (!isRefused) {
         co_return;
     }
     CrashReport report{key, {}};
@@ -212,7 +215,12 @@
     }
     m_unsent.blocked.resize(std::min(m_unsent.blocked.size(), MaxBlockedPerNotice));
     m_unsent.host = m_host;
-    m_observers.onNotice(std::exchange(m_unsent, {}));
+    auto notice = std::exchange(m_unsent, {});
+    while (notice.crashes.size() > MaxCrashesPerNotice) {
+        m_unsent.crashes.push_back(std::move(notice.crashes.back()));
+        notice.crashes.pop_back();
+    }
+    m_observers.onNotice(notice);
 }
 
 void PromptGuard::decide()
@@ -233,8 +241,9 @@
     if (m_soundParts.empty()) {
         m_soundNotices = FirstSoundNotices;
     } else if (isChosen(m_soundNotices, hostCount)) {
-        m_unsent.sound.assign(m_soundParts.begin(), m_soundParts.end());
-        m_soundParts.clear();
+        while (!m_soundParts.empty() && m_unsent.sound.size() < MaxSoundPerNotice) {
+            m_unsent.sound.push_back(m_soundParts.extract(m_soundParts.begin()).value());
+        }
     } else {
         m_soundNotices *= SoundNoticeGrowth;
     }
--- a/src/traffic/promptblame.cpp
+++ b/src/traffic/promptblame.cpp
@@ -201,10 +201,11 @@
 void PromptBlame::discardOld(SteadyTime now)
 {
     m_discardedAt = now;
-    const auto isOld = [&](SteadyTime time) { return now - time > m_options.suspicionLifetime; };
-    std::erase_if(m_suspicions, [&](const auto &entry) { return isOld(entry.second.countedAt); });
-    std::erase_if(m_explained, [&](const auto &entry) { return isOld(entry.second); });
-    std::erase_if(m_soundAt, [&](const auto &entry) { return isOld(entry.second); });
+    const auto oldestSuspicion = now - m_options.suspicionLifetime;
+    const auto oldestSound = now - m_options.knownSoundLifetime;
+    std::erase_if(m_suspicions, [&](const auto &entry) { return entry.second.countedAt < oldestSuspicion; });
+    std::erase_if(m_explained, [&](const auto &entry) { return entry.second < oldestSuspicion; });
+    std::erase_if(m_soundAt, [&](const auto &entry) { return entry.second < oldestSound; });
     std::erase_if(m_blockedUntil, [&](const auto &entry) { return now >= entry.second; });
 }
 
--- a/src/traffic/promptblame.h
+++ b/src/traffic/promptblame.h
@@ -28,7 +28,9 @@
     /// Crashes beyond the limit from which a part is blocked although reports still arrive.
     std::uint32_t settledExcess = 2;
     /// A part without a further crash for this long is no longer suspected.
-    Microseconds suspicionLifetime = Seconds(60);
+    Microseconds suspicionLifetime = std::chrono::minutes(10);
+    /// How long it is remembered that an answer went on under a part.
+    Microseconds knownSoundLifetime = Seconds(60);
     /// A block ends this long after the last call that it refused.
     Milliseconds blockTime = std::chrono::minutes(10);
     std::size_t maxSuspects = 2000;
--- a/tests/promptblametest.cpp
+++ b/tests/promptblametest.cpp
@@ -210,7 +210,7 @@
     Scene scene;
     scene.crash({"a"});
     scene.crash({"a"});
-    scene.now += Seconds(61);
+    scene.now += PromptBlameOptions().suspicionLifetime;
     CHECK_FALSE(scene.decide());
     scene.crash({"a"});
     CHECK_FALSE(scene.decide());
