--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 
 directory="build-review"
 mkdir -p "$directory"
-flags=(-std=c++20 -O2 -Wall -Wextra -pthread -Ireview/standins)
+flags=(-std=c++20 -O2 -Wall -Wextra -pthread)
 objects=()
 for source in review/standins/*.cpp; do
     object="$directory/$(basename "$source" .cpp).o"
