Read bodies with an own decoder, so that a long trailer ends no process

Cause: Boost.Beast adds trailer fields to the header fields, and a field of more than 65,533 bytes makes basic_fields throw std::length_error. The limit for heads doesn't cover trailers. The parser ran inside a composed read, so the exception left io_context::run(), where nothing catches it. A head whose limit is configured above 64 KiB threw too.

Change: MessageReader reads messages of both directions (answers of servers, engines, store and relays; requests at the callers', operator's and relays' ports, in gateway, entry and agent). Beast parses heads only, its exception becomes a typed error, and BodyDecoder with ChunkDecoder decodes bodies. Trailer fields are checked, limited to 8 KiB together and discarded. Since no composed read of Beast is left, an exception could only end a coroutine, which is logged.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -3,7 +3,6 @@
 #include "net/steadynow.h"
 #include "net/unresponsivepeer.h"
 
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
@@ -20,6 +19,7 @@
 
 /// Largest number of body bytes that discardAnswer() discards before it gives up.
 constexpr std::size_t MaxDiscardedBytes = 1024 * 1024;
+constexpr std::uint32_t MaxHeaderBytes = 8 * 1024;
 /// Largest number of interim (1xx) answers, such as 100 Continue, before the final one.
 constexpr int MaxInterimAnswers = 8;
 
@@ -32,7 +32,7 @@
 
 HttpClientConnection::HttpClientConnection(asio::io_context &context, std::size_t readBufferBytes)
     : m_stream(context)
-    , m_readBuffer(readBufferBytes)
+    , m_reader(m_stream, readBufferBytes)
 {
 }
 
@@ -66,7 +66,7 @@
 {
     const auto deadline = steadyNow() + timeout;
     std::size_t discarded = 0;
-    while (!m_parser->is_done()) {
+    while (!m_reader.isDone()) {
         // The remaining time, as the full timeout for each piece would set no limit on an endless body.
         auto piece = co_await readSome(timeLeft(deadline));
         if (piece.has_error()) {
@@ -86,17 +86,10 @@
     constexpr unsigned FirstFinalStatus = 200;
     m_stream.expires_after(timeout);
     for (int interim = 0; interim <= MaxInterimAnswers; ++interim) {
-        m_parser.emplace();
-        m_parser->skip(!m_hasBody);
-        // No limit here: callers of readSome() limit what they keep.
-        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-        SystemError error;
-        co_await http::async_read_header(m_stream, m_buffer, *m_parser, storeError(error));
-        if (error) {
-            co_return failure(netError(NetErrorCode::ReadFailed, error));
-        }
-        if (m_parser->get().result_int() >= FirstFinalStatus) {
-            co_return success();
+        // No limit for the body: callers of readSome() limit what they keep.
+        auto read = co_await m_reader.readHead(MaxHeaderBytes, std::numeric_limits<std::uint64_t>::max(), m_hasBody);
+        if (read.has_error() || status() >= FirstFinalStatus) {
+            co_return read;
         }
     }
     co_return failure(NetError{NetErrorCode::MalformedMessage, "too many interim answers"});
@@ -104,47 +97,47 @@
 
 unsigned HttpClientConnection::status() const
 {
-    return m_parser->get().result_int();
+    return m_reader.head().result_int();
 }
 
 std::string HttpClientConnection::contentType() const
 {
-    return std::string(m_parser->get()[http::field::content_type]);
+    return std::string(m_reader.head()[http::field::content_type]);
 }
 
 const HttpClientConnection::Head &HttpClientConnection::head() const
 {
-    return m_parser->get().base();
+    return m_reader.head();
 }
 
 Task<Result<std::optional<std::string>, NetError>> HttpClientConnection::readSome(Milliseconds timeout)
 {
-    std::string piece;
-    while (piece.empty() && !m_parser->is_done()) {
+    while (!m_reader.isDone()) {
         if (timeout <= Milliseconds(0)) {
             // Checked here too: while data is always ready to read, the stream's timer never expires.
             co_return failure(NetError{NetErrorCode::TimedOut, "the timeout has elapsed"});
         }
-        auto &body = m_parser->get().body();
-        body.data = m_readBuffer.data();
-        body.size = m_readBuffer.size();
-        m_stream.expires_after(timeout);
-        SystemError error;
-        co_await http::async_read_some(m_stream, m_buffer, *m_parser, storeError(error));
-        piece.assign(m_readBuffer.data(), m_readBuffer.size() - body.size);
-        if (error && error != http::error::need_buffer) {
-            co_return failure(netError(NetErrorCode::ReadFailed, error));
+        auto piece = m_reader.decodeReceived();
+        if (piece.has_error()) {
+            co_return failure(piece.error());
+        }
+        if (!piece.value().empty()) {
+            co_return std::optional(std::move(piece.value()));
+        }
+        if (!m_reader.isDone()) {
+            m_stream.expires_after(timeout);
+            const auto received = co_await m_reader.receiveBody();
+            if (received.has_error()) {
+                co_return failure(received.error());
+            }
         }
     }
-    if (piece.empty()) {
-        co_return std::optional<std::string>();
-    }
-    co_return std::optional<std::string>(std::move(piece));
+    co_return std::optional<std::string>();
 }
 
 bool HttpClientConnection::endsWithConnection() const
 {
-    return m_parser->need_eof();
+    return m_reader.endsWithConnection();
 }
 
 void HttpClientConnection::cancel()
@@ -154,7 +147,7 @@
 
 bool HttpClientConnection::isReusable() const
 {
-    return m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return m_reader.isDone() && m_reader.keepsAlive() && !m_reader.hasUnreadBytes();
 }
 
 bool HttpClientConnection::isOpenAndIdle()
@@ -166,7 +159,7 @@
 
 void HttpClientConnection::reset()
 {
-    m_parser.reset();
+    m_reader.reset();
     m_stream.expires_never();
 }
 
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -4,16 +4,13 @@
 #include "core/result.h"
 #include "net/asio.h"
 #include "net/httpexchange.h"
+#include "net/messagereader.h"
 #include "net/neterror.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace Cardamomhill
 {
@@ -22,7 +19,7 @@
 class HttpClientConnection
 {
 public:
-    using Head = boost::beast::http::header<false>;
+    using Head = AnswerReader::Head;
 
     explicit HttpClientConnection(asio::io_context &context, std::size_t readBufferBytes = DefaultReadBufferBytes);
 
@@ -62,16 +59,12 @@
 private:
     static constexpr std::size_t DefaultReadBufferBytes = 16 * 1024;
 
-    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
     Task<Result<void, NetError>> readHead(Milliseconds timeout);
 
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    AnswerReader m_reader;
+    /// Whether an answer to the last request has a body.
     bool m_hasBody = true;
-    /// Buffer of one read; readSome() returns a copy of the bytes that were read.
-    std::vector<char> m_readBuffer;
-    std::optional<Parser> m_parser;
 };
 
 } // namespace Cardamomhill
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -3,11 +3,9 @@
 #include "logging/logexception.h"
 #include "net/httpexchange.h"
 #include "net/listen.h"
+#include "net/messagereader.h"
 #include "net/spawn.h"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-
 #include <algorithm>
 #include <vector>
 
@@ -21,7 +19,7 @@
 namespace
 {
 
-constexpr std::size_t FirstReadBytes = 4096;
+constexpr std::size_t ReadBytes = 4096;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusRequestTimeout = 408;
 constexpr unsigned StatusPayloadTooLarge = 413;
@@ -37,22 +35,21 @@
 constexpr std::string_view ProblemType = "application/problem+json";
 
 /// The HTTP status for a request that could not be read, or 0 if the caller closed the connection between requests.
-unsigned errorStatus(const SystemError &error)
+unsigned errorStatus(const NetError &error)
 {
-    if (error == http::error::end_of_stream) {
+    switch (error.code) {
+    case NetErrorCode::Closed:
         return 0;
-    }
-    if (error == http::error::body_limit) {
+    case NetErrorCode::BodyTooLarge:
         return StatusPayloadTooLarge;
-    }
-    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    case NetErrorCode::HeaderTooLarge:
         return StatusHeaderTooLarge;
-    }
-    // Only the request timer cancels reads, so the request has timed out.
-    if (error == asio::error::operation_aborted) {
+    case NetErrorCode::Cancelled:
+        // Only the request timer cancels reads, so the request has timed out.
         return StatusRequestTimeout;
+    default:
+        return StatusBadRequest;
     }
-    return StatusBadRequest;
 }
 
 std::string problemJson(unsigned status)
@@ -72,11 +69,12 @@
 struct HttpServer::Connection {
     explicit Connection(tcp::socket socket)
         : stream(std::move(socket))
+        , reader(stream, ReadBytes)
     {
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    RequestReader reader;
     bool isIdle = true;
     /// How long to read on before the connection is closed.
     Milliseconds discardTimeout = LastDiscardTimeout;
@@ -211,29 +209,24 @@
 
 Task<bool> HttpServer::serveRequest(Connection &connection)
 {
-    SystemError error;
-    connection.isIdle = connection.buffer.size() == 0;
+    connection.isIdle = !connection.reader.hasUnreadBytes();
     if (connection.isIdle) {
         connection.stream.expires_after(m_isStopping ? std::min(IdleTimeoutAfterStop, m_limits.idleTimeout)
                                                      : m_limits.idleTimeout);
-        const auto space = connection.buffer.prepare(FirstReadBytes);
-        connection.buffer.commit(co_await connection.stream.async_read_some(space, storeError(error)));
-        if (error) {
+        const auto received = co_await connection.reader.receive();
+        if (received.has_error()) {
             co_return false;
         }
         connection.isIdle = false;
     }
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(m_limits.maxBodyBytes);
-    parser.header_limit(m_limits.maxHeaderBytes);
     connection.stream.expires_never();
     const auto timer = startRequestTimer(connection);
-    co_await http::async_read(connection.stream, connection.buffer, parser, storeError(error));
+    auto request = co_await readRequest(connection);
     timer->cancel();
-    const bool wasRead = !error;
-    const unsigned status = wasRead ? 0 : errorStatus(error);
+    const bool wasRead = request.has_value();
+    const unsigned status = wasRead ? 0 : errorStatus(request.error());
     HttpExchange exchange(connection.stream,
-                          wasRead ? parser.release() : HttpRequest(),
+                          wasRead ? std::move(request.value()) : HttpRequest(),
                           m_limits,
                           wasRead ? &m_closesAfterAnswers : nullptr);
     if (wasRead) {
@@ -246,6 +239,36 @@
     co_return exchange.isReusable();
 }
 
+Task<Result<HttpRequest, NetError>> HttpServer::readRequest(Connection &connection)
+{
+    auto &reader = connection.reader;
+    const auto maxBodyBytes = m_limits.maxBodyBytes;
+    const auto head = co_await reader.readHead(m_limits.maxHeaderBytes, maxBodyBytes);
+    if (head.has_error()) {
+        co_return failure(head.error());
+    }
+    std::string body;
+    while (!reader.isDone()) {
+        const auto piece = reader.decodeReceived();
+        if (piece.has_error()) {
+            co_return failure(piece.error());
+        }
+        body += piece.value();
+        if (body.size() > maxBodyBytes) {
+            co_return failure(NetError{NetErrorCode::BodyTooLarge, "the body is over the limit"});
+        }
+        if (piece.value().empty() && !reader.isDone()) {
+            const auto received = co_await reader.receiveBody();
+            if (received.has_error()) {
+                co_return failure(received.error());
+            }
+        }
+    }
+    HttpRequest request(reader.takeHead());
+    request.body() = std::move(body);
+    co_return request;
+}
+
 Task<> HttpServer::discardUnread(Connection &connection)
 {
     SystemError error;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 #include "net/asio.h"
+#include "net/httpexchange.h"
 #include "net/httplimits.h"
 #include "net/neterror.h"
 
@@ -12,8 +13,6 @@
 namespace Cardamomhill
 {
 
-class HttpExchange;
-
 /// HTTP/1.1 server on one thread. Each request is handled by a coroutine.
 class HttpServer
 {
@@ -49,6 +48,7 @@
     Task<> closeIdleConnections();
     Task<> serveConnection(std::shared_ptr<Connection> connection);
     Task<bool> serveRequest(Connection &connection);
+    Task<Result<HttpRequest, NetError>> readRequest(Connection &connection);
     /// Ends sending, then reads and discards data until the caller closes, for a limited time. Closing with unread data
     /// would reset the connection, and the caller would lose what it has not received of the answer.
     Task<> discardUnread(Connection &connection);
--- /dev/null
+++ b/src/net/messagereader.cpp
@@ -0,0 +1,200 @@
+#include "net/messagereader.h"
+
+#include <boost/beast/http/error.hpp>
+
+#include <stdexcept>
+
+namespace Cardamomhill
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+NetError readError(const SystemError &error)
+{
+    if (error == beast::error::timeout) {
+        return {NetErrorCode::TimedOut, error.message()};
+    }
+    if (error == asio::error::operation_aborted) {
+        return {NetErrorCode::Cancelled, error.message()};
+    }
+    return {NetErrorCode::ReadFailed, error.message()};
+}
+
+NetError parseError(const SystemError &error)
+{
+    if (error == http::error::header_limit) {
+        return {NetErrorCode::HeaderTooLarge, error.message()};
+    }
+    if (error == http::error::body_limit) {
+        return {NetErrorCode::BodyTooLarge, error.message()};
+    }
+    return {NetErrorCode::MalformedMessage, error.message()};
+}
+
+} // namespace
+
+template<bool isRequest>
+MessageReader<isRequest>::MessageReader(beast::tcp_stream &stream, std::size_t readBytes)
+    : m_stream(stream)
+    , m_readBytes(readBytes)
+{
+}
+
+template<bool isRequest>
+Task<Result<void, NetError>> MessageReader<isRequest>::receive()
+{
+    SystemError error;
+    const auto space = m_buffer.prepare(m_readBytes);
+    const auto size = co_await m_stream.async_read_some(space, storeError(error));
+    m_buffer.commit(size);
+    if (error == asio::error::eof) {
+        co_return failure(NetError{NetErrorCode::Closed, SystemError(http::error::end_of_stream).message()});
+    }
+    if (error) {
+        co_return failure(readError(error));
+    }
+    co_return success();
+}
+
+template<bool isRequest>
+Task<Result<void, NetError>>
+MessageReader<isRequest>::readHead(std::uint32_t headerBytes, std::uint64_t bodyBytes, bool hasBody)
+{
+    m_body.reset();
+    m_parser.emplace();
+    m_parser->header_limit(headerBytes);
+    m_parser->body_limit(bodyBytes);
+    m_parser->skip(!hasBody);
+    for (;;) {
+        const auto parsed = parseHead();
+        if (parsed.has_error()) {
+            co_return failure(parsed.error());
+        }
+        if (parsed.value()) {
+            m_body.emplace(framing());
+            co_return success();
+        }
+        auto received = co_await receive();
+        if (received.has_error() && received.error().code == NetErrorCode::Closed && m_parser->got_some()) {
+            co_return failure(NetError{NetErrorCode::ReadFailed, SystemError(http::error::partial_message).message()});
+        }
+        if (received.has_error()) {
+            co_return failure(received.error());
+        }
+    }
+}
+
+/// Returns whether the head is complete.
+template<bool isRequest>
+Result<bool, NetError> MessageReader<isRequest>::parseHead()
+{
+    if (m_buffer.size() == 0) {
+        return false;
+    }
+    SystemError error;
+    try {
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    } catch (const std::length_error &exception) {
+        // A field is longer than the parser can keep, which is less than some limits for the head allow.
+        return failure(NetError{NetErrorCode::HeaderTooLarge, exception.what()});
+    }
+    if (error && error != http::error::need_more) {
+        return failure(parseError(error));
+    }
+    return m_parser->is_header_done();
+}
+
+template<bool isRequest>
+BodyDecoder::Framing MessageReader<isRequest>::framing() const
+{
+    if (m_parser->is_done()) {
+        return FixedLengthBody();
+    }
+    if (m_parser->chunked()) {
+        return ChunkDecoder();
+    }
+    if (const auto length = m_parser->content_length()) {
+        return FixedLengthBody{*length};
+    }
+    return BodyUntilClose();
+}
+
+template<bool isRequest>
+Result<std::string, NetError> MessageReader<isRequest>::decodeReceived()
+{
+    const auto received = m_buffer.data();
+    const auto piece = m_body->decode({static_cast<const char *>(received.data()), received.size()});
+    if (piece.has_error()) {
+        return failure(piece.error());
+    }
+    std::string data(piece.value().data);
+    m_buffer.consume(piece.value().consumed);
+    return data;
+}
+
+template<bool isRequest>
+Task<Result<void, NetError>> MessageReader<isRequest>::receiveBody()
+{
+    auto received = co_await receive();
+    if (received.has_error() && received.error().code == NetErrorCode::Closed) {
+        co_return m_body->close();
+    }
+    co_return received;
+}
+
+template<bool isRequest>
+bool MessageReader<isRequest>::hasHead() const
+{
+    return m_body.has_value();
+}
+
+template<bool isRequest>
+const typename MessageReader<isRequest>::Head &MessageReader<isRequest>::head() const
+{
+    return m_parser->get().base();
+}
+
+template<bool isRequest>
+typename MessageReader<isRequest>::Head MessageReader<isRequest>::takeHead()
+{
+    return std::move(m_parser->get().base());
+}
+
+template<bool isRequest>
+bool MessageReader<isRequest>::isDone() const
+{
+    return m_body && m_body->isDone();
+}
+
+template<bool isRequest>
+bool MessageReader<isRequest>::endsWithConnection() const
+{
+    return m_parser->need_eof();
+}
+
+template<bool isRequest>
+bool MessageReader<isRequest>::keepsAlive() const
+{
+    return m_parser->keep_alive();
+}
+
+template<bool isRequest>
+bool MessageReader<isRequest>::hasUnreadBytes() const
+{
+    return m_buffer.size() > 0;
+}
+
+template<bool isRequest>
+void MessageReader<isRequest>::reset()
+{
+    m_parser.reset();
+    m_body.reset();
+}
+
+template class MessageReader<true>;
+template class MessageReader<false>;
+
+} // namespace Cardamomhill
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -4,6 +4,9 @@
 
 #include "net/address.h"
 #include "net/asio.h"
+#include "net/bodydecoder.h"
+#include "net/chunkdecoder.h"
+#include "net/decodedpiece.h"
 #include "net/framedconnection.h"
 #include "net/httpclient.h"
 #include "net/httpclientconnection.h"
@@ -12,6 +15,7 @@
 #include "net/httpresponse.h"
 #include "net/httpserver.h"
 #include "net/listen.h"
+#include "net/messagereader.h"
 #include "net/neterror.h"
 #include "net/notification.h"
 #include "net/retryafter.h"
--- a/src/net/neterror.h
+++ b/src/net/neterror.h
@@ -10,9 +10,12 @@
 
 enum class NetErrorCode : std::uint8_t {
     AddressInUse,
+    BodyTooLarge,
+    Cancelled,
     Closed,
     ConnectFailed,
     ConnectRefused,
+    HeaderTooLarge,
     InvalidAddress,
     MalformedMessage,
     ReadFailed,
@@ -25,9 +28,12 @@
 {
     return std::to_array<NamedValue<NetErrorCode>>({
         {NetErrorCode::AddressInUse, "address-in-use"},
+        {NetErrorCode::BodyTooLarge, "body-too-large"},
+        {NetErrorCode::Cancelled, "cancelled"},
         {NetErrorCode::Closed, "closed"},
         {NetErrorCode::ConnectFailed, "connect-failed"},
         {NetErrorCode::ConnectRefused, "connect-refused"},
+        {NetErrorCode::HeaderTooLarge, "header-too-large"},
         {NetErrorCode::InvalidAddress, "invalid-address"},
         {NetErrorCode::MalformedMessage, "malformed-message"},
         {NetErrorCode::ReadFailed, "read-failed"},
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -93,6 +93,45 @@
     bool m_wasClosed = false;
 };
 
+/// A server that sends an answer in given pieces, each in a segment of its own, and keeps the connection open.
+class PiecewiseServer
+{
+public:
+    PiecewiseServer(asio::io_context &context, std::vector<std::string> pieces)
+        : m_acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_pieces(std::move(pieces))
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    tcp::endpoint endpoint() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+private:
+    Task<> serve()
+    {
+        SystemError error;
+        tcp::socket socket(m_acceptor.get_executor());
+        co_await m_acceptor.async_accept(socket, storeError(error));
+        socket.set_option(tcp::no_delay(true), error);
+        asio::steady_timer timer(m_acceptor.get_executor());
+        for (const auto &piece : m_pieces) {
+            co_await asio::async_write(socket, asio::buffer(piece), storeError(error));
+            timer.expires_after(Milliseconds(2));
+            co_await timer.async_wait(storeError(error));
+        }
+        char byte = 0;
+        co_await socket.async_read_some(asio::buffer(&byte, 1), storeError(error));
+        timer.expires_after(Seconds(1));
+        co_await timer.async_wait(storeError(error));
+    }
+
+    tcp::acceptor m_acceptor;
+    std::vector<std::string> m_pieces;
+};
+
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Whether a call to a server whose answer never ends fails within its timeout and closes the connection.
@@ -133,6 +172,48 @@
     CHECK(failsWithinTimeout("HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x'), NoPause));
 }
 
+namespace
+{
+
+/// The answer to a call to a server that sends these pieces, or the error of the call.
+Result<HttpResponse, NetError> answerFrom(std::vector<std::string> pieces)
+{
+    asio::io_context context;
+    PiecewiseServer server(context, std::move(pieces));
+    HttpClient client(context, server.endpoint());
+    Result<HttpResponse, NetError> answer = failure(NetError{NetErrorCode::TimedOut, "the test"});
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            auto request = makeHttpRequest("GET", "/");
+            auto response = co_await client.call(std::move(request), Milliseconds(500));
+            if (response.has_value()) {
+                answer = std::move(response.value());
+            } else {
+                answer = failure(response.error().error);
+            }
+            context.stop();
+        },
+        asio::detached);
+    context.run_for(std::chrono::seconds(2));
+    return answer;
+}
+
+} // namespace
+
+// Guards against an exception in the handler of a read, which nothing catches.
+TEST_CASE("a trailer field that is longer than a parser can keep ends its call, not the process")
+{
+    constexpr std::size_t FieldBytes = 70'000;
+    const auto answer
+        = answerFrom({ChunkedHead, "2\r\nok\r\n0\r\nX-Long: " + std::string(FieldBytes, 'x') + "\r\n\r\n"});
+    REQUIRE(answer.has_error());
+    CHECK(answer.error().code != NetErrorCode::TimedOut);
+    const auto shortTrailer = answerFrom({ChunkedHead, "2\r\nok\r\n0\r\nX-Short: x\r\n\r\n"});
+    REQUIRE(shortTrailer.has_value());
+    CHECK(shortTrailer.value().body == "ok");
+}
+
 TEST_CASE("an attempt to connect times out soon although the call has a long timeout")
 {
     asio::io_context context;
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -171,6 +171,36 @@
 
 } // namespace
 
+// Guards against an exception in the handler of a read, which nothing catches.
+TEST_CASE("a trailer field that is longer than a parser can keep refuses its request and doesn't end the process")
+{
+    constexpr std::size_t FieldBytes = 70'000;
+    const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    StoppedServer server;
+    auto caller = server.connect();
+    asio::write(caller, asio::buffer(head + "2\r\nok\r\n0\r\nX-Long: " + std::string(FieldBytes, 'x') + "\r\n\r\n"));
+    server.run(100);
+    CHECK(received(caller).starts_with("HTTP/1.1 431"));
+    auto next = server.connect();
+    asio::write(next, asio::buffer(head + "2\r\nok\r\n0\r\nX-Short: x\r\n\r\n"));
+    server.run(100);
+    CHECK(received(next).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against an exception on a head whose limit is above what the parser can keep in one field.
+TEST_CASE("a field of a head that is longer than a parser can keep refuses its request and doesn't end the process")
+{
+    constexpr std::size_t FieldBytes = 70'000;
+    StoppedServer server;
+    HttpLimits limits;
+    limits.maxHeaderBytes = 2 * FieldBytes;
+    server.server.setLimits(limits);
+    auto caller = server.connect();
+    asio::write(caller, asio::buffer("GET /x HTTP/1.1\r\nX-Long: " + std::string(FieldBytes, 'x') + "\r\n\r\n"));
+    server.run(100);
+    CHECK(received(caller).starts_with("HTTP/1.1 431"));
+}
+
 TEST_CASE("connections that are in the backlog when the server stops are served")
 {
     StoppedServer stopped;
