Notice watches of the store that will never be answered

Cause: a watch that will never be answered looks like one without changes. Its only limit was its wait of 30 s and 5 s more. Other calls show an outage only if one of them falls into it, and a single lost answer shows nowhere.

Change: WatchMonitor accompanies each watch with short ones (2 s) from the same revision on another connection. The first is sent together with the watch, so it meets the store in the same state; it fails after 3.5 s if the store has accepted and forgotten both. If a short one reports changes that the watch doesn't within half a second, the watch has lost its answer. Either way the host lists anew. The timeout margin of all watches, those of entry too, is 1.5 s instead of 5 s.

--- a/src/control/defaultobjectapi.cpp
+++ b/src/control/defaultobjectapi.cpp
@@ -66,6 +66,12 @@
                            "/watch?since=" + std::to_string(since) + "&timeout_ms=" + std::to_string(wait.count()));
 }
 
+HttpRequest
+DefaultObjectApi::makeStaleWatchRequest(const std::string &kind, std::uint64_t since, Milliseconds wait) const
+{
+    return makeWatchRequest(kind, since, wait);
+}
+
 HttpRequest
 DefaultObjectApi::makeWriteRequest(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const
 {
--- a/src/control/defaultobjectapi.h
+++ b/src/control/defaultobjectapi.h
@@ -14,6 +14,7 @@
     HttpRequest makeStaleListRequest(const std::string &kind) const override;
     /// Watches all kinds, whichever is given.
     HttpRequest makeWatchRequest(const std::string &kind, std::uint64_t since, Milliseconds wait) const override;
+    HttpRequest makeStaleWatchRequest(const std::string &kind, std::uint64_t since, Milliseconds wait) const override;
     HttpRequest
     makeWriteRequest(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const override;
     PlatformCallError errorOf(const HttpResponse &response) const override;
--- a/src/control/objectapicodec.h
+++ b/src/control/objectapicodec.h
@@ -27,6 +27,9 @@
     /// @param since revision after which changes are reported
     /// @param wait how long the platform waits for a change
     virtual HttpRequest makeWatchRequest(const std::string &kind, std::uint64_t since, Milliseconds wait) const = 0;
+    /// A watch that is cheaper for the store and may miss the changes of the last seconds.
+    virtual HttpRequest
+    makeStaleWatchRequest(const std::string &kind, std::uint64_t since, Milliseconds wait) const = 0;
     /// @param expectedVersion version that the object must have, or 0 if it must not exist
     virtual HttpRequest
     makeWriteRequest(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const = 0;
--- a/src/control/objectfollower.cpp
+++ b/src/control/objectfollower.cpp
@@ -15,8 +15,8 @@
 namespace
 {
 
-/// How long the store may hold a watch open. A watch costs one call regardless of its duration, and TCP keep-alive
-/// probes detect an unresponsive connection.
+/// How long the store may hold a watch open. A watch costs one call regardless of its duration. TCP keep-alive probes
+/// detect an unresponsive connection, and WatchMonitor an answer that will not come.
 constexpr Milliseconds WatchTimeout{30'000};
 /// The same for hosts that call the store only until their relays work again.
 constexpr Milliseconds FallbackWatchTimeout{3000};
@@ -44,7 +44,12 @@
                                Dependencies dependencies,
                                Observers observers)
     : m_context(context)
-    , m_client(context, platform, std::move(codec), CallTimeout)
+    , m_client(context, platform, codec, CallTimeout)
+    , m_watchMonitor(context,
+                     platform,
+                     std::move(codec),
+                     kind,
+                     {[this](const PlatformCallError &error) { callFailed(error); }, [this] { watchMissedChanges(); }})
     , m_relayClient(context, kind)
     , m_source(host)
     , m_kind(std::move(kind))
@@ -70,6 +75,7 @@
 void ObjectFollower::start()
 {
     spawn(m_context.get_executor(), "kind-follower", follow());
+    m_watchMonitor.start();
 }
 
 void ObjectFollower::setFailureDomainHosts(const std::vector<RelayHost> &hosts)
@@ -96,6 +102,13 @@
     }
 }
 
+void ObjectFollower::watchMissedChanges()
+{
+    logEvent(LogLevel::Warning, "watch-missed-changes", {{"kind", m_kind}, {"revision", m_revision}});
+    m_mustList = true;
+    abortWatch();
+}
+
 StoreRole ObjectFollower::role() const
 {
     return m_source.role();
@@ -212,9 +225,11 @@
 {
     m_isWatching = true;
     m_isAborted = false;
+    m_watchMonitor.watchBegan(m_revision);
     const auto page = co_await m_client.watch(
         m_kind, m_revision, role() == StoreRole::Relayed ? FallbackWatchTimeout : WatchTimeout);
     m_isWatching = false;
+    m_watchMonitor.watchEnded();
     if (page.has_error()) {
         const bool isHistoryGone = page.error().code == PlatformCallErrorCode::HistoryGone;
         const bool isAborted = m_isAborted;
--- a/src/control/objectfollower.h
+++ b/src/control/objectfollower.h
@@ -2,6 +2,7 @@
 
 #include "control/platformclient.h"
 #include "control/relayclient.h"
+#include "control/watchmonitor.h"
 #include "core/clocktypes.h"
 #include "core/random.h"
 #include "net/asio.h"
@@ -69,6 +70,8 @@
     Task<SteadyTime> followRelay(RelayHost relay);
     Task<bool> list();
     Task<bool> watch();
+    /// Ends a watch that has not returned changes which exist, and lists all objects instead.
+    void watchMissedChanges();
     /// Ends a watch in progress. Its failure does not count as a failure of the store.
     void abortWatch();
     /// Records whether a call to the store itself was answered, and reports it.
@@ -79,6 +82,7 @@
 
     asio::io_context &m_context;
     PlatformClient m_client;
+    WatchMonitor m_watchMonitor;
     RelayClient m_relayClient;
     StoreSource m_source;
     std::string m_kind;
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-/// Added to the time that the platform is asked to wait to get the timeout of a watch.
-constexpr Milliseconds WatchTimeoutMargin{5000};
+/// Added to the time that the platform is asked to wait to get the timeout of a watch. A watch whose answer is lost
+/// hides all changes until this timeout, so it is not longer than that of a short call.
+constexpr Milliseconds WatchTimeoutMargin{1500};
 
 } // namespace
 
@@ -73,6 +74,13 @@
     return callForPage(std::move(request), std::move(kind), wait + WatchTimeoutMargin);
 }
 
+Task<Result<ObjectPage, PlatformCallError>>
+PlatformClient::watchStale(std::string kind, std::uint64_t since, Milliseconds wait)
+{
+    auto request = m_codec->makeStaleWatchRequest(kind, since, wait);
+    return callForPage(std::move(request), std::move(kind), wait + WatchTimeoutMargin);
+}
+
 Task<Result<PlatformObject, PlatformCallError>>
 PlatformClient::write(ObjectKey key, std::uint64_t expectedVersion, const std::string &value)
 {
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -39,6 +39,9 @@
     /// Waits for changes after a revision. Returns an empty page if there are none within the wait time.
     Task<Result<ObjectPage, PlatformCallError>> watch(std::string kind, std::uint64_t since, Milliseconds wait);
 
+    /// The same, but may miss the changes of the last seconds. Costs less than watch().
+    Task<Result<ObjectPage, PlatformCallError>> watchStale(std::string kind, std::uint64_t since, Milliseconds wait);
+
     /// Writes a JSON value if the object has the given version, or does not exist if that is 0.
     Task<Result<PlatformObject, PlatformCallError>>
     write(ObjectKey key, std::uint64_t expectedVersion, const std::string &value);
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -77,6 +77,16 @@
     notifyWatches();
 }
 
+void PlatformStore::setSilent(bool isSilent)
+{
+    m_isSilent = isSilent;
+}
+
+void PlatformStore::loseNextChanges(const std::string &kind, int count)
+{
+    m_changesToLose[kind] = count;
+}
+
 void PlatformStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
 {
     putRaw(kind, name, spec.dump());
@@ -147,6 +157,10 @@
         co_return;
     }
     ++m_calls;
+    if (m_isSilent) {
+        co_await neverAnswer();
+        co_return;
+    }
     if (m_isDown) {
         co_await send(exchange, Unavailable, errorJson("down"));
         co_return;
@@ -231,6 +245,9 @@
         exchange.abort();
     } else if (since < m_oldestWatchRevision) {
         co_await send(exchange, Gone, errorJson("history"));
+    } else if (!events.empty() && m_changesToLose[kind] > 0) {
+        --m_changesToLose[kind];
+        co_await neverAnswer();
     } else {
         const auto page = pageText("events", events, m_revision);
         co_await sendText(exchange, Ok, page);
@@ -288,6 +305,14 @@
     co_await send(exchange, Ok, faults);
 }
 
+Task<> PlatformStore::neverAnswer()
+{
+    constexpr std::chrono::hours BeyondAnyTest{1};
+    asio::steady_timer timer(m_context, BeyondAnyTest);
+    SystemError ignored;
+    co_await timer.async_wait(storeError(ignored));
+}
+
 void PlatformStore::notifyWatches()
 {
     for (auto *const watch : m_openWatches) {
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -33,6 +33,10 @@
     Result<void, NetError> listen(const tcp::endpoint &endpoint);
 
     void setDown(bool isDown);
+    /// Makes the store accept calls without ever answering them. Watches that are open already are not affected.
+    void setSilent(bool isSilent);
+    /// Loses the next answers that report changes of a kind to a watch; their connections return nothing further.
+    void loseNextChanges(const std::string &kind, int count);
     /// Creates or replaces an object, whatever its revision is.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     /// The same with the bytes of the spec as they are, which need not be JSON. Answers contain them unchanged.
@@ -72,6 +76,8 @@
     Task<> send(HttpExchange &exchange, unsigned status, const Json &json);
     Task<> sendText(HttpExchange &exchange, unsigned status, const std::string &body);
     void notifyWatches();
+    /// Keeps a call without an answer.
+    Task<> neverAnswer();
     std::vector<std::string> eventsSince(const std::string &kind, std::uint64_t since) const;
     void recordChange(const Key &key, const std::string &object, bool removed);
 
@@ -86,7 +92,9 @@
     std::uint64_t m_writesToLose = 0;
     std::uint64_t m_watchCuts = 0;
     std::uint64_t m_calls = 0;
+    std::map<std::string, int> m_changesToLose;
     bool m_isMute = false;
+    bool m_isSilent = false;
     bool m_isDown = false;
 };
 
