Keep a silent stream until another server has gone on with it

Reproduced first: silentstreamtest on, 20 streams of one gateway whose servers pause for 1.5 s before the last event. 0 of 20 were whole where the others refuse the resumed stream with 503, close without an answer, or pause as long themselves, with and without SIGTERM; 6 of 20 where the others continue it at once.

Cause: after 1.2 s of silence the attempt was cancelled because a retry seemed likely: the budget had one left and another server was known. Nothing was reserved, so several streams that were cancelled in one tick saw the same retry, and a server may refuse the resumed stream. The connection that would have gone on was closed by then. All callers of cancelForRetry() share this: silence of a stream, a server or a group, and a server that turned slow.

Change: a begun stream is continued at another server while the silent one may still go on (StreamContinuation). The retry is paid for before, and the first of the two that has an event delivers from then on (DeliveryTurn); the other is cancelled, so pieces are never joined twice. If the second fails, nothing has changed for the caller. A stream without events is still cancelled for a retry, but the retry is charged at that moment.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -3,6 +3,7 @@
 #include "gateway/backendconnectionpool.h"
 #include "gateway/callcodec.h"
 #include "gateway/gatewaythread.h"
+#include "gateway/streamcontinuation.h"
 #include "metrics/metricsregistry.h"
 #include "net/address.h"
 #include "net/hopbyhopheaders.h"
@@ -63,11 +64,14 @@
 
 } // namespace
 
-Attempt::Attempt(GatewayThread &thread, HttpExchange &exchange, CallState &state, BackendServerId server)
+Attempt::Attempt(
+    GatewayThread &thread, HttpExchange &exchange, CallState &state, BackendServerId server, AttemptRole role)
     : m_thread(thread)
     , m_exchange(exchange)
     , m_state(state)
     , m_server(std::move(server))
+    , m_role(role)
+    , m_ticket(role == AttemptRole::Only ? state.turn.begin() : state.turn.beginBeside())
 {
 }
 
@@ -77,11 +81,25 @@
 }
 
 Task<AttemptEnd> Attempt::run()
+{
+    const auto end = co_await sendUnlessOver();
+    if (m_state.isCallerGone) {
+        co_return AttemptEnd::CallerGone;
+    }
+    const bool isSuperseded = m_role == AttemptRole::Continuation && m_state.turn.isOver(m_ticket);
+    co_return isSuperseded ? AttemptEnd::Superseded : end;
+}
+
+Task<AttemptEnd> Attempt::sendUnlessOver()
 {
     const bool connected = co_await connect();
     if (m_state.isCallerGone) {
         co_return AttemptEnd::CallerGone;
     }
+    if (connected && !m_cancelCause.empty()) {
+        m_cause = m_cancelCause;
+        co_return AttemptEnd::NotSent;
+    }
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
@@ -102,25 +120,30 @@
         m_state.isPromptSuspected = guard.isSuspected(m_state.head);
         guard.recordBreak(m_process, m_state.head);
     }
-    co_return m_state.isCallerGone ? AttemptEnd::CallerGone : end;
+    co_return end;
 }
 
 void Attempt::cancel(std::string_view cause)
 {
+    m_cancelCause = cause;
     if (m_connection) {
-        m_cancelCause = cause;
         m_connection->cancel();
     }
 }
 
-void Attempt::cancelForRetry(std::string_view cause)
+void Attempt::moveElsewhere(std::string_view cause)
 {
-    // The answer that has begun would be cut if no other server could continue it.
-    const bool canContinue = !m_state.hasAnswerBegun || hasOtherServer();
-    const bool canRetry = canContinue && m_state.isResumable()
-        && m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
-        && m_thread.retryBudget(m_state.service).hasRetry(steadyNow());
-    if (!m_state.isCallerGone && canRetry) {
+    if (m_state.isCallerGone || !m_cancelCause.empty()) {
+        return;
+    }
+    if (m_state.hasAnswerBegun) {
+        m_state.continuation->begin(*this, cause);
+        return;
+    }
+    // Charged here, since several attempts that are cancelled at the same time would all see the last retry.
+    if (m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
+        && m_thread.retryBudget(m_state.service).tryTakeRetry(steadyNow())) {
+        m_state.isRetryReserved = true;
         cancel(cause);
     }
 }
@@ -146,13 +169,6 @@
     }
 }
 
-bool Attempt::hasOtherServer() const
-{
-    return m_thread.servers()
-        .choose(m_state.service, m_state.triedServers, m_state.admission, steadyNow(), m_thread.random())
-        .hasServer();
-}
-
 const BackendServerId &Attempt::server() const
 {
     return m_server;
@@ -338,6 +354,9 @@
             if (!event->id.empty() && !m_state.lastEventId.empty() && !isLaterEventId(event->id, m_state.lastEventId)) {
                 continue;
             }
+            if (!claimDelivery()) {
+                co_return endAsBroken("the stream goes on at another server");
+            }
             const bool sent = co_await deliverEvent(event->bytes);
             if (!sent) {
                 co_return AttemptEnd::CallerGone;
@@ -355,6 +374,21 @@
     }
 }
 
+bool Attempt::claimDelivery()
+{
+    switch (m_state.turn.claim(m_ticket)) {
+    case DeliveryClaim::Granted:
+        m_state.continuation->cancel("the stream has gone on");
+        return true;
+    case DeliveryClaim::TakenOver:
+        m_state.continuation->takeOver();
+        return true;
+    case DeliveryClaim::Refused:
+        return false;
+    }
+    return false;
+}
+
 void Attempt::recordEvent()
 {
     const auto now = steadyNow();
@@ -377,6 +411,9 @@
     if (m_eventSplitter.pendingBytes() > 0) {
         co_return endAsBroken("stream ended in the middle of an event");
     }
+    if (!claimDelivery()) {
+        co_return endAsBroken("the stream goes on at another server");
+    }
     const bool begun = co_await beginAnswer();
     if (!begun) {
         co_return AttemptEnd::CallerGone;
@@ -461,7 +498,7 @@
     }
     const auto streamSilence = now - m_lastArrival;
     if (!m_thread.servers().isAvailable(m_server)) {
-        cancelForRetry("the server or its group cannot be reached");
+        moveElsewhere("the server or its group cannot be reached");
         return;
     }
     // Any rank of a group shows that the group makes progress. Without a group only the server itself does, and a call
@@ -472,9 +509,9 @@
     const auto silenceLimit = hasGroup ? timeouts.stalledGroupTimeout : timeouts.stalledStreamTimeout;
     const auto sourceSilence = now - std::max(m_thread.servers().lastReceivedAt(m_server), m_state.startedAt);
     if (streamSilence > silenceLimit && sourceSilence > silenceLimit) {
-        cancelForRetry(hasGroup ? "the group makes no steps" : "the server is unresponsive");
+        moveElsewhere(hasGroup ? "the group makes no steps" : "the server is unresponsive");
     } else if (streamSilence > timeouts.stalledStreamTimeout && m_state.eventCount > 0) {
-        cancelForRetry("the stream is silent");
+        moveElsewhere("the stream is silent");
     }
 }
 
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -3,11 +3,13 @@
 #include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "core/result.h"
+#include "gateway/attemptrole.h"
 #include "gateway/callstate.h"
 #include "net/asio.h"
 #include "net/neterror.h"
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/deliveryturn.h"
 #include "traffic/eventsplitter.h"
 #include "traffic/serverprocess.h"
 
@@ -27,22 +29,28 @@
 class Attempt
 {
 public:
-    Attempt(GatewayThread &thread, HttpExchange &exchange, CallState &state, BackendServerId server);
+    Attempt(GatewayThread &thread,
+            HttpExchange &exchange,
+            CallState &state,
+            BackendServerId server,
+            AttemptRole role = AttemptRole::Only);
     ~Attempt();
 
     Task<AttemptEnd> run();
 
-    /// Closes the connection to the server, because nobody waits for its answer any more.
+    /// Closes the connection to the server, because nobody waits for its answer any more. Nothing is sent if there is
+    /// none yet.
     /// @param cause becomes the cause of the attempt's end
     void cancel(std::string_view cause);
 
-    /// Cancels a stream for a retry if its server is unavailable or unresponsive. To be called periodically.
+    /// Has a stream retried or continued elsewhere if its server is unavailable or unresponsive. To be called
+    /// periodically.
     void checkProgress(SteadyTime now);
 
-    /// Cancels the attempt if the route, the time left and the retry budget allow another one, and, once the answer has
-    /// begun, if another server can continue it.
-    /// @param cause becomes the cause of the attempt's end
-    void cancelForRetry(std::string_view cause);
+    /// Has the call served by another server, if the route, the time left and the retry budget allow that: an answer
+    /// that has begun is continued there while this attempt goes on, else the attempt is cancelled.
+    /// @param cause why another server is wanted
+    void moveElsewhere(std::string_view cause);
 
     /// Cancels the attempt if a part of its prompt is blocked and its answer has not gone on.
     void cancelIfBlocked();
@@ -53,12 +61,15 @@
     const std::string &cause() const;
 
 private:
+    Task<AttemptEnd> sendUnlessOver();
     Task<bool> connect();
     Task<AttemptEnd> sendRequest();
     Task<AttemptEnd> relayAnswer();
     Task<AttemptEnd> relayBufferedAnswer();
     Task<AttemptEnd> relayEvents();
     Task<AttemptEnd> endAnswer();
+    /// Whether this attempt may deliver what it has received, rather than one that runs beside it.
+    bool claimDelivery();
     void recordEvent();
     /// Tells the prompt guard, once, that the answer has gone on; again while it suspects any prompt.
     void recordProgress();
@@ -72,7 +83,6 @@
     Milliseconds remainingTime() const;
     /// Timeout for the head of the answer. Leaves time for another attempt if one is allowed.
     Milliseconds answerTimeout() const;
-    bool hasOtherServer() const;
     void recordArrival();
     void releaseConnection();
 
@@ -80,6 +90,8 @@
     HttpExchange &m_exchange;
     CallState &m_state;
     BackendServerId m_server;
+    AttemptRole m_role;
+    DeliveryTurn::Ticket m_ticket;
     /// The process that was registered when the attempt began to connect.
     ServerProcess m_process;
     std::unique_ptr<HttpClientConnection> m_connection;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -1,7 +1,7 @@
 #include "gateway/callhandler.h"
 
-#include "core/joinwithcommas.h"
 #include "gateway/attempt.h"
+#include "gateway/attemptrecord.h"
 #include "gateway/callcodec.h"
 #include "gateway/gatewaythread.h"
 #include "logging/logging.h"
@@ -71,8 +71,10 @@
 CallHandler::CallHandler(GatewayThread &thread, HttpExchange &exchange)
     : m_thread(thread)
     , m_exchange(exchange)
+    , m_continuation(thread, exchange, m_state)
 {
     m_state.startedAt = steadyNow();
+    m_state.continuation = &m_continuation;
 }
 
 CallHandler::~CallHandler()
@@ -91,9 +93,7 @@
     recordArrivalWhileDraining();
     m_exchange.watchDisconnect([this] {
         m_state.isCallerGone = true;
-        if (m_currentAttempt != nullptr) {
-            m_currentAttempt->cancel("the caller has disconnected");
-        }
+        cancelAttempts("the caller has disconnected");
     });
     co_await sendToServers();
     m_exchange.stopWatching();
@@ -114,9 +114,15 @@
               {"attempts", m_state.attempts.count() + (m_currentAttempt == nullptr ? 0 : 1)},
               {"events", m_state.eventCount},
               {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(now - m_state.startedAt).count()}});
+    cancelAttempts("the host is stopping");
+}
+
+void CallHandler::cancelAttempts(std::string_view cause)
+{
     if (m_currentAttempt != nullptr) {
-        m_currentAttempt->cancel("the host is stopping");
+        m_currentAttempt->cancel(cause);
     }
+    m_continuation.cancel(cause);
 }
 
 std::optional<Problem> CallHandler::resolveCall()
@@ -233,38 +239,28 @@
 
 Task<AttemptEnd> CallHandler::runAttempt(const ServerChoice &choice)
 {
-    logEvent(LogLevel::Info,
-             "routed",
-             {{"request", m_state.head.id},
-              {"route", m_state.route->name},
-              {"configuration", m_state.configuration->version()},
-              {"service", m_state.service.value()},
-              {"server", choice.server.value()},
-              {"reason", nameOf(choice.reason)},
-              {"load", choice.load},
-              {"candidates", choice.candidates},
-              {"attempt", m_state.attempts.count() + 1},
-              {"left_ms", remainingTime().count()},
-              {"after_event", m_state.lastEventId},
-              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()}});
-    m_state.triedServers.push_back(choice.server);
-    m_thread.servers().recordCallStarted(choice.server);
+    recordAttemptBegin(m_thread, m_state, choice);
     Attempt attempt(m_thread, m_exchange, m_state, choice.server);
     m_currentAttempt = &attempt;
     const auto end = co_await attempt.run();
     m_currentAttempt = nullptr;
-    m_thread.servers().recordCallEnded(choice.server, end, steadyNow());
-    m_state.attempts.add(end);
-    if (end != AttemptEnd::Delivered) {
-        logEvent(LogLevel::Info,
-                 "attempt-ended",
-                 {{"request", m_state.head.id},
-                  {"server", choice.server.value()},
-                  {"end", nameOf(end)},
-                  {"cause", attempt.cause()},
-                  {"prompt", joinWithCommas(m_state.head.sharedPromptParts)},
-                  {"events", m_state.eventCount},
-                  {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - m_state.startedAt).count()}});
+    m_continuation.silentAttemptEnded();
+    recordAttemptEnd(m_thread, m_state, attempt, end);
+    co_return co_await finishContinuations(end);
+}
+
+Task<AttemptEnd> CallHandler::finishContinuations(AttemptEnd end)
+{
+    while (const auto continuation = m_continuation.release()) {
+        if (end == AttemptEnd::Delivered || end == AttemptEnd::CallerGone) {
+            continuation->attempt.cancel("the call is over");
+            co_await continuation->finish();
+            continue;
+        }
+        m_currentAttempt = &continuation->attempt;
+        end = co_await continuation->finish();
+        m_currentAttempt = nullptr;
+        m_continuation.silentAttemptEnded();
     }
     co_return end;
 }
@@ -280,6 +276,9 @@
     if (!m_state.isResumable()) {
         return RetryVerdict::NotResumable;
     }
+    if (std::exchange(m_state.isRetryReserved, false)) {
+        return m_state.attempts.evaluate(*m_state.route, remainingTime());
+    }
     return m_state.attempts.retry(*m_state.route, remainingTime(), m_thread.retryBudget(m_state.service), now);
 }
 
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -2,6 +2,7 @@
 
 #include "entry/problem.h"
 #include "gateway/callstate.h"
+#include "gateway/streamcontinuation.h"
 #include "net/asio.h"
 #include "traffic/serverchoice.h"
 #include "traffic/streamadmission.h"
@@ -40,6 +41,10 @@
     bool shouldWait(const ServerChoice &choice, SteadyTime now) const;
     std::optional<StreamAdmission> streamAdmission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
+    /// Waits for attempts that continue the stream of one that has ended. Returns how the last one ended that could
+    /// deliver.
+    Task<AttemptEnd> finishContinuations(AttemptEnd end);
+    void cancelAttempts(std::string_view cause);
     bool decideRetry(AttemptEnd end);
     RetryVerdict retryVerdict(SteadyTime now);
     /// The refusal of a call whose prompt has a blocked part; nothing if it has none.
@@ -58,7 +63,9 @@
     GatewayThread &m_thread;
     HttpExchange &m_exchange;
     CallState m_state;
+    /// The attempt that delivers.
     Attempt *m_currentAttempt = nullptr;
+    StreamContinuation m_continuation;
 };
 
 } // namespace Cardamomhill
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -4,6 +4,7 @@
 #include "net/httpexchange.h"
 #include "traffic/attempthistory.h"
 #include "traffic/callhead.h"
+#include "traffic/deliveryturn.h"
 #include "traffic/streamadmission.h"
 #include "traffic/trafficconfiguration.h"
 
@@ -16,6 +17,8 @@
 namespace Cardamomhill
 {
 
+class StreamContinuation;
+
 /// A server's error answer, which is delivered if no later attempt has a better one.
 struct FallbackAnswer {
     unsigned status = 0;
@@ -37,6 +40,12 @@
     /// Limits the queues in which a new stream may wait; nothing for other calls.
     std::optional<StreamAdmission> admission;
     AttemptHistory attempts;
+    /// Which attempt delivers.
+    DeliveryTurn turn;
+    /// Runs an attempt beside one whose stream is silent. Never null while an attempt runs.
+    StreamContinuation *continuation = nullptr;
+    /// The retry budget was charged when the current attempt was cancelled for a retry.
+    bool isRetryReserved = false;
     std::vector<BackendServerId> triedServers;
     std::optional<FallbackAnswer> fallbackAnswer;
     /// Id of the last event that was delivered; at first the one that the caller resumes after.
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -197,7 +197,7 @@
     for (auto *const attempt : m_attempts) {
         const auto found = slowdownFactors.find(serverKey(attempt->server()));
         if (found != slowdownFactors.end() && found->second >= StreamRetrySlowness) {
-            attempt->cancelForRetry("the server turned slow");
+            attempt->moveElsewhere("the server turned slow");
         }
     }
 }
--- a/src/traffic/attemptend.h
+++ b/src/traffic/attemptend.h
@@ -26,6 +26,8 @@
     Broken,
     /// The deadline of the call passed; the call may have run.
     TimedOut,
+    /// Another attempt of the call, which ran beside this one, delivers the answer.
+    Superseded,
 };
 
 constexpr auto nameTable(AttemptEnd)
@@ -40,6 +42,7 @@
         {AttemptEnd::ServerError, "server-error"},
         {AttemptEnd::Broken, "broken"},
         {AttemptEnd::TimedOut, "timed-out"},
+        {AttemptEnd::Superseded, "superseded"},
     });
 }
 
--- a/src/traffic/attempthistory.h
+++ b/src/traffic/attempthistory.h
@@ -32,14 +32,14 @@
     /// Whether a retry now is charged to the retry budget: the last attempt reached a server.
     bool isRetryCharged() const;
 
+    /// Decides like retry(), but without the budget: for a retry that was charged to it before.
+    RetryVerdict evaluate(const Route &route, Milliseconds left) const;
+
     /// Decides whether to retry after an attempt without a complete answer. The retry is charged to the budget,
     /// unless the last attempt reached no server and so added no load to one.
     RetryVerdict retry(const Route &route, Milliseconds left, RetryBudget &budget, SteadyTime now) const;
 
 private:
-    /// Decides like retry(), but without the budget.
-    RetryVerdict evaluate(const Route &route, Milliseconds left) const;
-
     std::vector<AttemptEnd> m_ends;
 };
 
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -19,6 +19,7 @@
     case AttemptEnd::Delivered:
     case AttemptEnd::CallerGone:
     case AttemptEnd::Withdrawn:
+    case AttemptEnd::Superseded:
         return 0;
     case AttemptEnd::ServerError:
         return 0.3;
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -313,6 +313,25 @@
     co_return co_await write(connection, rest);
 }
 
+Task<bool> DirectBackend::answerPaused(Connection &connection, const HttpRequest &request, const std::string &fault)
+{
+    const bool isResumed = !request["Last-Event-Id"].empty();
+    if (isResumed && fault == "refused") {
+        const std::string text = responseHead(request, Unavailable, NotExecutedHeader + "Content-Length: 0\r\n");
+        co_return co_await write(connection, text);
+    }
+    countRun(request);
+    if (isResumed && fault == "closed") {
+        co_return false;
+    }
+    if (isResumed && fault == "taken") {
+        auto quickRequest = request;
+        quickRequest.erase("X-Last-Interval-Ms");
+        co_return co_await stream(connection, quickRequest, false);
+    }
+    co_return co_await stream(connection, request, false);
+}
+
 Task<bool> DirectBackend::answerResumed(Connection &connection, const HttpRequest &request, const std::string &fault)
 {
     const std::string body = "error text\n\n";
@@ -415,6 +434,7 @@
     const bool isFaulty = m_id.starts_with("bad");
     constexpr std::string_view RefusalPrefix = "refusal-";
     constexpr std::string_view ResumedPrefix = "resumed-";
+    constexpr std::string_view PausedPrefix = "paused-";
     if (isFaulty && behaviour.starts_with(RefusalPrefix)) {
         countRun(request);
         const std::string when = behaviour.substr(RefusalPrefix.size());
@@ -440,6 +460,10 @@
         }
         co_return co_await answerResumed(connection, request, fault);
     }
+    if (behaviour.starts_with(PausedPrefix)) {
+        const std::string fault = behaviour.substr(PausedPrefix.size());
+        co_return co_await answerPaused(connection, request, fault);
+    }
     if (behaviour == "stream" || behaviour == "broken-stream") {
         countRun(request);
         co_return co_await stream(connection, request, isFaulty && behaviour == "broken-stream");
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -26,12 +26,14 @@
 /// before it, `unnamed` before it and without an id, or, with its own id, `after` or `late` after it),
 /// `anonymous-stream` (breaks, without ids of events), `own-refusal` (a refusal whose id is split over segments),
 /// `resumed-FAULT` (at any server a stream that breaks, and one with that fault if it is resumed: `error`, `refused`,
-/// `unsigned`, `plain`, `empty`, `not-found`, `cut-head`, `error-head` in place of a chunk). A server whose id does not
-/// begin with `bad` answers all of them correctly. Headers `X-Events` and `X-Event-Interval-Ms` state how many events a
-/// stream has and the time between them; `X-Last-Interval-Ms` states the time before the last one, `X-Delay-Ms` the
-/// delay of `slow`. A call for another instance gets 421. Answers are written as plain text rather than through an HTTP
-/// library, so that they can violate the protocol. GET /runs/ID returns how often a call ran here; GET /abandoned
-/// returns how many connections the caller closed before it had the whole answer.
+/// `unsigned`, `plain`, `empty`, `not-found`, `cut-head`, `error-head` in place of a chunk), `paused-FAULT` (at any
+/// server a whole stream, and if it is resumed `refused`, `closed` without an answer, or `taken` and continued at
+/// once). A server whose id does not begin with `bad` answers all of them correctly. Headers `X-Events` and
+/// `X-Event-Interval-Ms` state how many events a stream has and the time between them; `X-Last-Interval-Ms` states the
+/// time before the last one, `X-Delay-Ms` the delay of `slow`. A call for another instance gets 421. Answers are
+/// written as plain text rather than through an HTTP library, so that they can violate the protocol. GET /runs/ID
+/// returns how often a call ran here; GET /abandoned returns how many connections the caller closed before it had the
+/// whole answer.
 class DirectBackend
 {
 public:
@@ -83,6 +85,7 @@
     Task<bool> answerEndlessly(Connection &connection, const HttpRequest &request, const std::string &behaviour);
     Task<bool> answerWithRefusal(Connection &connection, const HttpRequest &request, const std::string &when);
     Task<bool> refuseInSegments(Connection &connection, const HttpRequest &request);
+    Task<bool> answerPaused(Connection &connection, const HttpRequest &request, const std::string &fault);
     Task<bool> answerResumed(Connection &connection, const HttpRequest &request, const std::string &fault);
     Task<bool> write(Connection &connection, std::string text);
     Task<> pause();
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -110,6 +110,12 @@
         m_hosts[host].process.reset();
     }
 
+    /// Begins a planned stop of a host.
+    void terminate(std::size_t host)
+    {
+        m_hosts[host].process->signal(SIGTERM);
+    }
+
     void run(Task<> scenario)
     {
         bool hasEnded = false;
