Refuse lines of chunks that never end, in answers and requests

Cause: the limit of a head covers neither; the parser of Boost.Beast returns nothing before the end of such a line, so its buffer grew until the timeout of the read. ChunkDecoder keeps none of these bytes, but still read on until then.

Related paths: an agent records answers of up to 4 MiB instead of 64, since it keeps all of them; answers of the store and of relays are limited to 16 MiB instead of 64. Bodies of other answers were limited before (256 KiB kept, then passed on at the caller's speed; 1 MiB for engines' reports).

--- a/src/agent/keyedexecutions.cpp
+++ b/src/agent/keyedexecutions.cpp
@@ -25,6 +25,8 @@
 
 constexpr Milliseconds PollPeriod{100};
 constexpr std::size_t MaxExpiredRecordsPerPoll = 1000;
+/// Answers are recorded as a whole. A longer one, which may never end, is not waited for.
+constexpr std::size_t MaxAnswerBytes = 4 * 1024 * 1024;
 constexpr std::string_view SlotsKind = "slots";
 
 /// Distinguishes a retry from a different request with the same key.
@@ -210,7 +212,7 @@
 {
     // Uses a new connection: when the server closes a reused one during the request, it is unknown whether the request
     // was executed.
-    HttpClient client(m_context, m_engine);
+    HttpClient client(m_context, m_engine, MaxAnswerBytes);
     const Milliseconds timeout(execute.remainingMs);
     auto response = co_await client.call(engineRequest(execute), timeout);
     if (response.has_error()) {
--- a/src/net/chunkdecoder.cpp
+++ b/src/net/chunkdecoder.cpp
@@ -11,6 +11,8 @@
 
 /// As much as the fields before a body may have in an answer.
 constexpr std::size_t MaxTrailerBytes = 8 * 1024;
+/// Extensions of a few hundred bytes are known, such as signatures.
+constexpr std::size_t MaxSizeLineBytes = 4 * 1024;
 constexpr unsigned HexBase = 16;
 
 bool isHexDigit(char byte)
@@ -64,14 +66,23 @@
         if (!advance(input[position])) {
             return failure(NetError{NetErrorCode::MalformedMessage, "bad chunk"});
         }
-        if (m_trailerBytes > MaxTrailerBytes) {
-            return failure(NetError{NetErrorCode::HeaderTooLarge, "trailer fields over the limit"});
-        }
+        BOOST_OUTCOME_TRY(checkLimits());
         ++position;
     }
     return DecodedPiece{position, {}};
 }
 
+Result<void, NetError> ChunkDecoder::checkLimits() const
+{
+    if (m_sizeLineBytes > MaxSizeLineBytes) {
+        return failure(NetError{NetErrorCode::MalformedMessage, "chunk extensions over the limit"});
+    }
+    if (m_trailerBytes > MaxTrailerBytes) {
+        return failure(NetError{NetErrorCode::HeaderTooLarge, "trailer fields over the limit"});
+    }
+    return success();
+}
+
 bool ChunkDecoder::advance(char byte)
 {
     const auto expect = [this, byte](char expected, State next) {
@@ -81,11 +92,14 @@
     switch (m_state) {
     case State::SizeStart:
     case State::Size:
+        ++m_sizeLineBytes;
         return advanceSize(byte);
     case State::Extension:
+        ++m_sizeLineBytes;
         m_state = byte == '\r' ? State::SizeLineFeed : State::Extension;
         return byte == '\r' || isTextCharacter(byte);
     case State::SizeLineFeed:
+        m_sizeLineBytes = 0;
         return expect('\n', afterSize());
     case State::DataReturn:
         return expect('\r', State::DataLineFeed);
--- a/src/net/chunkdecoder.h
+++ b/src/net/chunkdecoder.h
@@ -41,6 +41,7 @@
         Done,
     };
 
+    Result<void, NetError> checkLimits() const;
     /// Advances by one byte outside data. Returns false if the byte is not allowed there.
     bool advance(char byte);
     bool advanceSize(char byte);
@@ -49,7 +50,8 @@
     State m_state = State::SizeStart;
     /// Bytes left in the current chunk; while its size is read, the size so far.
     std::uint64_t m_remaining = 0;
-    /// Bytes of the trailer section so far.
+    /// Bytes of the current line with a size, and of the trailer section, so far.
+    std::size_t m_sizeLineBytes = 0;
     std::size_t m_trailerBytes = 0;
 };
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -38,7 +38,7 @@
 
 private:
     /// Leaves room for the largest known answer, a list of 38,000 organisations of about 11 MB.
-    static constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t MaxResponseBytes = 16 * 1024 * 1024;
 
     asio::io_context &m_context;
     tcp::endpoint m_endpoint;
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -112,8 +112,11 @@
 
 Task<Result<std::optional<std::string>, NetError>> HttpClientConnection::readSome(Milliseconds timeout)
 {
+    // One deadline for all reads, since bytes that are no data must not prolong the wait for data.
+    const auto deadline = steadyNow() + timeout;
     while (!m_reader.isDone()) {
-        if (timeout <= Milliseconds(0)) {
+        const auto left = timeLeft(deadline);
+        if (left <= Milliseconds(0)) {
             // Checked here too: while data is always ready to read, the stream's timer never expires.
             co_return failure(NetError{NetErrorCode::TimedOut, "the timeout has elapsed"});
         }
@@ -125,7 +128,7 @@
             co_return std::optional(std::move(piece.value()));
         }
         if (!m_reader.isDone()) {
-            m_stream.expires_after(timeout);
+            m_stream.expires_after(left);
             const auto received = co_await m_reader.receiveBody();
             if (received.has_error()) {
                 co_return failure(received.error());
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -229,6 +229,38 @@
     }
 }
 
+// Guards against a process that keeps all bytes of a line that never ends.
+TEST_CASE("the line of a chunk and the trailer that never end fail their call long before its timeout")
+{
+    constexpr Milliseconds Timeout{1500};
+    for (const std::string start : {"1;", "0\r\nX-More: "}) {
+        CAPTURE(start);
+        asio::io_context context;
+        EndlessServer server(context, ChunkedHead + start, std::string(1000, 'x'), Milliseconds(0));
+        HttpClient client(context, server.endpoint());
+        bool hasFailed = false;
+        const auto begun = steadyNow();
+        asio::co_spawn(
+            context,
+            [&]() -> Task<> {
+                auto request = makeHttpRequest("GET", "/");
+                const auto response = co_await client.call(std::move(request), Timeout);
+                hasFailed = response.has_error();
+                context.stop();
+            },
+            asio::detached);
+        context.run_for(2 * Timeout);
+        CHECK(hasFailed);
+        CHECK(steadyNow() - begun < Timeout / 3);
+    }
+}
+
+TEST_CASE("single bytes of a chunk's line do not prolong the wait for the next piece of a body")
+{
+    CHECK(failsWithinTimeout(ChunkedHead + "1;", "x", Milliseconds(50)));
+    CHECK(failsWithinTimeout(ChunkedHead + "0\r\nX-More: ", "x", Milliseconds(50)));
+}
+
 TEST_CASE("an attempt to connect times out soon although the call has a long timeout")
 {
     asio::io_context context;
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -220,6 +220,23 @@
     }
 }
 
+// Guards against a process that keeps all bytes of a line that never ends.
+TEST_CASE("a request with the line of a chunk that never ends is refused before its bytes are read")
+{
+    constexpr std::size_t PieceCount = 16;
+    StoppedServer server;
+    auto caller = server.connect();
+    caller.non_blocking(true);
+    asio::write(caller, asio::buffer(std::string("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;")));
+    const std::string piece(PieceBytes, 'x');
+    for (std::size_t sent = 0; sent < PieceCount; ++sent) {
+        SystemError ignored;
+        caller.write_some(asio::buffer(piece), ignored);
+        server.run(2);
+    }
+    CHECK(received(caller).starts_with("HTTP/1.1 400"));
+}
+
 TEST_CASE("connections that are in the backlog when the server stops are served")
 {
     StoppedServer stopped;
