Soak of planned stops with servers that pause in streams

The reproduced loss around planned stops needs streams that are silent for longer than 1.2 s, which no call of the soak was. The draws are separate, so that seeds keep their other choices.

--- a/tests/soak/plannedstops.cpp
+++ b/tests/soak/plannedstops.cpp
@@ -101,6 +101,9 @@
         }
         m_callers.push_back(std::make_unique<StopCaller>(
             m_context, "caller" + std::to_string(i), m_options.soak.seed * 1000 + i, hosts, m_ledger, m_calls));
+        if (m_options.hasPauses) {
+            m_callers.back()->addPauses();
+        }
     }
 }
 
--- a/tests/soak/plannedstops.h
+++ b/tests/soak/plannedstops.h
@@ -13,6 +13,8 @@
     Milliseconds terminationGrace{2400};
     /// Whether the gateway is told the grace time. Programs from before that setting existed refuse it.
     bool hasGraceSetting = true;
+    /// Whether servers pause in some streams for longer than these may be silent before they are continued elsewhere.
+    bool hasPauses = false;
 };
 
 /// Stops gateways in series and all at once, as a platform does: SIGTERM, after the grace time SIGKILL, and a new
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -12,7 +12,7 @@
 
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
-      "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting]]\n";
+      "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]]\n";
 
 int report(std::uint64_t seed,
            const Cardamomhill::Ledger &ledger,
@@ -53,6 +53,7 @@
                                   {"callers", required_argument, nullptr, 'c'},
                                   {"planned-stops", no_argument, nullptr, 'P'},
                                   {"grace-ms", required_argument, nullptr, 'g'},
+                                  {"pauses", no_argument, nullptr, 'q'},
                                   {"no-grace-setting", no_argument, nullptr, 'n'},
                                   {nullptr, 0, nullptr, 0}};
     int optionId = 0;
@@ -65,6 +66,8 @@
             options.directory = optarg;
         } else if (optionId == 'P') {
             isPlannedStops = true;
+        } else if (optionId == 'q') {
+            stopOptions.hasPauses = true;
         } else if (optionId == 'n') {
             stopOptions.hasGraceSetting = false;
         } else if (number == 0) {
--- a/tests/soak/stopcaller.cpp
+++ b/tests/soak/stopcaller.cpp
@@ -25,6 +25,11 @@
 constexpr Milliseconds::rep MaxEventIntervalMs = 100;
 constexpr std::size_t MaxFillerBytes = 60000;
 constexpr double FillerFraction = 0.1;
+constexpr double PauseFraction = 0.4;
+/// Longer than a stream may be silent (1.2 s), and with its events shorter than the timeout of the route.
+constexpr Milliseconds::rep MinPauseMs = 1250;
+constexpr Milliseconds::rep MaxPauseMs = 1700;
+constexpr int EventsOfPausedStream = 4;
 constexpr unsigned Ok = 200;
 
 } // namespace
@@ -94,6 +99,7 @@
         request.target("/draft/stream");
         request.set("X-Events", std::to_string(events));
         request.set("X-Event-Interval-Ms", std::to_string(interval));
+        addPause(request);
     } else if (choice < 0.65) {
         const bool mayRepeat = choice < 0.45;
         call.kind = mayRepeat ? CallKind::Idempotent : CallKind::NonIdempotent;
@@ -110,6 +116,22 @@
     return request;
 }
 
+void StopCaller::addPauses()
+{
+    m_pauseRandom = Random(m_random);
+}
+
+void StopCaller::addPause(HttpRequest &request)
+{
+    if (!m_pauseRandom || std::uniform_real_distribution<double>(0, 1)(*m_pauseRandom) >= PauseFraction) {
+        return;
+    }
+    const auto pause = std::uniform_int_distribution<Milliseconds::rep>(MinPauseMs, MaxPauseMs)(*m_pauseRandom);
+    request.set("X-Events", std::to_string(EventsOfPausedStream));
+    request.set("X-Event-Interval-Ms", std::to_string(MinEventIntervalMs));
+    request.set("X-Last-Interval-Ms", std::to_string(pause));
+}
+
 Task<> StopCaller::sendRandomCall()
 {
     const auto chosen = std::next(m_hosts.begin(), randomUpTo(static_cast<std::int64_t>(m_hosts.size()) - 1));
--- a/tests/soak/stopcaller.h
+++ b/tests/soak/stopcaller.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
                Ledger &ledger,
                Calls &calls);
 
+    /// Has servers pause before the last event of some streams.
+    void addPauses();
+
     Task<> run(SteadyTime until);
 
     bool hasEnded() const;
@@ -47,11 +51,14 @@
     HttpRequest makeRandomRequest(const std::string &id, StopCall &call);
     Task<std::string> exchange(HttpClientConnection &connection, HttpRequest request, const std::string &id);
     void checkBody(const std::string &id, const HttpRequest &request, const std::string &body);
+    void addPause(HttpRequest &request);
     std::int64_t randomUpTo(std::int64_t largest);
 
     asio::io_context &m_context;
     std::string m_name;
     Random m_random;
+    /// Draws the pauses, if there are any, so that the other choices of a seed do not depend on them.
+    std::optional<Random> m_pauseRandom;
     std::map<std::size_t, StopHost *> m_hosts;
     Ledger &m_ledger;
     Calls &m_calls;
