--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -50,6 +50,7 @@
     Task<> injectHostFault(FaultKind kind, SoakHost &host, Milliseconds duration);
     Task<> injectStoreLinkFault(FaultKind kind, SoakHost &host, Milliseconds duration);
     Task<> injectStoreFault(FaultKind kind, Milliseconds duration);
+    Task<> injectServerLinkFault(FaultKind kind, SoakServer &server, Milliseconds duration);
     Task<> injectLinkFault(FaultKind kind, FaultProxy &link, Milliseconds duration);
     Task<> replaceServer(SoakServer &server, Milliseconds duration);
     Task<> drainServer(SoakServer &server);
--- a/tests/soak/soakserver.cpp
+++ b/tests/soak/soakserver.cpp
@@ -46,6 +46,11 @@
     return {m_name + "-" + std::to_string(number), controlAddress(m_link.endpoint()).value(), number, false};
 }
 
+StabilityTracker &SoakServer::linkStability()
+{
+    return m_linkStability;
+}
+
 FaultProxy &SoakServer::link()
 {
     return m_link;
--- a/tests/soak/soakserver.h
+++ b/tests/soak/soakserver.h
@@ -2,6 +2,7 @@
 
 #include "soak/documents.h"
 #include "soak/faultproxy.h"
+#include "soak/stabilitytracker.h"
 #include "standins/directbackend.h"
 
 #include <functional>
@@ -29,12 +30,15 @@
     /// The registration of the current instance.
     ServerEntry entry() const;
     FaultProxy &link();
+    /// Whether the link was disturbed lately.
+    StabilityTracker &linkStability();
 
 private:
     asio::io_context &m_context;
     std::string m_name;
     RunObserver m_onRun;
     FaultProxy m_link;
+    StabilityTracker m_linkStability;
     /// Includes stopped instances, because their coroutines end later.
     std::vector<std::unique_ptr<DirectBackend>> m_instances;
 };
