End reads at their deadline, not up to a millisecond before

Cause: since readSome() has one deadline for all its reads, the time left was cut to whole milliseconds once more. The stream's timer now gets the deadline itself.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -115,8 +115,7 @@
     // One deadline for all reads, since bytes that are no data must not prolong the wait for data.
     const auto deadline = steadyNow() + timeout;
     while (!m_reader.isDone()) {
-        const auto left = timeLeft(deadline);
-        if (left <= Milliseconds(0)) {
+        if (steadyNow() >= deadline) {
             // Checked here too: while data is always ready to read, the stream's timer never expires.
             co_return failure(NetError{NetErrorCode::TimedOut, "the timeout has elapsed"});
         }
@@ -128,7 +127,7 @@
             co_return std::optional(std::move(piece.value()));
         }
         if (!m_reader.isDone()) {
-            m_stream.expires_after(left);
+            m_stream.expires_at(deadline);
             const auto received = co_await m_reader.receiveBody();
             if (received.has_error()) {
                 co_return failure(received.error());
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -1,4 +1,5 @@
 #include "net/httpclient.h"
+#include "net/httpclientconnection.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
 #include "net/httpserver.h"
@@ -261,6 +262,31 @@
     CHECK(failsWithinTimeout(ChunkedHead + "0\r\nX-More: ", "x", Milliseconds(50)));
 }
 
+TEST_CASE("a read does not time out before its timeout")
+{
+    constexpr Milliseconds Timeout{50};
+    asio::io_context context;
+    PiecewiseServer server(context, {ChunkedHead});
+    Microseconds wait{0};
+    asio::co_spawn(
+        context,
+        [&]() -> Task<> {
+            HttpClientConnection connection(context);
+            co_await connection.connect(server.endpoint(), Timeout);
+            auto request = makeHttpRequest("GET", "/");
+            const auto started = co_await connection.start(std::move(request), Timeout);
+            CHECK(started.has_value());
+            const auto begun = steadyNow();
+            const auto piece = co_await connection.readSome(Timeout);
+            CHECK(piece.has_error());
+            wait = steadyNow() - begun;
+            context.stop();
+        },
+        asio::detached);
+    context.run_for(std::chrono::seconds(2));
+    CHECK(wait >= Timeout);
+}
+
 TEST_CASE("an attempt to connect times out soon although the call has a long timeout")
 {
     asio::io_context context;
