--- a/src/net/messagereader.cpp
+++ b/src/net/messagereader.cpp
@@ -145,12 +145,6 @@
     co_return received;
 }
 
-template<bool isRequest>
-bool MessageReader<isRequest>::hasHead() const
-{
-    return m_body.has_value();
-}
-
 template<bool isRequest>
 const typename MessageReader<isRequest>::Head &MessageReader<isRequest>::head() const
 {
--- a/src/net/messagereader.h
+++ b/src/net/messagereader.h
@@ -51,7 +51,6 @@
     /// Receives more bytes of the body, or its end if that is the end of the connection.
     Task<Result<void, NetError>> receiveBody();
 
-    bool hasHead() const;
     const Head &head() const;
     Head takeHead();
 
