List anew when a short watch finds the store's history gone

Cause: the store holds a watch open although its history was dropped, if the watch arrives just after the others were cut, and says so only with the next change. WatchMonitor ignored the history-gone of the short watches beside it.

Change: history-gone of a short watch counts as missed changes.

--- a/src/control/watchmonitor.cpp
+++ b/src/control/watchmonitor.cpp
@@ -17,6 +17,17 @@
 /// Only limits a wait that a new watch ends.
 constexpr Seconds IdleWait{3600};
 
+/// Whether there are changes, or may be: they are unknown once the store has dropped its history, of which it need not
+/// tell a watch that it holds open.
+bool showsChanges(const Result<ObjectPage, PlatformCallError> &page)
+{
+    if (page.has_error()) {
+        return page.error().code == PlatformCallErrorCode::HistoryGone;
+    }
+    const auto &changes = page.value();
+    return !changes.objects.empty() || !changes.removed.empty() || changes.unreadableCount != 0;
+}
+
 } // namespace
 
 WatchMonitor::WatchMonitor(asio::io_context &context,
@@ -73,14 +84,11 @@
     if (!isInProgress(watch)) {
         co_return;
     }
-    if (page.has_error()) {
-        if (!page.error().isAnswer()) {
-            m_observers.onUnanswered(page.error());
-        }
+    if (page.has_error() && !page.error().isAnswer()) {
+        m_observers.onUnanswered(page.error());
         co_return;
     }
-    const auto &changes = page.value();
-    if (changes.objects.empty() && changes.removed.empty() && changes.unreadableCount == 0) {
+    if (!showsChanges(page)) {
         co_return;
     }
     asio::steady_timer timer(m_context, DeliveryTime);
--- a/src/control/watchmonitor.h
+++ b/src/control/watchmonitor.h
@@ -24,7 +24,7 @@
     struct Observers {
         /// The store has not answered the short watch.
         std::function<void(const PlatformCallError &)> onUnanswered;
-        /// There are changes that the watch has not returned.
+        /// There are changes that the watch has not returned, or the store no longer knows whether there are any.
         std::function<void()> onMissedChanges;
     };
 
--- a/tests/blindwatchtest.cpp
+++ b/tests/blindwatchtest.cpp
@@ -117,6 +117,21 @@
     }
 }
 
+TEST_CASE("a watch that the store has lost hides no change whose history was dropped")
+{
+    Following following;
+    following.store.loseNextWatch(Kind);
+    following.put("second");
+    following.run(CallInterval * 4);
+    REQUIRE(following.knows("second"));
+    following.store.setMute(true);
+    following.put("third");
+    following.store.dropHistory();
+    following.store.setMute(false);
+    following.run(ConfigurationTime);
+    CHECK(following.knows("third"));
+}
+
 TEST_CASE("a store without changes gets few calls, and a watch that is answered is not ended")
 {
     constexpr Milliseconds QuietTime{9000};
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -87,6 +87,23 @@
     m_changesToLose[kind] = count;
 }
 
+void PlatformStore::loseNextWatch(const std::string &kind)
+{
+    m_watchesToLose.insert(kind);
+}
+
+void PlatformStore::setMute(bool isMute)
+{
+    m_isMute = isMute;
+}
+
+void PlatformStore::dropHistory()
+{
+    m_history.clear();
+    m_oldestWatchRevision = m_revision + 1;
+    notifyWatches();
+}
+
 void PlatformStore::put(const std::string &kind, const std::string &name, const nlohmann::json &spec)
 {
     putRaw(kind, name, spec.dump());
@@ -222,6 +239,11 @@
     }
     const auto since = queryNumber(query, "watch", NotAWatch);
     if (since != NotAWatch) {
+        const bool isSerializable = queryNumber(query, "serializable", 0) != 0;
+        if (!isSerializable && m_watchesToLose.erase(kind) != 0) {
+            co_await neverAnswer();
+            co_return;
+        }
         const Milliseconds wait(static_cast<std::int64_t>(queryNumber(query, "wait-ms", 0)));
         co_await answerWatch(exchange, kind, since, wait);
         co_return;
@@ -306,8 +328,7 @@
     }
     m_watchCuts += faults.value("cut_watches", false) ? 1 : 0;
     if (faults.value("drop_history", false)) {
-        m_history.clear();
-        m_oldestWatchRevision = m_revision + 1;
+        dropHistory();
     }
     notifyWatches();
     co_await send(exchange, Ok, faults);
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,12 @@
     void setSilent(bool isSilent);
     /// Loses the next answers that report changes of a kind to a watch; their connections return nothing further.
     void loseNextChanges(const std::string &kind, int count);
+    /// Accepts the next watch of a kind that is not serializable without ever answering it.
+    void loseNextWatch(const std::string &kind);
+    /// Makes open watches receive no events.
+    void setMute(bool isMute);
+    /// Makes every watch from a revision up to the current one get 410.
+    void dropHistory();
     /// Creates or replaces an object, whatever its revision is.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     /// The same with the bytes of the spec as they are, which need not be JSON. Answers contain them unchanged.
@@ -96,6 +103,7 @@
     std::uint64_t m_calls = 0;
     std::uint64_t m_serializableCalls = 0;
     std::map<std::string, int> m_changesToLose;
+    std::set<std::string> m_watchesToLose;
     bool m_isMute = false;
     bool m_isSilent = false;
     bool m_isDown = false;
