Count only whole answers as the usual duration of calls

Cause: a stopping process takes a call if calls like it usually end in time. entry counted refusals as calls of 1 to 6 ms, the gateway broken streams and errors of servers. Ten of them hide a long call, and the process takes one that it has to cut.

Change: calls without a whole answer count only if they lasted longer than usual (CallDurations::End).

--- a/src/control/serverdrain.cpp
+++ b/src/control/serverdrain.cpp
@@ -56,13 +56,13 @@
         steadyNow(), limit, durations == m_callDurations.end() ? std::nullopt : durations->second.usual());
 }
 
-void ServerDrain::recordCallDuration(const std::string &callClass, Microseconds duration)
+void ServerDrain::recordCallDuration(const std::string &callClass, Microseconds duration, CallDurations::End end)
 {
     // Classes of routes that are gone are forgotten with all others.
     if (m_callDurations.size() >= MaxCallClasses && !m_callDurations.contains(callClass)) {
         m_callDurations.clear();
     }
-    m_callDurations[callClass].record(duration);
+    m_callDurations[callClass].record(duration, end);
 }
 
 void ServerDrain::log(std::string_view event, std::string_view reason) const
--- a/src/control/serverdrain.h
+++ b/src/control/serverdrain.h
@@ -43,7 +43,7 @@
     /// likely to end before the process is killed may.
     /// @param callClass names the calls that usually take equally long, such as those of one route
     bool admits(const std::string &callClass, Milliseconds limit) const;
-    void recordCallDuration(const std::string &callClass, Microseconds duration);
+    void recordCallDuration(const std::string &callClass, Microseconds duration, CallDurations::End end);
 
     /// Logs an event of the drain with the numbers of calls and connections.
     void log(std::string_view event, std::string_view reason) const;
--- a/src/entry/requesthandler.cpp
+++ b/src/entry/requesthandler.cpp
@@ -297,9 +297,10 @@
     const auto duration = steadyNow() - m_startedAt;
     m_thread.metrics().counter("requests_total{outcome=\"" + std::string(outcome) + "\"}").add();
     m_thread.metrics().latency("request_seconds").record(duration);
-    if (outcome != nameOf(RelayEnd::CallerDisconnected)) {
-        m_thread.recordDuration(m_request.service->id, std::chrono::duration_cast<Microseconds>(duration));
-    }
+    const bool isAnswered = outcome == nameOf(RelayEnd::Completed);
+    m_thread.recordDuration(m_request.service->id,
+                            std::chrono::duration_cast<Microseconds>(duration),
+                            isAnswered ? CallDurations::End::Answered : CallDurations::End::Unfinished);
     logEvent(LogLevel::Info,
              "request-ended",
              {{"request", m_request.id.value()},
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -149,9 +149,9 @@
     return m_drain.admits(service.value(), limit);
 }
 
-void TrafficThread::recordDuration(const ServiceId &service, Microseconds duration)
+void TrafficThread::recordDuration(const ServiceId &service, Microseconds duration, CallDurations::End end)
 {
-    m_drain.recordCallDuration(service.value(), duration);
+    m_drain.recordCallDuration(service.value(), duration, end);
 }
 
 std::size_t TrafficThread::requestCount() const
--- a/src/entry/trafficthread.h
+++ b/src/entry/trafficthread.h
@@ -83,7 +83,7 @@
     /// Whether a request may begin, given the longest time that it may take. Once the process drains, only requests
     /// that are likely to end before it is killed may.
     bool admitsRequest(const ServiceId &service, Milliseconds limit) const;
-    void recordDuration(const ServiceId &service, Microseconds duration);
+    void recordDuration(const ServiceId &service, Microseconds duration, CallDurations::End end);
 
 private:
     void retireChangedLinks();
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -408,9 +408,10 @@
     const auto duration = now - m_state.startedAt;
     m_thread.metrics().counter("calls_total{outcome=\"" + std::string(outcome) + "\"}").add();
     m_thread.metrics().latency("call_seconds").record(duration);
-    if (!m_state.isCallerGone) {
-        m_thread.recordCallDuration(*m_state.route, std::chrono::duration_cast<Microseconds>(duration));
-    }
+    const bool isAnswered = outcome == nameOf(AttemptEnd::Delivered);
+    m_thread.recordCallDuration(*m_state.route,
+                                std::chrono::duration_cast<Microseconds>(duration),
+                                isAnswered ? CallDurations::End::Answered : CallDurations::End::Unfinished);
     const auto first = m_state.firstByteAt.value_or(now) - m_state.startedAt;
     m_thread.metrics().latency("first_byte_seconds").record(first);
     logEvent(LogLevel::Info,
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -294,9 +294,9 @@
     return m_drain.admits(route.hostName + route.pathPrefix, limit);
 }
 
-void GatewayThread::recordCallDuration(const Route &route, Microseconds duration)
+void GatewayThread::recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end)
 {
-    m_drain.recordCallDuration(route.hostName + route.pathPrefix, duration);
+    m_drain.recordCallDuration(route.hostName + route.pathPrefix, duration, end);
 }
 
 std::size_t GatewayThread::callCount() const
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -91,7 +91,7 @@
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
     /// likely to end before it is killed may.
     bool admitsCall(const Route &route, Milliseconds limit) const;
-    void recordCallDuration(const Route &route, Microseconds duration);
+    void recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end);
 
     /// False while this host is cut off by a network partition and cannot serve all engine services. Thread-safe.
     bool canServe() const;
--- a/src/traffic/calldurations.cpp
+++ b/src/traffic/calldurations.cpp
@@ -13,8 +13,11 @@
 
 } // namespace
 
-void CallDurations::record(Microseconds duration)
+void CallDurations::record(Microseconds duration, End end)
 {
+    if (end == End::Unfinished && duration <= usual().value_or(Microseconds::max())) {
+        return;
+    }
     m_latest[m_count++ % windowSize] = duration;
 }
 
--- a/tests/fleetstoptest.cpp
+++ b/tests/fleetstoptest.cpp
@@ -396,6 +396,34 @@
     CHECK_FALSE(fleet.wasKilled);
 }
 
+TEST_CASE("refusals within milliseconds do not make a stopping entry process take a request that it has to cut")
+{
+    constexpr int RefusalCount = 12;
+    StoppedFleet fleet;
+    int refusals = 0;
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await fleet.connect();
+        const auto earlier = co_await fleet.generate(*connection, 30, true);
+        CHECK(earlier.isComplete);
+        fleet.agent->signal(SIGKILL);
+        while (!fleet.agent->hasEnded()) {
+            co_await fleet.sleep(PollInterval);
+        }
+        for (int number = 0; number < RefusalCount; ++number) {
+            auto other = co_await fleet.connect();
+            const auto refused = co_await fleet.generate(*other, 1, false);
+            refusals += refused.status == Unavailable ? 1 : 0;
+        }
+        fleet.terminate(*fleet.entry);
+        co_await fleet.sleep(StepTime * 7);
+        co_await fleet.generate(*connection, 30, true);
+    };
+    fleet.run(scenario());
+    CAPTURE(fleet.log("entry"));
+    CHECK(refusals == RefusalCount);
+    CHECK(countOf(fleet.log("entry"), "event=taken-while-draining") == 0);
+}
+
 TEST_CASE("an entry process answers questions about its readiness until it exits")
 {
     StoppedFleet fleet;
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -158,6 +158,14 @@
         return request;
     }
 
+    /// A stream that breaks off at once, on the same route.
+    static HttpRequest makeBrokenStream(const std::string &id)
+    {
+        auto request = makeCall("/draft/resumed-error", id);
+        request.set("X-Event-Interval-Ms", "1");
+        return request;
+    }
+
     Task<CallResult> call(HttpClientConnection &connection, const HttpRequest &request)
     {
         CallResult result;
@@ -326,6 +334,34 @@
     }
 }
 
+TEST_CASE("answers that break off within milliseconds do not make a stopping process take a stream that it has to cut")
+{
+    constexpr int BrokenCount = 12;
+    StoppedGateway gateway;
+    CallResult late;
+    int broken = 0;
+    const std::string earlierId = "earlier";
+    const std::string lateId = "late";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        const auto earlier = co_await gateway.stream(*connection, earlierId, 40);
+        CHECK(earlier.isComplete);
+        for (int number = 0; number < BrokenCount; ++number) {
+            auto other = co_await gateway.connect();
+            const auto request = StoppedGateway::makeBrokenStream("broken" + std::to_string(number));
+            const auto result = co_await gateway.call(*other, request);
+            broken += result.isComplete ? 0 : 1;
+        }
+        gateway.terminate();
+        co_await gateway.sleep(EventInterval);
+        late = co_await gateway.stream(*connection, lateId, 50);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(broken == BrokenCount);
+    CHECK(isAnsweredOrNotRun(gateway, lateId, late));
+}
+
 TEST_CASE("calls that still run shortly before the kill are ended by the process, which tells their callers")
 {
     StoppedGateway gateway;
