--- a/tests/explaintest.cpp
+++ b/tests/explaintest.cpp
@@ -85,3 +85,17 @@
     CHECK(text.find("1 foreign lines were left out") != std::string::npos);
     CHECK_FALSE(RequestHistory("r9").hasRequest());
 }
+
+TEST_CASE(
+    "a stream that another server continued beside a silent one is explained, with the changes that a watch missed")
+{
+    RequestHistory history("r1");
+    history.addLine("a.log", "2026-01-12 06:59:13,000 WARN event=watch-missed-changes kind=servers revision=7");
+    history.addLine("a.log", "2026-01-12 06:59:13,500 INFO event=routed request=r1 server=s1 reason=least-loaded");
+    history.addLine("a.log", "2026-01-12 06:59:14,000 INFO event=continuation-begun request=r1 silent=s1 cause=silent");
+    history.addLine("a.log", "2026-01-12 06:59:15,000 INFO event=attempt-ended request=r1 server=s1 end=superseded");
+    const auto text = printed(history);
+    CHECK(text.find("revision=7") != std::string::npos);
+    CHECK(text.find("another one was asked to continue the stream") != std::string::npos);
+    CHECK(text.find("which ran beside this one, delivered the answer") != std::string::npos);
+}
