Frame answers by their status, method and version

Cause: HttpExchange framed each answer of a stream route in chunks, also 204, 205, 304, those to HEAD and to HTTP/1.0 callers, and sent answers to HEAD with their bodies.

Change: the end of the body is chosen when the answer begins: no body, last chunk, or the end of the connection.

--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -33,6 +33,29 @@
     }
 }
 
+/// Whether an answer with this status ends with its head (RFC 9110, sections 15.2, 15.3.5, 15.3.6 and 15.4.5). A 205
+/// has no content, but states that with a length.
+bool hasNoBody(unsigned status)
+{
+    constexpr unsigned FirstFinalStatus = 200;
+    constexpr unsigned NoContent = 204;
+    constexpr unsigned ResetContent = 205;
+    constexpr unsigned NotModified = 304;
+    return status < FirstFinalStatus || status == NoContent || status == ResetContent || status == NotModified;
+}
+
+/// States the length of the body in the head, or of the body that the answer to HEAD stands for.
+void setLength(http::response<http::string_body> &response, const std::string &body, bool isHeadRequest)
+{
+    const auto status = response.result_int();
+    const bool isLengthAllowed = !hasNoBody(status) || response.result() == http::status::reset_content;
+    // The length of a relayed answer to HEAD is not known here, and an empty body is no sign of it.
+    const bool isLengthKnown = !isHeadRequest || !body.empty();
+    if (isLengthAllowed && isLengthKnown) {
+        response.content_length(hasNoBody(status) ? 0 : body.size());
+    }
+}
+
 /// Whether the peer has closed its sending side. Unread data does not count: it is a pipelined request.
 bool hasPeerClosed(int socket)
 {
@@ -51,6 +74,7 @@
     , m_limits(limits)
     , m_closesAfterAnswer(closesAfterAnswer)
     , m_version(m_request.version())
+    , m_isHeadRequest(m_request.method() == http::verb::head)
     , m_keepAlive(m_request.keep_alive())
 {
 }
@@ -83,8 +107,10 @@
     http::response<http::string_body> response(static_cast<http::status>(status), m_version);
     setHeaders(response, contentType, headers);
     response.keep_alive(decideKeepAlive());
-    response.body() = std::move(body);
-    response.prepare_payload();
+    setLength(response, body, m_isHeadRequest);
+    if (!m_isHeadRequest && !hasNoBody(status)) {
+        response.body() = std::move(body);
+    }
     m_hasAnswerBegun = true;
     m_stream.expires_after(m_limits.writeTimeout);
     SystemError error;
@@ -93,12 +119,26 @@
     co_return !error;
 }
 
+HttpExchange::BodyEnd HttpExchange::bodyEndOfChunkedAnswer(unsigned status) const
+{
+    constexpr unsigned FirstVersionWithChunks = 11;
+    if (m_isHeadRequest || hasNoBody(status)) {
+        return BodyEnd::NoBody;
+    }
+    return m_version < FirstVersionWithChunks ? BodyEnd::Close : BodyEnd::LastChunk;
+}
+
 Task<bool> HttpExchange::beginChunkedAnswer(unsigned status, std::string contentType, HttpHeaders headers)
 {
     http::response<http::empty_body> response(static_cast<http::status>(status), m_version);
     setHeaders(response, contentType, headers);
+    m_bodyEnd = bodyEndOfChunkedAnswer(status);
+    m_keepAlive = m_keepAlive && m_bodyEnd != BodyEnd::Close;
     response.keep_alive(decideKeepAlive());
-    response.chunked(true);
+    response.chunked(m_bodyEnd == BodyEnd::LastChunk);
+    if (response.result() == http::status::reset_content) {
+        response.content_length(0);
+    }
     m_hasAnswerBegun = true;
     m_stream.expires_after(m_limits.writeTimeout);
     http::response_serializer<http::empty_body> serializer(response);
@@ -110,20 +150,26 @@
 Task<bool> HttpExchange::sendChunk(std::string_view data)
 {
     // A chunk of length zero marks the end of the body.
-    if (data.empty()) {
+    if (data.empty() || m_bodyEnd == BodyEnd::NoBody) {
         co_return true;
     }
     m_stream.expires_after(m_limits.writeTimeout);
     SystemError error;
-    co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), storeError(error));
+    if (m_bodyEnd == BodyEnd::Close) {
+        co_await asio::async_write(m_stream, asio::buffer(data), storeError(error));
+    } else {
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), storeError(error));
+    }
     co_return !error;
 }
 
 Task<bool> HttpExchange::endChunkedAnswer()
 {
-    m_stream.expires_after(m_limits.writeTimeout);
     SystemError error;
-    co_await asio::async_write(m_stream, http::make_chunk_last(), storeError(error));
+    if (m_bodyEnd == BodyEnd::LastChunk) {
+        m_stream.expires_after(m_limits.writeTimeout);
+        co_await asio::async_write(m_stream, http::make_chunk_last(), storeError(error));
+    }
     m_isComplete = !error;
     co_return !error;
 }
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,6 +25,9 @@
 
 /// One HTTP request on the server side. It is answered either with sendAnswer(), or in chunks with
 /// beginChunkedAnswer(), sendChunk() and endChunkedAnswer().
+///
+/// An answer that has no body by its status or the request's method is sent without one, whatever body it is given. A
+/// caller with HTTP/1.0, which knows no chunks, gets their data alone and the end of the connection as their end.
 class HttpExchange
 {
 public:
@@ -65,6 +69,15 @@
 private:
     struct DisconnectWatch;
 
+    /// How the end of the answer's body is marked.
+    enum class BodyEnd : std::uint8_t {
+        /// There is no body.
+        NoBody,
+        LastChunk,
+        Close,
+    };
+
+    BodyEnd bodyEndOfChunkedAnswer(unsigned status) const;
     /// Called when an answer begins. Returns whether the connection is kept open after it.
     bool decideKeepAlive();
 
@@ -73,9 +86,12 @@
     const HttpLimits &m_limits;
     const bool *m_closesAfterAnswer;
     unsigned m_version;
+    bool m_isHeadRequest;
     /// Whether the caller asked to keep the connection open; once an answer has begun, whether it is kept.
     bool m_keepAlive;
     bool m_hasAnswerBegun = false;
+    /// Of an answer in chunks.
+    BodyEnd m_bodyEnd = BodyEnd::LastChunk;
     bool m_isComplete = false;
     std::shared_ptr<DisconnectWatch> m_disconnectWatch;
 };
