--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -24,7 +24,8 @@
                            const tcp::endpoint &endpoint,
                            BackendServerId server,
                            const EngineCodec &codec)
-    : m_client(context, endpoint, MaxResponseBytes)
+    : m_orders(context, endpoint, MaxResponseBytes, ConnectionUse::Own)
+    , m_reports(context, endpoint, MaxResponseBytes)
     , m_server(std::move(server))
     , m_codec(codec)
 {
@@ -37,7 +38,7 @@
         = m_codec.makeOrderRequest(order, m_server, hasMap ? std::string_view(*encodedMap) : std::string_view());
     const auto mapTransferTime
         = hasMap ? MapBurstTime + Milliseconds(encodedMap->size() / MinLinkBytesPerMillisecond) : Milliseconds(0);
-    const auto response = co_await m_client.call(std::move(request), OrderTimeout + mapTransferTime);
+    const auto response = co_await m_orders.call(std::move(request), OrderTimeout + mapTransferTime);
     if (response.has_error()) {
         co_return OrderAnswer::NoAnswer;
     }
@@ -62,7 +63,7 @@
 template<class Value>
 Task<Result<Value, EngineReadError>> EngineClient::read(HttpRequest request, Decoder<Value> decode)
 {
-    const auto response = co_await m_client.call(std::move(request), ReadTimeout);
+    const auto response = co_await m_reports.call(std::move(request), ReadTimeout);
     if (response.has_error()) {
         co_return failure(EngineReadError{EngineReadErrorCode::Unreachable, response.error().error.message()});
     }
--- a/src/coordinator/engineclient.h
+++ b/src/coordinator/engineclient.h
@@ -32,7 +32,8 @@
     template<class Value>
     Task<Result<Value, EngineReadError>> read(HttpRequest request, Decoder<Value> decode);
 
-    HttpClient m_client;
+    HttpClient m_orders;
+    HttpClient m_reports;
     BackendServerId m_server;
     const EngineCodec &m_codec;
 };
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -38,10 +38,14 @@
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context &context, tcp::endpoint endpoint, std::size_t maxResponseBytes)
+HttpClient::HttpClient(asio::io_context &context,
+                       tcp::endpoint endpoint,
+                       std::size_t maxResponseBytes,
+                       ConnectionUse connectionUse)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
     , m_maxResponseBytes(maxResponseBytes)
+    , m_connectionUse(connectionUse)
 {
 }
 
@@ -74,7 +78,7 @@
     if (response.has_error()) {
         co_return failure(HttpCallError{response.error(), false});
     }
-    if (connection->isReusable()) {
+    if (m_connectionUse == ConnectionUse::Kept && connection->isReusable()) {
         connection->reset();
         m_idleConnection = std::move(connection);
     }
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -7,6 +7,7 @@
 #include "net/httpresponse.h"
 #include "net/neterror.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace Cardamomhill
@@ -21,13 +22,25 @@
     bool isNotSent = false;
 };
 
+/// Which connection a call uses. On a connection that carried another call, a server that repeats an answer late sends
+/// it where the next one is due.
+enum class ConnectionUse : std::uint8_t {
+    /// That of the last call, if it is still open.
+    Kept,
+    /// One of its own, for calls whose answers do not name the request that they belong to.
+    Own,
+};
+
 /// HTTP client for one server that returns whole answers and keeps its connection alive between calls. One call at a
 /// time.
 class HttpClient
 {
 public:
     /// @param maxResponseBytes a call fails if the body of its answer is longer
-    HttpClient(asio::io_context &context, tcp::endpoint endpoint, std::size_t maxResponseBytes = MaxResponseBytes);
+    HttpClient(asio::io_context &context,
+               tcp::endpoint endpoint,
+               std::size_t maxResponseBytes = MaxResponseBytes,
+               ConnectionUse connectionUse = ConnectionUse::Kept);
     ~HttpClient();
 
     /// @param timeout for the whole call, also if the answer keeps arriving in small pieces
@@ -43,6 +56,7 @@
     asio::io_context &m_context;
     tcp::endpoint m_endpoint;
     std::size_t m_maxResponseBytes;
+    ConnectionUse m_connectionUse;
     std::unique_ptr<HttpClientConnection> m_idleConnection;
     /// The connection of the call in progress, once it is connected; else null.
     HttpClientConnection *m_activeConnection = nullptr;
