--- a/tests/answerframingtest.cpp
+++ b/tests/answerframingtest.cpp
@@ -4,12 +4,12 @@
 #include "net/httplimits.h"
 #include "net/httpserver.h"
 #include "support/freeendpoint.h"
+#include "support/receivedbytes.h"
 
 #include <doctest/doctest.h>
 
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <string>
 
 using namespace Cardamomhill;
@@ -42,7 +42,7 @@
         co_await exchange.endChunkedAnswer();
     }
 
-    /// All bytes that requests get as answers, with "closed" if the connection was closed after them.
+    /// What the sender of these requests receives; see receivedBytes().
     std::string answersTo(const std::string &requests)
     {
         tcp::socket socket(context);
@@ -50,15 +50,7 @@
         asio::write(socket, asio::buffer(requests));
         context.restart();
         context.run_for(Milliseconds(100));
-        socket.non_blocking(true);
-        std::string all;
-        SystemError error;
-        while (!error) {
-            std::array<char, 4096> piece{};
-            const auto size = socket.read_some(asio::buffer(piece), error);
-            all.append(piece.data(), size);
-        }
-        return all + (error == asio::error::eof ? "closed" : "");
+        return receivedBytes(socket);
     }
 
     asio::io_context context;
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -2,13 +2,13 @@
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
 #include "support/freeendpoint.h"
+#include "support/receivedbytes.h"
 
 #include <doctest/doctest.h>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <string>
 #include <thread>
 #include <vector>
@@ -150,20 +150,6 @@
     asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
 }
 
-/// All received data, followed by "closed" if the server has closed the connection or "reset" if it was reset.
-std::string received(tcp::socket &socket)
-{
-    socket.non_blocking(true);
-    std::string all;
-    SystemError error;
-    while (!error) {
-        std::array<char, 4096> piece{};
-        const auto size = socket.read_some(asio::buffer(piece), error);
-        all.append(piece.data(), size);
-    }
-    return all + (error == asio::error::eof ? "closed" : error == asio::error::would_block ? "" : "reset");
-}
-
 bool isAnswered(const std::string &text)
 {
     return text.starts_with("HTTP/1.1 200") && text.ends_with("closed");
@@ -180,11 +166,11 @@
     auto caller = server.connect();
     asio::write(caller, asio::buffer(head + "2\r\nok\r\n0\r\nX-Long: " + std::string(FieldBytes, 'x') + "\r\n\r\n"));
     server.run(100);
-    CHECK(received(caller).starts_with("HTTP/1.1 431"));
+    CHECK(receivedBytes(caller).starts_with("HTTP/1.1 431"));
     auto next = server.connect();
     asio::write(next, asio::buffer(head + "2\r\nok\r\n0\r\nX-Short: x\r\n\r\n"));
     server.run(100);
-    CHECK(received(next).starts_with("HTTP/1.1 200"));
+    CHECK(receivedBytes(next).starts_with("HTTP/1.1 200"));
 }
 
 // Guards against an exception on a head whose limit is above what the parser can keep in one field.
@@ -198,7 +184,7 @@
     auto caller = server.connect();
     asio::write(caller, asio::buffer("GET /x HTTP/1.1\r\nX-Long: " + std::string(FieldBytes, 'x') + "\r\n\r\n"));
     server.run(100);
-    CHECK(received(caller).starts_with("HTTP/1.1 431"));
+    CHECK(receivedBytes(caller).starts_with("HTTP/1.1 431"));
 }
 
 // Guards against an assertion of the parser for bodies, which ended the process.
@@ -216,7 +202,7 @@
             asio::write(caller, asio::buffer(&byte, 1));
         }
         server.run(20);
-        CHECK(received(caller).starts_with("HTTP/1.1 200"));
+        CHECK(receivedBytes(caller).starts_with("HTTP/1.1 200"));
     }
 }
 
@@ -234,7 +220,7 @@
         caller.write_some(asio::buffer(piece), ignored);
         server.run(2);
     }
-    CHECK(received(caller).starts_with("HTTP/1.1 400"));
+    CHECK(receivedBytes(caller).starts_with("HTTP/1.1 400"));
 }
 
 TEST_CASE("connections that are in the backlog when the server stops are served")
@@ -249,7 +235,7 @@
     stopped.server.stopAccepting();
     stopped.run(200);
     for (auto &caller : callers) {
-        CHECK(isAnswered(received(caller)));
+        CHECK(isAnswered(receivedBytes(caller)));
     }
 }
 
@@ -261,7 +247,7 @@
         auto idle = stopped.connect();
         sendRequest(caller);
         stopped.run(50);
-        REQUIRE(received(caller).starts_with("HTTP/1.1 200"));
+        REQUIRE(receivedBytes(caller).starts_with("HTTP/1.1 200"));
         if (delay == 0) {
             sendRequest(caller);
         }
@@ -271,9 +257,9 @@
             sendRequest(caller);
         }
         stopped.run(100);
-        CHECK(isAnswered(received(caller)));
+        CHECK(isAnswered(receivedBytes(caller)));
         stopped.run(400);
-        CHECK(received(idle) == "closed");
+        CHECK(receivedBytes(idle) == "closed");
         CHECK(stopped.server.connectionCount() == 0);
     }
 }
@@ -287,11 +273,11 @@
     sendRequest(caller);
     // These answers, sent before the stop, promise to keep the connection open.
     stopped.run(20);
-    const auto before = received(caller);
+    const auto before = receivedBytes(caller);
     sendRequest(caller);
     stopped.server.stopAccepting();
     stopped.run(500);
-    const auto after = received(caller);
+    const auto after = receivedBytes(caller);
     CHECK(before.starts_with("HTTP/1.1 200"));
     CHECK(isAnswered(after));
 }
@@ -305,7 +291,7 @@
     stopped.run(100);
     sendRequest(caller);
     stopped.run(100);
-    CHECK(isAnswered(received(caller)));
+    CHECK(isAnswered(receivedBytes(caller)));
 }
 
 TEST_CASE("a caller that sends more while a last, large answer is on its way and reads slowly gets the whole answer")
