Derive the length that an answer states in one function

setLength() tested the same conditions twice and changed the message; statedLength() returns the length and has one rule a line. Behaviour is the same. A first form lost the body of statuses that Beast does not know (its enum is 0 for them), which no test saw: answerframingtest has a case for 599 now.

--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -22,6 +22,8 @@
 namespace
 {
 
+constexpr unsigned ResetContent = 205;
+
 template<class Response>
 void setHeaders(Response &response, const std::string &contentType, const HttpHeaders &headers)
 {
@@ -39,21 +41,22 @@
 {
     constexpr unsigned FirstFinalStatus = 200;
     constexpr unsigned NoContent = 204;
-    constexpr unsigned ResetContent = 205;
     constexpr unsigned NotModified = 304;
     return status < FirstFinalStatus || status == NoContent || status == ResetContent || status == NotModified;
 }
 
-/// States the length of the body in the head, or of the body that the answer to HEAD stands for.
-void setLength(http::response<http::string_body> &response, const std::string &body, bool isHeadRequest)
+/// The length that the head of a whole answer states: that of its body, or of the body that an answer to HEAD stands
+/// for.
+boost::optional<std::uint64_t> statedLength(unsigned status, const std::string &body, bool isHeadRequest)
 {
-    const auto status = response.result_int();
-    const bool isLengthAllowed = !hasNoBody(status) || response.result() == http::status::reset_content;
     // The length of a relayed answer to HEAD is not known here, and an empty body is no sign of it.
-    const bool isLengthKnown = !isHeadRequest || !body.empty();
-    if (isLengthAllowed && isLengthKnown) {
-        response.content_length(hasNoBody(status) ? 0 : body.size());
+    if (isHeadRequest && body.empty()) {
+        return boost::none;
+    }
+    if (status == ResetContent) {
+        return 0;
     }
+    return hasNoBody(status) ? boost::none : boost::make_optional<std::uint64_t>(body.size());
 }
 
 /// Whether the peer has closed its sending side. Unread data does not count: it is a pipelined request.
@@ -107,7 +110,7 @@
     http::response<http::string_body> response(static_cast<http::status>(status), m_version);
     setHeaders(response, contentType, headers);
     response.keep_alive(decideKeepAlive());
-    setLength(response, body, m_isHeadRequest);
+    response.content_length(statedLength(status, body, m_isHeadRequest));
     if (!m_isHeadRequest && !hasNoBody(status)) {
         response.body() = std::move(body);
     }
@@ -136,7 +139,7 @@
     m_keepAlive = m_keepAlive && m_bodyEnd != BodyEnd::Close;
     response.keep_alive(decideKeepAlive());
     response.chunked(m_bodyEnd == BodyEnd::LastChunk);
-    if (response.result() == http::status::reset_content) {
+    if (status == ResetContent) {
         response.content_length(0);
     }
     m_hasAnswerBegun = true;
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -27,7 +27,7 @@
 /// beginChunkedAnswer(), sendChunk() and endChunkedAnswer().
 ///
 /// An answer that has no body by its status or the request's method is sent without one, whatever body it is given. A
-/// caller with HTTP/1.0, which knows no chunks, gets their data alone and the end of the connection as their end.
+/// caller with HTTP/1.0, which knows no chunks, gets an answer in chunks as plain data that ends with the connection.
 class HttpExchange
 {
 public:
--- a/tests/answerframingtest.cpp
+++ b/tests/answerframingtest.cpp
@@ -105,6 +105,15 @@
     }
 }
 
+TEST_CASE("an answer with a status that no standard knows keeps its body and the place of the next answer")
+{
+    AnsweringServer server;
+    const auto answers = server.answersTo(request("GET", "/whole/599") + request("GET", "/whole/200"));
+    CHECK(answers.starts_with("HTTP/1.1 599"));
+    CHECK(bodyOfFirst(answers) == Body);
+    CHECK(answers.ends_with("\r\n\r\n" + Body));
+}
+
 TEST_CASE("a caller with HTTP/1.0 gets an answer in pieces without chunks, which ends with its connection")
 {
     AnsweringServer server;
