Log what a planned stop cut, and how long the phases of a map switch last

Now a line `stopped` is written after the buffer has been emptied, with the calls that were taken, refused and ended early, the age of the oldest and the longest time since the last event of one; `ended-early` and `ended` state the latter for each call. `switch-phase` states how long the phase before lasted and `order-not-accepted` how long the order waited, so that a group that is held can be told from a full queue.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace Cardamomhill
 {
@@ -231,14 +232,18 @@
                                    std::shared_ptr<EngineClient> client,
                                    std::shared_ptr<const std::string> encodedMap)
 {
+    const auto sentAt = steadyNow();
     const auto answer = co_await client->send(order, std::move(encodedMap));
-    self->handleAnswer(order, *originSwitch, answer);
+    self->handleAnswer(order, *originSwitch, answer, sentAt);
     if (self->m_switch == originSwitch && self->m_isRunning) {
         self->sendOrders();
     }
 }
 
-void GroupCoordinator::handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer)
+void GroupCoordinator::handleAnswer(const RankOrder &order,
+                                    MapSwitch &originSwitch,
+                                    OrderAnswer answer,
+                                    SteadyTime sentAt)
 {
     if (answer != OrderAnswer::Accepted) {
         logEvent(LogLevel::Info,
@@ -247,6 +252,7 @@
                   {"rank", order.rank},
                   {"phase", nameOf(originSwitch.phase())},
                   {"answer", nameOf(answer)},
+                  {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - sentAt).count()},
                   {"token", order.token}});
     }
     m_metrics.counter("rank_orders_total{answer=\"" + std::string(nameOf(answer)) + "\"}").add();
@@ -474,6 +480,8 @@
         return;
     }
     m_loggedPhase = m_switch->phase();
+    const auto now = steadyNow();
+    const auto previousTime = std::chrono::duration_cast<Milliseconds>(now - std::exchange(m_loggedPhaseAt, now));
     m_metrics.counter("switch_phases_total{phase=\"" + std::string(nameOf(m_loggedPhase)) + "\"}").add();
     logEvent(LogLevel::Info,
              "switch-phase",
@@ -482,6 +490,7 @@
               {"phase", nameOf(m_loggedPhase)},
               {"version", m_switch->version()},
               {"step", m_switch->step()},
+              {"previous_ms", previousTime.count()},
               {"switches", m_switch->switchCount()},
               {"abandoned", m_switch->abandonedCount()}});
 }
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -76,7 +76,7 @@
                             std::shared_ptr<MapSwitch> originSwitch,
                             std::shared_ptr<EngineClient> client,
                             std::shared_ptr<const std::string> encodedMap);
-    void handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer);
+    void handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer, SteadyTime sentAt);
     Task<> readOneState();
     Task<bool> readMap();
     Task<> considerSwitch();
@@ -112,6 +112,7 @@
     std::size_t m_sampledRank = 0;
     CounterReadSchedule m_schedule;
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
+    SteadyTime m_loggedPhaseAt{};
     SwitchPolicy m_policy;
     SteadyTime m_nextUtilisationRead{};
     bool m_isStopped = false;
--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -105,6 +105,7 @@
     {"drain-progress", "process", ""},
     {"thread-drained", "process", ""},
     {"exit", "process", ""},
+    {"stopped", "process", ""},
     {"configuration-in-force", "configuration", ""},
     {"store-lost", "store ", "kind"},
     {"store-regained", "store ", "kind"},
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -107,13 +107,18 @@
     const auto now = steadyNow();
     m_state.isEndedEarly = true;
     m_state.deadline = std::min(m_state.deadline, now);
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - m_state.startedAt);
+    const auto silence = m_state.silence(now);
     m_thread.metrics().counter("calls_ended_early_total").add();
+    m_thread.stopSummary().recordEndedEarly(m_state.eventCount, age, silence);
     logEvent(LogLevel::Warning,
              "ended-early",
              {{"request", m_state.head.id},
               {"attempts", m_state.attempts.count() + (m_currentAttempt == nullptr ? 0 : 1)},
+              {"server", m_currentAttempt == nullptr ? std::string() : m_currentAttempt->server().value()},
               {"events", m_state.eventCount},
-              {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(now - m_state.startedAt).count()}});
+              {"silence_ms", silence.count()},
+              {"elapsed_ms", age.count()}});
     cancelAttempts("the host is stopping");
 }
 
@@ -160,6 +165,7 @@
         return problem;
     }
     if (!m_thread.admitsCall(*m_state.route, limit)) {
+        ++m_thread.stopSummary().refused;
         return Problem{
             ProblemKind::NotReady, StatusUnavailable, "not-sent", "the host is stopping", StoppingRetryAfter};
     }
@@ -396,6 +402,7 @@
         return;
     }
     m_thread.metrics().counter("calls_taken_draining_total").add();
+    ++m_thread.stopSummary().taken;
     logEvent(
         LogLevel::Info,
         "taken-while-draining",
@@ -423,6 +430,7 @@
               {"events", m_state.eventCount},
               {"first_ms", std::chrono::duration_cast<Milliseconds>(first).count()},
               {"longest_pause_ms", std::chrono::duration_cast<Milliseconds>(m_state.longestEventPause).count()},
+              {"silence_ms", m_state.silence(now).count()},
               {"total_ms", std::chrono::duration_cast<Milliseconds>(duration).count()}});
 }
 
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -73,6 +73,12 @@
         return !hasAnswerBegun || (route->kind == CallKind::Stream && canResumeAfterLastEvent);
     }
 
+    /// Time since the last event of the answer, or since the arrival of the call if there was none.
+    Milliseconds silence(SteadyTime now) const
+    {
+        return std::chrono::duration_cast<Milliseconds>(now - std::max(startedAt, lastEventAt));
+    }
+
     /// Time until the call's deadline; never negative.
     Milliseconds remainingTime(SteadyTime now) const
     {
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -126,6 +126,7 @@
         std::thread traffic([this] { m_trafficThread.run(); });
         m_context.run();
         traffic.join();
+        logStopSummary();
         return success();
     }
 
@@ -152,6 +153,20 @@
         });
     }
 
+    void logStopSummary()
+    {
+        const auto &summary = m_trafficThread.stopSummary();
+        endBufferedLogging();
+        logEvent(summary.endedEarly > 0 ? LogLevel::Warning : LogLevel::Info,
+                 "stopped",
+                 {{"taken", summary.taken},
+                  {"refused", summary.refused},
+                  {"ended_early", summary.endedEarly},
+                  {"ended_in_answer", summary.endedInAnswer},
+                  {"oldest_ended_ms", summary.oldestEnded.count()},
+                  {"longest_silence_ms", summary.longestSilence.count()}});
+    }
+
     void startDraining()
     {
         m_isDraining = true;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -294,6 +294,11 @@
     return m_drain.admits(route.hostName + route.pathPrefix, limit);
 }
 
+StopSummary &GatewayThread::stopSummary()
+{
+    return m_stopSummary;
+}
+
 void GatewayThread::recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end)
 {
     m_drain.recordCallDuration(route.hostName + route.pathPrefix, duration, end);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -8,6 +8,7 @@
 #include "gateway/backendconnectionpool.h"
 #include "gateway/peerexchange.h"
 #include "gateway/promptguard.h"
+#include "gateway/stopsummary.h"
 #include "net/asio.h"
 #include "net/httpserver.h"
 #include "net/neterror.h"
@@ -91,6 +92,8 @@
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
     /// likely to end before it is killed may.
     bool admitsCall(const Route &route, Milliseconds limit) const;
+    /// What the planned stop of the process has done so far. Other threads may read it once run() has ended.
+    StopSummary &stopSummary();
     void recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end);
 
     /// False while this host is cut off by a network partition and cannot serve all engine services. Thread-safe.
@@ -174,6 +177,7 @@
     PeerExchange m_peerExchange;
     PromptGuard m_promptGuard;
     ServerDrain m_drain;
+    StopSummary m_stopSummary;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
 };
--- a/src/logging/logger.cpp
+++ b/src/logging/logger.cpp
@@ -77,6 +77,18 @@
     install(buffer, level);
 }
 
+void endBufferedLogging()
+{
+    const auto root = log4cxx::Logger::getRootLogger();
+    const auto level = root->getLevel();
+    for (const auto &appender : root->getAllAppenders()) {
+        appender->close();
+    }
+    root->removeAllAppenders();
+    root->addAppender(consoleAppender(log4cxx::ConsoleAppender::getSystemOut()));
+    root->setLevel(level);
+}
+
 void stopLogging()
 {
     log4cxx::LogManager::shutdown();
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -17,6 +17,10 @@
 /// full, lines are dropped and a later line says how many: writing never waits for the reader.
 void startBufferedLogging(LogLevel level);
 
+/// Writes out what is buffered, and from now on each line at once, so that none is dropped. For the last lines of a
+/// process.
+void endBufferedLogging();
+
 /// Writes out what is buffered, before the process ends.
 void stopLogging();
 
