--- a/tests/soak/plannedstops.cpp
+++ b/tests/soak/plannedstops.cpp
@@ -24,6 +24,11 @@
 /// As documents.h has it.
 constexpr Milliseconds RouteTimeout{2000};
 constexpr Milliseconds RefusalLimit{200};
+/// The timeout of streams that groups of engines serve.
+constexpr Milliseconds EngineRouteTimeout{8000};
+/// Longest time for which a switch of maps may stop a group.
+constexpr Milliseconds MaxHold{250};
+const std::string EngineService = "model";
 constexpr Milliseconds StartTimeout{15000};
 constexpr Milliseconds ReadinessTimeout{1000};
 constexpr Milliseconds PollInterval{5};
@@ -78,12 +83,15 @@
         document["slots"] = SlotsPerServer;
         m_store.put("servers", id, document);
     }
-    m_store.put("config", "main", nlohmann::json::parse(configurationDocument(1)));
+    addGroups();
     auto settings = "drain_grace_ms: " + std::to_string(drainGrace(m_options.terminationGrace).count()) + "\n";
     if (m_options.hasGraceSetting) {
         const auto grace = std::chrono::duration<double>(m_options.terminationGrace).count();
         settings += "termination_grace_s: " + std::to_string(grace) + "\n";
     }
+    if (!m_groups.empty()) {
+        settings += "coordinate_groups: true\n";
+    }
     for (std::size_t i = 0; i < m_options.soak.hosts; ++i) {
         m_hosts.push_back(std::make_unique<StopHost>());
         m_hosts.back()->host = std::make_unique<SoakHost>(m_context,
@@ -104,15 +112,52 @@
         if (m_options.hasPauses) {
             m_callers.back()->addPauses();
         }
+        if (!m_groups.empty()) {
+            m_callers.back()->useEngineGroups();
+        }
     }
 }
 
+void PlannedStops::addGroups()
+{
+    auto configuration = nlohmann::json::parse(configurationDocument(1));
+    for (std::size_t i = 0; i < m_options.groups; ++i) {
+        auto options = m_options.group;
+        options.name = "group" + std::to_string(i);
+        options.service = EngineService;
+        options.seed = m_options.soak.seed * 1000 + i;
+        m_groups.push_back(std::make_unique<EngineGroup>(
+            m_context,
+            options,
+            EngineGroup::Observers{[this](const std::string &id) {
+                                       m_ledger.ran(id, "workshop");
+                                       m_calls[id].lastRunAt = steadyNow();
+                                       m_calls[id].answeredAt.reset();
+                                   },
+                                   [this](const std::string &id) { m_calls[id].lastEventAt = steadyNow(); },
+                                   [this](const std::string &id) { m_calls[id].answeredAt = steadyNow(); }}));
+        const auto started = m_groups.back()->start(m_store);
+        if (started.has_error()) {
+            throw std::runtime_error(started.error().message());
+        }
+    }
+    if (!m_groups.empty()) {
+        auto &stream = configuration["routes"][2];
+        stream["service"] = EngineService;
+        stream["timeout-ms"] = EngineRouteTimeout.count();
+        stream["target-latency-ms"] = 400;
+        configuration["services"].push_back(EngineGroup::serviceDocument(EngineService));
+    }
+    m_store.put("config", "main", configuration);
+}
+
 void PlannedStops::run()
 {
     spawn(m_context.get_executor(), "planned-stops", runAll());
     spawn(m_context.get_executor(), "planned-stops-delay", measureDelay());
     m_context.run();
     judgeCalls();
+    judgeGroups();
 }
 
 const Ledger &PlannedStops::ledger() const
@@ -255,6 +300,25 @@
     call.answeredAt.reset();
 }
 
+void PlannedStops::judgeGroups()
+{
+    for (std::size_t i = 0; i < m_groups.size(); ++i) {
+        const auto &group = *m_groups[i];
+        const auto name = "group" + std::to_string(i);
+        const auto hold = group.longestHold();
+        m_counts[name + "-passes"] = group.passCount();
+        m_counts[name + "-switches"] = group.switchCount();
+        m_counts[name + "-orders"] = group.orderCount();
+        m_counts[name + "-longest-hold-ms"] = static_cast<std::size_t>(hold.count());
+        if (group.splitPassCount() > 0) {
+            m_ledger.addViolation("one map", name + " began passes with different maps");
+        }
+        if (hold > MaxHold) {
+            m_ledger.addViolation("held group", name + " was held for " + milliseconds(hold));
+        }
+    }
+}
+
 void PlannedStops::judgeCalls()
 {
     for (const auto &[id, call] : m_calls) {
@@ -269,7 +333,9 @@
     const auto afterTerm = terminatedAt ? call.sentAt - *terminatedAt : SteadyTime::duration(-1);
     m_counts["sent-in-stop"] += afterTerm.count() >= 0 ? 1 : 0;
     m_counts["sent-late-in-stop"] += afterTerm > lastExcusedSending(m_options.terminationGrace) ? 1 : 0;
-    const auto verdict = judge(call, terminatedAt, m_options.terminationGrace, RouteTimeout);
+    const bool isEngineStream = !m_groups.empty() && call.kind == CallKind::Stream;
+    const auto routeTimeout = isEngineStream ? EngineRouteTimeout : RouteTimeout;
+    const auto verdict = judge(call, terminatedAt, m_options.terminationGrace, routeTimeout);
     ++m_counts[nameOf(verdict)];
     m_counts["unread-on-new-connection"] += verdict == StopVerdict::Unread && call.isOnNewConnection ? 1 : 0;
     const auto detail = id + " sent " + milliseconds(afterTerm) + " after SIGTERM, ended after "
@@ -282,7 +348,7 @@
     if (call.isComplete && call.status == Unavailable && call.endedAt - call.sentAt > RefusalLimit) {
         m_ledger.addViolation("refused at once", detail);
     }
-    if (verdict != StopVerdict::Unexplained) {
+    if (verdict != StopVerdict::Unexplained && verdict != StopVerdict::LeftSilent) {
         return;
     }
     if (call.isComplete && call.kind == CallKind::Idempotent) {
@@ -290,7 +356,10 @@
         ++m_counts["given-up-for-retry"];
         return;
     }
-    m_ledger.addViolation(call.isComplete ? "failed" : "lost", detail);
+    m_ledger.addViolation(verdict == StopVerdict::LeftSilent ? "left silent"
+                              : call.isComplete              ? "failed"
+                                                             : "lost",
+                          detail);
     std::ifstream log(m_options.soak.directory + "/" + m_hosts[call.host]->host->name() + ".log");
     for (std::string line; std::getline(log, line);) {
         if (line.find("request=" + id + " ") != std::string::npos) {
--- a/tests/soak/plannedstops.h
+++ b/tests/soak/plannedstops.h
@@ -3,6 +3,7 @@
 #include "soak/soak.h"
 #include "soak/stopcaller.h"
 #include "soak/stophost.h"
+#include "standins/enginegroup.h"
 
 namespace Cardamomhill
 {
@@ -15,6 +16,10 @@
     bool hasGraceSetting = true;
     /// Whether servers pause in some streams for longer than these may be silent before they are continued elsewhere.
     bool hasPauses = false;
+    /// Number of groups of engines that serve the streams; without any, single servers do.
+    std::size_t groups = 0;
+    /// The shape and the faults of each group.
+    EngineGroupOptions group;
 };
 
 /// Stops gateways in series and all at once, as a platform does: SIGTERM, after the grace time SIGKILL, and a new
@@ -32,6 +37,7 @@
     const std::map<std::string, std::size_t> &counts() const;
 
 private:
+    void addGroups();
     Task<> runAll();
     Task<> start(StopHost &host);
     Task<> stopHosts(SteadyTime until);
@@ -40,6 +46,7 @@
     Task<> measureDelay();
     void recordRun(const HttpRequest &request);
     void judgeCalls();
+    void judgeGroups();
     void judgeCall(const std::string &id, const StopCall &call);
     Task<> sleep(Milliseconds time);
     std::int64_t randomUpTo(std::int64_t largest);
@@ -51,6 +58,7 @@
     Ledger m_ledger;
     StopCaller::Calls m_calls;
     std::vector<std::unique_ptr<DirectBackend>> m_servers;
+    std::vector<std::unique_ptr<EngineGroup>> m_groups;
     std::vector<std::unique_ptr<StopHost>> m_hosts;
     std::vector<std::unique_ptr<StopCaller>> m_callers;
     std::map<std::string, std::size_t> m_counts;
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -10,9 +10,13 @@
 namespace
 {
 
+constexpr double Percent = 100;
+
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
-      "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]]\n";
+      "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
+      "[--groups N [--ranks N] [--answer-delay-ms N] [--execution-delay-ms N] [--lost-answers PERCENT] "
+      "[--preemptions PERCENT]]]\n";
 
 int report(std::uint64_t seed,
            const Cardamomhill::Ledger &ledger,
@@ -55,6 +59,12 @@
                                   {"grace-ms", required_argument, nullptr, 'g'},
                                   {"pauses", no_argument, nullptr, 'q'},
                                   {"no-grace-setting", no_argument, nullptr, 'n'},
+                                  {"groups", required_argument, nullptr, 'G'},
+                                  {"ranks", required_argument, nullptr, 'R'},
+                                  {"answer-delay-ms", required_argument, nullptr, 'A'},
+                                  {"execution-delay-ms", required_argument, nullptr, 'E'},
+                                  {"lost-answers", required_argument, nullptr, 'L'},
+                                  {"preemptions", required_argument, nullptr, 'M'},
                                   {nullptr, 0, nullptr, 0}};
     int optionId = 0;
     bool isValid = true;
@@ -72,6 +82,18 @@
             stopOptions.hasGraceSetting = false;
         } else if (number == 0) {
             isValid = false;
+        } else if (optionId == 'G') {
+            stopOptions.groups = number;
+        } else if (optionId == 'R') {
+            stopOptions.group.ranks = number;
+        } else if (optionId == 'A') {
+            stopOptions.group.maxAnswerDelay = Milliseconds(number);
+        } else if (optionId == 'E') {
+            stopOptions.group.maxExecutionDelay = Milliseconds(number);
+        } else if (optionId == 'L') {
+            stopOptions.group.lostAnswers = static_cast<double>(number) / Percent;
+        } else if (optionId == 'M') {
+            stopOptions.group.preemptions = static_cast<double>(number) / Percent;
         } else if (optionId == 's') {
             options.seed = number;
         } else if (optionId == 'g') {
--- a/tests/soak/stopcall.h
+++ b/tests/soak/stopcall.h
@@ -21,12 +21,16 @@
     SteadyTime endedAt{};
     /// When the call last began to run at a server; empty if it never ran.
     std::optional<SteadyTime> lastRunAt;
+    /// When the server last made an event of the answer, if it tells.
+    std::optional<SteadyTime> lastEventAt;
     /// When the server had written its whole answer; empty if it had not when the connection ended.
     std::optional<SteadyTime> answeredAt;
     unsigned status = 0;
     bool isComplete = false;
     /// The caller gave up, a second after the timeout of the route.
     bool hasTimedOut = false;
+    /// The caller gave up a begun stream that was silent.
+    bool wasLeftSilent = false;
 };
 
 } // namespace Cardamomhill
--- a/tests/soak/stopcaller.cpp
+++ b/tests/soak/stopcaller.cpp
@@ -30,6 +30,12 @@
 constexpr Milliseconds::rep MinPauseMs = 1250;
 constexpr Milliseconds::rep MaxPauseMs = 1700;
 constexpr int EventsOfPausedStream = 4;
+/// Of callers of engine groups: the share of streams among their calls, the most events of one, and how long they wait
+/// for the next event and for the whole answer.
+constexpr double EngineStreamFraction = 0.9;
+constexpr double MaxEngineEvents = 250;
+constexpr Milliseconds MaxEventPause{2000};
+constexpr Milliseconds EngineAnswerTimeout{9000};
 constexpr unsigned Ok = 200;
 
 } // namespace
@@ -91,7 +97,9 @@
     const double magnitude = std::uniform_real_distribution<double>(0, std::log(MaxWorkMs / MinWorkMs))(m_random);
     const auto workMs = static_cast<Milliseconds::rep>(MinWorkMs * std::exp(magnitude));
     auto request = makeHttpRequest("POST", "/safe/ok", id);
-    if (choice < 0.35) {
+    if (m_usesEngineGroups && choice < EngineStreamFraction) {
+        request = makeEngineRequest(call);
+    } else if (choice < 0.35) {
         const auto interval
             = std::min(workMs, MinEventIntervalMs + randomUpTo(MaxEventIntervalMs - MinEventIntervalMs));
         const auto events = workMs / interval;
@@ -100,7 +108,7 @@
         request.set("X-Events", std::to_string(events));
         request.set("X-Event-Interval-Ms", std::to_string(interval));
         addPause(request);
-    } else if (choice < 0.65) {
+    } else if (choice < 0.65 && !m_usesEngineGroups) {
         const bool mayRepeat = choice < 0.45;
         call.kind = mayRepeat ? CallKind::Idempotent : CallKind::NonIdempotent;
         request.target(mayRepeat ? "/safe/slow" : "/pay/slow");
@@ -116,6 +124,20 @@
     return request;
 }
 
+HttpRequest StopCaller::makeEngineRequest(StopCall &call)
+{
+    const double magnitude = std::uniform_real_distribution<double>(0, std::log(MaxEngineEvents))(m_random);
+    auto request = makeHttpRequest("POST", "/draft/stream");
+    call.kind = CallKind::Stream;
+    request.set("X-Events", std::to_string(static_cast<int>(std::exp(magnitude))));
+    return request;
+}
+
+void StopCaller::useEngineGroups()
+{
+    m_usesEngineGroups = true;
+}
+
 void StopCaller::addPauses()
 {
     m_pauseRandom = Random(m_random);
@@ -173,14 +195,19 @@
 {
     auto &call = m_calls[id];
     std::string body;
-    const auto deadline = steadyNow() + AnswerTimeout;
-    const auto started = co_await connection.start(std::move(request), AnswerTimeout);
+    const bool isEngineStream = m_usesEngineGroups && call.kind == CallKind::Stream;
+    const auto timeout = isEngineStream ? EngineAnswerTimeout : AnswerTimeout;
+    const auto deadline = steadyNow() + timeout;
+    const auto started = co_await connection.start(std::move(request), timeout);
     call.hasTimedOut = started.has_error() && started.error().code == NetErrorCode::TimedOut;
     while (started.has_value() && !call.isComplete) {
         call.status = connection.status();
-        const auto piece = co_await connection.readSome(timeLeft(deadline));
+        const auto limit = isEngineStream ? std::min(MaxEventPause, timeLeft(deadline)) : timeLeft(deadline);
+        const auto piece = co_await connection.readSome(limit);
         if (piece.has_error()) {
-            call.hasTimedOut = piece.error().code == NetErrorCode::TimedOut;
+            const bool isSilent = piece.error().code == NetErrorCode::TimedOut;
+            call.hasTimedOut = isSilent && steadyNow() >= deadline;
+            call.wasLeftSilent = isSilent && !call.hasTimedOut;
             break;
         }
         call.isComplete = !piece.value();
--- a/tests/soak/stopcaller.h
+++ b/tests/soak/stopcaller.h
@@ -35,6 +35,9 @@
     /// Has servers pause before the last event of some streams.
     void addPauses();
 
+    /// Sends mostly streams, with the time limits of users of model engines.
+    void useEngineGroups();
+
     Task<> run(SteadyTime until);
 
     bool hasEnded() const;
@@ -52,6 +55,7 @@
     Task<std::string> exchange(HttpClientConnection &connection, HttpRequest request, const std::string &id);
     void checkBody(const std::string &id, const HttpRequest &request, const std::string &body);
     void addPause(HttpRequest &request);
+    HttpRequest makeEngineRequest(StopCall &call);
     std::int64_t randomUpTo(std::int64_t largest);
 
     asio::io_context &m_context;
@@ -59,6 +63,7 @@
     Random m_random;
     /// Draws the pauses, if there are any, so that the other choices of a seed do not depend on them.
     std::optional<Random> m_pauseRandom;
+    bool m_usesEngineGroups = false;
     std::map<std::size_t, StopHost *> m_hosts;
     Ledger &m_ledger;
     Calls &m_calls;
--- a/tests/soak/stopverdict.cpp
+++ b/tests/soak/stopverdict.cpp
@@ -17,6 +17,9 @@
 bool wasAtWorkLate(const StopCall &call, SteadyTime terminatedAt, Milliseconds terminationGrace)
 {
     const auto lastSixth = terminatedAt + terminationGrace * 5 / 6;
+    if (call.lastEventAt && *call.lastEventAt < lastSixth) {
+        return false;
+    }
     return call.lastRunAt && call.sentAt <= terminatedAt + lastExcusedSending(terminationGrace)
         && std::min(call.answeredAt.value_or(call.endedAt), call.endedAt) >= lastSixth;
 }
@@ -32,6 +35,8 @@
         return "at-work";
     case StopVerdict::TimedOut:
         return "timed-out";
+    case StopVerdict::LeftSilent:
+        return "left-silent";
     case StopVerdict::Unread:
         return "unread";
     case StopVerdict::Unexplained:
@@ -51,6 +56,9 @@
     if (call.endedAt - call.sentAt >= routeTimeout - DeadlineResolution) {
         return StopVerdict::TimedOut;
     }
+    if (call.wasLeftSilent) {
+        return StopVerdict::LeftSilent;
+    }
     if (terminatedAt && wasAtWorkLate(call, *terminatedAt, terminationGrace)) {
         return StopVerdict::AtWork;
     }
--- a/tests/soak/stopverdict.h
+++ b/tests/soak/stopverdict.h
@@ -12,6 +12,8 @@
     AtWork,
     /// The timeout of the route was reached.
     TimedOut,
+    /// The caller gave up a stream that was silent for too long.
+    LeftSilent,
     /// The connection ended at once and no server got the call.
     Unread,
     Unexplained
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -142,6 +142,19 @@
         co_await timer.async_wait(storeError(ignored));
     }
 
+    /// Puts a changed configuration in force, as version 2.
+    void configure(const std::function<void(nlohmann::json &)> &change)
+    {
+        auto document = configuration(2);
+        change(document);
+        store.put("config", "main", document);
+    }
+
+    asio::io_context &context()
+    {
+        return m_context;
+    }
+
     /// Waits until the log of a gateway contains a text.
     Task<> waitForLog(std::size_t host, std::string text)
     {
