Hold a step of a group only so far ahead that slow ranks have answered

Cause: each order had 50 ms for its answer. An answer that took longer was dropped and the order sent again, while the step that the switch needs was held 120 ms ahead, so ranks that answer after 0 to 400 ms stopped their group for 0.7 to 3.2 s. Class: a fixed time limit on a peer whose speed is not known, and a resource taken before it is known that the rest can be done.

Now the time that each rank takes is learned from its answers (AnswerTime, as RFC 6298), the step is chosen three such times ahead, a hold that is not confirmed in time is released and arming cancelled so that the group stands still for 0.2 s at most, an answer is awaited for a second while copies of the order go out at growing intervals, and no step is chosen before the group's step rate is known. A successor leaves alone a switch that is complete and only waits for its step. Groups whose ranks need more than 0.8 s get no switch, and one that was abandoned delays the next (`switch-deferred`).

The simulation gives an answer as much time as the order asks for, as the client does.

--- a/src/coordinator/engineclient.cpp
+++ b/src/coordinator/engineclient.cpp
@@ -6,9 +6,6 @@
 namespace
 {
 
-/// Engines answer orders and reports in milliseconds. A lost order is resent after this time, during which a held group
-/// runs no steps.
-constexpr Milliseconds OrderTimeout{50};
 /// Additional time to send a map: a constant, since maps are sent to several ranks concurrently, and a part for its
 /// size at the minimum rate assumed for links of engines.
 constexpr Milliseconds MapBurstTime{50};
@@ -33,12 +30,13 @@
 
 Task<OrderAnswer> EngineClient::send(RankOrder order, std::shared_ptr<const std::string> encodedMap)
 {
+    const auto answerLimit = order.answerLimit;
     const bool hasMap = std::holds_alternative<PrepareMap>(order.action) && encodedMap;
     auto request
         = m_codec.makeOrderRequest(order, m_server, hasMap ? std::string_view(*encodedMap) : std::string_view());
     const auto mapTransferTime
         = hasMap ? MapBurstTime + Milliseconds(encodedMap->size() / MinLinkBytesPerMillisecond) : Milliseconds(0);
-    const auto response = co_await m_orders.call(std::move(request), OrderTimeout + mapTransferTime);
+    const auto response = co_await m_orders.call(std::move(request), answerLimit + mapTransferTime);
     if (response.has_error()) {
         co_return OrderAnswer::NoAnswer;
     }
--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -28,6 +28,9 @@
 constexpr double SlowSpeedThreshold = 0.8;
 /// Minimum pressure at which the utilisation of all ranks is read instead of one, since each reading is charged.
 constexpr double AllRanksPressure = 0.5;
+/// Delays before the next switch after one that was abandoned.
+constexpr Milliseconds FirstSwitchDelay{1000};
+constexpr Milliseconds MaxSwitchDelay{16'000};
 
 } // namespace
 
@@ -44,6 +47,7 @@
     , m_onOpened(std::move(onOpened))
     , m_tokens(term)
     , m_random(std::random_device()())
+    , m_switchBackoff(FirstSwitchDelay, MaxSwitchDelay)
 {
 }
 
@@ -114,6 +118,8 @@
     m_load.clear();
     m_schedule.clear();
     m_switch = std::make_shared<MapSwitch>(m_group.ranks.size(), m_group.epoch, m_tokens);
+    m_switchCount = 0;
+    m_abandonedCount = 0;
     m_sampledRank = m_random() % m_group.ranks.size();
     logEvent(LogLevel::Info,
              "group-opened",
@@ -198,6 +204,7 @@
     const auto now = steadyNow();
     m_switch->tick(now);
     if (m_switch->phase() == SwitchPhase::Idle) {
+        delayAfterAbandonedSwitch(now);
         if (!m_isStopped) {
             co_await considerSwitch();
         }
@@ -216,6 +223,33 @@
     }
 }
 
+void GroupCoordinator::delayAfterAbandonedSwitch(SteadyTime now)
+{
+    if (m_switch->switchCount() != std::exchange(m_switchCount, m_switch->switchCount())) {
+        m_switchBackoff.reset();
+    }
+    if (m_switch->abandonedCount() != std::exchange(m_abandonedCount, m_switch->abandonedCount())) {
+        m_nextSwitchAt = now + m_switchBackoff.next(m_random);
+    }
+}
+
+bool GroupCoordinator::maySwitch(SteadyTime now)
+{
+    const bool isQuick = m_switch->canHold();
+    if (isQuick && now >= m_nextSwitchAt) {
+        return true;
+    }
+    logEvent(LogLevel::Info,
+             "switch-deferred",
+             {{"group", m_group.id.value()},
+              {"cause", isQuick ? "an earlier switch was abandoned" : "the ranks answer slowly"}});
+    m_metrics.counter("switches_deferred_total").add();
+    if (!isQuick) {
+        m_switch->measureAnswers(now);
+    }
+    return false;
+}
+
 void GroupCoordinator::sendOrders()
 {
     for (auto &order : m_switch->takeOrders(steadyNow())) {
@@ -464,7 +498,7 @@
               {"steps_per_second", m_switch->stepsPerSecond()},
               {"copies", plan.copies},
               {"copies_of_one_rank", plan.maximumCopiesPerRank}});
-    if (isWorthwhile) {
+    if (isWorthwhile && maySwitch(steadyNow())) {
         const auto copyTime = SwitchPolicy::copyTime(m_engine, plan.maximumCopiesPerRank);
         m_encodedMap = std::make_shared<const std::string>(m_codec.encodeMap(plan.map));
         const auto maxConcurrentMaps = SwitchPolicy::maxConcurrentMaps(m_linkMegabitsPerSecond, m_encodedMap->size());
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -3,6 +3,7 @@
 #include "coordinator/engineclient.h"
 #include "core/random.h"
 #include "net/asio.h"
+#include "objectstore/backoff.h"
 #include "placement/expertmap.h"
 #include "placement/switchplanner.h"
 #include "rebalance/counterreadschedule.h"
@@ -70,6 +71,10 @@
     Task<> checkReopened();
     Task<> readStates();
     void sendOrders();
+    /// Delays the next switch if the last one was abandoned.
+    void delayAfterAbandonedSwitch(SteadyTime now);
+    /// Whether a switch may begin: the last one was not abandoned just now, and the ranks answer quickly enough.
+    bool maySwitch(SteadyTime now);
     /// Owns what it uses, since the members are replaced when the group opens again, possibly before the answer.
     static Task<> sendOrder(std::shared_ptr<GroupCoordinator> self,
                             RankOrder order,
@@ -114,6 +119,11 @@
     SwitchPhase m_loggedPhase = SwitchPhase::Stuck;
     SteadyTime m_loggedPhaseAt{};
     SwitchPolicy m_policy;
+    Backoff m_switchBackoff;
+    SteadyTime m_nextSwitchAt{};
+    /// Of the current MapSwitch, as they were last seen.
+    std::size_t m_switchCount = 0;
+    std::size_t m_abandonedCount = 0;
     SteadyTime m_nextUtilisationRead{};
     bool m_isStopped = false;
     /// Whether the task of run() is running; no orders are sent otherwise.
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -11,6 +11,8 @@
 
 /// Weight of a new measurement in the mean step rate.
 constexpr double RateWeight = 0.5;
+/// Copies of one order that may be under way to a rank.
+constexpr std::size_t MaxOrderCopies = 4;
 
 double secondsOf(SteadyTime::duration time)
 {
@@ -62,18 +64,34 @@
     std::vector<RankOrder> orders;
     std::size_t capacity = m_phase == SwitchPhase::Preparing ? m_maxConcurrentMaps : m_ranks.size();
     capacity -= std::min<std::size_t>(
-        capacity, std::count_if(m_ranks.begin(), m_ranks.end(), [](const Rank &rank) { return rank.isInFlight; }));
+        capacity, std::count_if(m_ranks.begin(), m_ranks.end(), [](const Rank &rank) { return rank.inFlight > 0; }));
     for (std::size_t rank = 0; rank < m_ranks.size() && orders.size() < capacity; ++rank) {
         auto &state = m_ranks[rank];
-        if (!needsOrder(rank) || state.isDone || state.isInFlight || now < state.retryAt) {
+        const bool isDue = state.inFlight == 0 || mayResend(state);
+        if (!needsOrder(rank) || state.isDone || !isDue || now < state.retryAt) {
             continue;
         }
-        state.isInFlight = true;
-        orders.push_back({rank, m_token, m_epoch, actionFor(rank)});
+        // Twice as long before each further copy, which adds to the load of a rank that is slow.
+        state.retryAt = now + state.answerTime.resendAfter() * (1 << state.inFlight);
+        ++state.inFlight;
+        orders.push_back({rank, m_token, m_epoch, actionFor(rank), now, answerLimit(state)});
     }
     return orders;
 }
 
+Milliseconds MapSwitch::answerLimit(const Rank &rank) const
+{
+    // An order that is not sent again in the meantime must not wait long for an answer that is lost.
+    return m_phase == SwitchPhase::Preparing ? std::chrono::ceil<Milliseconds>(rank.answerTime.resendAfter())
+                                             : m_options.answerTimeout;
+}
+
+bool MapSwitch::mayResend(const Rank &rank) const
+{
+    // A map takes long to send.
+    return m_phase != SwitchPhase::Preparing && rank.inFlight < MaxOrderCopies;
+}
+
 bool MapSwitch::needsOrder(std::size_t rank) const
 {
     switch (m_phase) {
@@ -127,13 +145,16 @@
 void MapSwitch::onAnswer(const RankOrder &order, OrderAnswer answer, SteadyTime now)
 {
     auto &state = m_ranks[order.rank];
-    if (order.token != m_token) {
+    if (answer != OrderAnswer::NoAnswer && !std::holds_alternative<PrepareMap>(order.action)) {
+        state.answerTime.record(std::chrono::duration_cast<Microseconds>(now - order.sentAt));
+    }
+    if (order.token != m_token || state.isDone) {
         return;
     }
-    state.isInFlight = false;
+    state.inFlight -= std::min<std::size_t>(state.inFlight, 1);
     switch (answer) {
     case OrderAnswer::NoAnswer:
-        state.retryAt = now + m_options.retryInterval;
+        state.retryAt = std::min(state.retryAt, now + m_options.retryInterval);
         return;
     case OrderAnswer::Fenced:
         enter(SwitchPhase::Fenced, now);
@@ -238,7 +259,7 @@
     m_token = m_tokens.next();
     for (auto &rank : m_ranks) {
         rank.isDone = false;
-        rank.isInFlight = false;
+        rank.inFlight = 0;
         rank.retryAt = now;
     }
 }
@@ -336,8 +357,20 @@
     m_rateFromStep = m_lastStep;
 }
 
+bool MapSwitch::isReleasedSwitch() const
+{
+    const auto &first = m_ranks.front().state;
+    return first.armed && std::all_of(m_ranks.begin(), m_ranks.end(), [&first](const Rank &rank) {
+               return rank.state.armed == first.armed && !rank.state.heldStep;
+           });
+}
+
 void MapSwitch::inspect(SteadyTime now)
 {
+    if (isReleasedSwitch()) {
+        // An earlier term has completed it, and the group has not reached its step. The ranks are read again.
+        return;
+    }
     for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
         const auto &state = m_ranks[rank].state;
         if (!state.heldStep && !state.armed) {
@@ -354,18 +387,61 @@
     enter(SwitchPhase::Idle, now);
 }
 
+bool MapSwitch::isStepRateUnknown() const
+{
+    // A group without calls makes no steps.
+    return m_stepsPerSecond == 0 && m_rateFromStep > 0 && m_lastStep > m_rateFromStep;
+}
+
 void MapSwitch::onPrepared(SteadyTime now)
 {
+    if (isStepRateUnknown()) {
+        // A step chosen without it would begin before the ranks are armed.
+        m_nextReports = now + m_options.reportInterval;
+        return;
+    }
     // Reports lag behind, so completed copies are not awaited: a rank that is not ready refuses to be armed.
     enter(SwitchPhase::Holding, now);
     chooseStep(now);
 }
 
+bool MapSwitch::canHold() const
+{
+    return stepLead() <= m_options.maxStepLead;
+}
+
+void MapSwitch::measureAnswers(SteadyTime now)
+{
+    enter(SwitchPhase::Fencing, now);
+}
+
+Microseconds MapSwitch::reliableAnswerTime() const
+{
+    Microseconds longest{0};
+    for (const auto &rank : m_ranks) {
+        longest = std::max(longest, rank.answerTime.reliable());
+    }
+    return longest;
+}
+
+Microseconds MapSwitch::stepLead() const
+{
+    // The orders to hold and to arm, and to disarm if one of them is not confirmed.
+    constexpr int Orders = 3;
+    return std::max<Microseconds>(m_options.minStepLead, Orders * reliableAnswerTime());
+}
+
+bool MapSwitch::hasHeldTooLong(SteadyTime now) const
+{
+    return now > m_stepAt + m_options.maxHold - reliableAnswerTime();
+}
+
 void MapSwitch::chooseStep(SteadyTime now)
 {
     // A new token makes ranks refuse a late order to hold the previously chosen step, which would stop the group.
     resetOrders(now);
-    const auto ahead = secondsOf(now - m_lastStepAt + m_options.stepLead);
+    m_stepAt = now + stepLead();
+    const auto ahead = secondsOf(m_stepAt - m_lastStepAt);
     const auto steps = static_cast<std::uint64_t>(std::ceil(ahead * m_stepsPerSecond));
     m_step = m_lastStep + steps + m_options.stepMargin + m_extraSteps;
 }
@@ -381,14 +457,15 @@
             enter(SwitchPhase::Idle, now);
         }
         return;
-    case SwitchPhase::Arming:
-        if (age > m_options.armTimeout) {
-            enter(SwitchPhase::Disarming, now);
+    case SwitchPhase::Holding:
+        if (!m_isRecovery && hasHeldTooLong(now)) {
+            // No rank is armed yet, so the step can be released at once.
+            enter(SwitchPhase::Abandoning, now);
+            return;
         }
-        return;
+        [[fallthrough]];
     case SwitchPhase::Fencing:
     case SwitchPhase::Inspecting:
-    case SwitchPhase::Holding:
     case SwitchPhase::Releasing:
     case SwitchPhase::Disarming:
     case SwitchPhase::Abandoning:
@@ -396,6 +473,11 @@
             enter(SwitchPhase::Stuck, now);
         }
         return;
+    case SwitchPhase::Arming:
+        if (hasHeldTooLong(now)) {
+            enter(SwitchPhase::Disarming, now);
+        }
+        return;
     default:
         return;
     }
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -2,6 +2,7 @@
 
 #include "core/clocktypes.h"
 #include "placement/expertmap.h"
+#include "rebalance/answertime.h"
 #include "rebalance/orderanswer.h"
 #include "rebalance/ordertokens.h"
 #include "rebalance/rankorder.h"
@@ -20,7 +21,9 @@
 
 /// Constants of MapSwitch.
 struct MapSwitchOptions {
-    /// Delay before an order without an answer is retried.
+    /// How long an answer to an order is awaited. Copies of the order are sent before.
+    Milliseconds answerTimeout{1000};
+    /// Delay before an order that got no answer is retried.
     Milliseconds retryInterval{20};
     /// Delay before a rank that refused to prepare a map is asked again.
     Milliseconds conflictRetryInterval{150};
@@ -28,9 +31,11 @@
     Milliseconds reportDelay{250};
     /// Time between two attempts to read all ranks.
     Milliseconds reportInterval{150};
-    /// Time from now to the step that is chosen for the switch. If the step has already begun, the rank refuses to hold
-    /// it, and a later one is tried.
-    Milliseconds stepLead{120};
+    /// Shortest time from now to the step that is chosen for the switch. It is longer if the ranks answer slowly. If
+    /// the step has already begun, the rank refuses to hold it, and a later one is tried.
+    Milliseconds minStepLead{120};
+    /// Longest such time. Slower groups keep their map.
+    Milliseconds maxStepLead{2500};
     /// Steps that are added to those expected within `stepLead`.
     std::uint64_t stepMargin = 1;
     /// Minimum time over which the step rate is measured. Over less, reports of different ranks, which differ in age,
@@ -38,8 +43,8 @@
     Milliseconds rateWindow{500};
     /// Delay before a rank whose copies are not complete is armed again.
     Milliseconds armRetryInterval{25};
-    /// Time limit for arming all ranks. The group runs no steps meanwhile, since one is held.
-    Milliseconds armTimeout{800};
+    /// Longest time for which a held step may stop the group. What is not confirmed by then is cancelled.
+    Milliseconds maxHold{200};
     /// Time limit for copying.
     Milliseconds prepareTimeout{6000};
     /// Time limit for each other phase that needs answers or reports. After it another coordinator, which may reach all
@@ -49,6 +54,8 @@
 
 /// Switches the ranks of one group from one expert map to another such that no step begins with two maps.
 ///
+/// The held step is far enough ahead that slow ranks have answered all orders before the group reaches it.
+///
 /// The sequence is: all ranks copy the experts they need; a coming step is held at one rank, which holds the whole
 /// group; all ranks are armed for that step; the step is released once all ranks have confirmed. If a rank refuses or
 /// does not confirm in time, all ranks are disarmed with a higher fencing token, so that late orders have no effect,
@@ -83,6 +90,12 @@
     /// Processes the report of one rank, which shows the step of the whole group, and updates the step rate.
     void onReport(std::size_t rank, const RankState &state, SteadyTime now);
 
+    /// Whether the ranks answer quickly enough for a switch that does not stop the group.
+    bool canHold() const;
+
+    /// Has the ranks answer orders that change nothing, to measure anew how quickly they do; only while idle.
+    void measureAnswers(SteadyTime now);
+
     /// Whether the step of the last switch has begun, according to reports and recordBegunStep().
     bool hasTakenEffect() const;
     /// Records a step that has begun, as read together with counters, which lag less than reports.
@@ -105,8 +118,10 @@
 private:
     struct Rank {
         bool isDone = false;
-        bool isInFlight = false;
+        /// Copies of the current order that may still be answered.
+        std::size_t inFlight = 0;
         SteadyTime retryAt{};
+        AnswerTime answerTime;
         RankState state;
         bool isKnown = false;
     };
@@ -120,11 +135,24 @@
     /// Whether an order of the current phase goes to this rank.
     bool needsOrder(std::size_t rank) const;
     OrderAction actionFor(std::size_t rank) const;
+    /// Whether another copy of the current order is due, since the answer is late.
+    bool mayResend(const Rank &rank) const;
+    Milliseconds answerLimit(const Rank &rank) const;
+    /// Time within which every rank has answered an order.
+    Microseconds reliableAnswerTime() const;
+    /// Time from the choice of a step to the step that leaves enough for the orders before it.
+    Microseconds stepLead() const;
+    /// Whether the group has been stopped for as long as it may be.
+    bool hasHeldTooLong(SteadyTime now) const;
     void onAccepted(std::size_t rank, SteadyTime now);
     void onConflict(std::size_t rank, SteadyTime now);
     void advance(SteadyTime now);
     void chooseStep(SteadyTime now);
+    /// Whether all ranks are armed for the same step and none holds one.
+    bool isReleasedSwitch() const;
     void inspect(SteadyTime now);
+    /// Whether the group makes steps, seen for too short a time to know how quickly.
+    bool isStepRateUnknown() const;
     void onPrepared(SteadyTime now);
     void measureStepRate(SteadyTime now);
 
@@ -140,6 +168,8 @@
     std::uint64_t m_token;
     std::uint64_t m_version = 0;
     std::uint64_t m_step = 0;
+    /// When the group is expected to reach that step.
+    SteadyTime m_stepAt{};
     /// Steps added to the chosen one, since earlier choices had already begun.
     std::uint64_t m_extraSteps = 0;
     /// Whether an unfinished switch of an earlier term is being cancelled.
--- a/src/rebalance/rankorder.h
+++ b/src/rebalance/rankorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clocktypes.h"
 #include "placement/expertmap.h"
 
 #include <cstddef>
@@ -44,6 +45,9 @@
     std::uint64_t token = 0;
     std::uint64_t epoch = 0;
     OrderAction action;
+    SteadyTime sentAt{};
+    /// How long to wait for the answer, besides the time to send a map.
+    Milliseconds answerLimit{1000};
 };
 
 } // namespace Cardamomhill
--- a/src/rebalance/rebalance.h
+++ b/src/rebalance/rebalance.h
@@ -3,6 +3,7 @@
 // Changes the expert map of a group of engines: lease of the coordinator, load measurement, and the switch itself, in
 // which no step runs with two maps.
 
+#include "rebalance/answertime.h"
 #include "rebalance/coordinatorlease.h"
 #include "rebalance/counterreadschedule.h"
 #include "rebalance/expertload.h"
--- a/tests/mapswitchtest.cpp
+++ b/tests/mapswitchtest.cpp
@@ -52,6 +52,26 @@
     CHECK(world.switches() >= 10);
 }
 
+TEST_CASE("a group is not stopped for longer than the bound, however slowly its ranks answer orders")
+{
+    constexpr Milliseconds MaxHold{250};
+    for (const Milliseconds maxDelay : {Milliseconds(1), Milliseconds(100), Milliseconds(200), Milliseconds(400)}) {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            CAPTURE(maxDelay.count());
+            CAPTURE(seed);
+            SwitchSimulationFaults faults;
+            faults.lostRequest = faults.lostAnswer = faults.lateOrder = 0;
+            faults.coordinatorDeath = faults.coordinatorFreeze = faults.rankRestart = 0;
+            faults.maxAnswerDelay = maxDelay;
+            SwitchSimulation world(seed, faults);
+            world.run(FaultyTime, Seconds(1));
+            CHECK(world.violation() == "");
+            CHECK(world.longestHold() <= MaxHold);
+            CHECK(world.switches() >= 5);
+        }
+    }
+}
+
 TEST_CASE("a switch has taken effect once its step has begun, whether a report or a reading of counters shows it")
 {
     constexpr std::uint64_t Epoch = 1;
@@ -84,6 +104,33 @@
     CHECK(mapSwitch.hasTakenEffect());
 }
 
+TEST_CASE("a switch that an earlier coordinator has completed is not undone before its step begins")
+{
+    constexpr std::size_t Ranks = 3;
+    constexpr std::uint64_t Epoch = 1;
+    SteadyTime now{Seconds(100)};
+    OrderTokens tokens(2);
+    MapSwitch mapSwitch(Ranks, Epoch, tokens);
+    for (const auto &order : mapSwitch.takeOrders(now)) {
+        mapSwitch.onAnswer(order, OrderAnswer::Accepted, now);
+    }
+    RankState state;
+    state.epoch = Epoch;
+    state.isOpen = true;
+    state.armed = ArmedMap{7, 120};
+    now += Seconds(1);
+    mapSwitch.onReports(std::vector<std::optional<RankState>>(Ranks, state), now);
+    CHECK(mapSwitch.phase() == SwitchPhase::Inspecting);
+    CHECK(mapSwitch.takeOrders(now).empty());
+
+    state.armed.reset();
+    state.step = 120;
+    now += Seconds(1);
+    REQUIRE(mapSwitch.reportNeed(now) == ReportNeed::AllRanks);
+    mapSwitch.onReports(std::vector<std::optional<RankState>>(Ranks, state), now);
+    CHECK(mapSwitch.phase() == SwitchPhase::Idle);
+}
+
 TEST_CASE("a map is sent to a limited number of ranks concurrently, and one report ends the wait for the copies")
 {
     constexpr std::size_t Ranks = 96;
--- a/tests/support/switchsimulation.h
+++ b/tests/support/switchsimulation.h
@@ -21,6 +21,8 @@
     double lostAnswer = 0.1;
     /// The order gets no answer and is carried out 2 to 12 s later.
     double lateOrder = 0.15;
+    /// Largest time between the execution of an order and its answer.
+    Milliseconds maxAnswerDelay{1};
     /// Probabilities per second.
     double coordinatorDeath = 0.05;
     double coordinatorFreeze = 0.05;
@@ -61,6 +63,12 @@
         return m_violation;
     }
 
+    /// The longest time for which the group was stopped before a step.
+    Microseconds longestHold() const
+    {
+        return m_longestHold;
+    }
+
     std::size_t switches() const
     {
         return m_switchCount;
@@ -74,7 +82,6 @@
     static constexpr Milliseconds ReportDelay{200};
     static constexpr Milliseconds CopyTime{150};
     static constexpr Milliseconds LeaseTime{4500};
-    static constexpr Milliseconds OrderTimeout{120};
 
     struct Rank {
         std::uint64_t highestToken = 0;
@@ -213,16 +220,18 @@
                 }
             };
             if (happens(m_faults.lostRequest)) {
-                at(OrderTimeout, [answer] { answer(OrderAnswer::NoAnswer); });
+                at(order.answerLimit, [answer] { answer(OrderAnswer::NoAnswer); });
             } else if (happens(m_faults.lateOrder)) {
                 at(between(Milliseconds(2000), Milliseconds(12'000)), [this, order] { execute(order); });
-                at(OrderTimeout, [answer] { answer(OrderAnswer::NoAnswer); });
+                at(order.answerLimit, [answer] { answer(OrderAnswer::NoAnswer); });
             } else {
                 const bool isLost = happens(m_faults.lostAnswer);
                 at(between(Milliseconds(1), Milliseconds(5)), [this, order, answer, isLost] {
                     const auto result = execute(order);
-                    const auto delay = isLost ? OrderTimeout : Milliseconds(1);
-                    at(delay, [answer, isLost, result] { answer(isLost ? OrderAnswer::NoAnswer : result); });
+                    const Microseconds delay = between(Milliseconds(1), m_faults.maxAnswerDelay);
+                    const bool isAnswered = !isLost && delay <= order.answerLimit;
+                    at(isAnswered ? delay : order.answerLimit,
+                       [answer, isAnswered, result] { answer(isAnswered ? result : OrderAnswer::NoAnswer); });
                 });
             }
         }
@@ -324,6 +333,8 @@
         const auto next = m_step + 1;
         const bool isHeld
             = std::any_of(m_ranks.begin(), m_ranks.end(), [next](const Rank &rank) { return rank.held == next; });
+        m_longestHold = std::max<Microseconds>(
+            m_longestHold, std::chrono::duration_cast<Microseconds>(m_now - m_lastStepAt) - StepTime);
         if (!isHeld) {
             m_step = next;
             m_lastStepAt = m_now;
@@ -390,6 +401,7 @@
     std::uint64_t m_epoch = 1;
     std::uint64_t m_step = 0;
     SteadyTime m_lastStepAt = m_now;
+    Microseconds m_longestHold{0};
     std::vector<Snapshot> m_history;
     std::uint64_t m_term = 0;
     std::shared_ptr<Coordinator> m_coordinator;
