Let a stream keep its place in a group's queue while nothing better is known

What callers saw: 502 after 0.75 s for streams that waited in a full queue, mostly at processes that had just started. Cause: silence of a group for 0.7 s was taken for a group that makes no steps, also by a host that has no begun stream there and so hears nothing in any case; the place in the queue was given up, the retry paid for, and then no server had room. Class: what is there is given up before it is known that something better is.

Now the short limit applies only if a begun stream of the host testifies that the group was making steps; others wait as long as admission lets them queue.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -133,11 +133,31 @@
 
 void Attempt::moveElsewhere(std::string_view cause)
 {
-    if (m_state.isCallerGone || !m_cancelCause.empty()) {
+    if (isGivenUp()) {
         return;
     }
     if (m_state.hasAnswerBegun) {
         m_state.continuation->begin(*this, cause);
+    } else if (canAnotherServerTakeCall()) {
+        cancelForRetry(cause);
+    }
+}
+
+bool Attempt::isGivenUp() const
+{
+    return m_state.isCallerGone || !m_cancelCause.empty();
+}
+
+bool Attempt::canAnotherServerTakeCall() const
+{
+    const auto choice = m_thread.servers().choose(
+        m_state.service, m_state.triedServers, m_state.admission, steadyNow(), m_thread.random());
+    return choice.hasServer();
+}
+
+void Attempt::cancelForRetry(std::string_view cause)
+{
+    if (isGivenUp()) {
         return;
     }
     // Charged here, since several attempts that are cancelled at the same time would all see the last retry.
@@ -155,6 +175,11 @@
     }
 }
 
+bool Attempt::hasEvents() const
+{
+    return m_eventCount > 0;
+}
+
 bool Attempt::hasGoneOn() const
 {
     return m_eventCount >= ProgressEvents;
@@ -498,7 +523,8 @@
     }
     const auto streamSilence = now - m_lastArrival;
     if (!m_thread.servers().isAvailable(m_server)) {
-        moveElsewhere("the server or its group cannot be reached");
+        constexpr std::string_view Cause = "the server or its group cannot be reached";
+        m_state.hasAnswerBegun ? moveElsewhere(Cause) : cancelForRetry(Cause);
         return;
     }
     // Any rank of a group shows that the group makes progress. Without a group only the server itself does, and a call
@@ -506,15 +532,25 @@
     const auto *server = m_thread.servers().server(m_server);
     const bool hasGroup = server != nullptr && server->groupMembership.has_value();
     const auto timeouts = streamTimeoutsFor(*m_state.route);
-    const auto silenceLimit = hasGroup ? timeouts.stalledGroupTimeout : timeouts.stalledStreamTimeout;
     const auto sourceSilence = now - std::max(m_thread.servers().lastReceivedAt(m_server), m_state.startedAt);
-    if (streamSilence > silenceLimit && sourceSilence > silenceLimit) {
+    const auto silence = std::min<SteadyTime::duration>(streamSilence, sourceSilence);
+    if (silence > timeouts.stalledGroupTimeout && silence > silenceLimit(timeouts, hasGroup)) {
         moveElsewhere(hasGroup ? "the group makes no steps" : "the server is unresponsive");
     } else if (streamSilence > timeouts.stalledStreamTimeout && m_state.eventCount > 0) {
         moveElsewhere("the stream is silent");
     }
 }
 
+Milliseconds Attempt::silenceLimit(const StreamTimeouts &timeouts, bool hasGroup) const
+{
+    if (!hasGroup) {
+        return timeouts.stalledStreamTimeout;
+    }
+    // A call that waits in a queue hears nothing, however quickly the group makes steps.
+    const bool hasWitness = hasEvents() || m_thread.hasBegunStreamAt(m_server);
+    return hasWitness ? timeouts.stalledGroupTimeout : timeouts.queueTimeout;
+}
+
 void Attempt::releaseConnection()
 {
     if (m_connection->isReusable() && m_thread.mayReuseConnection(m_process)) {
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -23,6 +23,7 @@
 class GatewayThread;
 class HttpClientConnection;
 class HttpExchange;
+struct StreamTimeouts;
 
 /// One attempt to have a call served by one backend server: sends the request, validates the answer and relays it to
 /// the caller.
@@ -48,7 +49,8 @@
     void checkProgress(SteadyTime now);
 
     /// Has the call served by another server, if the route, the time left and the retry budget allow that: an answer
-    /// that has begun is continued there while this attempt goes on, else the attempt is cancelled.
+    /// that has begun is continued there while this attempt goes on, else the attempt is cancelled. Nothing happens
+    /// while no other server can take the call.
     /// @param cause why another server is wanted
     void moveElsewhere(std::string_view cause);
 
@@ -57,6 +59,9 @@
 
     const BackendServerId &server() const;
 
+    /// Whether events of the answer have arrived.
+    bool hasEvents() const;
+
     /// Why the attempt delivered no complete answer; empty if it did.
     const std::string &cause() const;
 
@@ -85,6 +90,13 @@
     Milliseconds answerTimeout() const;
     void recordArrival();
     void releaseConnection();
+    /// Whether nobody waits for this attempt any more.
+    bool isGivenUp() const;
+    /// Cancels the attempt for a retry, if the route, the time left and the retry budget allow one.
+    void cancelForRetry(std::string_view cause);
+    bool canAnotherServerTakeCall() const;
+    /// How long nothing may arrive from the server, or from its group if it has one.
+    Milliseconds silenceLimit(const StreamTimeouts &timeouts, bool hasGroup) const;
 
     GatewayThread &m_thread;
     HttpExchange &m_exchange;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -351,6 +351,20 @@
     return m_attempts;
 }
 
+bool GatewayThread::hasBegunStreamAt(const BackendServerId &server) const
+{
+    const auto *known = m_servers.server(server);
+    if (known == nullptr || !known->groupMembership) {
+        return false;
+    }
+    const auto isBegunThere = [this, &group = known->groupMembership->group](const Attempt *attempt) {
+        const auto *other = m_servers.server(attempt->server());
+        return attempt->hasEvents() && other != nullptr && other->groupMembership
+            && other->groupMembership->group == group;
+    };
+    return std::any_of(m_attempts.begin(), m_attempts.end(), isBegunThere);
+}
+
 BackendConnectionPool &GatewayThread::connectionPool()
 {
     return m_connectionPool;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -127,6 +127,8 @@
     ServerTable &servers();
     /// The attempts that have a connection and have not ended.
     std::unordered_set<Attempt *> &attempts();
+    /// Whether a stream in progress has had events from the group of this server, which must have one.
+    bool hasBegunStreamAt(const BackendServerId &server) const;
     BackendConnectionPool &connectionPool();
     Random &random();
     RetryBudget &retryBudget(const ServiceId &service);
