End a stopping process only after it has let go of its groups

What callers would see: a group that stands still until another host takes the lease over, 4.5 s or more. Cause: the process ended with its last connection, whatever its coordinators were doing; the pass that a switch holds may now be further ahead than that. Now the end waits until no step is held and the leases are given up, or until shortly before the kill.

--- a/src/coordinator/groupcoordinatormanager.cpp
+++ b/src/coordinator/groupcoordinatormanager.cpp
@@ -111,7 +111,18 @@
             state.coordinator->stop();
         }
     }
-    spawn(m_context.get_executor(), "release-leases", releaseLeases());
+    spawn(m_context.get_executor(), "release-leases", releaseLastLeases());
+}
+
+bool GroupCoordinatorManager::hasStopped() const
+{
+    return m_areLeasesReleased;
+}
+
+Task<> GroupCoordinatorManager::releaseLastLeases()
+{
+    co_await releaseLeases();
+    m_areLeasesReleased = true;
 }
 
 Task<> GroupCoordinatorManager::releaseLeases()
--- a/src/coordinator/groupcoordinatormanager.h
+++ b/src/coordinator/groupcoordinatormanager.h
@@ -72,6 +72,9 @@
     /// take over at once.
     void stop();
 
+    /// Whether stop() has ended: no step of a group is held, and the leases are given up or could not be.
+    bool hasStopped() const;
+
 private:
     /// Lease of a group, and its coordinator while this process holds the lease.
     struct GroupState {
@@ -91,6 +94,8 @@
     LeaseRecord ownRecord() const;
     /// Gives up all leases as soon as their coordinators have ended.
     Task<> releaseLeases();
+    /// The same for stop(), after which there will be no other.
+    Task<> releaseLastLeases();
     /// Writes the lease of a group.
     /// @param holder this host and its process, or nothing to give up the lease
     Task<std::optional<std::uint64_t>>
@@ -122,6 +127,7 @@
     bool m_wasStoreUnavailable = false;
     std::uint64_t m_renewals = 0;
     bool m_isStopped = false;
+    bool m_areLeasesReleased = false;
 };
 
 } // namespace Cardamomhill
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -4,12 +4,15 @@
 #include "control/operatorserver.h"
 #include "control/storerelay.h"
 #include "coordinator/groupcoordinatormanager.h"
+#include "drain/terminationdeadline.h"
 #include "gateway/gatewaycontrol.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/gatewaythread.h"
 #include "gateway/storecodec.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
+#include "net/spawn.h"
+#include "net/steadynow.h"
 #include "objectstore/storeavailability.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -24,6 +27,8 @@
 namespace
 {
 
+constexpr Milliseconds StopCheckPeriod{20};
+
 /// Owns the components of a gateway process and its two threads: the control thread, which is the main thread, and the
 /// traffic thread.
 class GatewayProgram
@@ -54,7 +59,9 @@
                [this](const std::vector<BlockedPart> &parts) {
                    asio::post(m_context, [this, parts] { m_hostDirectory.setBlockedParts(parts); });
                },
-               [this] { m_context.stop(); }})
+               [this] {
+                   asio::post(m_context, [this] { spawn(m_context.get_executor(), "stop", stopAfterCoordination()); });
+               }})
         , m_storeRelay(m_context)
         , m_groupCoordinatorManager(
               m_context,
@@ -167,9 +174,27 @@
                   {"longest_silence_ms", summary.longestSilence.count()}});
     }
 
+    /// Ends the process when it no longer coordinates a group, which would stay stopped if a pass were held, or when
+    /// the time before the kill is over.
+    Task<> stopAfterCoordination()
+    {
+        const TerminationDeadline deadline(m_settings.terminationGrace);
+        asio::steady_timer timer(m_context);
+        SystemError error;
+        const auto isOverdue = [&] {
+            return deadline.isOverdue(std::chrono::duration_cast<Microseconds>(steadyNow() - m_drainingSince));
+        };
+        while (!error && !m_groupCoordinatorManager.hasStopped() && !isOverdue()) {
+            timer.expires_after(StopCheckPeriod);
+            co_await timer.async_wait(storeError(error));
+        }
+        m_context.stop();
+    }
+
     void startDraining()
     {
         m_isDraining = true;
+        m_drainingSince = steadyNow();
         m_metrics.gauge("draining").set(1);
         m_groupCoordinatorManager.stop();
         logEvent(LogLevel::Info,
@@ -210,6 +235,7 @@
     HostDirectory m_hostDirectory;
     OperatorServer m_operatorServer;
     bool m_isDraining = false;
+    SteadyTime m_drainingSince{};
 };
 
 } // namespace
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -116,6 +116,16 @@
         m_hosts[host].process->signal(SIGTERM);
     }
 
+    /// Waits until the process of a host has ended.
+    Task<> waitForEnd(std::size_t host)
+    {
+        const auto deadline = steadyNow() + StartTimeout;
+        while (!m_hosts[host].process->hasEnded() && steadyNow() < deadline) {
+            co_await sleep(PollInterval);
+        }
+        CHECK(m_hosts[host].process->hasEnded());
+    }
+
     void run(Task<> scenario)
     {
         bool hasEnded = false;
