Lead a switch only by the orders to hold and to arm

Cause: a margin of 150 ms for each rank, however many had answered, three times over.

Now the lead covers two orders, a hold whose answer came too late for arming and disarming is released before any rank is armed, and the margin shrinks with the answers of the whole group.

--- a/src/rebalance/answertime.cpp
+++ b/src/rebalance/answertime.cpp
@@ -19,11 +19,10 @@
 
 void AnswerTime::record(Microseconds time)
 {
-    m_uncertainty -= m_uncertainty / DeviationDivisor;
     if (!m_isKnown) {
         m_isKnown = true;
         m_mean = time;
-        m_deviation = time / 2;
+        m_deviation = time / DeviationDivisor;
         return;
     }
     const auto error = time - m_mean;
@@ -36,11 +35,6 @@
     return std::max(usual(), MinResendTime);
 }
 
-Microseconds AnswerTime::reliable() const
-{
-    return usual() + m_uncertainty;
-}
-
 Microseconds AnswerTime::usual() const
 {
     return m_mean + LimitDeviations * m_deviation;
--- a/src/rebalance/answertime.h
+++ b/src/rebalance/answertime.h
@@ -15,17 +15,12 @@
     /// Time after which an order without an answer is probably lost, and is sent again.
     Microseconds resendAfter() const;
 
-    /// Time within which an answer can be relied on: that of nearly all answers so far, with a margin that shrinks with
-    /// each of the first ones.
-    Microseconds reliable() const;
-
-private:
-    /// Time within which nearly all answers came.
+    /// Time within which nearly all answers came; 0 before the first one.
     Microseconds usual() const;
 
+private:
     Microseconds m_mean{0};
     Microseconds m_deviation{0};
-    Microseconds m_uncertainty = Milliseconds(150);
     bool m_isKnown = false;
 };
 
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -11,6 +11,8 @@
 
 /// Weight of a new measurement in the mean step rate.
 constexpr double RateWeight = 0.5;
+/// A margin on the ranks' answer times is reduced by 1/N with each answer.
+constexpr int MarginDivisor = 4;
 /// Copies of one order that may be under way to a rank.
 constexpr std::size_t MaxOrderCopies = 4;
 
@@ -147,6 +149,7 @@
     auto &state = m_ranks[order.rank];
     if (answer != OrderAnswer::NoAnswer && !std::holds_alternative<PrepareMap>(order.action)) {
         state.answerTime.record(std::chrono::duration_cast<Microseconds>(now - order.sentAt));
+        m_answerTimeMargin -= m_answerTimeMargin / MarginDivisor;
     }
     if (order.token != m_token || state.isDone) {
         return;
@@ -213,7 +216,11 @@
         m_nextReports = now + m_copyTime;
         return;
     case SwitchPhase::Holding:
-        enter(m_isRecovery ? SwitchPhase::Disarming : SwitchPhase::Arming, now);
+        if (m_isRecovery) {
+            enter(SwitchPhase::Disarming, now);
+        } else {
+            enter(hasTimeToArm(now) ? SwitchPhase::Arming : SwitchPhase::Abandoning, now);
+        }
         return;
     case SwitchPhase::Arming:
         enter(SwitchPhase::Releasing, now);
@@ -419,18 +426,25 @@
 {
     Microseconds longest{0};
     for (const auto &rank : m_ranks) {
-        longest = std::max(longest, rank.answerTime.reliable());
+        longest = std::max(longest, rank.answerTime.usual());
     }
-    return longest;
+    return longest + m_answerTimeMargin;
 }
 
 Microseconds MapSwitch::stepLead() const
 {
-    // The orders to hold and to arm, and to disarm if one of them is not confirmed.
-    constexpr int Orders = 3;
+    // The orders to hold and to arm.
+    constexpr int Orders = 2;
     return std::max<Microseconds>(m_options.minStepLead, Orders * reliableAnswerTime());
 }
 
+bool MapSwitch::hasTimeToArm(SteadyTime now) const
+{
+    // The orders to arm, and to disarm if one of them is not confirmed.
+    constexpr int Orders = 2;
+    return now + Orders * reliableAnswerTime() <= m_stepAt + m_options.maxHold;
+}
+
 bool MapSwitch::hasHeldTooLong(SteadyTime now) const
 {
     return now > m_stepAt + m_options.maxHold - reliableAnswerTime();
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -142,6 +142,8 @@
     Microseconds reliableAnswerTime() const;
     /// Time from the choice of a step to the step that leaves enough for the orders before it.
     Microseconds stepLead() const;
+    /// Whether a held step leaves enough time for arming the ranks.
+    bool hasTimeToArm(SteadyTime now) const;
     /// Whether the group has been stopped for as long as it may be.
     bool hasHeldTooLong(SteadyTime now) const;
     void onAccepted(std::size_t rank, SteadyTime now);
@@ -179,6 +181,8 @@
     SteadyTime m_nextReports{};
     Microseconds m_copyTime{0};
     std::size_t m_maxConcurrentMaps = 1;
+    /// Added to the usual answer times, since few answers say little.
+    Microseconds m_answerTimeMargin = Milliseconds(300);
     std::uint64_t m_lastStep = 0;
     std::uint64_t m_begunStep = 0;
     SteadyTime m_lastStepAt{};
