--- a/tests/soak/plannedstops.cpp
+++ b/tests/soak/plannedstops.cpp
@@ -72,8 +72,8 @@
         m_servers.push_back(std::make_unique<DirectBackend>(
             m_context,
             id,
-            [this](const HttpRequest &request) { recordRun(request); },
-            [this](const HttpRequest &request) { m_calls[idOf(request)].answeredAt = steadyNow(); }));
+            [this, id](const HttpRequest &request) { recordRun(request, id); },
+            [this, id](const HttpRequest &request) { recordAnswer(request, id); }));
         const auto serving = m_servers.back()->listen({asio::ip::address_v4::loopback(), 0});
         if (serving.has_error()) {
             throw std::runtime_error(serving.error().message());
@@ -292,11 +292,21 @@
     --m_stopsInProgress;
 }
 
-void PlannedStops::recordRun(const HttpRequest &request)
+void PlannedStops::recordAnswer(const HttpRequest &request, const std::string &server)
+{
+    // An earlier server may go on with a call that was sent to another one.
+    auto &call = m_calls[idOf(request)];
+    if (call.lastServer == server) {
+        call.answeredAt = steadyNow();
+    }
+}
+
+void PlannedStops::recordRun(const HttpRequest &request, const std::string &server)
 {
     m_ledger.ran(idOf(request), std::string(request["Cardamomhill-Tenant"]));
     auto &call = m_calls[idOf(request)];
     call.lastRunAt = steadyNow();
+    call.lastServer = server;
     call.answeredAt.reset();
 }
 
--- a/tests/soak/plannedstops.h
+++ b/tests/soak/plannedstops.h
@@ -44,7 +44,8 @@
     Task<> stop(StopHost &host);
     /// Measures how late this process itself is.
     Task<> measureDelay();
-    void recordRun(const HttpRequest &request);
+    void recordRun(const HttpRequest &request, const std::string &server);
+    void recordAnswer(const HttpRequest &request, const std::string &server);
     void judgeCalls();
     void judgeGroups();
     void judgeCall(const std::string &id, const StopCall &call);
--- a/tests/soak/stopcall.h
+++ b/tests/soak/stopcall.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 
 namespace Cardamomhill
 {
@@ -21,9 +22,11 @@
     SteadyTime endedAt{};
     /// When the call last began to run at a server; empty if it never ran.
     std::optional<SteadyTime> lastRunAt;
+    /// The server at which it last began to run.
+    std::string lastServer;
     /// When the server last made an event of the answer, if it tells.
     std::optional<SteadyTime> lastEventAt;
-    /// When the server had written its whole answer; empty if it had not when the connection ended.
+    /// When that server had written its whole answer; empty if it had not when the connection ended.
     std::optional<SteadyTime> answeredAt;
     unsigned status = 0;
     bool isComplete = false;
