--- a/tests/standins/enginegroup.cpp
+++ b/tests/standins/enginegroup.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-constexpr int Layers = 2;
-constexpr int ExpertsPerLayer = 16;
+constexpr std::size_t Layers = 2;
+constexpr std::size_t ExpertsPerLayer = 16;
 constexpr int ReplicasPerRank = 10;
 constexpr int SpareReplicas = 2;
 constexpr std::uint64_t Epoch = 1;
@@ -65,13 +65,13 @@
     EngineRank::Map first;
     first.experts.assign(Layers, std::vector<std::set<int>>(m_options.ranks));
     for (auto &layer : first.experts) {
-        for (int expert = 0; expert < ExpertsPerLayer; ++expert) {
-            layer[static_cast<std::size_t>(expert) % m_options.ranks].insert(expert);
+        for (std::size_t expert = 0; expert < ExpertsPerLayer; ++expert) {
+            layer[expert % m_options.ranks].insert(static_cast<int>(expert));
         }
     }
     for (auto &rank : m_ranks) {
         rank.map = first;
-        rank.counts.assign(static_cast<std::size_t>(Layers) * ExpertsPerLayer, 0);
+        rank.counts.assign(Layers * ExpertsPerLayer, 0);
     }
 }
 
@@ -205,9 +205,9 @@
 void EngineGroup::selectExperts(EngineRank &rank) const
 {
     const auto period = (steadyNow() - m_startedAt) / PopularTime;
-    const auto popular = static_cast<int>(period * 3 % (ExpertsPerLayer - 2));
-    for (int layer = 0; layer < Layers; ++layer) {
-        for (int expert = 0; expert < ExpertsPerLayer; ++expert) {
+    const auto popular = static_cast<std::size_t>(period) * 3 % (ExpertsPerLayer - 2);
+    for (std::size_t layer = 0; layer < Layers; ++layer) {
+        for (std::size_t expert = 0; expert < ExpertsPerLayer; ++expert) {
             const bool isPopular = expert == popular || expert == popular + 2;
             rank.counts[static_cast<std::size_t>(layer * ExpertsPerLayer + expert)]
                 += isPopular ? PopularSelections : 1;
--- a/tests/standins/enginegroup.h
+++ b/tests/standins/enginegroup.h
@@ -64,13 +64,13 @@
     Task<> serveStream(EngineRank &rank, HttpExchange &exchange);
     Task<bool> beginStream(HttpExchange &exchange);
     Task<bool> sendEvents(EngineStream &stream, HttpExchange &exchange);
-    unsigned execute(std::size_t rank, const Json &order);
-    unsigned prepare(std::size_t rank, const Json &order);
+    unsigned execute(std::size_t number, const Json &order);
+    unsigned prepare(std::size_t number, const Json &order);
     unsigned arm(EngineRank &rank, std::uint64_t version, std::uint64_t step) const;
     unsigned hold(EngineRank &rank, std::uint64_t step) const;
     Json membershipOf(std::size_t rank) const;
-    std::string reportOf(std::size_t rank) const;
-    std::string selectionsOf(std::size_t rank, bool withLists) const;
+    std::string reportOf(std::size_t number) const;
+    std::string selectionsOf(std::size_t number, bool withLists) const;
     Task<> sleep(Milliseconds time);
     Milliseconds randomUpTo(Milliseconds largest);
     bool happens(double fraction);
