Take the time of an order from the order itself

GroupCoordinator noted when it sent an order, which each order states since its answers are timed. Only the field elapsed_ms of order-not-accepted reads it.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -266,18 +266,14 @@
                                    std::shared_ptr<EngineClient> client,
                                    std::shared_ptr<const std::string> encodedMap)
 {
-    const auto sentAt = steadyNow();
     const auto answer = co_await client->send(order, std::move(encodedMap));
-    self->handleAnswer(order, *originSwitch, answer, sentAt);
+    self->handleAnswer(order, *originSwitch, answer);
     if (self->m_switch == originSwitch && self->m_isRunning) {
         self->sendOrders();
     }
 }
 
-void GroupCoordinator::handleAnswer(const RankOrder &order,
-                                    MapSwitch &originSwitch,
-                                    OrderAnswer answer,
-                                    SteadyTime sentAt)
+void GroupCoordinator::handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer)
 {
     if (answer != OrderAnswer::Accepted) {
         logEvent(LogLevel::Info,
@@ -286,7 +282,7 @@
                   {"rank", order.rank},
                   {"phase", nameOf(originSwitch.phase())},
                   {"answer", nameOf(answer)},
-                  {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - sentAt).count()},
+                  {"elapsed_ms", std::chrono::duration_cast<Milliseconds>(steadyNow() - order.sentAt).count()},
                   {"token", order.token}});
     }
     m_metrics.counter("rank_orders_total{answer=\"" + std::string(nameOf(answer)) + "\"}").add();
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -81,7 +81,7 @@
                             std::shared_ptr<MapSwitch> originSwitch,
                             std::shared_ptr<EngineClient> client,
                             std::shared_ptr<const std::string> encodedMap);
-    void handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer, SteadyTime sentAt);
+    void handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer);
     Task<> readOneState();
     Task<bool> readMap();
     Task<> considerSwitch();
