Separate why a server cannot take a call from how well it suits it

The choice of a server decided both in one loop of 60 lines, and each new condition (evacuated failure domains, cold servers, prompts that a server holds) would have added branches there. ServerTable::choose() now asks obstacleOf() and scoreOf(); what a choice depends on is one type, ServerQuery. The order of ChoiceReason states which reason is reported. No decision changes: servertabletest, serverspreadtest, streamadmissiontest and the tests of real gateways that route calls pass.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -151,8 +151,7 @@
 
 bool Attempt::canAnotherServerTakeCall() const
 {
-    const auto choice = m_thread.servers().choose(
-        m_state.service, m_state.triedServers, m_state.admission, steadyNow(), m_thread.random());
+    const auto choice = m_thread.servers().choose(m_state.query, steadyNow(), m_thread.random());
     return choice.hasServer();
 }
 
@@ -163,7 +162,7 @@
     }
     // Charged here, since several attempts that are cancelled at the same time would all see the last retry.
     if (m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
-        && m_thread.retryBudget(m_state.service).tryTakeRetry(steadyNow())) {
+        && m_thread.retryBudget(m_state.query.service).tryTakeRetry(steadyNow())) {
         m_state.isRetryReserved = true;
         cancel(cause);
     }
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -28,16 +28,16 @@
              {{"request", state.head.id},
               {"route", state.route->name},
               {"configuration", state.configuration->version()},
-              {"service", state.service.value()},
+              {"service", state.query.service.value()},
               {"server", choice.server.value()},
               {"reason", nameOf(choice.reason)},
               {"load", choice.load},
               {"candidates", choice.candidates},
-              {"attempt", state.triedServers.size() + 1},
+              {"attempt", state.query.tried.size() + 1},
               {"left_ms", state.remainingTime(steadyNow()).count()},
               {"after_event", state.lastEventId},
               {"elapsed_ms", elapsedSince(state.startedAt).count()}});
-    state.triedServers.push_back(choice.server);
+    state.query.tried.push_back(choice.server);
     thread.servers().recordCallStarted(choice.server);
 }
 
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -153,7 +153,7 @@
     } else if (configuration.needsKeys() && !m_state.route->isPublic) {
         return Problem{ProblemKind::TokenInvalid, StatusUnauthorized, "not-sent", "no organisation has this key", {}};
     }
-    m_state.service = chooseService(*m_state.route, m_thread.random());
+    m_state.query.service = chooseService(*m_state.route, m_thread.random());
     m_state.lastEventId = m_state.head.lastEventId;
     m_state.request = m_exchange.takeRequest();
     auto limit = m_state.route->timeout;
@@ -174,8 +174,8 @@
 
 Task<> CallHandler::sendToServers()
 {
-    m_thread.retryBudget(m_state.service).recordFirstAttempt(steadyNow());
-    m_state.admission = streamAdmission();
+    m_thread.retryBudget(m_state.query.service).recordFirstAttempt(steadyNow());
+    m_state.query.admission = streamAdmission();
     while (true) {
         const auto choice = co_await chooseServer();
         if (m_state.isCallerGone) {
@@ -212,8 +212,7 @@
     SystemError error;
     while (true) {
         const auto now = steadyNow();
-        auto choice = m_thread.servers().choose(
-            m_state.service, m_state.triedServers, m_state.admission, now, m_thread.random());
+        auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
         if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, now)) {
             co_return choice;
         }
@@ -224,7 +223,7 @@
 
 bool CallHandler::shouldWait(const ServerChoice &choice, SteadyTime now) const
 {
-    const auto &admission = m_state.admission;
+    const auto &admission = m_state.query.admission;
     if (!admission) {
         return false;
     }
@@ -233,13 +232,13 @@
     if (choice.hasServer()) {
         return m_state.attempts.count() == 0 && admission->shouldWait(servers.currentStep(choice.server, now), waited);
     }
-    return choice.reason == ChoiceReason::GroupsClosed && servers.isForming(m_state.service, now)
+    return choice.reason == ChoiceReason::GroupsClosed && servers.isForming(m_state.query.service, now)
         && waited < admission->firstEventLimit;
 }
 
 std::optional<StreamAdmission> CallHandler::streamAdmission() const
 {
-    const auto *service = m_state.configuration->service(m_state.service);
+    const auto *service = m_state.configuration->service(m_state.query.service);
     return service == nullptr || !service->engine ? std::nullopt : streamAdmissionFor(*m_state.route, *service->engine);
 }
 
@@ -285,12 +284,12 @@
     if (std::exchange(m_state.isRetryReserved, false)) {
         return m_state.attempts.evaluate(*m_state.route, remainingTime());
     }
-    return m_state.attempts.retry(*m_state.route, remainingTime(), m_thread.retryBudget(m_state.service), now);
+    return m_state.attempts.retry(*m_state.route, remainingTime(), m_thread.retryBudget(m_state.query.service), now);
 }
 
 bool CallHandler::decideRetry(AttemptEnd end)
 {
-    auto &budget = m_thread.retryBudget(m_state.service);
+    auto &budget = m_thread.retryBudget(m_state.query.service);
     const auto now = steadyNow();
     const auto verdict = retryVerdict(now);
     logEvent(LogLevel::Info,
@@ -372,7 +371,7 @@
                     "unknown",
                     "no whole answer came from a server",
                     {}};
-    if (!isTimeout && m_state.route->isRepeatable() && !m_thread.servers().canServe(m_state.service)) {
+    if (!isTimeout && m_state.route->isRepeatable() && !m_thread.servers().canServe(m_state.query.service)) {
         problem.retryAfter = m_thread.addJitter(GroupRetryAfter, RetryAfterJitter);
     }
     co_await sendProblem(m_exchange, std::move(problem));
@@ -437,7 +436,7 @@
 Milliseconds CallHandler::timeUntilServed(Milliseconds usual) const
 {
     const auto now = steadyNow();
-    const auto heldUntil = m_thread.servers().heldUntil(m_state.service, now);
+    const auto heldUntil = m_thread.servers().heldUntil(m_state.query.service, now);
     return heldUntil ? std::chrono::ceil<Milliseconds>(*heldUntil - now) : usual;
 }
 
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -5,7 +5,7 @@
 #include "traffic/attempthistory.h"
 #include "traffic/callhead.h"
 #include "traffic/deliveryturn.h"
-#include "traffic/streamadmission.h"
+#include "traffic/serverquery.h"
 #include "traffic/trafficconfiguration.h"
 
 #include <algorithm>
@@ -33,12 +33,11 @@
     /// Owns the route, which must outlive a change of the configuration.
     std::shared_ptr<const TrafficConfiguration> configuration;
     const Route *route = nullptr;
-    ServiceId service;
+    /// The service, the servers that were tried, and the limit of the queues in which a new stream may wait.
+    ServerQuery query;
     OrganisationId organisation;
     SteadyTime startedAt{};
     SteadyTime deadline{};
-    /// Limits the queues in which a new stream may wait; nothing for other calls.
-    std::optional<StreamAdmission> admission;
     AttemptHistory attempts;
     /// Which attempt delivers.
     DeliveryTurn turn;
@@ -46,7 +45,6 @@
     StreamContinuation *continuation = nullptr;
     /// The retry budget was charged when the current attempt was cancelled for a retry.
     bool isRetryReserved = false;
-    std::vector<BackendServerId> triedServers;
     std::optional<FallbackAnswer> fallbackAnswer;
     /// Id of the last event that was delivered; at first the one that the caller resumes after.
     std::string lastEventId;
--- a/src/gateway/streamcontinuation.cpp
+++ b/src/gateway/streamcontinuation.cpp
@@ -56,9 +56,8 @@
         return;
     }
     const auto now = steadyNow();
-    const auto choice
-        = m_thread.servers().choose(m_state.service, m_state.triedServers, m_state.admission, now, m_thread.random());
-    auto &budget = m_thread.retryBudget(m_state.service);
+    const auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
+    auto &budget = m_thread.retryBudget(m_state.query.service);
     if (!choice.hasServer() || !budget.tryTakeRetry(now)) {
         return;
     }
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -7,7 +7,8 @@
 namespace Cardamomhill
 {
 
-/// Why a server was chosen, or why none was.
+/// Why a server was chosen, or why none was. Of the reasons why none was, a later one is nearer to a choice: it is
+/// reported if it holds for any server.
 enum class ChoiceReason : std::uint8_t {
     LeastLoaded,
     /// This server and all others that could take the call failed recently or are slow.
@@ -16,12 +17,12 @@
     NoServer,
     /// Earlier attempts of the call have tried all servers.
     AllTried,
-    /// No server has room: the slots and the allowed queues of the available ones are in use.
-    AllFull,
-    /// All servers that could take the call have stated that they want no calls for a while.
-    AllHeld,
     /// The servers that were not tried are unreachable, or in groups that take no calls while they are formed again.
     GroupsClosed,
+    /// All servers that could take the call have stated that they want no calls for a while.
+    AllHeld,
+    /// No server has room: the slots and the allowed queues of the available ones are in use.
+    AllFull,
 };
 
 constexpr auto nameTable(ChoiceReason)
@@ -31,9 +32,9 @@
         {ChoiceReason::LastResort, "last-resort"},
         {ChoiceReason::NoServer, "no-server"},
         {ChoiceReason::AllTried, "all-tried"},
-        {ChoiceReason::AllFull, "all-full"},
-        {ChoiceReason::AllHeld, "all-held"},
         {ChoiceReason::GroupsClosed, "groups-closed"},
+        {ChoiceReason::AllHeld, "all-held"},
+        {ChoiceReason::AllFull, "all-full"},
     });
 }
 
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -1,6 +1,7 @@
 #include "traffic/servertable.h"
 
 #include "traffic/randomorder.h"
+#include "traffic/serverquery.h"
 
 #include <algorithm>
 #include <cmath>
@@ -96,78 +97,78 @@
     return m_slowdownFactors;
 }
 
-ServerChoice ServerTable::choose(const ServiceId &service,
-                                 const std::vector<BackendServerId> &tried,
-                                 const std::optional<StreamAdmission> &admission,
-                                 SteadyTime now,
-                                 Random &random) const
+ServerChoice ServerTable::choose(const ServerQuery &query, SteadyTime now, Random &random) const
 {
     ServerChoice choice;
-    const auto found = m_services.find(service);
+    const auto found = m_services.find(query.service);
     if (found == m_services.end()) {
         return choice;
     }
-    double best = std::numeric_limits<double>::max();
-    bool isBestAvoided = true;
-    bool sawFull = false;
-    bool sawClosed = false;
-    bool sawHeld = false;
+    Score best;
     std::size_t healthy = 0;
     internal::RandomOrder order(found->second.size(), random);
     while (healthy < m_options.sampledServers && !order.isDone()) {
         const auto &id = found->second[order.next()];
         const auto &entry = m_entries.at(id);
-        if (isLeaving(entry)) {
-            continue;
-        }
-        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
-            choice.reason = std::max(choice.reason, ChoiceReason::AllTried);
-            continue;
-        }
-        if (!isAvailable(entry)) {
-            sawClosed = true;
-            continue;
-        }
-        if (m_statements.heldUntil(entry.process) > now) {
-            sawHeld = true;
-            continue;
-        }
-        const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
-        const double load = loadOf(entry, now);
-        if (load >= maxCallsOf(entry, admission)) {
-            sawFull = true;
+        if (const auto obstacle = obstacleOf(entry, query, now)) {
+            if (!choice.hasServer()) {
+                choice.reason = std::max(choice.reason, *obstacle);
+            }
             continue;
         }
         ++choice.candidates;
-        const double failures = failuresOf(entry, now);
-        const auto slowdown = m_slowdownFactors.find(entry.key);
-        const double factor = slowdown == m_slowdownFactors.end() ? 1.0 : slowdown->second;
-        const bool isAvoided = failures >= m_options.failureThreshold || factor >= m_options.slownessThreshold;
-        healthy += isAvoided ? 0 : 1;
-        const double calls = load + 1 + failures * m_options.failurePenaltyCalls;
-        const double score = calls * factor / slots;
-        if (std::pair(isAvoided, score) < std::pair(isBestAvoided, best)) {
+        const auto score = scoreOf(entry, now);
+        healthy += score.isAvoided ? 0 : 1;
+        if (score < best) {
             best = score;
-            isBestAvoided = isAvoided;
             choice.server = id;
-            choice.load = load / slots;
+            choice.load = loadOf(entry, now) / slotsOf(entry);
+            choice.reason = score.isAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
         }
     }
-    if (choice.hasServer()) {
-        choice.reason = isBestAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
-    } else if (sawFull) {
-        choice.reason = ChoiceReason::AllFull;
-    } else if (sawHeld) {
-        choice.reason = ChoiceReason::AllHeld;
-    } else if (sawClosed) {
-        choice.reason = ChoiceReason::GroupsClosed;
-    }
     return choice;
 }
 
+std::optional<ChoiceReason> ServerTable::obstacleOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const
+{
+    if (isLeaving(entry)) {
+        return ChoiceReason::NoServer;
+    }
+    if (std::find(query.tried.begin(), query.tried.end(), entry.server.id) != query.tried.end()) {
+        return ChoiceReason::AllTried;
+    }
+    if (!isAvailable(entry)) {
+        return ChoiceReason::GroupsClosed;
+    }
+    if (m_statements.heldUntil(entry.process) > now) {
+        return ChoiceReason::AllHeld;
+    }
+    if (loadOf(entry, now) >= maxCallsOf(entry, query.admission)) {
+        return ChoiceReason::AllFull;
+    }
+    return std::nullopt;
+}
+
+ServerTable::Score ServerTable::scoreOf(const Entry &entry, SteadyTime now) const
+{
+    const double failures = failuresOf(entry, now);
+    const auto slowdown = m_slowdownFactors.find(entry.key);
+    const double factor = slowdown == m_slowdownFactors.end() ? 1.0 : slowdown->second;
+    const double calls = loadOf(entry, now) + 1 + failures * m_options.failurePenaltyCalls;
+    Score score;
+    score.isAvoided = failures >= m_options.failureThreshold || factor >= m_options.slownessThreshold;
+    score.callsPerSlot = calls * factor / slotsOf(entry);
+    return score;
+}
+
+double ServerTable::slotsOf(const Entry &entry)
+{
+    return std::max<std::uint32_t>(entry.server.slots, 1);
+}
+
 double ServerTable::maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const
 {
-    const double slots = std::max<std::uint32_t>(entry.server.slots, 1);
+    const double slots = slotsOf(entry);
     const auto &groupMembership = entry.server.groupMembership;
     if (!groupMembership) {
         return slots * (1 + m_options.queuedCallsPerSlot);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -14,7 +14,9 @@
 #include "traffic/slowstepdetector.h"
 #include "traffic/streamadmission.h"
 
+#include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -24,6 +26,8 @@
 namespace Cardamomhill
 {
 
+struct ServerQuery;
+
 /// Constants of ServerTable.
 struct ServerTableOptions {
     /// Calls that may wait at a server for each of its slots. If all servers have that many, new calls are refused.
@@ -94,13 +98,8 @@
     /// Whether any server of the service can take calls, now or at the end of its hold.
     bool canServe(const ServiceId &service) const;
 
-    /// Chooses the least loaded of a random sample of the servers of a service, without those that were tried.
-    /// @param admission limits the queues of engines further; nothing if only their number of calls is limited
-    ServerChoice choose(const ServiceId &service,
-                        const std::vector<BackendServerId> &tried,
-                        const std::optional<StreamAdmission> &admission,
-                        SteadyTime now,
-                        Random &random) const;
+    /// Chooses the least loaded of a random sample of the servers that can take a call.
+    ServerChoice choose(const ServerQuery &query, SteadyTime now, Random &random) const;
 
     /// The id of the server with this key, or the key as a number if there is none.
     std::string nameOf(ServerKey key) const;
@@ -151,6 +150,20 @@
         std::uint32_t countedWhenStated = 0;
     };
 
+    /// How well a server suits a call; the smallest is best.
+    struct Score {
+        /// Failed recently or is slow: chosen only as a last resort.
+        bool isAvoided = true;
+        double callsPerSlot = std::numeric_limits<double>::max();
+
+        auto operator<=>(const Score &) const = default;
+    };
+
+    /// Why a call cannot be sent to the server now, or nothing if it can. If no server can take it, the reason that
+    /// comes last in ChoiceReason is the one that is reported.
+    std::optional<ChoiceReason> obstacleOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const;
+    Score scoreOf(const Entry &entry, SteadyTime now) const;
+    static double slotsOf(const Entry &entry);
     bool isAvailable(const Entry &entry) const;
     /// Whether the registration or the server itself says so.
     bool isLeaving(const Entry &entry) const;
--- a/tests/servertabletest.cpp
+++ b/tests/servertabletest.cpp
@@ -1,4 +1,5 @@
 #include "traffic/servertable.h"
+#include "traffic/serverquery.h"
 
 #include <doctest/doctest.h>
 
@@ -34,7 +35,7 @@
     Random random(seed);
     std::map<std::string, int> counts;
     for (int i = 0; i < calls; ++i) {
-        const auto choice = table.choose(Service, {}, {}, Start, random);
+        const auto choice = table.choose({Service, {}, {}}, Start, random);
         if (choice.hasServer()) {
             table.recordCallStarted(choice.server);
             ++counts[choice.server.value()];
@@ -67,7 +68,7 @@
     // 4 slots with 0.6 waiting calls each.
     CHECK(choices(table, 20)["a"] == 7);
     Random random(1);
-    CHECK(table.choose(Service, {}, {}, Start, random).reason == ChoiceReason::AllFull);
+    CHECK(table.choose({Service, {}, {}}, Start, random).reason == ChoiceReason::AllFull);
 }
 
 TEST_CASE("a failing server is avoided until its failures have decayed")
@@ -79,11 +80,11 @@
         table.recordCallEnded(BackendServerId("a"), AttemptEnd::Broken, Start);
     }
     Random random(1);
-    CHECK(table.choose(Service, {}, {}, Start, random).server == BackendServerId("b"));
-    const auto last = table.choose(Service, {BackendServerId("b")}, {}, Start, random);
+    CHECK(table.choose({Service, {}, {}}, Start, random).server == BackendServerId("b"));
+    const auto last = table.choose({Service, {BackendServerId("b")}, {}}, Start, random);
     CHECK(last.server == BackendServerId("a"));
     CHECK(last.reason == ChoiceReason::LastResort);
-    CHECK(table.choose(Service, {BackendServerId("b")}, {}, Start + Seconds(20), random).reason
+    CHECK(table.choose({Service, {BackendServerId("b")}, {}}, Start + Seconds(20), random).reason
           == ChoiceReason::LeastLoaded);
 }
 
@@ -98,7 +99,7 @@
     table.recordCallEnded(replaced.id, AttemptEnd::OtherInstance, Start);
     Random random(1);
     CHECK_FALSE(table.isAvailable(replaced.id));
-    CHECK_FALSE(table.choose(Service, {}, {}, Start + Seconds(60), random).hasServer());
+    CHECK_FALSE(table.choose({Service, {}, {}}, Start + Seconds(60), random).hasServer());
 
     // A change of the slots, or of anything but start time and address, does not make it a new instance.
     replaced.slots = 5;
@@ -143,7 +144,7 @@
     table.apply({{leaving, closed, server("c", "d1", "g2"), server("d", "d2", "g2")}, {}});
     table.setUnreachable({FailureDomainId("d2")}, Start);
     Random random(1);
-    CHECK(table.choose(Service, {}, {}, Start, random).reason == ChoiceReason::GroupsClosed);
+    CHECK(table.choose({Service, {}, {}}, Start, random).reason == ChoiceReason::GroupsClosed);
     CHECK_FALSE(table.canServe(Service));
     CHECK_FALSE(table.isAvailable(BackendServerId("c")));
     table.setUnreachable({}, Start);
@@ -194,7 +195,7 @@
     for (int round = 0; round < Rounds; ++round) {
         std::set<std::string> distinct;
         for (int i = 0; i < Hosts; ++i) {
-            distinct.insert(table.choose(Service, {}, {}, Start, random).server.value());
+            distinct.insert(table.choose({Service, {}, {}}, Start, random).server.value());
         }
         chosen += distinct.size();
     }
@@ -253,7 +254,7 @@
     CHECK_FALSE(table.recordLeaving(process, Start));
     const auto takesCalls = [&table](SteadyTime now) {
         Random random(1);
-        return table.choose(Service, {}, {}, now, random).hasServer();
+        return table.choose({Service, {}, {}}, now, random).hasServer();
     };
     CHECK_FALSE(takesCalls(Start));
     CHECK_FALSE(table.canServe(Service));
@@ -325,7 +326,7 @@
     table.apply({{held, server("b")}, {}});
     const auto isChosen = [&table](SteadyTime now) {
         Random random(1);
-        return table.choose(Service, {BackendServerId("b")}, {}, now, random).hasServer();
+        return table.choose({Service, {BackendServerId("b")}, {}}, now, random).hasServer();
     };
     CHECK(table.recordHold(process, Seconds(2), Start));
     CHECK_FALSE(isChosen(Start));
@@ -386,8 +387,8 @@
     CHECK_FALSE(table.heldUntil(Service, Start + Seconds(2)).has_value());
     CHECK_FALSE(table.heldUntil(ServiceId("none"), Start).has_value());
     Random random(1);
-    const auto choice = table.choose(Service, {}, {}, Start, random);
+    const auto choice = table.choose({Service, {}, {}}, Start, random);
     CHECK_FALSE(choice.hasServer());
     CHECK(choice.reason == ChoiceReason::AllHeld);
-    CHECK(table.choose(Service, {}, {}, Start + Seconds(2), random).server == b.id);
+    CHECK(table.choose({Service, {}, {}}, Start + Seconds(2), random).server == b.id);
 }
--- a/tests/support/spreadsimulation.h
+++ b/tests/support/spreadsimulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "traffic/serverquery.h"
 #include "traffic/servertable.h"
 
 #include <algorithm>
@@ -130,7 +131,7 @@
         const std::size_t host = m_random() % m_workload.hosts;
         const bool isMeasured = m_now >= m_measureFrom;
         m_result.calls += isMeasured ? 1 : 0;
-        const auto choice = m_tables[host].choose(ServiceId("service"), {}, {}, m_now, m_random);
+        const auto choice = m_tables[host].choose({ServiceId("service"), {}, {}}, m_now, m_random);
         if (!choice.hasServer()) {
             m_result.refused += isMeasured ? 1 : 0;
             return;
