Admit streams by urgency where the routes of an engine service differ in priority

Priorities of routes and organisations were read and used by nothing; whoever came first took the last slot, and the urgent waited in the queues of the engines behind all others. Calls that can be in time now wait at the host in order of urgency, less urgent ones leave room, a call that cannot get room in its time is refused at once, and the engine gets the rank. ServerSelection takes the choice of an attempt's server from CallHandler. Without differing priorities nothing changes.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -245,6 +245,9 @@
     call.organisation = m_state.organisation;
     call.remainingTime = remainingTime();
     call.lastEventId = m_state.lastEventId;
+    if (m_state.query.admission && m_state.query.admission->group) {
+        call.priority = m_state.query.admission->group->rank();
+    }
     m_thread.codec().prepareForServer(request, call);
     auto started = co_await m_connection->start(std::move(request), remainingTime());
     started = co_await skipForeignAnswers(std::move(started));
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -36,7 +36,8 @@
               {"attempt", state.query.tried.size() + 1},
               {"left_ms", state.remainingTime(steadyNow()).count()},
               {"after_event", state.lastEventId},
-              {"elapsed_ms", elapsedSince(state.startedAt).count()}});
+              {"elapsed_ms", elapsedSince(state.startedAt).count()},
+              {"urgency", state.urgency ? state.urgency->admissionRank() : 0}});
     state.query.tried.push_back(choice.server);
     thread.servers().recordCallStarted(choice.server);
 }
--- a/src/gateway/callcodec.h
+++ b/src/gateway/callcodec.h
@@ -9,6 +9,7 @@
 #include "traffic/answerhead.h"
 #include "traffic/callhead.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -23,6 +24,8 @@
     OrganisationId organisation;
     /// Time until the call's deadline.
     Milliseconds remainingTime{0};
+    /// How urgent the call is, 0 first; nothing if all calls to the service are equally urgent.
+    std::optional<std::uint32_t> priority;
     /// The stream resumes after the event with this id; empty for the whole stream.
     std::string lastEventId;
 };
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -4,6 +4,7 @@
 #include "gateway/attemptrecord.h"
 #include "gateway/callcodec.h"
 #include "gateway/gatewaythread.h"
+#include "gateway/serverselection.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
 #include "net/httpexchange.h"
@@ -30,14 +31,17 @@
 constexpr Milliseconds StartRetryAfter{500};
 /// Time in which full servers work through their backlog.
 constexpr Milliseconds FullRetryAfter{1000};
+/// The same for the most urgent calls where urgency differs; others return after as many times as long, so that the
+/// most urgent return first.
+constexpr Milliseconds RankedRetryAfter{500};
 /// Time in which other servers become known.
 constexpr Milliseconds NoServerRetryAfter{1000};
 /// A group that lost a rank abandons its steps after one or two seconds and is then formed again.
 constexpr Milliseconds GroupRetryAfter{2000};
 /// The other hosts can take the calls of one that stops at once.
 constexpr Milliseconds StoppingRetryAfter{0};
-/// How often a call that waits looks whether it can be sent.
-constexpr Milliseconds QueueCheckPeriod{10};
+/// A call that its servers refused only after this time was at a group that stands still.
+constexpr Milliseconds StalledRefusal{1000};
 /// Largest random fraction by which Retry-After is lengthened, so that callers refused at the same time do not retry at
 /// the same time.
 constexpr double RetryAfterJitter = 1.0;
@@ -154,6 +158,7 @@
         return Problem{ProblemKind::TokenInvalid, StatusUnauthorized, "not-sent", "no organisation has this key", {}};
     }
     m_state.query.service = chooseService(*m_state.route, m_thread.random());
+    m_state.urgency = configuration.urgency(m_state.query.service, *m_state.route, owner);
     m_state.lastEventId = m_state.head.lastEventId;
     m_state.request = m_exchange.takeRequest();
     auto limit = m_state.route->timeout;
@@ -177,7 +182,7 @@
     m_thread.retryBudget(m_state.query.service).recordFirstAttempt(steadyNow());
     m_state.query.admission = streamAdmission();
     while (true) {
-        const auto choice = co_await chooseServer();
+        const auto choice = co_await ServerSelection(m_thread, m_state).choose();
         if (m_state.isCallerGone) {
             recordOutcome(nameOf(AttemptEnd::CallerGone));
             co_return;
@@ -203,43 +208,18 @@
             co_await answerFailure();
             co_return;
         }
-    }
-}
-
-Task<ServerChoice> CallHandler::chooseServer()
-{
-    asio::steady_timer timer(m_thread.context());
-    SystemError error;
-    while (true) {
-        const auto now = steadyNow();
-        auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
-        if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, now)) {
-            co_return choice;
+        if (m_state.query.admission && m_state.query.admission->group) {
+            m_state.query.admission->group->isRepeated = true;
         }
-        timer.expires_after(QueueCheckPeriod);
-        co_await timer.async_wait(storeError(error));
-    }
-}
-
-bool CallHandler::shouldWait(const ServerChoice &choice, SteadyTime now) const
-{
-    const auto &admission = m_state.query.admission;
-    if (!admission) {
-        return false;
-    }
-    const auto &servers = m_thread.servers();
-    const auto waited = std::chrono::duration_cast<Microseconds>(now - m_state.startedAt);
-    if (choice.hasServer()) {
-        return m_state.attempts.count() == 0 && admission->shouldWait(servers.currentStep(choice.server, now), waited);
     }
-    return choice.reason == ChoiceReason::GroupsClosed && servers.isForming(m_state.query.service, now)
-        && waited < admission->firstEventLimit;
 }
 
 std::optional<StreamAdmission> CallHandler::streamAdmission() const
 {
     const auto *service = m_state.configuration->service(m_state.query.service);
-    return service == nullptr || !service->engine ? std::nullopt : streamAdmissionFor(*m_state.route, *service->engine);
+    return service == nullptr || !service->engine
+        ? std::nullopt
+        : streamAdmissionFor(*m_state.route, *service->engine, m_state.urgency);
 }
 
 Task<AttemptEnd> CallHandler::runAttempt(const ServerChoice &choice)
@@ -336,10 +316,23 @@
     const bool isOverloaded = choice.reason == ChoiceReason::AllFull || choice.reason == ChoiceReason::AllHeld;
     const auto kind = isOverloaded ? ProblemKind::Overloaded : ProblemKind::NoBackendServer;
     Problem problem{kind, StatusUnavailable, "not-sent", std::string(nameOf(choice.reason)), {}};
-    problem.retryAfter = m_thread.addJitter(timeUntilServed(retryAfterOf(choice.reason)), RetryAfterJitter);
+    problem.retryAfter = m_thread.addJitter(timeUntilServed(usualRetryAfter(choice.reason)), RetryAfterJitter);
     co_await refuse(std::move(problem));
 }
 
+Milliseconds CallHandler::usualRetryAfter(ChoiceReason reason) const
+{
+    const auto &admission = m_state.query.admission;
+    const bool isRanked = reason == ChoiceReason::AllFull && admission && admission->group;
+    return isRanked ? RankedRetryAfter * (1 + admission->group->rank()) : retryAfterOf(reason);
+}
+
+Milliseconds CallHandler::retryAfterNotRun() const
+{
+    const bool wasStalled = m_state.urgency && steadyNow() - m_state.startedAt >= StalledRefusal;
+    return wasStalled ? GroupRetryAfter : usualRetryAfter(ChoiceReason::AllFull);
+}
+
 Task<> CallHandler::answerFailure()
 {
     if (m_state.hasAnswerBegun) {
@@ -361,7 +354,7 @@
         Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
         problem.retryAfter = m_state.isEndedEarly
             ? StoppingRetryAfter
-            : m_thread.addJitter(timeUntilServed(FullRetryAfter), RetryAfterJitter);
+            : m_thread.addJitter(timeUntilServed(retryAfterNotRun()), RetryAfterJitter);
         co_await refuse(std::move(problem));
         co_return;
     }
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -36,9 +36,9 @@
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
     Task<> sendToServers();
-    /// Chooses a server. A stream waits while its group is being formed or makes slow steps.
-    Task<ServerChoice> chooseServer();
-    bool shouldWait(const ServerChoice &choice, SteadyTime now) const;
+    Milliseconds usualRetryAfter(ChoiceReason reason) const;
+    /// For a call that servers refused.
+    Milliseconds retryAfterNotRun() const;
     std::optional<StreamAdmission> streamAdmission() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     /// Waits for attempts that continue the stream of one that has ended. Returns how the last one ended that could
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -36,6 +36,8 @@
     /// The service, the servers that were tried, and the limit of the queues in which a new stream may wait.
     ServerQuery query;
     OrganisationId organisation;
+    /// Nothing if all routes of the service are equally urgent.
+    std::optional<Urgency> urgency;
     SteadyTime startedAt{};
     SteadyTime deadline{};
     AttemptHistory attempts;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -400,6 +400,21 @@
     return m_retryBudgets.emplace(service, RetryBudget(options, m_retrySlackFrom)).first->second;
 }
 
+CallQueue &GatewayThread::callQueue(const ServiceId &service)
+{
+    return m_callQueues[service];
+}
+
+AdmissionPacer &GatewayThread::admissionPacer(const ServiceId &service)
+{
+    return m_admissionPacers[service];
+}
+
+std::size_t GatewayThread::liveHostCount() const
+{
+    return m_liveHostCount;
+}
+
 double GatewayThread::retrySlackShare() const
 {
     return RetrySlackFraction * m_settings.retrySlack / m_maxHostCount;
@@ -408,7 +423,8 @@
 void GatewayThread::updateHostCount()
 {
     // Hosts on the other side of a network partition go on using their share, so the number never decreases.
-    m_maxHostCount = std::max(m_maxHostCount, static_cast<std::uint32_t>(m_peerExchange.hostCount()));
+    m_liveHostCount = m_peerExchange.hostCount();
+    m_maxHostCount = std::max(m_maxHostCount, static_cast<std::uint32_t>(m_liveHostCount));
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setSlack(retrySlackShare());
     }
@@ -422,6 +438,11 @@
     }
     m_metrics.gauge("retries_left").set(retriesLeft);
     m_metrics.gauge("calls_in_progress").set(static_cast<std::int64_t>(m_callCount.load()));
+    std::size_t waiting = 0;
+    for (const auto &[service, queue] : m_callQueues) {
+        waiting += queue.size();
+    }
+    m_metrics.gauge("calls_waiting").set(static_cast<std::int64_t>(waiting));
     m_metrics.gauge("attempts_in_progress").set(static_cast<std::int64_t>(m_attempts.size()));
     m_metrics.gauge("kept_connections").set(static_cast<std::int64_t>(m_connectionPool.size()));
     m_metrics.gauge("hosts_heard").set(static_cast<std::int64_t>(m_peerExchange.hostCount()));
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -13,6 +13,8 @@
 #include "net/httpserver.h"
 #include "net/neterror.h"
 #include "routing/retrybudget.h"
+#include "traffic/admissionpacer.h"
+#include "traffic/callqueue.h"
 #include "traffic/reachability.h"
 #include "traffic/serverprocess.h"
 #include "traffic/servertable.h"
@@ -132,6 +134,11 @@
     BackendConnectionPool &connectionPool();
     Random &random();
     RetryBudget &retryBudget(const ServiceId &service);
+    /// The calls to a service that wait for room.
+    CallQueue &callQueue(const ServiceId &service);
+    AdmissionPacer &admissionPacer(const ServiceId &service);
+    /// Entry hosts that are alive, with this one.
+    std::size_t liveHostCount() const;
     PromptGuard &promptGuard();
 
     /// Time since this process started.
@@ -163,6 +170,7 @@
     Observers m_observers;
     // Before the context, whose destructor ends the calls that still run when the time of a stop is over.
     std::unordered_set<Attempt *> m_attempts;
+    std::unordered_map<ServiceId, CallQueue> m_callQueues;
     /// The calls in progress.
     std::unordered_set<CallHandler *> m_calls;
     /// The number of calls in progress, for other threads.
@@ -182,6 +190,8 @@
     StopSummary m_stopSummary;
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
+    std::unordered_map<ServiceId, AdmissionPacer> m_admissionPacers;
+    std::size_t m_liveHostCount = 1;
 };
 
 } // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/serverselection.cpp
@@ -0,0 +1,159 @@
+#include "gateway/serverselection.h"
+
+#include "gateway/callstate.h"
+#include "gateway/gatewaythread.h"
+#include "net/steadynow.h"
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// A call whose caller states less than this fraction of the route's timeout has been refused before.
+constexpr double ReturningFraction = 0.9;
+/// Fraction of the time that a caller waits for a first event after which a call without room is refused. Callers that
+/// are refused early can turn to something else; a late refusal has cost them their time as well.
+constexpr double MaxWaitFraction = 0.6;
+/// How often a call that waits looks whether it can be sent.
+constexpr Milliseconds QueueCheckPeriod{10};
+
+/// The place of a call in the queue of its service while it waits.
+class QueuePlace
+{
+public:
+    QueuePlace(CallQueue &queue, const WaitingCall &call)
+        : m_queue(queue)
+        , m_ticket(queue.add(call))
+    {
+    }
+
+    ~QueuePlace()
+    {
+        m_queue.remove(m_ticket);
+    }
+
+    QueuePlace(const QueuePlace &) = delete;
+    QueuePlace &operator=(const QueuePlace &) = delete;
+
+    bool isNext(SteadyTime now) const
+    {
+        return m_queue.isNext(m_ticket, now);
+    }
+
+    bool canBeServed(SteadyTime now) const
+    {
+        return m_queue.canBeServed(m_ticket, now);
+    }
+
+    void recordSent(SteadyTime now) const
+    {
+        m_queue.recordSent(now);
+    }
+
+private:
+    CallQueue &m_queue;
+    CallQueue::Ticket m_ticket;
+};
+
+} // namespace
+
+ServerSelection::ServerSelection(GatewayThread &thread, const CallState &state)
+    : m_thread(thread)
+    , m_state(state)
+{
+}
+
+Task<ServerChoice> ServerSelection::choose()
+{
+    const auto &admission = m_state.query.admission;
+    if (admission && admission->group) {
+        co_return co_await chooseByUrgency();
+    }
+    asio::steady_timer timer(m_thread.context());
+    SystemError error;
+    while (true) {
+        const auto now = steadyNow();
+        auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
+        if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, now)) {
+            co_return choice;
+        }
+        timer.expires_after(QueueCheckPeriod);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+Task<ServerChoice> ServerSelection::chooseByUrgency()
+{
+    const auto waiting = waitingCall();
+    const QueuePlace place(m_thread.callQueue(m_state.query.service), waiting);
+    asio::steady_timer timer(m_thread.context());
+    SystemError error;
+    while (true) {
+        const auto now = steadyNow();
+        ServerChoice choice{ChoiceReason::AllFull, {}, 0, 0};
+        if (place.isNext(now)) {
+            choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
+        }
+        if (error || m_state.isCallerGone || m_state.isEndedEarly) {
+            co_return choice;
+        }
+        if (isAdmitted(choice, now)) {
+            place.recordSent(now);
+            co_return choice;
+        }
+        if (choice.hasServer()) {
+            choice = {ChoiceReason::AllFull, {}, 0, 0};
+        }
+        const bool mayGetRoom = choice.reason == ChoiceReason::AllFull
+            || (choice.reason == ChoiceReason::GroupsClosed
+                && m_thread.servers().isForming(m_state.query.service, now));
+        if (!mayGetRoom || now >= CallQueue::waitLimit(waiting) || !place.canBeServed(now)) {
+            co_return choice;
+        }
+        timer.expires_after(QueueCheckPeriod);
+        co_await timer.async_wait(storeError(error));
+    }
+}
+
+bool ServerSelection::isAdmitted(const ServerChoice &choice, SteadyTime now)
+{
+    if (!choice.hasServer() || shouldWait(choice, now)) {
+        return false;
+    }
+    const auto room = m_thread.servers().groupRoom(choice.server, m_state.query, now);
+    return !room || m_state.query.admission->group->rank() == 0
+        || m_thread.admissionPacer(m_state.query.service)
+               .tryAdmit(room->calls, room->engines, m_thread.liveHostCount(), now);
+}
+
+WaitingCall ServerSelection::waitingCall() const
+{
+    const auto &admission = *m_state.query.admission;
+    const auto toFirstEvent = admission.timeToFirstEvent(m_thread.servers().meanStep(m_state.query.service));
+    const auto &remaining = m_state.head.remainingTime;
+    WaitingCall call;
+    call.urgency = admission.group->urgency;
+    call.inTimeUntil = m_state.startedAt + admission.latencyObjective - toFirstEvent;
+    call.servableUntil = m_state.startedAt
+        + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * MaxWaitFraction) - toFirstEvent;
+    call.isReturning = remaining && *remaining < ReturningFraction * m_state.route->timeout;
+    return call;
+}
+
+bool ServerSelection::shouldWait(const ServerChoice &choice, SteadyTime now) const
+{
+    const auto &admission = m_state.query.admission;
+    if (!admission) {
+        return false;
+    }
+    const auto &servers = m_thread.servers();
+    const auto waited = std::chrono::duration_cast<Microseconds>(now - m_state.startedAt);
+    if (choice.hasServer()) {
+        return m_state.attempts.count() == 0 && admission->shouldWait(servers.currentStep(choice.server, now), waited);
+    }
+    return choice.reason == ChoiceReason::GroupsClosed && servers.isForming(m_state.query.service, now)
+        && waited < admission->firstEventLimit;
+}
+
+} // namespace Cardamomhill
--- /dev/null
+++ b/src/gateway/serverselection.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/clocktypes.h"
+#include "net/asio.h"
+#include "traffic/serverchoice.h"
+#include "traffic/waitingcall.h"
+
+namespace Cardamomhill
+{
+
+class GatewayThread;
+struct CallState;
+
+/// Chooses the server of an attempt. A stream waits while its group is being formed or makes slow steps, and for room
+/// where the routes of its service differ in urgency.
+class ServerSelection
+{
+public:
+    ServerSelection(GatewayThread &thread, const CallState &state);
+
+    /// Ends early if the caller has gone or the process ends.
+    Task<ServerChoice> choose();
+
+private:
+    Task<ServerChoice> chooseByUrgency();
+    bool shouldWait(const ServerChoice &choice, SteadyTime now) const;
+    /// Whether a stream may be sent to the chosen server now, by the steps and the room of its group.
+    bool isAdmitted(const ServerChoice &choice, SteadyTime now);
+    WaitingCall waitingCall() const;
+
+    GatewayThread &m_thread;
+    const CallState &m_state;
+};
+
+} // namespace Cardamomhill
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -104,13 +104,21 @@
     if (found == m_services.end()) {
         return choice;
     }
+    const auto rooms = groupRooms(query, now);
     Score best;
     std::size_t healthy = 0;
     internal::RandomOrder order(found->second.size(), random);
     while (healthy < m_options.sampledServers && !order.isDone()) {
         const auto &id = found->second[order.next()];
         const auto &entry = m_entries.at(id);
-        if (const auto obstacle = obstacleOf(entry, query, now)) {
+        auto obstacle = obstacleOf(entry, query, now);
+        const auto room = obstacle || rooms.empty() || !entry.server.groupMembership
+            ? rooms.end()
+            : rooms.find(entry.server.groupMembership->group);
+        if (room != rooms.end() && room->second.calls <= 0) {
+            obstacle = ChoiceReason::AllFull;
+        }
+        if (obstacle) {
             if (!choice.hasServer()) {
                 choice.reason = std::max(choice.reason, *obstacle);
             }
@@ -161,6 +169,74 @@
     return score;
 }
 
+std::unordered_map<GroupId, GroupRoom> ServerTable::groupRooms(const ServerQuery &query, SteadyTime now) const
+{
+    std::unordered_map<GroupId, GroupRoom> rooms;
+    const auto found = m_services.find(query.service);
+    if (!query.admission || !query.admission->group || found == m_services.end()) {
+        return rooms;
+    }
+    double slots = 0;
+    for (const auto &id : found->second) {
+        const auto &entry = m_entries.at(id);
+        if (const auto &groupMembership = entry.server.groupMembership) {
+            auto &room = rooms[groupMembership->group];
+            room.calls -= loadOf(entry, now);
+            ++room.engines;
+            slots = slotsOf(entry);
+        }
+    }
+    for (auto &[group, room] : rooms) {
+        const auto activity = m_groupActivity.find(group);
+        const auto &admission = *query.admission;
+        const double limit = activity == m_groupActivity.end()
+            ? slots
+            : activity->second.concurrency.streamsPerEngine(
+                admission.group->stepTime, admission.pauseObjective, slots, now);
+        room.calls += admission.group->streamsPerEngine(limit, slots) * static_cast<double>(room.engines);
+    }
+    return rooms;
+}
+
+std::optional<GroupRoom>
+ServerTable::groupRoom(const BackendServerId &id, const ServerQuery &query, SteadyTime now) const
+{
+    const auto *found = server(id);
+    if (found == nullptr || !found->groupMembership) {
+        return std::nullopt;
+    }
+    const auto rooms = groupRooms(query, now);
+    const auto room = rooms.find(found->groupMembership->group);
+    return room == rooms.end() ? std::nullopt : std::optional(room->second);
+}
+
+Microseconds ServerTable::meanStep(const ServiceId &service) const
+{
+    const auto found = m_services.find(service);
+    Microseconds longest{0};
+    if (found != m_services.end()) {
+        for (const auto &id : found->second) {
+            const auto *activity = activityOf(m_entries.at(id).server);
+            longest = std::max(longest, activity == nullptr ? Microseconds(0) : activity->slowSteps.meanDuration());
+        }
+    }
+    return longest;
+}
+
+double ServerTable::meanRunningStreams(const GroupId &group, const ServiceId &service, SteadyTime now) const
+{
+    double running = 0;
+    double engines = 0;
+    for (const auto &id : m_services.at(service)) {
+        const auto &entry = m_entries.at(id);
+        if (entry.server.groupMembership && entry.server.groupMembership->group == group) {
+            running += std::min(loadOf(entry, now), slotsOf(entry));
+            ++engines;
+        }
+    }
+    return engines == 0 ? 0 : running / engines;
+}
+
 double ServerTable::slotsOf(const Entry &entry)
 {
     return std::max<std::uint32_t>(entry.server.slots, 1);
@@ -376,7 +452,14 @@
     }
     auto &activity = m_groupActivity[groupMembership->group];
     activity.receivedAt = now;
-    return activity.slowSteps.recordArrival(now) ? std::optional(groupMembership->group) : std::nullopt;
+    const auto steps = activity.slowSteps.stepCount();
+    const bool hasTurnedSlow = activity.slowSteps.recordArrival(now);
+    if (activity.slowSteps.stepCount() != steps && !found->second.isGone) {
+        const auto &group = groupMembership->group;
+        activity.concurrency.recordStep(
+            activity.slowSteps.lastDuration(), meanRunningStreams(group, found->second.server.service, now), now);
+    }
+    return hasTurnedSlow ? std::optional(groupMembership->group) : std::nullopt;
 }
 
 Microseconds ServerTable::currentStep(const BackendServerId &id, SteadyTime now) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -5,6 +5,8 @@
 #include "core/random.h"
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/concurrencylimit.h"
+#include "traffic/grouproom.h"
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
@@ -101,6 +103,12 @@
     /// Chooses the least loaded of a random sample of the servers that can take a call.
     ServerChoice choose(const ServerQuery &query, SteadyTime now, Random &random) const;
 
+    /// The room that the group of a server has for a call; nothing if the call's admission does not limit groups.
+    std::optional<GroupRoom> groupRoom(const BackendServerId &id, const ServerQuery &query, SteadyTime now) const;
+
+    /// Mean duration of the steps of a service's groups; 0 if none is known.
+    Microseconds meanStep(const ServiceId &service) const;
+
     /// The id of the server with this key, or the key as a number if there is none.
     std::string nameOf(ServerKey key) const;
 
@@ -163,6 +171,9 @@
     /// comes last in ChoiceReason is the one that is reported.
     std::optional<ChoiceReason> obstacleOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const;
     Score scoreOf(const Entry &entry, SteadyTime now) const;
+    /// The room in each group of the service for a call; empty if the call's admission does not limit groups.
+    std::unordered_map<GroupId, GroupRoom> groupRooms(const ServerQuery &query, SteadyTime now) const;
+    double meanRunningStreams(const GroupId &group, const ServiceId &service, SteadyTime now) const;
     static double slotsOf(const Entry &entry);
     bool isAvailable(const Entry &entry) const;
     /// Whether the registration or the server itself says so.
@@ -188,6 +199,7 @@
     struct GroupActivity {
         SteadyTime receivedAt{};
         SlowStepDetector slowSteps;
+        ConcurrencyLimit concurrency;
         /// The latest epoch of recordGroupOpened().
         std::uint64_t openedEpoch = 0;
     };
--- a/src/traffic/streamadmission.cpp
+++ b/src/traffic/streamadmission.cpp
@@ -44,16 +44,29 @@
     return currentStep > limit && waited + firstEventIn < latencyObjective;
 }
 
-std::optional<StreamAdmission> streamAdmissionFor(const Route &route, const EngineProfile &engine)
+Microseconds StreamAdmission::timeToFirstEvent(Microseconds step) const
+{
+    const auto usual = group ? group->stepTime.eventTime(0) : Microseconds(0);
+    return std::chrono::duration_cast<Microseconds>(std::max(step, usual) * StepsToFirstEvent);
+}
+
+std::optional<StreamAdmission>
+streamAdmissionFor(const Route &route, const EngineProfile &engine, std::optional<Urgency> urgency)
 {
     const bool isStream = route.kind == CallKind::Stream && route.latencyObjective > Milliseconds(0);
     if (!isStream || engine.meanAnswerTokens == 0 || engine.tokensPerStep == 0) {
         return std::nullopt;
     }
-    return StreamAdmission{streamTimeoutsFor(route).queueTimeout,
-                           static_cast<double>(engine.meanAnswerTokens) / engine.tokensPerStep,
-                           route.latencyObjective,
-                           route.pauseObjective};
+    StreamAdmission admission{streamTimeoutsFor(route).queueTimeout,
+                              static_cast<double>(engine.meanAnswerTokens) / engine.tokensPerStep,
+                              route.latencyObjective,
+                              route.pauseObjective,
+                              {}};
+    if (urgency && route.pauseObjective > Milliseconds(0) && engine.stepMsPerRequest > 0) {
+        admission.group
+            = GroupAdmission{*urgency, false, {engine.stepMs, engine.stepMsPerRequest, engine.tokensPerStep}};
+    }
+    return admission;
 }
 
 } // namespace Cardamomhill
--- a/src/traffic/streamadmission.h
+++ b/src/traffic/streamadmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clocktypes.h"
+#include "traffic/groupadmission.h"
 
 #include <optional>
 
@@ -23,6 +24,8 @@
     /// Objective of the route for the first event and for pauses; no pause objective if 0.
     Milliseconds latencyObjective{0};
     Milliseconds pauseObjective{0};
+    /// Set if the routes of the service differ in urgency.
+    std::optional<GroupAdmission> group;
 
     /// Number of calls in progress at an engine, with this one, up to which the first event is expected within the
     /// limit. At least the number of slots.
@@ -35,9 +38,15 @@
     /// until its own objective, in which the group finishes others or gets a better map.
     /// @param waited since the call arrived
     bool shouldWait(Microseconds currentStep, Microseconds waited) const;
+
+    /// Expected time from sending a stream to its first event if a slot is free.
+    /// @param step mean duration of a step of the engine; 0 if not known
+    Microseconds timeToFirstEvent(Microseconds step) const;
 };
 
 /// The limits for streams of a route. Nothing if the engine's profile is incomplete.
-std::optional<StreamAdmission> streamAdmissionFor(const Route &route, const EngineProfile &engine);
+/// @param urgency nothing if all routes of the service are equally urgent
+std::optional<StreamAdmission>
+streamAdmissionFor(const Route &route, const EngineProfile &engine, std::optional<Urgency> urgency = {});
 
 } // namespace Cardamomhill
--- a/src/traffic/trafficconfiguration.cpp
+++ b/src/traffic/trafficconfiguration.cpp
@@ -56,6 +56,26 @@
     return m_services;
 }
 
+std::optional<Urgency>
+TrafficConfiguration::urgency(const ServiceId &service, const Route &route, const ApiKeyOwner *owner) const
+{
+    const auto found = m_routePriorities.find(service);
+    if (found == m_routePriorities.end() || found->second.size() < 2) {
+        return std::nullopt;
+    }
+    const auto rankIn = [](const std::set<std::uint32_t> &priorities, std::uint32_t priority) {
+        return static_cast<std::uint32_t>(std::distance(priorities.begin(), priorities.lower_bound(priority)));
+    };
+    const auto organisationRanks = static_cast<std::uint32_t>(m_organisationPriorities.size());
+    Urgency urgency;
+    urgency.routeRank = rankIn(found->second, route.priority);
+    urgency.organisationRank
+        = owner != nullptr && owner->priority ? rankIn(m_organisationPriorities, *owner->priority) : organisationRanks;
+    urgency.lessUrgentOrganisations
+        = organisationRanks > urgency.organisationRank ? organisationRanks - 1 - urgency.organisationRank : 0;
+    return urgency;
+}
+
 bool TrafficConfiguration::needsKeys() const
 {
     return m_needsKeys;
@@ -88,6 +108,9 @@
 {
     auto &routes = m_configuration.m_routes;
     m_configuration.m_routeIndices[routeKey(route.hostName, route.pathPrefix)] = routes.size();
+    for (const auto &service : route.services) {
+        m_configuration.m_routePriorities[service.service].insert(route.priority);
+    }
     routes.push_back(std::move(route));
     return *this;
 }
@@ -107,6 +130,9 @@
 
 TrafficConfigurationBuilder &TrafficConfigurationBuilder::addKey(std::string key, ApiKeyOwner owner)
 {
+    if (owner.priority) {
+        m_configuration.m_organisationPriorities.insert(*owner.priority);
+    }
     m_configuration.m_apiKeyOwners[std::move(key)] = std::move(owner);
     return *this;
 }
