Limit the calls that all hosts send to a cold backend server

A backend server that has just started takes only a small rate of calls, but each host sent it calls as to any other server: least loaded, it was chosen first.

Each host now decides by itself, from the list of hosts in the store, whether it is one of up to four senders to a cold server, and keeps to a share of the limit in a sliding window. It takes effect only where the service has a rate and both settings are present.

--- a/src/control/hostdirectory.cpp
+++ b/src/control/hostdirectory.cpp
@@ -201,6 +201,7 @@
     }
     m_availability.onSuccess();
     std::vector<tcp::endpoint> hosts;
+    std::set<HostId> names;
     std::vector<BlockedPart> blockedParts;
     for (const auto &object : page.value().objects) {
         const auto value = parseJson(object.value);
@@ -208,6 +209,9 @@
         if (value.has_value()) {
             appendBlockedParts(value.value(), blockedParts);
         }
+        if (address) {
+            names.emplace(object.key.name);
+        }
         if (address && *address != m_address) {
             hosts.push_back(*address);
         }
@@ -217,6 +221,7 @@
         }
     }
     m_observers.onHosts(hosts);
+    m_observers.onHostNames(names);
     // Later ones come from the other hosts sooner.
     if (!m_hasListed && !blockedParts.empty()) {
         m_observers.onBlockedParts(blockedParts);
--- a/src/control/hostdirectory.h
+++ b/src/control/hostdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/platformclient.h"
+#include "core/identifiers.h"
 #include "core/random.h"
 #include "net/asio.h"
 #include "objectstore/storeavailability.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,9 @@
         std::function<void(bool isFirstProcess)> onRegistered = [](bool) {};
         /// Receives the parts of prompts that the registrations of hosts keep, if there are some in the first list.
         std::function<void(const std::vector<BlockedPart> &)> onBlockedParts = [](const auto &) {};
+        /// Receives the names of all registered hosts after each list and after onHosts. Unlike addresses, they also
+        /// tell hosts apart that listen at the unspecified address.
+        std::function<void(const std::set<HostId> &)> onHostNames = [](const auto &) {};
     };
 
     HostDirectory(asio::io_context &context,
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -72,8 +72,10 @@
     , m_state(state)
     , m_server(std::move(server))
     , m_role(role)
+    , m_begunAt(steadyNow())
     , m_ticket(role == AttemptRole::Only ? state.turn.begin() : state.turn.beginBeside())
 {
+    m_thread.servers().coldServers().recordStarted(m_server, m_begunAt);
 }
 
 Attempt::~Attempt()
@@ -112,6 +114,10 @@
         m_cause = "the server takes no calls now";
         co_return AttemptEnd::Withdrawn;
     }
+    if (!m_thread.servers().coldServers().recordSent(m_server, m_begunAt, steadyNow())) {
+        m_cause = "the server is cold and may get no call now";
+        co_return AttemptEnd::Withdrawn;
+    }
     m_lastArrival = steadyNow();
     m_thread.attempts().insert(this);
     const auto end = co_await sendRequest();
@@ -253,6 +259,7 @@
     }
     // A repeated answer to an earlier call states a time that began with the first copy.
     m_thread.recordHold(m_process, m_answer);
+    m_thread.recordColdRemaining(m_server, m_answer);
     recordArrival();
     m_hasHead = true;
     if (m_answer.load) {
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -101,6 +101,7 @@
     CallState &m_state;
     BackendServerId m_server;
     AttemptRole m_role;
+    SteadyTime m_begunAt;
     DeliveryTurn::Ticket m_ticket;
     /// The process that was registered when the attempt began to connect.
     ServerProcess m_process;
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -5,6 +5,7 @@
 #include "gateway/callstate.h"
 #include "gateway/gatewaythread.h"
 #include "logging/logging.h"
+#include "metrics/metricsregistry.h"
 #include "net/steadynow.h"
 #include "traffic/serverchoice.h"
 
@@ -39,6 +40,14 @@
               {"elapsed_ms", elapsedSince(state.startedAt).count()}});
     state.query.tried.push_back(choice.server);
     thread.servers().recordCallStarted(choice.server);
+    recordColdSkipped(thread, choice);
+}
+
+void recordColdSkipped(GatewayThread &thread, const ServerChoice &choice)
+{
+    if (choice.skippedCold > 0) {
+        thread.metrics().counter("choices_past_cold_servers_total").add();
+    }
 }
 
 void recordAttemptEnd(GatewayThread &thread, CallState &state, const Attempt &attempt, AttemptEnd end)
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -46,6 +46,7 @@
 {
     switch (reason) {
     case ChoiceReason::AllFull:
+    case ChoiceReason::AllCold:
         return FullRetryAfter;
     case ChoiceReason::GroupsClosed:
         return GroupRetryAfter;
@@ -333,7 +334,9 @@
         co_await answerFailure();
         co_return;
     }
-    const bool isOverloaded = choice.reason == ChoiceReason::AllFull || choice.reason == ChoiceReason::AllHeld;
+    const bool isOverloaded = choice.reason == ChoiceReason::AllFull || choice.reason == ChoiceReason::AllHeld
+        || choice.reason == ChoiceReason::AllCold;
+    recordColdSkipped(m_thread, choice);
     const auto kind = isOverloaded ? ProblemKind::Overloaded : ProblemKind::NoBackendServer;
     Problem problem{kind, StatusUnavailable, "not-sent", std::string(nameOf(choice.reason)), {}};
     problem.retryAfter = m_thread.addJitter(timeUntilServed(retryAfterOf(choice.reason)), RetryAfterJitter);
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -90,7 +90,9 @@
                                     [this, configuration] { m_trafficThread.applyConfiguration(configuration); });
                      },
                      [this](const ServerChanges &changes) {
-                         m_groupCoordinatorManager.applyServers(changes);
+                         if (changes.hasChangedServers()) {
+                             m_groupCoordinatorManager.applyServers(changes);
+                         }
                          asio::post(m_trafficThread.context(),
                                     [this, changes] { m_trafficThread.applyServers(changes); });
                      }})
@@ -111,6 +113,9 @@
                [this](const std::vector<BlockedPart> &parts) {
                    asio::post(m_trafficThread.context(),
                               [this, parts] { m_trafficThread.promptGuard().addBlockedParts(parts, "store"); });
+               },
+               [this](const std::set<HostId> &names) {
+                   asio::post(m_trafficThread.context(), [this, names] { m_trafficThread.setHostNames(names); });
                }})
         , m_operatorServer(m_context, m_metrics, {[this] { return isReady(); }, [this] { return status(); }})
     {
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -14,6 +14,8 @@
 constexpr double MaxRetryWindowSeconds = 3600;
 constexpr double MinLinkMegabitsPerSecond = 0.1;
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
+constexpr double MaxColdOvershoot = 1000;
+constexpr double MaxColdSlack = 1'000'000;
 
 } // namespace
 
@@ -37,6 +39,8 @@
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.linkMegabitsPerSecond = reader.decimal(
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
+    settings.coldOvershoot = reader.optionalDecimal("cold_overshoot", 0, MaxColdOvershoot);
+    settings.coldSlack = reader.optionalDecimal("cold_slack", 0, MaxColdSlack);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Cardamomhill
@@ -38,6 +39,10 @@
     bool coordinatesGroups = false;
     /// Bandwidth of this host's network link. The rate of orders to engines is limited by it.
     double linkMegabitsPerSecond = 1000;
+    /// All entry hosts together may send `coldOvershoot` times the rate of its service plus `coldSlack` calls to a cold
+    /// server in any second. Without both, calls to cold servers are not limited.
+    std::optional<double> coldOvershoot;
+    std::optional<double> coldSlack;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -80,7 +80,8 @@
                           applyGroupNotice(notice);
                           m_observers.onGroupNotice(notice);
                       },
-                      [this](const PromptNotice &notice) { m_promptGuard.processNotice(notice); }})
+                      [this](const PromptNotice &notice) { m_promptGuard.processNotice(notice); },
+                      [this](const HostId &host) { m_servers.coldServers().addHost(host, steadyNow()); }})
     , m_promptGuard(m_context,
                     settings.host.value(),
                     metrics,
@@ -103,6 +104,7 @@
                    m_observers.onDrained();
                }})
 {
+    m_servers.coldServers() = ColdServerLimit({settings.host, settings.coldOvershoot, settings.coldSlack});
 }
 
 GatewayThread::~GatewayThread() = default;
@@ -136,10 +138,15 @@
 {
     m_configuration = std::move(configuration);
     m_httpServer.setLimits(httpLimitsOf(m_configuration->limits()));
+    m_servers.coldServers().setServices(m_configuration->services());
 }
 
 void GatewayThread::applyServers(const ServerChanges &changes)
 {
+    m_servers.coldServers().apply(changes, steadyNow());
+    if (!changes.hasChangedServers()) {
+        return;
+    }
     for (const auto &server : changes.updated) {
         const auto *known = m_servers.server(server.id);
         if (known != nullptr && processOf(*known) != processOf(server)) {
@@ -176,6 +183,13 @@
     }
 }
 
+void GatewayThread::recordColdRemaining(const BackendServerId &server, const AnswerHead &answer)
+{
+    if (answer.coldRemaining && !answer.isOtherInstance) {
+        m_servers.coldServers().recordStated({server, *answer.coldRemaining}, steadyNow());
+    }
+}
+
 bool GatewayThread::mayReuseConnection(const ServerProcess &process) const
 {
     const auto *known = m_servers.server(process.id);
@@ -226,8 +240,18 @@
     m_peerExchange.setPeers(std::move(peers));
 }
 
+void GatewayThread::setHostNames(const std::set<HostId> &names)
+{
+    // A new host may send calls to cold servers before the next list shows it.
+    auto hosts = m_peerExchange.heardHosts();
+    hosts.insert(names.begin(), names.end());
+    m_servers.coldServers().setHosts(hosts, steadyNow());
+}
+
 void GatewayThread::setRegistered(bool isFirstProcess)
 {
+    // The other hosts need a moment to learn of a new host.
+    m_servers.coldServers().setRegistered(isFirstProcess ? steadyNow() : m_startedAt);
     m_retrySlackFrom = isFirstProcess ? m_startedAt : m_startedAt + m_settings.retryWindow;
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setSlackFrom(m_retrySlackFrom);
@@ -428,6 +452,27 @@
     m_metrics.gauge("unreachable_domains").set(static_cast<std::int64_t>(m_servers.unreachable().size()));
 }
 
+void GatewayThread::logColdServers()
+{
+    const auto now = steadyNow();
+    const auto changes = m_servers.coldServers().takeChanges(now);
+    for (const auto &change : changes) {
+        if (change.reason) {
+            logEvent(LogLevel::Info,
+                     "server-cold",
+                     {{"server", change.server.value()},
+                      {"reason", nameOf(*change.reason)},
+                      {"remaining_ms", change.remaining.count()},
+                      {"share", change.callShare}});
+        } else {
+            logEvent(LogLevel::Info, "server-warm", {{"server", change.server.value()}});
+        }
+    }
+    if (!changes.empty()) {
+        m_metrics.gauge("cold_servers").set(static_cast<std::int64_t>(m_servers.coldServers().coldCount(now)));
+    }
+}
+
 Milliseconds GatewayThread::uptime() const
 {
     return std::chrono::duration_cast<Milliseconds>(steadyNow() - m_startedAt);
@@ -453,6 +498,7 @@
         m_promptGuard.tick(m_peerExchange.hostCount());
         m_peerExchange.tick();
         checkReachability();
+        logColdServers();
         const auto now = steadyNow();
         for (auto *const attempt : m_attempts) {
             attempt->checkProgress(now);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -80,6 +80,8 @@
     /// Tells the other entry hosts about a group that this process coordinates.
     void sendGroupNotice(const GroupNotice &notice);
     void setPeers(const std::vector<tcp::endpoint> &hosts);
+    /// Sets the names of the hosts that the store lists, after setPeers().
+    void setHostNames(const std::set<HostId> &names);
     /// The store lists this host. Only then its share of the retry slack is granted: at once if no earlier process of
     /// the host can have spent it, else when this process is older than the window.
     void setRegistered(bool isFirstProcess);
@@ -107,6 +109,9 @@
     /// Records whether it stated in an answer that it wants no calls for a while.
     void recordHold(const ServerProcess &process, const AnswerHead &answer);
 
+    /// Records how much longer the server is cold, if it stated that in an answer.
+    void recordColdRemaining(const BackendServerId &server, const AnswerHead &answer);
+
     /// Whether connections to this process may be kept for later calls.
     bool mayReuseConnection(const ServerProcess &process) const;
 
@@ -151,6 +156,7 @@
     double retrySlackShare() const;
     void updateHostCount();
     void updateGauges();
+    void logColdServers();
     void applySlowdownFactors(const SlowdownFactors &slowdownFactors);
 
     const GatewaySettings &m_settings;
--- a/src/gateway/peerexchange.cpp
+++ b/src/gateway/peerexchange.cpp
@@ -175,6 +175,15 @@
     return m_exchange.hostCount(steadyNow());
 }
 
+std::set<HostId> PeerExchange::heardHosts() const
+{
+    std::set<HostId> hosts;
+    for (const auto &[name, address] : m_hostAddresses) {
+        hosts.emplace(name);
+    }
+    return hosts;
+}
+
 Task<> PeerExchange::receive()
 {
     while (m_socket.is_open()) {
@@ -194,6 +203,7 @@
             if (address != from) {
                 address = from;
                 addPeer(from);
+                m_observers.onNewHost(HostId(notice->host));
             }
             m_observers.onNotice(FailureDomainId(notice->failureDomain));
             m_hasNewNotices = true;
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -44,6 +44,8 @@
         std::function<void(const GroupNotice &)> onGroupNotice;
         /// Another host sent a notice about prompts. It may be a repetition.
         std::function<void(const PromptNotice &)> onPromptNotice;
+        /// The first notice was received from a host, or the first one from a new address.
+        std::function<void(const HostId &)> onNewHost;
     };
 
     PeerExchange(asio::io_context &context,
@@ -69,6 +71,8 @@
     void tick();
 
     std::size_t hostCount() const;
+    /// Hosts that sent notices and were responsive at the last setPeers().
+    std::set<HostId> heardHosts() const;
 
 private:
     /// Size of the receive buffer. A notice with calls at 100 servers has about 1 kB, one about prompts up to 14 kB.
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -94,6 +94,13 @@
     return number(key, defaultValue, min, max, accepted.str());
 }
 
+std::optional<double> SettingsReader::optionalDecimal(const std::string &key, double min, double max)
+{
+    const bool isPresent = find(key, false, "").IsDefined();
+    const double value = decimal(key, min, min, max);
+    return isPresent ? std::optional(value) : std::nullopt;
+}
+
 Milliseconds SettingsReader::drainGrace(Milliseconds defaultValue)
 {
     constexpr std::int64_t MaxDrainGraceMs = 60'000;
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -9,6 +9,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
     std::string text(const std::string &key);
     std::int64_t integer(const std::string &key, std::int64_t defaultValue, std::int64_t min, std::int64_t max);
     double decimal(const std::string &key, double defaultValue, double min, double max);
+    /// Returns nothing if the key is missing.
+    std::optional<double> optionalDecimal(const std::string &key, double min, double max);
     /// Reads a time in seconds, which may have a fraction.
     Milliseconds seconds(const std::string &key, Milliseconds defaultValue, double min, double max);
     /// Reads `drain_grace_ms`, a setting of all kinds of entry host.
--- a/src/traffic/answerhead.h
+++ b/src/traffic/answerhead.h
@@ -39,6 +39,8 @@
     std::optional<ServerStatedLoad> load;
     /// How long the server keeps an idle connection open.
     std::optional<Seconds> keepAlive;
+    /// How much longer the server is cold.
+    std::optional<Milliseconds> coldRemaining;
 
     /// For how long the server wants no calls from this host, if it turned this one away for that reason.
     std::optional<Milliseconds> holdTime() const
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -21,6 +21,8 @@
     GroupsClosed,
     /// All servers that could take the call have stated that they want no calls for a while.
     AllHeld,
+    /// All servers that could take the call are cold, and this host may not send calls to them now.
+    AllCold,
     /// No server has room: the slots and the allowed queues of the available ones are in use.
     AllFull,
 };
@@ -34,6 +36,7 @@
         {ChoiceReason::AllTried, "all-tried"},
         {ChoiceReason::GroupsClosed, "groups-closed"},
         {ChoiceReason::AllHeld, "all-held"},
+        {ChoiceReason::AllCold, "all-cold"},
         {ChoiceReason::AllFull, "all-full"},
     });
 }
--- a/src/traffic/discoveredserver.h
+++ b/src/traffic/discoveredserver.h
@@ -26,6 +26,8 @@
 
     /// Set for engines that run in a group.
     std::optional<GroupMembership> groupMembership;
+    /// How much longer the server is cold, at the time of the registration. Differs in each of them while it is cold.
+    Milliseconds coldRemaining{0};
 
     bool operator==(const DiscoveredServer &) const = default;
 };
--- a/src/traffic/serverchoice.h
+++ b/src/traffic/serverchoice.h
@@ -15,6 +15,8 @@
     double load = 0;
     /// Number of servers that were compared.
     std::size_t candidates = 0;
+    /// Servers that were skipped because they are cold and this host may not send calls to them now.
+    std::size_t skippedCold = 0;
 
     bool hasServer() const
     {
--- a/src/traffic/serverregistry.cpp
+++ b/src/traffic/serverregistry.cpp
@@ -13,6 +13,8 @@
 
 void ServerRegistry::replaceAll(const std::vector<DiscoveredServer> &servers, SteadyTime now)
 {
+    m_changes.isFirstList = m_changes.isFirstList || !m_hasList;
+    m_hasList = true;
     std::set<BackendServerId> listed;
     for (const auto &server : servers) {
         listed.insert(server.id);
@@ -35,6 +37,11 @@
 {
     auto &entry = m_entries[server.id];
     entry.expiresAt = SteadyTime::max();
+    if (server.coldRemaining > Milliseconds(0)) {
+        m_changes.cold.push_back({server.id, server.coldRemaining});
+    }
+    // The remaining time counts down in each registration, which changes nothing else.
+    entry.server.coldRemaining = server.coldRemaining;
     if (entry.server == server) {
         return;
     }
--- a/src/traffic/serverregistry.h
+++ b/src/traffic/serverregistry.h
@@ -61,6 +61,7 @@
     ServerRegistryOptions m_options;
     std::map<BackendServerId, Entry> m_entries;
     ServerChanges m_changes;
+    bool m_hasList = false;
     bool m_hasContact = true;
     SteadyTime m_graceEndsAt{};
 };
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -111,6 +111,7 @@
         const auto &id = found->second[order.next()];
         const auto &entry = m_entries.at(id);
         if (const auto obstacle = obstacleOf(entry, query, now)) {
+            choice.skippedCold += *obstacle == ChoiceReason::AllCold ? 1 : 0;
             if (!choice.hasServer()) {
                 choice.reason = std::max(choice.reason, *obstacle);
             }
@@ -143,6 +144,9 @@
     if (m_statements.heldUntil(entry.process) > now) {
         return ChoiceReason::AllHeld;
     }
+    if (!m_coldServers.maySend(entry.server.id, now)) {
+        return ChoiceReason::AllCold;
+    }
     if (loadOf(entry, now) >= maxCallsOf(entry, query.admission)) {
         return ChoiceReason::AllFull;
     }
@@ -402,6 +406,11 @@
     return found != m_entries.end() && isAvailable(found->second);
 }
 
+ColdServerLimit &ServerTable::coldServers()
+{
+    return m_coldServers;
+}
+
 void ServerTable::updateStatedLoad(const BackendServerId &id, const ServerStatedLoad &load, SteadyTime now)
 {
     const auto found = m_entries.find(id);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/coldserverlimit.h"
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
@@ -123,6 +124,9 @@
     /// Whether calls may be sent to the server now.
     bool isAvailable(const BackendServerId &id) const;
 
+    /// The limit of calls to cold servers. Limits nothing until it is replaced by one with options.
+    ColdServerLimit &coldServers();
+
     /// Updates the load that the server stated in an answer.
     void updateStatedLoad(const BackendServerId &id, const ServerStatedLoad &load, SteadyTime now);
 
@@ -180,6 +184,7 @@
     std::unordered_map<BackendServerId, Entry> m_entries;
     std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
     ServerStatements m_statements;
+    ColdServerLimit m_coldServers;
     ServerLoads m_peerLoads;
     SlowdownFactors m_slowdownFactors;
     std::set<FailureDomainId> m_unreachable;
--- a/tests/answerheadtest.cpp
+++ b/tests/answerheadtest.cpp
@@ -42,6 +42,19 @@
     CHECK_FALSE(parsed("X-Server-Leaving", {"1"}).isLeaving);
 }
 
+TEST_CASE("an answer states how much longer its server is cold, or nothing that can be read")
+{
+    const auto remaining
+        = [](const std::string &value) { return parsed("Cardamomhill-Cold-Remaining", {value}).coldRemaining; };
+    CHECK(remaining("4200") == Milliseconds(4200));
+    CHECK(remaining("4199.5") == Milliseconds(4200));
+    CHECK(remaining("-7") == Milliseconds(0));
+    CHECK(remaining("1e30") == Seconds(24 * 3600));
+    for (const auto *odd : {"", "x", "4200 ms", "nan", "0x10"}) {
+        CHECK_MESSAGE(!remaining(odd).has_value(), odd);
+    }
+}
+
 TEST_CASE("no header of another name states that a server is leaving")
 {
     CHECK(rc::check("other headers", [] {
--- a/tests/numberrangetest.cpp
+++ b/tests/numberrangetest.cpp
@@ -108,6 +108,40 @@
     checkOutOfRange(parseConfiguration(R"("version":-1,"services":[],"routes":[])"), "version");
 }
 
+// Guards against servers that are out of use, or limited without end, because of a value that no call depends on.
+TEST_CASE("a registration whose remaining cold time is odd names its server all the same")
+{
+    const auto remaining = [](const std::string &value) {
+        const auto server = parseServer(R"("address":"127.0.0.1:9","slots":4,"cold-remaining-ms":)" + value);
+        REQUIRE_MESSAGE(server.has_value(), value);
+        return server.value().coldRemaining;
+    };
+    CHECK(remaining("4200") == Milliseconds(4200));
+    CHECK(remaining("4199.5") == Milliseconds(4200));
+    for (const std::string none : {"0", "-1", "-1e300", "null", "true", "\"4200\"", "[4200]", "{\"ms\":4200}"}) {
+        CHECK_MESSAGE(remaining(none) == Milliseconds(0), none);
+    }
+    for (const std::string huge : {"18446744073709551616", "1e300", "9223372036854775807"}) {
+        CHECK_MESSAGE(remaining(huge) == Seconds(24 * 3600), huge);
+    }
+    CHECK(parseServer(R"("address":"127.0.0.1:9","slots":4)").value().coldRemaining == Milliseconds(0));
+}
+
+TEST_CASE("a service states how long its servers are cold and how many calls a second they should get")
+{
+    const auto service = [](const std::string &fields) {
+        return parseConfiguration(R"("version":1,"routes":[],"services":[{"name":"s")" + fields + "}]");
+    };
+    const auto stated = service(R"(,"cold-start-s":7.5,"cold-per-s":14.25)");
+    CHECK(stated.value()->service(ServiceId("s"))->coldStart == Milliseconds(7500));
+    CHECK(stated.value()->service(ServiceId("s"))->coldCallsPerSecond == 14.25);
+    CHECK(service("").value()->service(ServiceId("s"))->coldCallsPerSecond == 0);
+    for (const std::string odd : {"-1", "1e30", "18446744073709551616", "\"8\"", "null", "true"}) {
+        checkOutOfRange(service(R"(,"cold-start-s":)" + odd), odd);
+        checkOutOfRange(service(R"(,"cold-per-s":)" + odd), odd);
+    }
+}
+
 TEST_CASE("a report of an engine with a number that does not fit is rejected")
 {
     const Platform::Engine engine;
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -1,5 +1,7 @@
 #include "settings/settings.h"
 
+#include "gateway/gatewaysettings.h"
+
 #include <doctest/doctest.h>
 
 #include <cstdio>
@@ -109,6 +111,24 @@
     CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "termination_grace_s", 8));
 }
 
+TEST_CASE("the bounds of cold servers are read if they are present, and are not negative")
+{
+    const std::string gateway = "host: h\nfailure_domain: d\nlisten: 127.0.0.1:1\noperator_listen: 127.0.0.1:2\n"
+                                "peer_listen: 127.0.0.1:3\nplatform: 127.0.0.1:4\n";
+    const auto read
+        = [&](const std::string &lines) { return readGatewaySettings(TemporaryFile(gateway + lines).path()); };
+    const auto bounds = read("cold_overshoot: 1.5\ncold_slack: 0\n");
+    CHECK(bounds.value().coldOvershoot == 1.5);
+    CHECK(bounds.value().coldSlack == 0.0);
+    CHECK_FALSE(read("").value().coldOvershoot.has_value());
+    CHECK_FALSE(read("").value().coldSlack.has_value());
+    for (const std::string key : {"cold_overshoot", "cold_slack"}) {
+        const auto odd = read(key + ": -1\n");
+        REQUIRE(odd.has_error());
+        CHECK(contains(odd.error(), SettingsErrorCode::InvalidValue, key, 7));
+    }
+}
+
 TEST_CASE("a missing file and malformed YAML have their own error codes")
 {
     CHECK(readAgentSettings("no-such-file.yaml").error().front().code == SettingsErrorCode::Unreadable);
