Test that real gateways notice statements of cold servers

Nothing showed that a statement in a registration or an answer reaches the limit of a running process, and that a remaining time that counts down is logged once.

--- a/tests/coldserverfleettest.cpp
+++ b/tests/coldserverfleettest.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds ColdTime{6000};
 constexpr double Rate = 14;
 constexpr std::size_t Limit = 26;
+const std::string Bounds = "cold_overshoot: 1.5\ncold_slack: 5\n";
 
 /// Calls that arrived at the cold server, and calls that were not answered with a success.
 struct Crowd {
@@ -55,6 +56,49 @@
     }
 }
 
+void limitShop(GatewayFleet &fleet)
+{
+    fleet.configure([](nlohmann::json &document) {
+        document["services"][0]["cold-start-s"] = std::chrono::duration<double>(ColdTime).count();
+        document["services"][0]["cold-per-s"] = Rate;
+    });
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+/// The registration of a server whose remaining time counts down.
+Task<> registerWhileCold(GatewayFleet &fleet)
+{
+    constexpr int Heartbeats = 5;
+    constexpr Milliseconds Interval{400};
+    co_await fleet.waitForLog(0, "event=configuration-in-force version=2");
+    auto document = nlohmann::json::parse(
+        serverDocument({"warm", controlAddress(fleet.server("warm").endpoint()).value(), 1, false}));
+    for (int left = Heartbeats; left >= 0; --left) {
+        document["cold-remaining-ms"] = (Interval * left).count();
+        document["sequence"] = 2 + Heartbeats - left;
+        fleet.store.put("servers", "warm", document);
+        co_await fleet.sleep(Interval);
+    }
+    co_await fleet.waitForLog(0, "event=server-warm server=warm");
+    CHECK(countOf(fleet.log(0), "event=server-cold server=warm reason=stated") == 1);
+    CHECK(countOf(fleet.log(0), "event=server-present server=warm") == 1);
+}
+
+Task<> callOnce(GatewayFleet &fleet)
+{
+    co_await fleet.waitForLog(0, "event=configuration-in-force version=2");
+    co_await fleet.call(0, GatewayFleet::makeCall("/safe/ok", "c"));
+    co_await fleet.waitForLog(0, "event=server-cold server=warm reason=stated");
+}
+
 std::size_t mostInOneSecond(const std::vector<SteadyTime> &times, SteadyTime end)
 {
     std::size_t most = 0;
@@ -71,11 +115,8 @@
 // Guards against a limit that no process applies: lost settings, configuration, list of hosts or count of calls.
 TEST_CASE("the processes of a fleet keep a new server within its limit while it is cold, and send it calls")
 {
-    GatewayFleet fleet(HostCount, {"warm"}, "cold_overshoot: 1.5\ncold_slack: 5\n");
-    fleet.configure([](nlohmann::json &document) {
-        document["services"][0]["cold-start-s"] = std::chrono::duration<double>(ColdTime).count();
-        document["services"][0]["cold-per-s"] = Rate;
-    });
+    GatewayFleet fleet(HostCount, {"warm"}, Bounds);
+    limitShop(fleet);
     Crowd crowd;
     fleet.onRun = [&crowd](const std::string &server, const HttpRequest &) {
         if (server == "cold") {
@@ -90,3 +131,23 @@
     CHECK(mostInOneSecond(crowd.arrivals, end) <= Limit);
     CHECK(crowd.refused == 0);
 }
+
+// Guards against a server that goes cold without a restart unnoticed, and against a log line for each heartbeat.
+TEST_CASE("a server that states in its registrations that it is cold is noticed, and is logged once")
+{
+    GatewayFleet fleet(1, {"warm"}, Bounds);
+    limitShop(fleet);
+    fleet.run(registerWhileCold(fleet));
+}
+
+TEST_CASE("a server that states in an answer that it is cold is noticed")
+{
+    GatewayFleet fleet(1, {"warm"}, Bounds);
+    limitShop(fleet);
+    fleet.server("warm").setRawAnswer([](const HttpRequest &) {
+        return DirectBackend::RawAnswer{"HTTP/1.1 200 OK\r\nCardamomhill-Request-Id: c\r\n"
+                                        "Cardamomhill-Response-Seal: seal\r\nCardamomhill-Cold-Remaining: 3000\r\n"
+                                        "Content-Length: 2\r\n\r\nok"};
+    });
+    fleet.run(callOnce(fleet));
+}
