--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -91,7 +91,8 @@
     SystemError error;
     while (true) {
         const auto now = steadyNow();
-        ServerChoice choice{ChoiceReason::AllFull, {}, 0, 0};
+        ServerChoice choice;
+        choice.reason = ChoiceReason::AllFull;
         if (place.isNext(now)) {
             choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
         }
@@ -103,9 +104,10 @@
             co_return choice;
         }
         if (choice.hasServer()) {
-            choice = {ChoiceReason::AllFull, {}, 0, 0};
+            choice = ServerChoice();
+            choice.reason = ChoiceReason::AllFull;
         }
-        const bool mayGetRoom = choice.reason == ChoiceReason::AllFull
+        const bool mayGetRoom = choice.reason == ChoiceReason::AllFull || choice.reason == ChoiceReason::AllCold
             || (choice.reason == ChoiceReason::GroupsClosed
                 && m_thread.servers().isForming(m_state.query.service, now));
         if (!mayGetRoom || now >= CallQueue::waitLimit(waiting) || !place.canBeServed(now)) {
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/coldserverlimit.h"
 #include "traffic/concurrencylimit.h"
 #include "traffic/grouproom.h"
 #include "traffic/serverchanges.h"
@@ -131,6 +132,9 @@
     /// Whether calls may be sent to the server now.
     bool isAvailable(const BackendServerId &id) const;
 
+    /// The limit of calls to cold servers. Limits nothing until it is replaced by one with options.
+    ColdServerLimit &coldServers();
+
     /// Updates the load that the server stated in an answer.
     void updateStatedLoad(const BackendServerId &id, const ServerStatedLoad &load, SteadyTime now);
 
@@ -191,6 +195,7 @@
     std::unordered_map<BackendServerId, Entry> m_entries;
     std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
     ServerStatements m_statements;
+    ColdServerLimit m_coldServers;
     ServerLoads m_peerLoads;
     SlowdownFactors m_slowdownFactors;
     std::set<FailureDomainId> m_unreachable;
