--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -54,7 +54,7 @@
               {"server", attempt.server().value()},
               {"end", nameOf(end)},
               {"cause", attempt.cause()},
-              {"prompt", joinWithCommas(state.head.sharedPromptParts)},
+              {"prompt", joinWithCommas(state.head.sharedPromptParts, &PromptPart::id)},
               {"events", state.eventCount},
               {"elapsed_ms", elapsedSince(state.startedAt).count()}});
 }
--- a/src/gateway/promptguard.cpp
+++ b/src/gateway/promptguard.cpp
@@ -57,9 +57,9 @@
 {
     const auto now = steadyNow();
     const auto &parts = call.sharedPromptParts;
-    const auto found
-        = std::find_if(parts.begin(), parts.end(), [&](const auto &part) { return m_blame.isBlocked(part, now); });
-    return found == parts.end() ? nullptr : &*found;
+    const auto found = std::find_if(
+        parts.begin(), parts.end(), [&](const PromptPart &part) { return m_blame.isBlocked(part.id, now); });
+    return found == parts.end() ? nullptr : &found->id;
 }
 
 Milliseconds PromptGuard::recordRefusal(const std::string &part)
@@ -71,9 +71,9 @@
 void PromptGuard::recordSound(const CallHead &call)
 {
     for (const auto &part : call.sharedPromptParts) {
-        if (m_blame.recordSound(part, steadyNow())) {
-            m_soundParts.insert(part);
-            removeStored(part);
+        if (m_blame.recordSound(part.id, steadyNow())) {
+            m_soundParts.insert(part.id);
+            removeStored(part.id);
         }
     }
 }
@@ -82,7 +82,7 @@
 {
     const auto &parts = call.sharedPromptParts;
     return std::any_of(
-        parts.begin(), parts.end(), [this](const std::string &part) { return m_blame.isSuspected(part); });
+        parts.begin(), parts.end(), [this](const PromptPart &part) { return m_blame.isSuspected(part.id); });
 }
 
 bool PromptGuard::hasSuspects() const
@@ -100,7 +100,8 @@
     std::uint32_t position = 0;
     for (const auto &part : call.sharedPromptParts) {
         if (found->second.suspects.size() < MaxSuspectsPerReport) {
-            found->second.suspects.try_emplace(part, PromptSuspect{part, position, m_blame.isKnownSound(part)});
+            found->second.suspects.try_emplace(part.id,
+                                               PromptSuspect{part.id, position, m_blame.isKnownSound(part.id)});
         }
         ++position;
     }
--- a/src/traffic/callhead.h
+++ b/src/traffic/callhead.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/clocktypes.h"
+#include "traffic/promptpart.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,7 +26,9 @@
     /// The event after which the caller resumes a stream; empty for a new stream.
     std::string lastEventId;
     /// The parts of the prompt that other calls may share, in order: all but the last.
-    std::vector<std::string> sharedPromptParts;
+    std::vector<PromptPart> sharedPromptParts;
+    /// Tokens of the whole prompt, as far as the caller states them.
+    std::uint64_t promptTokens = 0;
 };
 
 } // namespace Cardamomhill
--- a/src/traffic/engineprofile.h
+++ b/src/traffic/engineprofile.h
@@ -15,6 +15,8 @@
     double stepMsPerRequest = 0;
     double stepMsPerThousandTokens = 0;
     double prefillTokensPerSecond = 0;
+    /// Time of the prefill for a million pairs of a prompt token and any token before it.
+    double prefillMsPerMillionPairs = 0;
     /// Capacity of the key-value cache of an engine.
     std::uint64_t kvCacheTokens = 0;
     /// Tokens of one request that a step makes; they form one event of its stream.
--- a/src/traffic/route.h
+++ b/src/traffic/route.h
@@ -38,6 +38,8 @@
     bool isPublic = false;
     /// A broken stream may be resumed at another server, after the last event that was delivered.
     bool isResumable = false;
+    /// Calls share the beginnings of their prompts, so a server that holds one answers sooner.
+    bool hasSessionAffinity = false;
     std::vector<WeightedService> services;
 
     /// Whether a call may run more than once.
