Weigh the held beginning of a prompt against the wait at its server

PromptResidency estimates from the calls of this host what each engine holds. Choices for calls with a prompt compare expected times to the first event, and the server that holds most of the prompt is one more candidate, after the same checks as any other. Without held tokens the order of servers is that of calls per slot. The plays with prompts draw choices from a random stream of their own, so that both sides of a comparison have the same calls.

--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -163,16 +163,7 @@
 
 LogLevel SettingsReader::logLevel(const std::string &key)
 {
-    const auto node = find(key, false, acceptedNames<LogLevel>());
-    if (!node.IsDefined()) {
-        return LogLevel::Info;
-    }
-    const auto level = node.IsScalar() ? valueOf<LogLevel>(node.Scalar()) : std::nullopt;
-    if (!level) {
-        addError(SettingsErrorCode::InvalidValue, lineOf(node), key, acceptedNames<LogLevel>());
-        return LogLevel::Info;
-    }
-    return *level;
+    return named(key, LogLevel::Info);
 }
 
 void SettingsReader::addError(SettingsErrorCode code, int line, const std::string &key, const std::string &accepted)
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clocktypes.h"
+#include "core/nametable.h"
 #include "core/result.h"
 #include "logging/loglevel.h"
 #include "settings/settingserror.h"
@@ -37,6 +38,20 @@
     boost::asio::ip::tcp::endpoint endpoint(const std::string &key);
     std::vector<boost::asio::ip::tcp::endpoint> endpoints(const std::string &key);
     LogLevel logLevel(const std::string &key);
+    /// Reads the name of an enumerator with a name table.
+    template<class Enum>
+    Enum named(const std::string &key, Enum defaultValue)
+    {
+        const auto node = find(key, false, acceptedNames<Enum>());
+        if (!node.IsDefined()) {
+            return defaultValue;
+        }
+        const auto value = node.IsScalar() ? valueOf<Enum>(node.Scalar()) : std::nullopt;
+        if (!value) {
+            addError(SettingsErrorCode::InvalidValue, node.Mark().line + 1, key, acceptedNames<Enum>());
+        }
+        return value.value_or(defaultValue);
+    }
 
     /// Returns `value`, or all errors if there were any. Keys that were never asked for are errors too.
     template<class T>
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -11,6 +11,8 @@
 /// reported if it holds for any server.
 enum class ChoiceReason : std::uint8_t {
     LeastLoaded,
+    /// The first event is expected sooner than from a less loaded server, since part of the prompt is held there.
+    HoldsPrompt,
     /// This server and all others that could take the call failed recently or are slow.
     LastResort,
     /// The service has no servers, or all of them are shutting down.
@@ -29,6 +31,7 @@
 {
     return std::to_array<NamedValue<ChoiceReason>>({
         {ChoiceReason::LeastLoaded, "least-loaded"},
+        {ChoiceReason::HoldsPrompt, "holds-prompt"},
         {ChoiceReason::LastResort, "last-resort"},
         {ChoiceReason::NoServer, "no-server"},
         {ChoiceReason::AllTried, "all-tried"},
--- a/src/traffic/serverchoice.h
+++ b/src/traffic/serverchoice.h
@@ -3,6 +3,9 @@
 #include "core/identifiers.h"
 #include "traffic/choicereason.h"
 
+#include <cstddef>
+#include <cstdint>
+
 namespace Cardamomhill
 {
 
@@ -15,6 +18,8 @@
     double load = 0;
     /// Number of servers that were compared.
     std::size_t candidates = 0;
+    /// Tokens of the beginning of the prompt that the server probably holds.
+    std::uint64_t heldTokens = 0;
 
     bool hasServer() const
     {
--- a/src/traffic/serverquery.h
+++ b/src/traffic/serverquery.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/identifiers.h"
+#include "traffic/promptreuse.h"
 #include "traffic/streamadmission.h"
 
 #include <optional>
@@ -16,6 +17,8 @@
     std::vector<BackendServerId> tried;
     /// Limits the queues of engines further; nothing if only their number of calls is limited.
     std::optional<StreamAdmission> admission;
+    /// The prompt, if servers that hold the beginning of it may answer sooner.
+    std::optional<PromptReuse> promptReuse = std::nullopt;
 };
 
 } // namespace Cardamomhill
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -1,6 +1,7 @@
 #include "traffic/servertable.h"
 
 #include "traffic/randomorder.h"
+#include "traffic/servermemory.h"
 #include "traffic/serverquery.h"
 
 #include <algorithm>
@@ -39,6 +40,7 @@
 
 ServerTable::ServerTable(ServerTableOptions options)
     : m_options(options)
+    , m_prompts(options.prompts)
 {
 }
 
@@ -52,6 +54,7 @@
         }
         if (entry.server.startedAt != server.startedAt || entry.server.address != server.address) {
             entry.isReplaced = false;
+            m_prompts.forget(server.id);
         }
         if (entry.server.service != server.service) {
             std::erase(m_services[entry.server.service], server.id);
@@ -73,6 +76,7 @@
             continue;
         }
         std::erase(m_services[found->second.server.service], id);
+        m_prompts.forget(id);
         found->second.isGone = true;
         found->second.server.service = ServiceId();
         if (found->second.inProgress == 0) {
@@ -99,36 +103,93 @@
 
 ServerChoice ServerTable::choose(const ServerQuery &query, SteadyTime now, Random &random) const
 {
-    ServerChoice choice;
+    Comparison comparison;
+    auto &choice = comparison.choice;
     const auto found = m_services.find(query.service);
     if (found == m_services.end()) {
         return choice;
     }
-    Score best;
-    std::size_t healthy = 0;
     internal::RandomOrder order(found->second.size(), random);
-    while (healthy < m_options.sampledServers && !order.isDone()) {
+    const auto holder = holderFor(query, now, random);
+    while (comparison.healthy < m_options.sampledServers && !order.isDone()) {
         const auto &id = found->second[order.next()];
         const auto &entry = m_entries.at(id);
         if (const auto obstacle = obstacleOf(entry, query, now)) {
             if (!choice.hasServer()) {
                 choice.reason = std::max(choice.reason, *obstacle);
             }
-            continue;
-        }
-        ++choice.candidates;
-        const auto score = scoreOf(entry, now);
-        healthy += score.isAvoided ? 0 : 1;
-        if (score < best) {
-            best = score;
-            choice.server = id;
-            choice.load = loadOf(entry, now) / slotsOf(entry);
-            choice.reason = score.isAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
+        } else if (id != holder) {
+            compare(entry, query, now, comparison);
         }
     }
+    if (!holder.isEmpty()) {
+        compare(m_entries.at(holder), query, now, comparison);
+    }
+    if (comparison.best != comparison.bestUnheld) {
+        choice.reason = ChoiceReason::HoldsPrompt;
+    }
     return choice;
 }
 
+void ServerTable::compare(const Entry &entry, const ServerQuery &query, SteadyTime now, Comparison &comparison) const
+{
+    const auto unheldScore = scoreOf(entry, now);
+    auto score = unheldScore;
+    std::uint64_t held = 0;
+    if (query.promptReuse && !score.isAvoided) {
+        const auto &[prompt, estimate] = *query.promptReuse;
+        held = heldTokensOf(entry, *query.promptReuse, now);
+        const auto weighed = query.promptReuse->isWorthWeighing() ? held : 0;
+        score.firstEventMs = estimate.milliseconds(score.callsPerSlot, prompt.tokens, weighed);
+    }
+    auto &choice = comparison.choice;
+    ++choice.candidates;
+    comparison.healthy += score.isAvoided ? 0 : 1;
+    if (unheldScore < comparison.bestUnheldScore) {
+        comparison.bestUnheldScore = unheldScore;
+        comparison.bestUnheld = &entry;
+    }
+    if (score < comparison.bestScore) {
+        comparison.bestScore = score;
+        comparison.best = &entry;
+        choice.server = entry.server.id;
+        choice.heldTokens = held;
+        choice.load = loadOf(entry, now) / slotsOf(entry);
+        choice.reason = score.isAvoided ? ChoiceReason::LastResort : ChoiceReason::LeastLoaded;
+    }
+}
+
+BackendServerId ServerTable::holderFor(const ServerQuery &query, SteadyTime now, Random &random) const
+{
+    /// Limits the work for a prefix that many servers without room hold.
+    constexpr std::size_t MaxHolders = 8;
+    if (!query.promptReuse || !query.promptReuse->isWorthWeighing()) {
+        return {};
+    }
+    const auto &reuse = *query.promptReuse;
+    for (const auto &id : m_prompts.holders(reuse.prompt, MaxHolders, random)) {
+        const auto found = m_entries.find(id);
+        const bool isCandidate = found != m_entries.end() && found->second.server.service == query.service
+            && !obstacleOf(found->second, query, now) && !scoreOf(found->second, now).isAvoided
+            && heldTokensOf(found->second, reuse, now) > 0;
+        if (isCandidate) {
+            return id;
+        }
+    }
+    return {};
+}
+
+std::uint64_t ServerTable::heldTokensOf(const Entry &entry, const PromptReuse &reuse, SteadyTime now) const
+{
+    return m_prompts.heldTokens(entry.server.id, reuse.prompt, memoryOf(entry, reuse, now));
+}
+
+ServerMemory ServerTable::memoryOf(const Entry &entry, const PromptReuse &reuse, SteadyTime now) const
+{
+    const auto &estimate = reuse.estimate;
+    return {estimate.capacityTokens, estimate.meanPromptTokens, estimate.meanAnswerTokens, loadOf(entry, now)};
+}
+
 std::optional<ChoiceReason> ServerTable::obstacleOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const
 {
     if (isLeaving(entry)) {
@@ -157,6 +218,7 @@
     const double calls = loadOf(entry, now) + 1 + failures * m_options.failurePenaltyCalls;
     Score score;
     score.isAvoided = failures >= m_options.failureThreshold || factor >= m_options.slownessThreshold;
+    score.firstEventMs = 0;
     score.callsPerSlot = calls * factor / slotsOf(entry);
     return score;
 }
@@ -339,6 +401,21 @@
     ++m_entries[id].inProgress;
 }
 
+PromptResidency::Ticket
+ServerTable::recordPromptStarted(const BackendServerId &id, const PromptReuse &reuse, SteadyTime now)
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() || found->second.isGone
+        ? 0
+        : m_prompts.recordStarted(id, reuse.prompt, memoryOf(found->second, reuse, now));
+}
+
+void ServerTable::recordPromptEnded(PromptResidency::Ticket ticket, AttemptEnd end)
+{
+    // After a broken connection the server may have ended, and what it held with it.
+    m_prompts.recordEnded(ticket, !didNotRun(end) && end != AttemptEnd::Broken);
+}
+
 void ServerTable::recordCallEnded(const BackendServerId &id, AttemptEnd end, SteadyTime now)
 {
     const auto found = m_entries.find(id);
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/promptresidency.h"
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
@@ -26,6 +27,8 @@
 namespace Cardamomhill
 {
 
+struct PromptReuse;
+struct ServerMemory;
 struct ServerQuery;
 
 /// Constants of ServerTable.
@@ -50,6 +53,7 @@
     Milliseconds groupFormingTime{1500};
     /// How long a load that a server stated is used, beside the calls that entry hosts counted.
     Microseconds statedLoadLifetime = Milliseconds(300);
+    PromptResidencyOptions prompts;
 };
 
 /// The backend servers that calls may be sent to, with their known loads and failures. Chooses the server of a call.
@@ -98,7 +102,9 @@
     /// Whether any server of the service can take calls, now or at the end of its hold.
     bool canServe(const ServiceId &service) const;
 
-    /// Chooses the least loaded of a random sample of the servers that can take a call.
+    /// Chooses the least loaded of a random sample of the servers that can take a call. For a call whose prompt may be
+    /// held somewhere, the server that holds most of it is one more candidate, and the one is chosen that is expected
+    /// to send the first event soonest.
     ServerChoice choose(const ServerQuery &query, SteadyTime now, Random &random) const;
 
     /// The id of the server with this key, or the key as a number if there is none.
@@ -112,6 +118,10 @@
     /// recordCallEnded().
     void recordCallStarted(const BackendServerId &id);
     void recordCallEnded(const BackendServerId &id, AttemptEnd end, SteadyTime now);
+    /// Records that a call whose prompt the server may hold from now on is sent to it. To be called before
+    /// recordCallStarted(). The ticket is for recordPromptEnded().
+    PromptResidency::Ticket recordPromptStarted(const BackendServerId &id, const PromptReuse &reuse, SteadyTime now);
+    void recordPromptEnded(PromptResidency::Ticket ticket, AttemptEnd end);
     /// Records that data was received from the server, which shows that its whole group is working, since the ranks of
     /// a group work in lock-step. Returns the group if its steps have just become slow.
     std::optional<GroupId> recordReceived(const BackendServerId &id, SteadyTime now);
@@ -154,15 +164,35 @@
     struct Score {
         /// Failed recently or is slow: chosen only as a last resort.
         bool isAvoided = true;
+        /// Expected time to the first event; 0 if it is not estimated.
+        double firstEventMs = std::numeric_limits<double>::max();
         double callsPerSlot = std::numeric_limits<double>::max();
 
         auto operator<=>(const Score &) const = default;
     };
 
+    /// The servers that were compared for a call, and the best of them.
+    struct Comparison {
+        ServerChoice choice;
+        const Entry *best = nullptr;
+        Score bestScore;
+        /// The best one if no server held a part of the prompt.
+        const Entry *bestUnheld = nullptr;
+        Score bestUnheldScore;
+        /// Servers compared that did not fail recently and are not slow.
+        std::size_t healthy = 0;
+    };
+
     /// Why a call cannot be sent to the server now, or nothing if it can. If no server can take it, the reason that
     /// comes last in ChoiceReason is the one that is reported.
     std::optional<ChoiceReason> obstacleOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const;
     Score scoreOf(const Entry &entry, SteadyTime now) const;
+    void compare(const Entry &entry, const ServerQuery &query, SteadyTime now, Comparison &comparison) const;
+    /// Of the servers that can take the call and are not avoided, the one that holds most of its prompt; empty if none
+    /// holds any.
+    BackendServerId holderFor(const ServerQuery &query, SteadyTime now, Random &random) const;
+    std::uint64_t heldTokensOf(const Entry &entry, const PromptReuse &reuse, SteadyTime now) const;
+    ServerMemory memoryOf(const Entry &entry, const PromptReuse &reuse, SteadyTime now) const;
     static double slotsOf(const Entry &entry);
     bool isAvailable(const Entry &entry) const;
     /// Whether the registration or the server itself says so.
@@ -180,6 +210,7 @@
     std::unordered_map<BackendServerId, Entry> m_entries;
     std::unordered_map<ServiceId, std::vector<BackendServerId>> m_services;
     ServerStatements m_statements;
+    PromptResidency m_prompts;
     ServerLoads m_peerLoads;
     SlowdownFactors m_slowdownFactors;
     std::set<FailureDomainId> m_unreachable;
--- a/tests/support/spreadsimulation.h
+++ b/tests/support/spreadsimulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "traffic/servermemory.h"
 #include "traffic/serverquery.h"
 #include "traffic/servertable.h"
 
@@ -15,6 +16,15 @@
 namespace Cardamomhill
 {
 
+/// What the hosts of a simulated fleet know of the prompts that servers hold.
+enum class PromptKnowledge {
+    None,
+    /// Those of their own calls.
+    OwnCalls,
+    /// Those of the calls of all hosts, at once.
+    AllCalls,
+};
+
 /// The size of a simulated fleet and the calls that arrive at it.
 struct SpreadWorkload {
     std::size_t hosts = 1;
@@ -24,6 +34,9 @@
     double meanCallSeconds = 1;
     /// Time between two notices of a host, and between its updates of the loads of others.
     Milliseconds noticeInterval{200};
+    /// The prompt of the next call; none if not set.
+    PromptReuse (*prompt)(Random &) = nullptr;
+    PromptKnowledge knowledge = PromptKnowledge::OwnCalls;
 };
 
 /// Counts of the calls that arrived after the warm-up.
@@ -32,6 +45,14 @@
     std::size_t refused = 0;
     /// Calls that had to wait, since all slots of the chosen server were in use.
     std::size_t queued = 0;
+    /// Most calls that a server had at once, running and waiting.
+    std::size_t mostCallsAtServer = 0;
+    /// Calls whose servers were chosen for what they hold.
+    std::size_t chosenForPrompt = 0;
+    /// Tokens of prompts that the chosen servers held, and the sum of the times to the first event, by the real numbers
+    /// of calls.
+    std::uint64_t heldTokens = 0;
+    double firstEventMs = 0;
 };
 
 /// Simulates entry hosts that distribute calls over the servers of one service. Each host has its own ServerTable and
@@ -42,6 +63,7 @@
     SpreadSimulation(const SpreadWorkload &workload, ServerTableOptions options, std::uint64_t seed)
         : m_workload(workload)
         , m_random(seed)
+        , m_choiceRandom(~seed)
         , m_servers(workload.servers)
     {
         std::vector<DiscoveredServer> servers;
@@ -83,6 +105,8 @@
     struct Call {
         std::size_t host;
         Microseconds duration;
+        /// By host, and at last the one of m_prompts.
+        std::vector<PromptResidency::Ticket> tickets;
     };
 
     struct Server {
@@ -131,28 +155,69 @@
         const std::size_t host = m_random() % m_workload.hosts;
         const bool isMeasured = m_now >= m_measureFrom;
         m_result.calls += isMeasured ? 1 : 0;
-        const auto choice = m_tables[host].choose({ServiceId("service"), {}, {}}, m_now, m_random);
+        ServerQuery query{ServiceId("service"), {}, {}};
+        const auto reuse = m_workload.prompt == nullptr ? std::nullopt : std::optional(m_workload.prompt(m_random));
+        query.promptReuse = m_workload.knowledge == PromptKnowledge::None ? std::nullopt : reuse;
+        auto &random = m_workload.prompt == nullptr ? m_random : m_choiceRandom;
+        const auto choice = m_tables[host].choose(query, m_now, random);
         if (!choice.hasServer()) {
             m_result.refused += isMeasured ? 1 : 0;
             return;
         }
-        m_tables[host].recordCallStarted(choice.server);
         std::exponential_distribution<double> duration(1 / m_workload.meanCallSeconds);
-        const Call call{host, microsecondsOf(duration(m_random))};
+        Call call{host, microsecondsOf(duration(m_random)), {}};
         auto &server = m_servers[m_indices.at(choice.server.value())];
+        if (reuse) {
+            startPrompt(choice, *reuse, call, isMeasured);
+        }
+        m_tables[host].recordCallStarted(choice.server);
         if (server.running < m_workload.slots) {
             runCall(choice.server, call);
         } else {
             m_result.queued += isMeasured ? 1 : 0;
             server.queue.push_back(call);
         }
+        if (isMeasured) {
+            m_result.mostCallsAtServer = std::max(m_result.mostCallsAtServer, server.running + server.queue.size());
+        }
+    }
+
+    void startPrompt(const ServerChoice &choice, const PromptReuse &reuse, Call &call, bool isMeasured)
+    {
+        const auto &server = m_servers[m_indices.at(choice.server.value())];
+        const auto calls = static_cast<double>(server.running + server.queue.size());
+        const auto &estimate = reuse.estimate;
+        const ServerMemory memory{estimate.capacityTokens, estimate.meanPromptTokens, estimate.meanAnswerTokens, calls};
+        if (isMeasured) {
+            const auto held = m_prompts.heldTokens(choice.server, reuse.prompt, memory);
+            m_result.heldTokens += held;
+            m_result.firstEventMs += estimate.milliseconds((calls + 1) / m_workload.slots, reuse.prompt.tokens, held);
+            m_result.chosenForPrompt += choice.reason == ChoiceReason::HoldsPrompt ? 1 : 0;
+        }
+        for (std::size_t host = 0; host < m_tables.size(); ++host) {
+            const bool learns = host == call.host || m_workload.knowledge == PromptKnowledge::AllCalls;
+            call.tickets.push_back(learns ? m_tables[host].recordPromptStarted(choice.server, reuse, m_now) : 0);
+        }
+        call.tickets.push_back(m_prompts.recordStarted(choice.server, reuse.prompt, memory));
+    }
+
+    void endPrompt(const Call &call)
+    {
+        for (std::size_t host = 0; host < call.tickets.size(); ++host) {
+            if (host < m_tables.size()) {
+                m_tables[host].recordPromptEnded(call.tickets[host], AttemptEnd::Delivered);
+            } else {
+                m_prompts.recordEnded(call.tickets[host], true);
+            }
+        }
     }
 
     void runCall(const BackendServerId &id, const Call &call)
     {
         ++m_servers[m_indices.at(id.value())].running;
-        schedule(call.duration, [this, id, host = call.host] {
-            m_tables[host].recordCallEnded(id, AttemptEnd::Delivered, m_now);
+        schedule(call.duration, [this, id, call] {
+            endPrompt(call);
+            m_tables[call.host].recordCallEnded(id, AttemptEnd::Delivered, m_now);
             auto &server = m_servers[m_indices.at(id.value())];
             --server.running;
             if (!server.queue.empty()) {
@@ -165,10 +230,14 @@
 
     SpreadWorkload m_workload;
     Random m_random;
+    /// For the choices of calls with prompts, so that plays with different choices have the same calls.
+    Random m_choiceRandom;
     SteadyTime m_now{Seconds(1000)};
     SteadyTime m_measureFrom{};
     std::multimap<SteadyTime, std::function<void()>> m_events;
     std::vector<ServerTable> m_tables;
+    /// What the servers hold.
+    PromptResidency m_prompts;
     /// The own calls that each host reported last.
     std::vector<ServerLoads> m_sentLoads;
     std::vector<Server> m_servers;
