Choose engines by held prompts on routes with session affinity

The gateway passes the prompt of a call to the choice of its server and records when it begins and ends there.

--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -23,6 +23,11 @@
      "last-resort",
      "every usable server had failed recently or was slow; this one was the last resort"},
     {"routed", "reason", "least-loaded", "sent to the server with the least load of those that could take it"},
+    {"routed",
+     "reason",
+     "holds-prompt",
+     "sent to a server that holds the beginning of the prompt, since reading it again elsewhere takes longer than the "
+     "wait there"},
     {"attempt-ended", "end", "not-sent", "no connection was made, so the server did not receive the call"},
     {"attempt-ended",
      "end",
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -5,6 +5,7 @@
 #include "gateway/callstate.h"
 #include "gateway/gatewaythread.h"
 #include "logging/logging.h"
+#include "metrics/metricsregistry.h"
 #include "net/steadynow.h"
 #include "traffic/serverchoice.h"
 
@@ -19,6 +20,23 @@
     return std::chrono::duration_cast<Milliseconds>(steadyNow() - start);
 }
 
+/// Records what the server of a new attempt holds of the prompt, and that it will hold all of it.
+void recordPrompt(GatewayThread &thread, CallState &state, const ServerChoice &choice)
+{
+    const auto &reuse = state.query.promptReuse;
+    if (!reuse) {
+        return;
+    }
+    auto &metrics = thread.metrics();
+    if (choice.reason == ChoiceReason::HoldsPrompt) {
+        metrics.counter("choices_by_prompt_total").add();
+    }
+    metrics.counter("prompt_tokens_held_total").add(choice.heldTokens);
+    metrics.counter("prompt_tokens_read_total").add(reuse->prompt.tokens - choice.heldTokens);
+    const auto ticket = thread.servers().recordPromptStarted(choice.server, *reuse, steadyNow());
+    state.promptTickets.insert_or_assign(choice.server, ticket);
+}
+
 } // namespace
 
 void recordAttemptBegin(GatewayThread &thread, CallState &state, const ServerChoice &choice)
@@ -33,17 +51,22 @@
               {"reason", nameOf(choice.reason)},
               {"load", choice.load},
               {"candidates", choice.candidates},
+              {"held_tokens", choice.heldTokens},
               {"attempt", state.query.tried.size() + 1},
               {"left_ms", state.remainingTime(steadyNow()).count()},
               {"after_event", state.lastEventId},
               {"elapsed_ms", elapsedSince(state.startedAt).count()}});
     state.query.tried.push_back(choice.server);
+    recordPrompt(thread, state, choice);
     thread.servers().recordCallStarted(choice.server);
 }
 
 void recordAttemptEnd(GatewayThread &thread, CallState &state, const Attempt &attempt, AttemptEnd end)
 {
     thread.servers().recordCallEnded(attempt.server(), end, steadyNow());
+    if (const auto ticket = state.promptTickets.extract(attempt.server())) {
+        thread.servers().recordPromptEnded(ticket.mapped(), end);
+    }
     state.attempts.add(end);
     if (end == AttemptEnd::Delivered) {
         return;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -176,6 +176,7 @@
 {
     m_thread.retryBudget(m_state.query.service).recordFirstAttempt(steadyNow());
     m_state.query.admission = streamAdmission();
+    m_state.query.promptReuse = promptReuse();
     while (true) {
         const auto choice = co_await chooseServer();
         if (m_state.isCallerGone) {
@@ -242,6 +243,13 @@
     return service == nullptr || !service->engine ? std::nullopt : streamAdmissionFor(*m_state.route, *service->engine);
 }
 
+std::optional<PromptReuse> CallHandler::promptReuse() const
+{
+    const auto *service = m_state.configuration->service(m_state.query.service);
+    return service == nullptr || !service->engine ? std::nullopt
+                                                  : promptReuseFor(*m_state.route, *service->engine, m_state.head);
+}
+
 Task<AttemptEnd> CallHandler::runAttempt(const ServerChoice &choice)
 {
     recordAttemptBegin(m_thread, m_state, choice);
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -4,6 +4,7 @@
 #include "gateway/callstate.h"
 #include "gateway/streamcontinuation.h"
 #include "net/asio.h"
+#include "traffic/promptreuse.h"
 #include "traffic/serverchoice.h"
 #include "traffic/streamadmission.h"
 
@@ -40,6 +41,7 @@
     Task<ServerChoice> chooseServer();
     bool shouldWait(const ServerChoice &choice, SteadyTime now) const;
     std::optional<StreamAdmission> streamAdmission() const;
+    std::optional<PromptReuse> promptReuse() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
     /// Waits for attempts that continue the stream of one that has ended. Returns how the last one ended that could
     /// deliver.
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -5,6 +5,7 @@
 #include "traffic/attempthistory.h"
 #include "traffic/callhead.h"
 #include "traffic/deliveryturn.h"
+#include "traffic/promptresidency.h"
 #include "traffic/serverquery.h"
 #include "traffic/trafficconfiguration.h"
 
@@ -12,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Cardamomhill
@@ -35,6 +37,8 @@
     const Route *route = nullptr;
     /// The service, the servers that were tried, and the limit of the queues in which a new stream may wait.
     ServerQuery query;
+    /// What ServerTable knows the prompt by at each server that an attempt runs at.
+    std::unordered_map<BackendServerId, PromptResidency::Ticket> promptTickets;
     OrganisationId organisation;
     SteadyTime startedAt{};
     SteadyTime deadline{};
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -37,6 +37,7 @@
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.linkMegabitsPerSecond = reader.decimal(
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
+    settings.promptRetention = reader.named("prompt_retention", settings.promptRetention);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -5,6 +5,7 @@
 #include "core/result.h"
 #include "logging/loglevel.h"
 #include "settings/settingserror.h"
+#include "traffic/promptretention.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -38,6 +39,8 @@
     bool coordinatesGroups = false;
     /// Bandwidth of this host's network link. The rate of orders to engines is limited by it.
     double linkMegabitsPerSecond = 1000;
+    /// How long the engines hold the prompts of calls.
+    PromptRetention promptRetention = PromptRetention::Running;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -35,6 +35,13 @@
 /// Fraction of the retry ratio that is used, since each host counts its calls in a window of its own.
 constexpr double RetryRatioFraction = 0.83;
 
+ServerTableOptions serverTableOptions(const GatewaySettings &settings)
+{
+    ServerTableOptions options;
+    options.prompts.retention = settings.promptRetention;
+    return options;
+}
+
 HttpLimits httpLimitsOf(const CallerLimits &limits)
 {
     HttpLimits http;
@@ -64,6 +71,7 @@
                        CallHandler handler(*this, exchange);
                        co_await handler.run();
                    })
+    , m_servers(serverTableOptions(settings))
     , m_random(std::random_device()())
     , m_maxHostCount(MinHostCount)
     , m_reachability(settings.failureDomain)
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -1,4 +1,5 @@
 #include "settings/settings.h"
+#include "gateway/gatewaysettings.h"
 
 #include <doctest/doctest.h>
 
@@ -109,6 +110,27 @@
     CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "termination_grace_s", 8));
 }
 
+TEST_CASE("how long engines hold prompts is read by name, and is while calls run if not stated")
+{
+    const std::string gateway = R"(host: entry-1
+failure_domain: zona-norte
+listen: 127.0.0.1:8080
+operator_listen: 127.0.0.1:8081
+peer_listen: 127.0.0.1:8082
+platform: 127.0.0.1:9000
+)";
+    const auto retentionOf = [&gateway](const std::string &line) {
+        return readGatewaySettings(TemporaryFile(gateway + line).path()).value().promptRetention;
+    };
+    CHECK(retentionOf("") == PromptRetention::Running);
+    CHECK(retentionOf("prompt_retention: running\n") == PromptRetention::Running);
+    CHECK(retentionOf("prompt_retention: cached\n") == PromptRetention::Cached);
+    const TemporaryFile odd(gateway + "prompt_retention: always\n");
+    const auto settings = readGatewaySettings(odd.path());
+    REQUIRE(settings.has_error());
+    CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "prompt_retention", 7));
+}
+
 TEST_CASE("a missing file and malformed YAML have their own error codes")
 {
     CHECK(readAgentSettings("no-such-file.yaml").error().front().code == SettingsErrorCode::Unreadable);
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -251,7 +251,23 @@
         return {std::istreambuf_iterator<char>(file), {}};
     }
 
+    /// The metrics of a host, as it shows them to operators.
+    std::string metrics(std::size_t host)
+    {
+        std::string text;
+        run(readMetrics(host, text));
+        return text;
+    }
+
 private:
+    Task<> readMetrics(std::size_t host, std::string &text)
+    {
+        HttpClient client(m_context, m_hosts[host].operatorListen);
+        const auto answer = co_await client.call(makeHttpRequest("GET", "/metrics"), AnswerTimeout);
+        CHECK(answer.has_value());
+        text = answer.has_value() ? answer.value().body : std::string();
+    }
+
     static constexpr Milliseconds AnswerTimeout{4000};
     static constexpr Milliseconds StartTimeout{15000};
     static constexpr Milliseconds PollInterval{20};
