Log held tokens behind the fields that gatewaytest reads in order

gatewaytest expects candidates, attempt and left_ms next to each other in the line routed; held_tokens came between them, so one check failed.

--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -51,10 +51,10 @@
               {"reason", nameOf(choice.reason)},
               {"load", choice.load},
               {"candidates", choice.candidates},
-              {"held_tokens", choice.heldTokens},
               {"attempt", state.query.tried.size() + 1},
               {"left_ms", state.remainingTime(steadyNow()).count()},
               {"after_event", state.lastEventId},
+              {"held_tokens", choice.heldTokens},
               {"elapsed_ms", elapsedSince(state.startedAt).count()}});
     state.query.tried.push_back(choice.server);
     recordPrompt(thread, state, choice);
--- a/tests/promptresidencytest.cpp
+++ b/tests/promptresidencytest.cpp
@@ -334,8 +334,10 @@
 
 TEST_CASE("the server that holds most of a prompt is always compared, beside as many others as without it")
 {
+    constexpr int Servers = 100;
     std::vector<std::string> ids;
-    for (int i = 0; i < 100; ++i) {
+    ids.reserve(Servers);
+    for (int i = 0; i < Servers; ++i) {
         ids.push_back("s" + std::to_string(i));
     }
     Fleet fleet(ids);
