--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -182,6 +182,7 @@
 {
     m_thread.retryBudget(m_state.query.service).recordFirstAttempt(steadyNow());
     m_state.query.admission = streamAdmission();
+    m_state.query.promptReuse = promptReuse();
     while (true) {
         const auto choice = co_await ServerSelection(m_thread, m_state).choose();
         if (m_state.isCallerGone) {
@@ -223,6 +224,13 @@
         : streamAdmissionFor(*m_state.route, *service->engine, m_state.urgency);
 }
 
+std::optional<PromptReuse> CallHandler::promptReuse() const
+{
+    const auto *service = m_state.configuration->service(m_state.query.service);
+    return service == nullptr || !service->engine ? std::nullopt
+                                                  : promptReuseFor(*m_state.route, *service->engine, m_state.head);
+}
+
 Task<AttemptEnd> CallHandler::runAttempt(const ServerChoice &choice)
 {
     recordAttemptBegin(m_thread, m_state, choice);
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -41,6 +41,7 @@
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
     settings.coldOvershoot = reader.optionalDecimal("cold_overshoot", 0, MaxColdOvershoot);
     settings.coldSlack = reader.optionalDecimal("cold_slack", 0, MaxColdSlack);
+    settings.promptRetention = reader.named("prompt_retention", settings.promptRetention);
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -5,6 +5,7 @@
 #include "core/result.h"
 #include "logging/loglevel.h"
 #include "settings/settingserror.h"
+#include "traffic/promptretention.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -43,6 +44,8 @@
     /// server in any second. Without both, calls to cold servers are not limited.
     std::optional<double> coldOvershoot;
     std::optional<double> coldSlack;
+    /// How long the engines hold the prompts of calls.
+    PromptRetention promptRetention = PromptRetention::Running;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/traffic/serverchoice.h
+++ b/src/traffic/serverchoice.h
@@ -3,6 +3,9 @@
 #include "core/identifiers.h"
 #include "traffic/choicereason.h"
 
+#include <cstddef>
+#include <cstdint>
+
 namespace Cardamomhill
 {
 
@@ -17,6 +20,8 @@
     std::size_t candidates = 0;
     /// Servers that were skipped because they are cold and this host may not send calls to them now.
     std::size_t skippedCold = 0;
+    /// Tokens of the beginning of the prompt that the server probably holds.
+    std::uint64_t heldTokens = 0;
 
     bool hasServer() const
     {
