Choose no server in an evacuated failure domain

A deployment evacuates failure domains: their servers must get no new calls, while those in progress go on. Evacuations decides from lists, changes and outages of the store which domains are evacuated and when finished evacuations ended; ServerTable::setEvacuated() takes the result. Evacuation differs from unreachability: the servers stay available, so that no stream is moved away from them, and their groups take calls at the other ranks. Nothing sets it yet.

--- a/src/traffic/attemptend.h
+++ b/src/traffic/attemptend.h
@@ -14,7 +14,8 @@
     CallerGone,
     /// No connection was made, so nothing was sent.
     NotSent,
-    /// The server stated, while the attempt was connecting, that it takes no calls now, so nothing was sent.
+    /// While the attempt was connecting, the server stated that it takes no calls now or its failure domain was
+    /// evacuated, so nothing was sent.
     Withdrawn,
     /// The server states that it did not run the call.
     NotRun,
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -17,7 +17,10 @@
     NoServer,
     /// Earlier attempts of the call have tried all servers.
     AllTried,
-    /// The servers that were not tried are unreachable, or in groups that take no calls while they are formed again.
+    /// The servers that were not tried are in evacuated failure domains.
+    Evacuated,
+    /// The servers that were not tried and are in no evacuated failure domain are unreachable, or in groups that take
+    /// no calls while they are formed again.
     GroupsClosed,
     /// All servers that could take the call have stated that they want no calls for a while.
     AllHeld,
@@ -32,6 +35,7 @@
         {ChoiceReason::LastResort, "last-resort"},
         {ChoiceReason::NoServer, "no-server"},
         {ChoiceReason::AllTried, "all-tried"},
+        {ChoiceReason::Evacuated, "evacuated"},
         {ChoiceReason::GroupsClosed, "groups-closed"},
         {ChoiceReason::AllHeld, "all-held"},
         {ChoiceReason::AllFull, "all-full"},
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -137,6 +137,9 @@
     if (std::find(query.tried.begin(), query.tried.end(), entry.server.id) != query.tried.end()) {
         return ChoiceReason::AllTried;
     }
+    if (m_evacuated.contains(entry.server.failureDomain)) {
+        return ChoiceReason::Evacuated;
+    }
     if (!isAvailable(entry)) {
         return ChoiceReason::GroupsClosed;
     }
@@ -195,6 +198,38 @@
     return m_unreachable;
 }
 
+void ServerTable::setEvacuated(EvacuatedDomains evacuated)
+{
+    m_evacuated = std::move(evacuated);
+}
+
+const EvacuatedDomains &ServerTable::evacuated() const
+{
+    return m_evacuated;
+}
+
+bool ServerTable::isEvacuated(const BackendServerId &id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && m_evacuated.contains(found->second.server.failureDomain);
+}
+
+std::optional<SteadyTime> ServerTable::evacuationEndedAt(const FailureDomainId &domain) const
+{
+    return m_evacuated.endOf(domain);
+}
+
+std::vector<BackendServerId> ServerTable::serversIn(const FailureDomainId &domain) const
+{
+    std::vector<BackendServerId> servers;
+    for (const auto &[id, entry] : m_entries) {
+        if (!entry.isGone && entry.server.failureDomain == domain) {
+            servers.push_back(id);
+        }
+    }
+    return servers;
+}
+
 void ServerTable::updateUnavailableGroups()
 {
     std::unordered_map<GroupId, std::uint64_t> epochs;
@@ -231,6 +266,11 @@
     return isOpen && !m_unavailableGroups.contains(groupMembership->group);
 }
 
+bool ServerTable::isUsable(const Entry &entry) const
+{
+    return !isLeaving(entry) && isAvailable(entry) && !m_evacuated.contains(entry.server.failureDomain);
+}
+
 bool ServerTable::isLeaving(const Entry &entry) const
 {
     return entry.server.isLeaving || m_statements.isLeaving(entry.process);
@@ -265,7 +305,7 @@
     }
     for (const auto &id : found->second) {
         const auto &entry = m_entries.at(id);
-        if (isLeaving(entry) || !isAvailable(entry)) {
+        if (!isUsable(entry)) {
             continue;
         }
         const auto end = m_statements.heldUntil(entry.process);
@@ -308,8 +348,7 @@
     const auto found = m_services.find(service);
     return found != m_services.end()
         && std::any_of(found->second.begin(), found->second.end(), [this](const BackendServerId &id) {
-               const auto &entry = m_entries.at(id);
-               return !isLeaving(entry) && isAvailable(entry);
+               return isUsable(m_entries.at(id));
            });
 }
 
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "traffic/answerhead.h"
 #include "traffic/attemptend.h"
+#include "traffic/evacuateddomains.h"
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
 #include "traffic/serverloads.h"
@@ -70,6 +71,17 @@
     void setUnreachable(std::set<FailureDomainId> domains, SteadyTime now);
     const std::set<FailureDomainId> &unreachable() const;
 
+    /// Sets the failure domains that are evacuated. Their servers get no calls; those in progress go on. A group with a
+    /// rank there takes calls at its other ranks.
+    void setEvacuated(EvacuatedDomains evacuated);
+    const EvacuatedDomains &evacuated() const;
+    /// Whether a server is registered in an evacuated failure domain, or was when its registration ended.
+    bool isEvacuated(const BackendServerId &id) const;
+    /// When this host learned that the last evacuation of a domain had ended; nothing while the domain is evacuated.
+    std::optional<SteadyTime> evacuationEndedAt(const FailureDomainId &domain) const;
+    /// The ids of the registered servers of a failure domain.
+    std::vector<BackendServerId> serversIn(const FailureDomainId &domain) const;
+
     /// Records that a group was formed and takes calls. Its registrations show that later.
     void recordGroupOpened(const GroupId &group, std::uint64_t epoch);
 
@@ -165,6 +177,8 @@
     Score scoreOf(const Entry &entry, SteadyTime now) const;
     static double slotsOf(const Entry &entry);
     bool isAvailable(const Entry &entry) const;
+    /// Whether calls may be sent to the server, now or at the end of its hold.
+    bool isUsable(const Entry &entry) const;
     /// Whether the registration or the server itself says so.
     bool isLeaving(const Entry &entry) const;
     /// Calls in progress from which the server counts as full.
@@ -183,6 +197,7 @@
     ServerLoads m_peerLoads;
     SlowdownFactors m_slowdownFactors;
     std::set<FailureDomainId> m_unreachable;
+    EvacuatedDomains m_evacuated;
     /// When a failure domain last became reachable again.
     std::optional<SteadyTime> m_reachableAt;
     struct GroupActivity {
--- a/src/traffic/traffic.h
+++ b/src/traffic/traffic.h
@@ -7,6 +7,7 @@
 #include "traffic/attemptend.h"
 #include "traffic/calldurations.h"
 #include "traffic/callhead.h"
+#include "traffic/evacuations.h"
 #include "traffic/eventsplitter.h"
 #include "traffic/serverregistry.h"
 #include "traffic/servertable.h"
