Follow evacuations of failure domains and send no calls there

Calls to an evacuated domain must stop within the platform's bound. Without evacuation_limit_ms nothing changes and the store gets no further request. With it, GatewayControl follows the kind of evacuations as it follows the others, relays included, and a host is not ready and sends no call before the first list. The traffic thread closes idle connections to the domain, keeps no more of them, and an attempt that has connected is withdrawn before it sends if its server's domain, when it began or now, is evacuated. Calls in progress there go on.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -112,6 +112,11 @@
         m_cause = "the server takes no calls now";
         co_return AttemptEnd::Withdrawn;
     }
+    if (isEvacuated()) {
+        m_cause = "the server's failure domain is evacuated";
+        m_thread.metrics().counter("attempts_withdrawn_evacuated_total").add();
+        co_return AttemptEnd::Withdrawn;
+    }
     m_lastArrival = steadyNow();
     m_thread.attempts().insert(this);
     const auto end = co_await sendRequest();
@@ -124,6 +129,13 @@
     co_return end;
 }
 
+bool Attempt::isEvacuated() const
+{
+    // While the attempt connected, the registration may have moved to another domain or another process taken the id.
+    const auto &servers = m_thread.servers();
+    return servers.isEvacuated(m_server) || servers.evacuated().contains(m_failureDomain);
+}
+
 void Attempt::cancel(std::string_view cause)
 {
     m_cancelCause = cause;
@@ -213,6 +225,7 @@
         co_return false;
     }
     m_process = processOf(*server);
+    m_failureDomain = server->failureDomain;
     // The server may close an idle connection while the call is sent. The call may then have run, so only repeatable
     // calls use one.
     // An answer to an earlier call could not be told from the answer to a call without an id.
@@ -223,7 +236,6 @@
         m_isReused = true;
         co_return true;
     }
-    const auto domain = server->failureDomain;
     m_connection = std::make_unique<HttpClientConnection>(m_thread.context(), ReadBufferBytes);
     const auto connected = co_await m_connection->connect(*endpoint, std::min(ConnectTimeout, remainingTime()));
     const bool isConnected = connected.has_value();
@@ -232,7 +244,8 @@
     }
     // A refused connection shows that the host is reachable.
     if (!m_state.isCallerGone) {
-        m_thread.recordConnectResult(domain, isConnected || connected.error().code == NetErrorCode::ConnectRefused);
+        m_thread.recordConnectResult(m_failureDomain,
+                                     isConnected || connected.error().code == NetErrorCode::ConnectRefused);
     }
     co_return isConnected;
 }
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -68,6 +68,8 @@
 private:
     Task<AttemptEnd> sendUnlessOver();
     Task<bool> connect();
+    /// Whether the server's failure domain is evacuated.
+    bool isEvacuated() const;
     Task<AttemptEnd> sendRequest();
     Task<AttemptEnd> relayAnswer();
     Task<AttemptEnd> relayBufferedAnswer();
@@ -104,6 +106,8 @@
     DeliveryTurn::Ticket m_ticket;
     /// The process that was registered when the attempt began to connect.
     ServerProcess m_process;
+    /// The failure domain of that process.
+    FailureDomainId m_failureDomain;
     std::unique_ptr<HttpClientConnection> m_connection;
     /// The connection was used for earlier calls.
     bool m_isReused = false;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -142,6 +142,10 @@
         return Problem{
             ProblemKind::NotReady, StatusUnavailable, "not-sent", "no configuration is known yet", StartRetryAfter};
     }
+    if (!m_thread.knowsEvacuations()) {
+        return Problem{
+            ProblemKind::NotReady, StatusUnavailable, "not-sent", "no evacuations are known yet", StartRetryAfter};
+    }
     const auto &configuration = *m_state.configuration;
     m_state.route = configuration.route(m_state.head.hostName, m_state.head.path);
     if (m_state.route == nullptr) {
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -58,12 +58,23 @@
                                        : m_serverRegistry.onStoreUnavailable();
                         }})
 {
+    if (settings.evacuationLimit) {
+        m_evacuationFollower.emplace(context,
+                                     settings,
+                                     codec,
+                                     metrics,
+                                     ObjectFollower::Dependencies{availability, relay.kind(codec.evacuationKind())},
+                                     m_observers.onEvacuations);
+    }
 }
 
 void GatewayControl::start()
 {
     m_configurationFollower.start();
     m_serverFollower.start();
+    if (m_evacuationFollower) {
+        m_evacuationFollower->start();
+    }
     spawn(m_context.get_executor(), "gateway-control-tick", tickLoop());
 }
 
@@ -71,6 +82,9 @@
 {
     m_configurationFollower.setFailureDomainHosts(hosts);
     m_serverFollower.setFailureDomainHosts(hosts);
+    if (m_evacuationFollower) {
+        m_evacuationFollower->setFailureDomainHosts(hosts);
+    }
 }
 
 StoreRole GatewayControl::role() const
@@ -80,7 +94,8 @@
 
 bool GatewayControl::isReady() const
 {
-    return m_configurationVersion != 0 && m_hasSeenServer;
+    const bool knowsEvacuations = !m_evacuationFollower || m_evacuationFollower->isListed();
+    return m_configurationVersion != 0 && m_hasSeenServer && knowsEvacuations;
 }
 
 std::uint64_t GatewayControl::configurationVersion() const
--- a/src/gateway/gatewaycontrol.h
+++ b/src/gateway/gatewaycontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/objectfollower.h"
+#include "gateway/evacuationfollower.h"
 #include "net/asio.h"
 #include "traffic/serverregistry.h"
 #include "traffic/trafficconfiguration.h"
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Cardamomhill
 {
@@ -17,13 +19,16 @@
 class StoreRelay;
 struct GatewaySettings;
 
-/// Watches the configuration and the server registrations in the platform's store and notifies of changes.
+/// Watches the configuration, the server registrations and, if the settings state a limit for them, the evacuations of
+/// failure domains in the platform's store, and notifies of changes.
 class GatewayControl
 {
 public:
     struct Observers {
         std::function<void(const std::shared_ptr<const TrafficConfiguration> &)> onConfiguration;
         std::function<void(const ServerChanges &)> onServers;
+        /// Never called if evacuations are not followed.
+        std::function<void(const EvacuatedDomains &)> onEvacuations;
     };
 
     GatewayControl(asio::io_context &context,
@@ -41,7 +46,8 @@
 
     StoreRole role() const;
 
-    /// Whether calls can be routed: a configuration is in force, and a server has been known since the start.
+    /// Whether calls can be routed: a configuration is in force, a server has been known since the start, and the
+    /// evacuated failure domains are known.
     bool isReady() const;
     std::uint64_t configurationVersion() const;
     std::size_t serverCount() const;
@@ -63,6 +69,7 @@
     Observers m_observers;
     ObjectFollower m_configurationFollower;
     ObjectFollower m_serverFollower;
+    std::optional<EvacuationFollower> m_evacuationFollower;
     ServerRegistry m_serverRegistry;
     std::uint64_t m_configurationVersion = 0;
     bool m_hasSeenServer = false;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -93,6 +93,10 @@
                          m_groupCoordinatorManager.applyServers(changes);
                          asio::post(m_trafficThread.context(),
                                     [this, changes] { m_trafficThread.applyServers(changes); });
+                     },
+                     [this](const EvacuatedDomains &evacuated) {
+                         asio::post(m_trafficThread.context(),
+                                    [this, evacuated] { m_trafficThread.applyEvacuations(evacuated); });
                      }})
         , m_hostDirectory(
               m_context,
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -14,6 +14,7 @@
 constexpr double MaxRetryWindowSeconds = 3600;
 constexpr double MinLinkMegabitsPerSecond = 0.1;
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
+constexpr std::int64_t MaxEvacuationLimitMs = 3'600'000;
 
 } // namespace
 
@@ -37,6 +38,10 @@
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.linkMegabitsPerSecond = reader.decimal(
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
+    const Milliseconds evacuationLimit(reader.integer("evacuation_limit_ms", 0, 1, MaxEvacuationLimitMs));
+    if (evacuationLimit > Milliseconds(0)) {
+        settings.evacuationLimit = evacuationLimit;
+    }
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Cardamomhill
@@ -38,6 +39,8 @@
     bool coordinatesGroups = false;
     /// Bandwidth of this host's network link. The rate of orders to engines is limited by it.
     double linkMegabitsPerSecond = 1000;
+    /// Time within which calls to an evacuated failure domain must stop. Evacuations are followed only if it is set.
+    std::optional<Milliseconds> evacuationLimit;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -3,6 +3,7 @@
 #include "core/joinwithcommas.h"
 #include "gateway/attempt.h"
 #include "gateway/callhandler.h"
+#include "gateway/evacuationrecord.h"
 #include "gateway/gatewaysettings.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
@@ -150,6 +151,31 @@
     for (const auto &id : changes.removed) {
         m_connectionPool.closeAll(id);
     }
+    // A registration may have moved to an evacuated domain.
+    closeEvacuatedConnections();
+}
+
+void GatewayThread::applyEvacuations(EvacuatedDomains evacuated)
+{
+    const auto before = m_servers.evacuated();
+    m_servers.setEvacuated(std::move(evacuated));
+    m_hasEvacuations = true;
+    closeEvacuatedConnections();
+    recordEvacuations(*this, before);
+}
+
+void GatewayThread::closeEvacuatedConnections()
+{
+    for (const auto &domain : m_servers.evacuated().domains) {
+        for (const auto &id : m_servers.serversIn(domain)) {
+            m_connectionPool.closeAll(id);
+        }
+    }
+}
+
+bool GatewayThread::knowsEvacuations() const
+{
+    return m_hasEvacuations || !m_settings.evacuationLimit;
 }
 
 void GatewayThread::recordLeaving(const ServerProcess &process, const AnswerHead &answer)
@@ -179,7 +205,8 @@
 bool GatewayThread::mayReuseConnection(const ServerProcess &process) const
 {
     const auto *known = m_servers.server(process.id);
-    return known != nullptr && processOf(*known) == process && m_servers.isStaying(process);
+    return known != nullptr && processOf(*known) == process && m_servers.isStaying(process)
+        && !m_servers.isEvacuated(process.id);
 }
 
 void GatewayThread::setOwnSlowServers(const SlowdownFactors &slowdownFactors)
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -75,6 +75,8 @@
 
     void applyConfiguration(std::shared_ptr<const TrafficConfiguration> configuration);
     void applyServers(const ServerChanges &changes);
+    /// Ends all calls to servers of the evacuated failure domains, except those that were sent before.
+    void applyEvacuations(EvacuatedDomains evacuated);
     /// Sets the slow ranks of the groups that this process coordinates.
     void setOwnSlowServers(const SlowdownFactors &slowdownFactors);
     /// Tells the other entry hosts about a group that this process coordinates.
@@ -96,6 +98,10 @@
     StopSummary &stopSummary();
     void recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end);
 
+    /// Whether it is known which failure domains are evacuated, if evacuations are followed. No call can be sent
+    /// before.
+    bool knowsEvacuations() const;
+
     /// False while this host is cut off by a network partition and cannot serve all engine services. Thread-safe.
     bool canServe() const;
 
@@ -142,6 +148,7 @@
 
 private:
     Task<> tickLoop();
+    void closeEvacuatedConnections();
     void applyGroupNotice(const GroupNotice &notice);
     /// Ends the attempts whose prompts have a blocked part, before their servers begin to answer.
     void cancelBlockedAttempts();
@@ -171,6 +178,7 @@
     HttpServer m_httpServer;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
     ServerTable m_servers;
+    bool m_hasEvacuations = false;
     BackendConnectionPool m_connectionPool;
     Random m_random;
     /// The largest number of entry hosts so far, this one included.
--- a/src/gateway/storecodec.h
+++ b/src/gateway/storecodec.h
@@ -13,8 +13,8 @@
 namespace Cardamomhill
 {
 
-/// Names the objects of a platform's store that hold the configuration and the server registrations, and parses them.
-/// Holds no policy.
+/// Names the objects of a platform's store that hold the configuration, the server registrations and the evacuations of
+/// failure domains, and parses them. Holds no policy.
 class StoreCodec
 {
 public:
@@ -26,6 +26,8 @@
     /// The name of the object of configurationKind() that holds the configuration.
     virtual std::string configurationName() const = 0;
     virtual std::string serverKind() const = 0;
+    /// The kind with one object for each evacuated failure domain, which has the domain's name.
+    virtual std::string evacuationKind() const = 0;
 
     virtual Result<std::shared_ptr<const TrafficConfiguration>, StoreParseError>
     parseConfiguration(const PlatformObject &object) const = 0;
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -1,4 +1,5 @@
 #include "settings/settings.h"
+#include "gateway/gatewaysettings.h"
 
 #include <doctest/doctest.h>
 
@@ -109,6 +110,24 @@
     CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "termination_grace_s", 8));
 }
 
+TEST_CASE("evacuations are followed only with a limit, which must be positive")
+{
+    const std::string gateway = R"(host: gate-1
+failure_domain: d1
+listen: 127.0.0.1:8080
+operator_listen: 127.0.0.1:8081
+peer_listen: 127.0.0.1:8082
+platform: 127.0.0.1:9000
+)";
+    CHECK_FALSE(readGatewaySettings(TemporaryFile(gateway).path()).value().evacuationLimit);
+    CHECK(readGatewaySettings(TemporaryFile(gateway + "evacuation_limit_ms: 5000\n").path()).value().evacuationLimit
+          == Milliseconds(5000));
+    const TemporaryFile zero(gateway + "evacuation_limit_ms: 0\n");
+    const auto settings = readGatewaySettings(zero.path());
+    REQUIRE(settings.has_error());
+    CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "evacuation_limit_ms", 7));
+}
+
 TEST_CASE("a missing file and malformed YAML have their own error codes")
 {
     CHECK(readAgentSettings("no-such-file.yaml").error().front().code == SettingsErrorCode::Unreadable);
