--- /dev/null
+++ b/tests/evacuationfleettest.cpp
@@ -0,0 +1,206 @@
+// Guards against calls that gateways send to an evacuated failure domain after the limit, against a domain that gets no
+// calls after its evacuation, and against streams that an evacuation cuts off.
+
+#include "support/gatewayfleet.h"
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+constexpr Milliseconds Limit{2000};
+constexpr Milliseconds CallInterval{40};
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+const std::string Near = "near";
+const std::string Far = "far";
+const std::string FarDomain = "d2";
+
+/// Two gateways, one server in each of two failure domains, and calls to both gateways.
+class EvacuatedFleet
+{
+public:
+    EvacuatedFleet()
+        : fleet(2, {Near, Far}, "evacuation_limit_ms: " + std::to_string(Limit.count()) + "\n")
+    {
+        fleet.onRun = [this](const std::string &server, const HttpRequest &request) {
+            if (server == Far && std::string(request.target()) == CallPath) {
+                m_lastFarRun = steadyNow();
+            }
+        };
+        fleet.configure([](nlohmann::json &document) { document["routes"][2]["timeout-ms"] = 8000; });
+        registerIn(FarDomain, 2);
+        for (std::size_t host = 0; host < 2; ++host) {
+            fleet.run(fleet.waitForLog(host, "event=configuration-in-force version=2"));
+            fleet.run(fleet.waitForLog(host, "server=far service=shop address=" + farAddress() + " failure_domain=d2"));
+        }
+    }
+
+    /// Registers the far server as a process in a failure domain.
+    void registerIn(const std::string &domain, std::uint64_t startedAt)
+    {
+        const ServerEntry entry{Far, farAddress(), startedAt, false};
+        auto document = nlohmann::json::parse(serverDocument(entry));
+        document["zone"] = domain;
+        fleet.store.put("servers", Far, document);
+    }
+
+    void setEvacuated(const std::string &domain, bool isEvacuated)
+    {
+        isEvacuated ? fleet.store.put("evacuations", domain, nlohmann::json::object())
+                    : fleet.store.remove("evacuations", domain);
+    }
+
+    /// Sends calls to a host one after the other for some time.
+    Task<> callFor(std::size_t host, Milliseconds time)
+    {
+        for (const auto end = steadyNow() + time; steadyNow() < end;) {
+            const auto result = co_await callOnce(host);
+            CHECK(result.status == Ok);
+            co_await fleet.sleep(CallInterval);
+        }
+    }
+
+    /// Sends calls to a host until one has run at the far server.
+    Task<> callUntilFar(std::size_t host)
+    {
+        const auto begun = steadyNow();
+        while (m_lastFarRun <= begun && steadyNow() < begun + Limit) {
+            co_await callOnce(host);
+            co_await fleet.sleep(CallInterval);
+        }
+        CHECK(m_lastFarRun > begun);
+    }
+
+    Task<CallResult> callOnce(std::size_t host)
+    {
+        return fleet.call(host, GatewayFleet::makeCall(CallPath, "call-" + std::to_string(++m_callCount)));
+    }
+
+    /// Checks that a host sends no call to the far server any more.
+    void checkNoCallsToFar(std::size_t host)
+    {
+        const auto begun = steadyNow();
+        fleet.run(callFor(host, Milliseconds(1000)));
+        CHECK(m_lastFarRun < begun);
+    }
+
+    /// Reads a stream that goes on for longer than the limit.
+    Task<> readStream(std::string id)
+    {
+        auto request = GatewayFleet::makeCall("/draft/stream", id);
+        request.set("X-Events", std::to_string(StreamEvents));
+        request.set("X-Event-Interval-Ms", "100");
+        request.set("Cardamomhill-Request-Deadline", "8000");
+        const auto result = co_await fleet.call(0, request);
+        m_wholeStreams += result.isComplete && result.status == Ok ? 1 : 0;
+        ++m_endedStreams;
+    }
+
+    Task<> waitForStreams(int count)
+    {
+        while (m_endedStreams < count) {
+            co_await fleet.sleep(CallInterval);
+        }
+        CHECK(m_wholeStreams == count);
+    }
+
+    SteadyTime lastFarRun() const
+    {
+        return m_lastFarRun;
+    }
+
+    GatewayFleet fleet;
+
+private:
+    static constexpr int StreamEvents = 45;
+    static inline const std::string CallPath = "/safe/ok";
+
+    std::string farAddress()
+    {
+        return controlAddress(fleet.server(Far).endpoint()).value();
+    }
+
+    SteadyTime m_lastFarRun{};
+    int m_callCount = 0;
+    int m_endedStreams = 0;
+    int m_wholeStreams = 0;
+};
+
+} // namespace
+
+TEST_CASE("calls to an evacuated domain stop within the limit and return, and a stream that runs there is whole")
+{
+    constexpr int Streams = 4;
+    EvacuatedFleet evacuation;
+    auto &fleet = evacuation.fleet;
+    for (std::size_t host = 0; host < 2; ++host) {
+        fleet.run(evacuation.callUntilFar(host));
+    }
+    fleet.kill(1);
+    for (int stream = 0; stream < Streams; ++stream) {
+        fleet.spawnTask(evacuation.readStream("stream-" + std::to_string(stream)));
+    }
+    fleet.run(fleet.sleep(Milliseconds(500)));
+    int farStreams = 0;
+    for (int stream = 0; stream < Streams; ++stream) {
+        farStreams += fleet.runs["stream-" + std::to_string(stream)][Far];
+    }
+    REQUIRE(farStreams > 0);
+
+    const auto evacuatedAt = steadyNow();
+    evacuation.setEvacuated(FarDomain, true);
+    fleet.run(evacuation.callFor(0, Limit));
+    CHECK(evacuation.lastFarRun() < evacuatedAt + Limit);
+    CHECK(fleet.log(0).find("event=domain-evacuated failure_domain=d2 servers=1 calls=") != std::string::npos);
+    evacuation.checkNoCallsToFar(0);
+
+    // A gateway that starts during the evacuation is ready only once it knows of it.
+    fleet.start(1);
+    fleet.run(fleet.waitUntilReady());
+    evacuation.checkNoCallsToFar(1);
+    fleet.run(evacuation.waitForStreams(Streams));
+    int runs = 0;
+    for (int stream = 0; stream < Streams; ++stream) {
+        runs += fleet.runsOf("stream-" + std::to_string(stream));
+    }
+    CHECK(runs == Streams);
+
+    evacuation.setEvacuated(FarDomain, false);
+    for (std::size_t host = 0; host < 2; ++host) {
+        fleet.run(evacuation.callUntilFar(host));
+        CHECK(fleet.log(host).find("event=domain-restored failure_domain=d2") != std::string::npos);
+    }
+}
+
+TEST_CASE("calls are refused unsent while all domains are evacuated, and an outage of the store ends no evacuation")
+{
+    EvacuatedFleet evacuation;
+    auto &fleet = evacuation.fleet;
+    evacuation.setEvacuated(FarDomain, true);
+    fleet.run(fleet.waitForLog(0, "event=domain-evacuated failure_domain=d2"));
+    fleet.store.setDown(true);
+    evacuation.setEvacuated(FarDomain, false);
+    evacuation.checkNoCallsToFar(0);
+    evacuation.setEvacuated(FarDomain, true);
+    evacuation.setEvacuated("d1", true);
+    fleet.store.setDown(false);
+    fleet.run(fleet.waitForLog(0, "event=domain-evacuated failure_domain=d1"));
+    const auto call = [&]() -> Task<> {
+        const auto result = co_await fleet.call(0, GatewayFleet::makeCall("/pay/ok", "refused"));
+        CHECK(result.status == Unavailable);
+        CHECK_FALSE(result.retryAfter.empty());
+    };
+    fleet.run(call());
+    CHECK(fleet.runsOf("refused") == 0);
+    CHECK(fleet.log(0).find("detail=evacuated") != std::string::npos);
+
+    // A server that moves to a domain which is not evacuated gets calls at once, and none after it moves back.
+    evacuation.setEvacuated("d1", false);
+    fleet.run(fleet.waitForLog(0, "event=domain-restored failure_domain=d1"));
+    evacuation.registerIn("d1", 2);
+    fleet.run(evacuation.callUntilFar(0));
+    evacuation.registerIn(FarDomain, 2);
+    fleet.run(fleet.sleep(Limit));
+    evacuation.checkNoCallsToFar(0);
+}
