Let the test of evacuations send calls until a domain is evacuated

The last call at the domain lay half a second before the evacuation, so the first check could not fail. The test fails when ServerTable and Attempt ignore evacuations.

--- a/tests/evacuationfleettest.cpp
+++ b/tests/evacuationfleettest.cpp
@@ -141,13 +141,15 @@
     for (int stream = 0; stream < Streams; ++stream) {
         fleet.spawnTask(evacuation.readStream("stream-" + std::to_string(stream)));
     }
-    fleet.run(fleet.sleep(Milliseconds(500)));
+    fleet.run(evacuation.callFor(0, Milliseconds(500)));
     int farStreams = 0;
     for (int stream = 0; stream < Streams; ++stream) {
         farStreams += fleet.runs["stream-" + std::to_string(stream)][Far];
     }
     REQUIRE(farStreams > 0);
 
+    // The streams there do not keep calls away.
+    fleet.run(evacuation.callUntilFar(0));
     const auto evacuatedAt = steadyNow();
     evacuation.setEvacuated(FarDomain, true);
     fleet.run(evacuation.callFor(0, Limit));
