--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -16,6 +16,7 @@
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
 constexpr double MaxColdOvershoot = 1000;
 constexpr double MaxColdSlack = 1'000'000;
+constexpr std::int64_t MaxEvacuationLimitMs = 3'600'000;
 
 } // namespace
 
@@ -42,6 +43,10 @@
     settings.coldOvershoot = reader.optionalDecimal("cold_overshoot", 0, MaxColdOvershoot);
     settings.coldSlack = reader.optionalDecimal("cold_slack", 0, MaxColdSlack);
     settings.promptRetention = reader.named("prompt_retention", settings.promptRetention);
+    const Milliseconds evacuationLimit(reader.integer("evacuation_limit_ms", 0, 1, MaxEvacuationLimitMs));
+    if (evacuationLimit > Milliseconds(0)) {
+        settings.evacuationLimit = evacuationLimit;
+    }
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -46,6 +46,8 @@
     std::optional<double> coldSlack;
     /// How long the engines hold the prompts of calls.
     PromptRetention promptRetention = PromptRetention::Running;
+    /// Time within which calls to an evacuated failure domain must stop. Evacuations are followed only if it is set.
+    std::optional<Milliseconds> evacuationLimit;
     LogLevel logLevel = LogLevel::Info;
 };
 
