Check the verdict of property tests

rc::check() returns whether the property holds and prints it, but does not fail the test case: four properties could not fail.

--- a/tests/chunkdecodertest.cpp
+++ b/tests/chunkdecodertest.cpp
@@ -64,7 +64,7 @@
 
 TEST_CASE("a body in chunks is decoded alike wherever the input is cut")
 {
-    rc::check([](const std::vector<std::string> &chunks, bool hasExtensions, bool hasTrailer) {
+    CHECK(rc::check([](const std::vector<std::string> &chunks, bool hasExtensions, bool hasTrailer) {
         std::string input;
         std::string body;
         for (const auto &chunk : chunks) {
@@ -80,7 +80,7 @@
         RC_ASSERT(decoded.isDone);
         RC_ASSERT(decoded.body == body);
         RC_ASSERT(decoded.rest == "HTTP");
-    });
+    }));
 }
 
 TEST_CASE("bytes that are no body in chunks are refused, wherever they begin")
@@ -113,7 +113,7 @@
 
 TEST_CASE("changed bytes never make a decoder consume more than it was given or go on after the end")
 {
-    rc::check([](std::string input) {
+    CHECK(rc::check([](std::string input) {
         const std::string valid = "5;e=1\r\nhello\r\nA\r\n0123456789\r\n0\r\nX: y\r\n\r\n";
         input = *rc::gen::element(input, valid);
         const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
@@ -131,7 +131,7 @@
         RC_ASSERT(whole.body == bytewise.body);
         RC_ASSERT(!whole.isDone || whole.rest == bytewise.rest);
         RC_ASSERT(whole.body.size() <= input.size());
-    });
+    }));
 }
 
 TEST_CASE("trailer fields are limited in length")
--- a/tests/concurrencylimittest.cpp
+++ b/tests/concurrencylimittest.cpp
@@ -77,7 +77,7 @@
 
 TEST_CASE("property: the limit stays between a few streams and the slots, whatever steps are seen")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         ConcurrencyLimit limit;
         auto now = Start;
         const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
@@ -89,5 +89,5 @@
         const double streams = limit.streamsPerEngine(Model, Objective, Slots, now);
         RC_ASSERT(streams >= 4);
         RC_ASSERT(streams <= Slots);
-    });
+    }));
 }
--- a/tests/deliveryturntest.cpp
+++ b/tests/deliveryturntest.cpp
@@ -41,7 +41,7 @@
 TEST_CASE("in any order of attempts and claims a stream has no gap, no repetition and no piece of an attempt that lost")
 {
     // Attempts deliver numbers from the one after the last that was delivered when they began.
-    rc::check([](const std::vector<unsigned char> &steps) {
+    CHECK(rc::check([](const std::vector<unsigned char> &steps) {
         DeliveryTurn turn;
         struct Source {
             DeliveryTurn::Ticket ticket;
@@ -66,5 +66,5 @@
             RC_ASSERT(source.next == delivered);
             source.next = ++delivered;
         }
-    });
+    }));
 }
