Choose ports again in evacuationattempttest if one cannot be used

One run of 40 failed because the traffic thread could not listen on a port that was free when it was chosen; another process or a connection had probably taken it (not traced).

--- a/tests/evacuationattempttest.cpp
+++ b/tests/evacuationattempttest.cpp
@@ -53,16 +53,14 @@
 {
 public:
     Traffic()
-        : m_settings(settings())
-        , m_thread(m_settings, m_codec, m_metrics, {{}, {}, [](const auto &) {}, {}, {}, {}})
-        , m_first(m_context, "first")
+        : m_first(m_context, "first")
         , m_second(m_context, "second")
     {
-        REQUIRE(m_first.listen(freeEndpoint(m_context)).has_value());
-        REQUIRE(m_second.listen(freeEndpoint(m_context)).has_value());
-        REQUIRE(m_thread.listen().has_value());
-        m_thread.applyConfiguration(configuration());
-        m_thread.applyServers({{registration("first", first(), D1)}, {}});
+        REQUIRE(m_first.listen({asio::ip::address_v4::loopback(), 0}).has_value());
+        REQUIRE(m_second.listen({asio::ip::address_v4::loopback(), 0}).has_value());
+        listen();
+        m_thread->applyConfiguration(configuration());
+        m_thread->applyServers({{registration("first", first(), D1)}, {}});
     }
 
     /// Runs a change of the thread's state after a server has been chosen for the next call, while the attempt
@@ -70,14 +68,14 @@
     void whileConnecting(std::function<void()> change)
     {
         m_codec.onCall = [this, change = std::move(change)] {
-            asio::post(m_thread.context(), change);
+            asio::post(m_thread->context(), change);
             m_codec.onCall = {};
         };
     }
 
     void evacuate(std::set<FailureDomainId> domains)
     {
-        m_thread.applyEvacuations({std::move(domains), {}});
+        m_thread->applyEvacuations({std::move(domains), {}});
     }
 
     unsigned call(const std::string &path = "/safe/ok", const std::function<void()> &duringCall = {})
@@ -87,7 +85,7 @@
         const auto begun = steadyNow();
         bool hasChanged = false;
         while (!m_status) {
-            m_thread.context().run_for(Milliseconds(1));
+            m_thread->context().run_for(Milliseconds(1));
             m_context.restart();
             m_context.run_for(Milliseconds(1));
             if (duringCall && !hasChanged && steadyNow() - begun > Milliseconds(100)) {
@@ -117,7 +115,7 @@
 
     GatewayThread &thread()
     {
-        return m_thread;
+        return *m_thread;
     }
 
     DirectBackend &first()
@@ -131,6 +129,20 @@
     }
 
 private:
+    /// Another process may take a port that was free before the thread listens there.
+    void listen()
+    {
+        constexpr int MaxTries = 5;
+        bool isListening = false;
+        for (int tries = 0; !isListening && tries < MaxTries; ++tries) {
+            m_settings = settings();
+            m_thread = std::make_unique<GatewayThread>(
+                m_settings, m_codec, m_metrics, GatewayThread::Observers{{}, {}, [](const auto &) {}, {}, {}, {}});
+            isListening = m_thread->listen().has_value();
+        }
+        REQUIRE(isListening);
+    }
+
     GatewaySettings settings()
     {
         GatewaySettings settings;
@@ -174,7 +186,7 @@
     GatewaySettings m_settings;
     MetricsRegistry m_metrics;
     ObservedHeaders m_codec;
-    GatewayThread m_thread;
+    std::unique_ptr<GatewayThread> m_thread;
     DirectBackend m_first;
     DirectBackend m_second;
     int m_callCount = 0;
