Read the memory and descriptors of the gateway's host

A limit for the bodies of requests depends on the memory of the host, and one for callers' connections on its descriptors. The settings memory_megabytes and max_descriptors state them; nothing uses them yet, so that a test of these limits can run on the code before them. settingstest passes.

--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -14,6 +14,10 @@
 constexpr double MaxRetryWindowSeconds = 3600;
 constexpr double MinLinkMegabitsPerSecond = 0.1;
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
+constexpr std::int64_t MinMemoryMegabytes = 32;
+constexpr std::int64_t MaxMemoryMegabytes = 16 * 1024 * 1024;
+constexpr std::int64_t MinDescriptors = 256;
+constexpr std::int64_t MaxDescriptors = 1'000'000;
 
 } // namespace
 
@@ -37,6 +41,10 @@
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.linkMegabitsPerSecond = reader.decimal(
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
+    settings.memoryMegabytes = static_cast<std::uint32_t>(
+        reader.integer("memory_megabytes", settings.memoryMegabytes, MinMemoryMegabytes, MaxMemoryMegabytes));
+    settings.maxDescriptors = static_cast<std::uint32_t>(
+        reader.integer("max_descriptors", settings.maxDescriptors, MinDescriptors, MaxDescriptors));
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -38,6 +38,12 @@
     bool coordinatesGroups = false;
     /// Bandwidth of this host's network link. The rate of orders to engines is limited by it.
     double linkMegabitsPerSecond = 1000;
+    /// Memory of this host. The bodies of requests may together use a quarter of it. The default allows for a body of
+    /// 4 MiB on each of 4096 connections, which no caller can exceed.
+    std::uint32_t memoryMegabytes = 65'536;
+    /// Descriptors that this process may open. The number of callers' connections is limited by it; the default allows
+    /// for 4096.
+    std::uint32_t maxDescriptors = 8'392;
     LogLevel logLevel = LogLevel::Info;
 };
 
