--- a/tests/soak/childprocess.cpp
+++ b/tests/soak/childprocess.cpp
@@ -56,6 +56,11 @@
     }
 }
 
+pid_t ChildProcess::id() const
+{
+    return m_id;
+}
+
 bool ChildProcess::hasEnded()
 {
     if (!m_hasEnded) {
--- a/tests/soak/childprocess.h
+++ b/tests/soak/childprocess.h
@@ -21,6 +21,8 @@
     /// Sends a signal unless the process has ended.
     void signal(int signalNumber);
 
+    pid_t id() const;
+
     bool hasEnded();
     /// The status from waitpid(); valid once hasEnded() has returned true.
     int status() const;
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -104,6 +104,16 @@
             std::vector<std::string>{program, "gateway", "--settings", settingsOf(host)}, logFile(host));
     }
 
+    ChildProcess &process(std::size_t host)
+    {
+        return *m_hosts[host].process;
+    }
+
+    const tcp::endpoint &listenAddress(std::size_t host) const
+    {
+        return m_hosts[host].listen;
+    }
+
     /// Ends the process of a host without notice.
     void kill(std::size_t host)
     {
