Keep the bodies of requests within the memory of the host

Cause: the server kept each body until its end in a string that doubled as it grew, read it before route and key were looked up, and had no bound on all bodies together; each attempt copied the request. Freed large buffers stayed in the allocator.

A server now counts its bodies in a BodyBudget, by default large enough for the largest body on each connection; the gateway gives it a quarter of memory_megabytes. A stated length gets its buffer at once or the answer 503 with Retry-After, before the body is read; bodies in chunks grow in steps. A body that gives way is freed at once and answered 503. A call whose head decides its refusal (no route, no key, no configuration) goes to its handler without its body, if that is large or in chunks and has not arrived, and its connection is closed after the answer. All attempts share one body. Callers' connections are bounded by max_descriptors, and a new one displaces the one that has waited longest for its caller, for at least 500 ms. Accepting pauses while there is no free descriptor. Connections that discard share a buffer. Buffers from 128 KB are mapped one by one, and other freed memory is given back after a peak. Small bodies that arrive with their heads take the same path as before.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -239,14 +239,14 @@
 
 Task<AttemptEnd> Attempt::sendRequest()
 {
-    auto request = m_state.request;
+    HttpRequest request(m_state.requestHead);
     ForwardedCall call;
     call.server = m_server;
     call.organisation = m_state.organisation;
     call.remainingTime = remainingTime();
     call.lastEventId = m_state.lastEventId;
     m_thread.codec().prepareForServer(request, call);
-    auto started = co_await m_connection->start(std::move(request), remainingTime());
+    auto started = co_await m_connection->start(std::move(request.base()), m_state.body, remainingTime());
     started = co_await skipForeignAnswers(std::move(started));
     if (started.has_error()) {
         co_return endFromError(started.error());
--- a/src/gateway/callcodec.h
+++ b/src/gateway/callcodec.h
@@ -33,7 +33,7 @@
 public:
     virtual ~CallCodec() = default;
 
-    virtual Result<CallHead, CallHeaderError> parseCall(const HttpRequest &request) const = 0;
+    virtual Result<CallHead, CallHeaderError> parseCall(const HttpRequest::header_type &request) const = 0;
 
     /// Rewrites a caller's request into the one that is sent to a server.
     virtual void prepareForServer(HttpRequest &request, const ForwardedCall &call) const = 0;
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -3,6 +3,7 @@
 #include "gateway/attempt.h"
 #include "gateway/attemptrecord.h"
 #include "gateway/callcodec.h"
+#include "gateway/callerroute.h"
 #include "gateway/gatewaythread.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
@@ -20,14 +21,10 @@
 {
 
 constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
-/// A process that has just started receives its configuration within a few hundred milliseconds.
-constexpr Milliseconds StartRetryAfter{500};
 /// Time in which full servers work through their backlog.
 constexpr Milliseconds FullRetryAfter{1000};
 /// Time in which other servers become known.
@@ -85,6 +82,10 @@
 Task<> CallHandler::run()
 {
     auto problem = resolveCall();
+    if (!problem && m_exchange.isBodySkipped()) {
+        problem
+            = Problem{ProblemKind::NotReady, StatusUnavailable, "not-sent", "the body was not read", FullRetryAfter};
+    }
     if (problem) {
         co_await refuse(std::move(*problem));
         co_return;
@@ -138,24 +139,17 @@
         return Problem{ProblemKind::NotFound, StatusBadRequest, "not-sent", head.error().message(), {}};
     }
     m_state.head = std::move(head.value());
-    if (!m_state.configuration || !m_thread.servers().hasServers()) {
-        return Problem{
-            ProblemKind::NotReady, StatusUnavailable, "not-sent", "no configuration is known yet", StartRetryAfter};
-    }
-    const auto &configuration = *m_state.configuration;
-    m_state.route = configuration.route(m_state.head.hostName, m_state.head.path);
-    if (m_state.route == nullptr) {
-        return Problem{ProblemKind::NotFound, StatusNotFound, "not-sent", "no route for this host and path", {}};
-    }
-    const auto *owner = configuration.ownerOf(m_state.head.key);
-    if (owner != nullptr) {
-        m_state.organisation = owner->organisation;
-    } else if (configuration.needsKeys() && !m_state.route->isPublic) {
-        return Problem{ProblemKind::TokenInvalid, StatusUnauthorized, "not-sent", "no organisation has this key", {}};
+    auto route = findCallerRoute(m_state.configuration.get(), m_thread.servers().hasServers(), m_state.head);
+    if (route.has_error()) {
+        return std::move(route.error());
     }
+    m_state.route = route.value().route;
+    m_state.organisation = route.value().organisation;
     m_state.query.service = chooseService(*m_state.route, m_thread.random());
     m_state.lastEventId = m_state.head.lastEventId;
-    m_state.request = m_exchange.takeRequest();
+    auto request = m_exchange.takeRequest();
+    m_state.body = std::move(request.body());
+    m_state.requestHead = std::move(request.base());
     auto limit = m_state.route->timeout;
     if (m_state.head.remainingTime) {
         limit = std::min(limit, *m_state.head.remainingTime);
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -29,7 +29,9 @@
 /// The state of a call while it is served, shared by its attempts.
 struct CallState {
     CallHead head;
-    HttpRequest request;
+    HttpRequest::header_type requestHead;
+    /// Shared by all attempts, since a copy for each would take as much memory again.
+    std::string body;
     /// Owns the route, which must outlive a change of the configuration.
     std::shared_ptr<const TrafficConfiguration> configuration;
     const Route *route = nullptr;
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -11,6 +11,7 @@
 #include "gateway/storecodec.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
+#include "net/freedmemory.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
 #include "objectstore/storeavailability.h"
@@ -245,6 +246,7 @@
                                   const StoreCodec &storeCodec,
                                   const EngineCodec &engineCodec)
 {
+    mapLargeBuffers();
     GatewayProgram program(settings, callCodec, storeCodec, engineCodec);
     return program.run();
 }
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -14,8 +14,6 @@
 constexpr double MaxRetryWindowSeconds = 3600;
 constexpr double MinLinkMegabitsPerSecond = 0.1;
 constexpr double MaxLinkMegabitsPerSecond = 1'000'000;
-constexpr std::int64_t MinMemoryMegabytes = 32;
-constexpr std::int64_t MaxMemoryMegabytes = 16 * 1024 * 1024;
 constexpr std::int64_t MinDescriptors = 256;
 constexpr std::int64_t MaxDescriptors = 1'000'000;
 
@@ -41,8 +39,7 @@
     settings.coordinatesGroups = reader.boolean("coordinate_groups", settings.coordinatesGroups);
     settings.linkMegabitsPerSecond = reader.decimal(
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
-    settings.memoryMegabytes = static_cast<std::uint32_t>(
-        reader.integer("memory_megabytes", settings.memoryMegabytes, MinMemoryMegabytes, MaxMemoryMegabytes));
+    settings.memoryMegabytes = reader.memoryMegabytes(settings.memoryMegabytes);
     settings.maxDescriptors = static_cast<std::uint32_t>(
         reader.integer("max_descriptors", settings.maxDescriptors, MinDescriptors, MaxDescriptors));
     settings.logLevel = reader.logLevel("log_level");
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -2,6 +2,8 @@
 
 #include "core/joinwithcommas.h"
 #include "gateway/attempt.h"
+#include "gateway/callcodec.h"
+#include "gateway/callerroute.h"
 #include "gateway/callhandler.h"
 #include "gateway/gatewaysettings.h"
 #include "logging/logging.h"
@@ -35,13 +37,25 @@
 /// Fraction of the retry ratio that is used, since each host counts its calls in a window of its own.
 constexpr double RetryRatioFraction = 0.83;
 
-HttpLimits httpLimitsOf(const CallerLimits &limits)
+/// The fraction of the host's memory that bodies of requests may take. The rest is for the connections of callers, for
+/// answers and for what the process knows of servers and other hosts.
+constexpr std::size_t BodyMemoryDivisor = 4;
+constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
+/// Descriptors for files, listening sockets and connections to the store, to other hosts and kept ones to servers.
+constexpr std::size_t ReservedDescriptors = 200;
+/// A call takes one descriptor for its caller and one for its server.
+constexpr std::size_t DescriptorsPerCall = 2;
+
+HttpLimits httpLimitsOf(const CallerLimits &limits, const GatewaySettings &settings)
 {
     HttpLimits http;
     http.maxHeaderBytes = limits.headerBytes;
     http.maxBodyBytes = limits.bodyBytes;
     http.requestTimeout = limits.requestReadTimeout;
     http.idleTimeout = limits.idleTimeout;
+    http.maxTotalBodyBytes = settings.memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor;
+    http.maxConnections
+        = std::min(http.maxConnections, (settings.maxDescriptors - ReservedDescriptors) / DescriptorsPerCall);
     return http;
 }
 
@@ -59,11 +73,12 @@
     , m_eventPauses(metrics.latency("event_pause_seconds"))
     , m_observers(std::move(observers))
     , m_httpServer(m_context,
-                   httpLimitsOf(CallerLimits()),
+                   httpLimitsOf(CallerLimits(), settings),
                    [this](HttpExchange &exchange) -> Task<> {
                        CallHandler handler(*this, exchange);
                        co_await handler.run();
                    })
+    , m_callerLoad(metrics)
     , m_random(std::random_device()())
     , m_maxHostCount(MinHostCount)
     , m_reachability(settings.failureDomain)
@@ -103,6 +118,7 @@
                    m_observers.onDrained();
                }})
 {
+    m_httpServer.setHeadCheck([this](const auto &head) { return refusesHead(head); });
 }
 
 GatewayThread::~GatewayThread() = default;
@@ -132,10 +148,16 @@
     return m_context;
 }
 
+bool GatewayThread::refusesHead(const HttpRequest::header_type &head) const
+{
+    const auto call = m_codec.parseCall(head);
+    return call.has_error() || findCallerRoute(m_configuration.get(), m_servers.hasServers(), call.value()).has_error();
+}
+
 void GatewayThread::applyConfiguration(std::shared_ptr<const TrafficConfiguration> configuration)
 {
     m_configuration = std::move(configuration);
-    m_httpServer.setLimits(httpLimitsOf(m_configuration->limits()));
+    m_httpServer.setLimits(httpLimitsOf(m_configuration->limits(), m_settings));
 }
 
 void GatewayThread::applyServers(const ServerChanges &changes)
@@ -421,6 +443,7 @@
         retriesLeft = std::min(retriesLeft, budget.retriesLeft(steadyNow()));
     }
     m_metrics.gauge("retries_left").set(retriesLeft);
+    m_callerLoad.record(m_httpServer, steadyNow());
     m_metrics.gauge("calls_in_progress").set(static_cast<std::int64_t>(m_callCount.load()));
     m_metrics.gauge("attempts_in_progress").set(static_cast<std::int64_t>(m_attempts.size()));
     m_metrics.gauge("kept_connections").set(static_cast<std::int64_t>(m_connectionPool.size()));
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -6,6 +6,7 @@
 #include "core/random.h"
 #include "core/result.h"
 #include "gateway/backendconnectionpool.h"
+#include "gateway/callerloadreport.h"
 #include "gateway/peerexchange.h"
 #include "gateway/promptguard.h"
 #include "gateway/stopsummary.h"
@@ -142,6 +143,8 @@
 
 private:
     Task<> tickLoop();
+    /// Whether a call with this head is refused whatever its body is.
+    bool refusesHead(const HttpRequest::header_type &head) const;
     void applyGroupNotice(const GroupNotice &notice);
     /// Ends the attempts whose prompts have a blocked part, before their servers begin to answer.
     void cancelBlockedAttempts();
@@ -169,6 +172,7 @@
     std::atomic<std::size_t> m_callCount{0};
     asio::io_context m_context;
     HttpServer m_httpServer;
+    CallerLoadReport m_callerLoad;
     std::shared_ptr<const TrafficConfiguration> m_configuration;
     ServerTable m_servers;
     BackendConnectionPool m_connectionPool;
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -3,6 +3,7 @@
 #include "net/steadynow.h"
 #include "net/unresponsivepeer.h"
 
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
@@ -62,6 +63,22 @@
     co_return co_await readHead(timeout);
 }
 
+Task<Result<void, NetError>>
+HttpClientConnection::start(HttpRequest::header_type requestHead, std::string_view body, Milliseconds timeout)
+{
+    http::request<http::span_body<const char>> request(std::move(requestHead));
+    request.body() = beast::span<const char>(body.data(), body.size());
+    request.prepare_payload();
+    m_stream.expires_after(timeout);
+    SystemError error;
+    co_await http::async_write(m_stream, request, storeError(error));
+    if (error) {
+        co_return failure(netError(NetErrorCode::WriteFailed, error));
+    }
+    m_hasBody = request.method() != http::verb::head;
+    co_return co_await readHead(timeout);
+}
+
 Task<Result<void, NetError>> HttpClientConnection::discardAnswer(Milliseconds timeout)
 {
     const auto deadline = steadyNow() + timeout;
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -11,6 +11,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Cardamomhill
 {
@@ -29,6 +30,10 @@
     /// Sends the request and reads the head (status line and headers) of the answer.
     Task<Result<void, NetError>> start(HttpRequest request, Milliseconds timeout);
 
+    /// As above, with a body that stays where it is. It must live until the answer's head has been read.
+    Task<Result<void, NetError>>
+    start(HttpRequest::header_type requestHead, std::string_view body, Milliseconds timeout);
+
     /// Discards the rest of the current answer and reads the head of the next one. For use when the current answer
     /// belongs to an earlier request, which the server answered twice.
     Task<Result<void, NetError>> discardAnswer(Milliseconds timeout);
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -87,6 +87,16 @@
     return m_request;
 }
 
+void HttpExchange::setBodySkipped()
+{
+    m_isBodySkipped = true;
+}
+
+bool HttpExchange::isBodySkipped() const
+{
+    return m_isBodySkipped;
+}
+
 HttpRequest HttpExchange::takeRequest()
 {
     return std::move(m_request);
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -40,6 +40,10 @@
 
     const HttpRequest &request() const;
 
+    /// Notes that the body of the request was not read, since its head decides that it is refused.
+    void setBodySkipped();
+    bool isBodySkipped() const;
+
     /// Moves the request out, so that its body is not copied.
     HttpRequest takeRequest();
 
@@ -86,6 +90,7 @@
     const HttpLimits &m_limits;
     const bool *m_closesAfterAnswer;
     unsigned m_version;
+    bool m_isBodySkipped = false;
     bool m_isHeadRequest;
     /// Whether the caller asked to keep the connection open; once an answer has begun, whether it is kept.
     bool m_keepAlive;
--- a/src/net/httplimits.h
+++ b/src/net/httplimits.h
@@ -8,7 +8,7 @@
 namespace Cardamomhill
 {
 
-/// Limits of an HTTP server: the last one for all its connections together, the others for each.
+/// Limits of an HTTP server: the last two for all its connections together, the others for each.
 struct HttpLimits {
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 1024 * 1024;
@@ -20,6 +20,18 @@
     Seconds writeTimeout{30};
     /// Largest number of open connections.
     std::size_t maxConnections = 4096;
+    /// Largest number of bytes of all request bodies together. The default allows for 4 MiB on each of 4096
+    /// connections.
+    std::size_t maxTotalBodyBytes = std::size_t{16} * 1024 * 1024 * 1024;
 };
 
+/// Limits of a server whose requests have no bodies.
+inline HttpLimits bodilessLimits()
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = 4 * 1024;
+    limits.maxTotalBodyBytes = std::size_t{1024} * 1024;
+    return limits;
+}
+
 } // namespace Cardamomhill
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -2,13 +2,16 @@
 
 #include "core/result.h"
 #include "net/asio.h"
+#include "net/bodymemory.h"
 #include "net/httpexchange.h"
 #include "net/httplimits.h"
+#include "net/httpservercounts.h"
 #include "net/neterror.h"
 
 #include <functional>
 #include <list>
 #include <memory>
+#include <vector>
 
 namespace Cardamomhill
 {
@@ -18,6 +21,8 @@
 {
 public:
     using Handler = std::function<Task<>(HttpExchange &)>;
+    /// Whether a request with this head is refused whatever its body is.
+    using HeadCheck = std::function<bool(const HttpRequest::header_type &)>;
 
     HttpServer(asio::io_context &context, HttpLimits limits, Handler handler);
     ~HttpServer();
@@ -28,6 +33,11 @@
     /// Sets the limits for connections and requests that begin from now on.
     void setLimits(const HttpLimits &limits);
 
+    /// Sets a check of requests whose bodies did not arrive with their heads, unless they are small. If the check
+    /// returns true, the request goes to the handler without its body, which must answer it with a refusal; the
+    /// connection is closed after that.
+    void setHeadCheck(HeadCheck check);
+
     /// Sets whether each connection is closed after its next answer. New connections are still accepted.
     void setCloseAfterAnswers(bool closes);
 
@@ -39,6 +49,11 @@
 
     std::size_t connectionCount() const;
 
+    /// Bytes of request bodies that are arriving or belong to requests in progress.
+    std::size_t bodyBytes() const;
+
+    HttpServerCounts counts() const;
+
 private:
     struct Connection;
 
@@ -46,9 +61,14 @@
     std::size_t acceptBacklog();
     void startConnection(tcp::socket socket);
     Task<> closeIdleConnections();
+    /// Closes the connection that has waited longest for its caller, to make room for another one. Returns false if
+    /// none has waited long enough.
+    bool displaceConnection();
     Task<> serveConnection(std::shared_ptr<Connection> connection);
     Task<bool> serveRequest(Connection &connection);
     Task<Result<HttpRequest, NetError>> readRequest(Connection &connection);
+    Task<Result<void, NetError>> readBody(Connection &connection);
+    bool skipsBody(const Connection &connection) const;
     /// Ends sending, then reads and discards data until the caller closes, for a limited time. Closing with unread data
     /// would reset the connection, and the caller would lose what it has not received of the answer.
     Task<> discardUnread(Connection &connection);
@@ -58,6 +78,11 @@
     asio::io_context &m_context;
     HttpLimits m_limits;
     Handler m_handler;
+    HeadCheck m_headCheck;
+    BodyMemory m_bodyMemory;
+    HttpServerCounts m_counts;
+    /// Where all connections put what they discard.
+    std::vector<char> m_discardBuffer;
     tcp::acceptor m_acceptor;
     std::list<std::weak_ptr<Connection>> m_connections;
     std::size_t m_connectionCount = 0;
--- a/src/net/messagereader.cpp
+++ b/src/net/messagereader.cpp
@@ -135,6 +135,26 @@
     return data;
 }
 
+template<bool isRequest>
+Result<void, NetError> MessageReader<isRequest>::appendReceived(std::string &body, std::size_t maxBytes)
+{
+    const auto received = m_buffer.data();
+    std::string_view rest(static_cast<const char *>(received.data()), received.size());
+    while (!rest.empty() && !m_body->isDone()) {
+        const auto piece = m_body->decode(rest);
+        if (piece.has_error()) {
+            return failure(piece.error());
+        }
+        if (body.size() + piece.value().data.size() > maxBytes) {
+            return failure(NetError{NetErrorCode::BodyTooLarge, "the body is over the limit"});
+        }
+        body += piece.value().data;
+        rest.remove_prefix(piece.value().consumed);
+    }
+    m_buffer.consume(received.size() - rest.size());
+    return success();
+}
+
 template<bool isRequest>
 Task<Result<void, NetError>> MessageReader<isRequest>::receiveBody()
 {
@@ -175,6 +195,19 @@
     return m_parser->keep_alive();
 }
 
+template<bool isRequest>
+std::optional<std::uint64_t> MessageReader<isRequest>::statedLength() const
+{
+    const auto length = m_parser->content_length();
+    return length && !m_parser->chunked() ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+template<bool isRequest>
+std::size_t MessageReader<isRequest>::unreadBytes() const
+{
+    return m_buffer.size();
+}
+
 template<bool isRequest>
 bool MessageReader<isRequest>::hasUnreadBytes() const
 {
--- a/src/net/messagereader.h
+++ b/src/net/messagereader.h
@@ -48,6 +48,10 @@
     /// Decodes bytes of the body that were received already, up to the end of the next data among them; may be empty.
     Result<std::string, NetError> decodeReceived();
 
+    /// Decodes all bytes of the body that were received already and appends its data. Appends nothing beyond the limit
+    /// and fails then.
+    Result<void, NetError> appendReceived(std::string &body, std::size_t maxBytes);
+
     /// Receives more bytes of the body, or its end if that is the end of the connection.
     Task<Result<void, NetError>> receiveBody();
 
@@ -63,6 +67,12 @@
     /// Whether the message allows another one on the connection.
     bool keepsAlive() const;
 
+    /// Length of the body that the head states, if it states one.
+    std::optional<std::uint64_t> statedLength() const;
+
+    /// Bytes that were received and not decoded yet.
+    std::size_t unreadBytes() const;
+
     /// Whether bytes were received that do not belong to the messages read so far.
     bool hasUnreadBytes() const;
 
--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -114,6 +114,14 @@
     return std::chrono::round<Milliseconds>(DecimalSeconds(decimal(key, defaultSeconds, min, max)));
 }
 
+std::uint32_t SettingsReader::memoryMegabytes(std::uint32_t defaultValue)
+{
+    constexpr std::int64_t MinMemoryMegabytes = 32;
+    constexpr std::int64_t MaxMemoryMegabytes = 16 * 1024 * 1024;
+    return static_cast<std::uint32_t>(
+        integer("memory_megabytes", defaultValue, MinMemoryMegabytes, MaxMemoryMegabytes));
+}
+
 bool SettingsReader::boolean(const std::string &key, bool defaultValue)
 {
     const std::string accepted = "true or false";
--- a/src/settings/settingsreader.h
+++ b/src/settings/settingsreader.h
@@ -32,6 +32,8 @@
     Milliseconds drainGrace(Milliseconds defaultValue);
     /// Reads `termination_grace_s`, a setting of all processes that drain.
     Milliseconds terminationGrace(Milliseconds defaultValue);
+    /// Reads `memory_megabytes`, a setting of all kinds of entry host.
+    std::uint32_t memoryMegabytes(std::uint32_t defaultValue);
     bool boolean(const std::string &key, bool defaultValue);
     /// Reads "address:port" with an IP address.
     boost::asio::ip::tcp::endpoint endpoint(const std::string &key);
--- a/tests/bodybudgettest.cpp
+++ b/tests/bodybudgettest.cpp
@@ -2,6 +2,7 @@
 // to others that only hold memory.
 
 #include "net/bodybudget.h"
+#include "net/bodymemory.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -232,3 +233,33 @@
     CHECK(budget.take(budget.open(Start), Small, Start).isGranted);
     CHECK(budget.usedBytes() == Small);
 }
+
+// Guards against a buffer that outlives its body, which doubled the memory of a process.
+TEST_CASE("a body that is released frees its buffer and what it held")
+{
+    constexpr std::size_t MaxBodyBytes = 1'000'000;
+    BodyMemory memory(2 * MaxBodyBytes, MaxBodyBytes);
+    RequestBody body;
+    REQUIRE(memory.makeRoom(body, 1, MaxBodyBytes));
+    CHECK(memory.usedBytes() == MaxBodyBytes);
+    CHECK(body.bytes.capacity() >= MaxBodyBytes);
+    memory.release(body);
+    CHECK(memory.usedBytes() == 0);
+    CHECK(body.bytes.capacity() == std::string().capacity());
+}
+
+TEST_CASE("the buffer of a body without a stated length never moves while it is within its grant")
+{
+    constexpr std::size_t MaxBodyBytes = 1'000'000;
+    constexpr std::size_t Step = 1000;
+    BodyMemory memory(2 * MaxBodyBytes, MaxBodyBytes);
+    RequestBody body;
+    while (body.bytes.size() < MaxBodyBytes) {
+        REQUIRE(memory.makeRoom(body, body.bytes.size() + Step, std::nullopt));
+        const auto *const data = body.bytes.data();
+        body.bytes.append(Step, 'x');
+        CHECK(body.bytes.data() == data);
+        CHECK(body.bytes.size() <= memory.usedBytes());
+    }
+    memory.release(body);
+}
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -320,3 +320,164 @@
     CHECK(all.starts_with("HTTP/1.1 200"));
     CHECK(all.size() > AnswerBytes);
 }
+
+namespace
+{
+
+/// A server whose requests for /no are refused by their heads.
+struct CheckedServer {
+    CheckedServer()
+        : server(context, limits(), [this](HttpExchange &exchange) { return answer(exchange); })
+        , endpoint(freeEndpoint(context))
+    {
+        server.setHeadCheck([](const auto &head) { return head.target() == "/no"; });
+        REQUIRE(server.listen(endpoint, false).has_value());
+    }
+
+    static HttpLimits limits()
+    {
+        HttpLimits limits;
+        limits.maxTotalBodyBytes = 2 * BodyBytes;
+        return limits;
+    }
+
+    Task<> answer(HttpExchange &exchange)
+    {
+        const unsigned status = exchange.request().target() == "/no" ? 404 : 200;
+        skippedBodies += exchange.isBodySkipped() ? 1 : 0;
+        std::string body = std::to_string(exchange.request().body().size());
+        co_await exchange.sendAnswer(status, "", std::move(body));
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(context);
+        socket.connect(endpoint);
+        socket.non_blocking(true);
+        return socket;
+    }
+
+    /// Sends as much as the server takes.
+    void send(tcp::socket &socket, const std::string &bytes)
+    {
+        SystemError error;
+        for (std::size_t sent = 0; sent < bytes.size() && (!error || error == asio::error::would_block);) {
+            sent += socket.write_some(asio::buffer(bytes.data() + sent, bytes.size() - sent), error);
+            run(1);
+        }
+    }
+
+    void run(int milliseconds)
+    {
+        context.restart();
+        context.run_for(Milliseconds(milliseconds));
+    }
+
+    asio::io_context context;
+    HttpServer server;
+    tcp::endpoint endpoint;
+    int skippedBodies = 0;
+};
+
+std::string lengthHead(const std::string &target, std::size_t bytes)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against a second answer, and against a request that is smuggled in the body of a refused one.
+TEST_CASE("a request refused by its head gets one answer, and nothing of its body is taken for another request")
+{
+    constexpr int DiscardTime = 1200;
+    const std::string smuggled = "GET /yes HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (const bool isChunked : {false, true}) {
+        CAPTURE(isChunked);
+        CheckedServer server;
+        auto caller = server.connect();
+        server.send(caller,
+                    isChunked ? "POST /no HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              : lengthHead("/no", BodyBytes));
+        server.run(20);
+        server.send(caller, smuggled);
+        server.send(caller, std::string(BodyBytes - smuggled.size(), 'x'));
+        server.send(caller, smuggled);
+        server.run(DiscardTime);
+        const auto received = receivedBytes(caller);
+        CHECK(received.starts_with("HTTP/1.1 404"));
+        CHECK(received.find("Connection: close") != std::string::npos);
+        CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+        CHECK(received.ends_with("closed"));
+        CHECK(server.skippedBodies == 1);
+        CHECK(server.server.bodyBytes() == 0);
+        CHECK(server.server.connectionCount() == 0);
+    }
+}
+
+TEST_CASE("the connection of a request with a small body stays open although its head refuses it")
+{
+    CheckedServer server;
+    auto caller = server.connect();
+    server.send(caller, lengthHead("/no", 2));
+    server.run(20);
+    server.send(caller, "ok");
+    server.run(20);
+    CHECK(receivedBytes(caller).starts_with("HTTP/1.1 404"));
+    server.send(caller, lengthHead("/yes", 2) + "ok");
+    server.run(20);
+    CHECK(receivedBytes(caller).starts_with("HTTP/1.1 200"));
+    CHECK(server.skippedBodies == 0);
+}
+
+// Guards against memory for unfinished bodies without a bound.
+TEST_CASE("a silent body gives way to another one, and both callers get one answer")
+{
+    constexpr int MoreThanIdleTime = 600;
+    CheckedServer server;
+    auto silent = server.connect();
+    server.send(silent, lengthHead("/yes", BodyBytes) + std::string(BodyBytes - 1, 'x'));
+    auto early = server.connect();
+    server.send(early, lengthHead("/yes", BodyBytes) + std::string(BodyBytes / 2, 'x'));
+    server.run(20);
+    const auto refused = receivedBytes(early);
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: 1") != std::string::npos);
+    CHECK(refused.find("not-sent") != std::string::npos);
+    server.run(MoreThanIdleTime);
+    auto later = server.connect();
+    server.send(later, lengthHead("/yes", BodyBytes) + std::string(BodyBytes, 'x'));
+    server.run(20);
+    CHECK(receivedBytes(later).starts_with("HTTP/1.1 200"));
+    const auto dropped = receivedBytes(silent);
+    CHECK(dropped.starts_with("HTTP/1.1 503"));
+    CHECK(dropped.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(server.server.counts().droppedBodies == 1);
+    CHECK(server.server.counts().refusedBodies == 1);
+    CHECK(server.server.bodyBytes() == 0);
+}
+
+// Guards against callers that hold all connections without sending requests.
+TEST_CASE("a new connection takes the place of the one that has waited longest")
+{
+    constexpr int MoreThanMinWait = 600;
+    CheckedServer server;
+    auto limits = CheckedServer::limits();
+    limits.maxConnections = 2;
+    server.server.setLimits(limits);
+    auto first = server.connect();
+    server.run(20);
+    auto second = server.connect();
+    server.run(20);
+    auto early = server.connect();
+    server.run(20);
+    CHECK(receivedBytes(early) == "closed");
+    server.run(MoreThanMinWait);
+    auto third = server.connect();
+    server.send(third, lengthHead("/yes", 2) + "ok");
+    server.run(20);
+    CHECK(receivedBytes(third).starts_with("HTTP/1.1 200"));
+    CHECK(receivedBytes(first) == "closed");
+    CHECK(receivedBytes(second).empty());
+    CHECK(server.server.counts().displacedConnections == 1);
+    CHECK(server.server.counts().refusedConnections == 1);
+}
