Bound the bodies of entry processes, operator's ports and relays, and describe the bound

entry reads memory_megabytes too; its bodies take at most an eighth of it, since each is copied for its agent, divided among its traffic threads. Operator's ports and store relays, whose requests have no bodies, accept 4 KB and 1 MB together instead of 1 MB on each of 4096 connections.

--- a/src/control/operatorserver.cpp
+++ b/src/control/operatorserver.cpp
@@ -19,7 +19,7 @@
 OperatorServer::OperatorServer(asio::io_context &context, MetricsRegistry &metrics, Handlers handlers)
     : m_metrics(metrics)
     , m_handlers(std::move(handlers))
-    , m_server(context, HttpLimits(), [this](HttpExchange &exchange) { return answer(exchange); })
+    , m_server(context, bodilessLimits(), [this](HttpExchange &exchange) { return answer(exchange); })
 {
 }
 
--- a/src/control/storerelay.cpp
+++ b/src/control/storerelay.cpp
@@ -34,7 +34,7 @@
 
 StoreRelay::StoreRelay(asio::io_context &context)
     : m_context(context)
-    , m_server(context, HttpLimits(), [this](HttpExchange &exchange) { return answer(exchange); })
+    , m_server(context, bodilessLimits(), [this](HttpExchange &exchange) { return answer(exchange); })
 {
 }
 
--- a/src/entry/entryprogram.cpp
+++ b/src/entry/entryprogram.cpp
@@ -6,6 +6,7 @@
 #include "entry/trafficthread.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
+#include "net/freedmemory.h"
 #include "net/steadynow.h"
 #include "settings/entrysettings.h"
 
@@ -159,6 +160,7 @@
 
 Result<void, NetError> runEntry(const EntrySettings &settings)
 {
+    mapLargeBuffers();
     EntryProgram program(settings);
     return program.run();
 }
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -23,6 +23,23 @@
 namespace Cardamomhill
 {
 
+namespace
+{
+
+/// The fraction of the host's memory that request bodies may take, once as received and once as parsed for the agent.
+constexpr std::size_t BodyMemoryDivisor = 8;
+constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
+
+HttpLimits httpLimitsOf(const EntrySettings &settings)
+{
+    HttpLimits limits;
+    limits.maxTotalBodyBytes
+        = settings.memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor / std::max(1U, settings.trafficThreads);
+    return limits;
+}
+
+} // namespace
+
 /// The link to the agent of a backend server, and the configuration of that server for which it was created.
 struct LinkedServer {
     BackendServer configured;
@@ -39,7 +56,7 @@
     , m_incarnation(incarnation)
     , m_metrics(metrics)
     , m_http(m_context,
-             HttpLimits(),
+             httpLimitsOf(settings),
              [this](HttpExchange &exchange) -> Task<> {
                  RequestHandler handler(*this, exchange);
                  co_await handler.run();
--- a/src/settings/entrysettings.cpp
+++ b/src/settings/entrysettings.cpp
@@ -27,6 +27,7 @@
     settings.trafficThreads = static_cast<std::uint32_t>(reader.integer("traffic_threads", 1, 1, MaxTrafficThreads));
     settings.concurrency
         = static_cast<std::uint32_t>(reader.integer("concurrency", settings.concurrency, 1, MaxConcurrency));
+    settings.memoryMegabytes = reader.memoryMegabytes(settings.memoryMegabytes);
     settings.drainGrace = reader.drainGrace(settings.drainGrace);
     settings.terminationGrace = reader.terminationGrace(settings.terminationGrace);
     settings.logLevel = reader.logLevel("log_level");
--- a/src/settings/entrysettings.h
+++ b/src/settings/entrysettings.h
@@ -32,6 +32,9 @@
     std::uint32_t trafficThreads = 1;
     /// Limit on requests in progress, over all traffic threads together.
     std::uint32_t concurrency = 1024;
+    /// Memory of this host. The bodies of requests and their copies for agents may use a quarter of it, over all
+    /// traffic threads together. The default allows for bodies of the largest size on all connections.
+    std::uint32_t memoryMegabytes = 65'536;
     /// Time between reporting "not ready" and closing the listening socket.
     Milliseconds drainGrace{3000};
     /// Time after SIGTERM at which the platform kills the process.
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -109,6 +109,18 @@
     CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "termination_grace_s", 8));
 }
 
+TEST_CASE("the memory of the host is read within limits, and is plentiful by default")
+{
+    constexpr std::uint32_t Default = 65'536;
+    CHECK(readEntrySettings(TemporaryFile(ValidEntry).path()).value().memoryMegabytes == Default);
+    CHECK(readEntrySettings(TemporaryFile(ValidEntry + "memory_megabytes: 112\n").path()).value().memoryMegabytes
+          == 112);
+    const TemporaryFile tooSmall(ValidEntry + "memory_megabytes: 31\n");
+    const auto settings = readEntrySettings(tooSmall.path());
+    REQUIRE(settings.has_error());
+    CHECK(contains(settings.error(), SettingsErrorCode::InvalidValue, "memory_megabytes", 8));
+}
+
 TEST_CASE("a missing file and malformed YAML have their own error codes")
 {
     CHECK(readAgentSettings("no-such-file.yaml").error().front().code == SettingsErrorCode::Unreadable);
