--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,8 @@
 constexpr double MaxColdOvershoot = 1000;
 constexpr double MaxColdSlack = 1'000'000;
 constexpr std::int64_t MaxEvacuationLimitMs = 3'600'000;
+constexpr std::int64_t MinDescriptors = 256;
+constexpr std::int64_t MaxDescriptors = 1'000'000;
 
 } // namespace
 
@@ -47,6 +49,9 @@
     if (evacuationLimit > Milliseconds(0)) {
         settings.evacuationLimit = evacuationLimit;
     }
+    settings.memoryMegabytes = reader.memoryMegabytes(settings.memoryMegabytes);
+    settings.maxDescriptors = static_cast<std::uint32_t>(
+        reader.integer("max_descriptors", settings.maxDescriptors, MinDescriptors, MaxDescriptors));
     settings.logLevel = reader.logLevel("log_level");
     return reader.finish(std::move(settings));
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -48,6 +48,12 @@
     PromptRetention promptRetention = PromptRetention::Running;
     /// Time within which calls to an evacuated failure domain must stop. Evacuations are followed only if it is set.
     std::optional<Milliseconds> evacuationLimit;
+    /// Memory of this host. The bodies of requests may together use a quarter of it. The default allows for a body of
+    /// 4 MiB on each of 4096 connections, which no caller can exceed.
+    std::uint32_t memoryMegabytes = 65'536;
+    /// Descriptors that this process may open. The number of callers' connections is limited by it; the default allows
+    /// for 4096.
+    std::uint32_t maxDescriptors = 8'392;
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -2,6 +2,8 @@
 
 #include "core/joinwithcommas.h"
 #include "gateway/attempt.h"
+#include "gateway/callcodec.h"
+#include "gateway/callerroute.h"
 #include "gateway/callhandler.h"
 #include "gateway/evacuationrecord.h"
 #include "gateway/gatewaysettings.h"
@@ -36,6 +38,15 @@
 /// Fraction of the retry ratio that is used, since each host counts its calls in a window of its own.
 constexpr double RetryRatioFraction = 0.83;
 
+/// The fraction of the host's memory that bodies of requests may take. The rest is for the connections of callers, for
+/// answers and for what the process knows of servers and other hosts.
+constexpr std::size_t BodyMemoryDivisor = 4;
+constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
+/// Descriptors for files, listening sockets and connections to the store, to other hosts and kept ones to servers.
+constexpr std::size_t ReservedDescriptors = 200;
+/// A call takes one descriptor for its caller and one for its server.
+constexpr std::size_t DescriptorsPerCall = 2;
+
 ServerTableOptions serverTableOptions(const GatewaySettings &settings)
 {
     ServerTableOptions options;
@@ -43,13 +54,16 @@
     return options;
 }
 
-HttpLimits httpLimitsOf(const CallerLimits &limits)
+HttpLimits httpLimitsOf(const CallerLimits &limits, const GatewaySettings &settings)
 {
     HttpLimits http;
     http.maxHeaderBytes = limits.headerBytes;
     http.maxBodyBytes = limits.bodyBytes;
     http.requestTimeout = limits.requestReadTimeout;
     http.idleTimeout = limits.idleTimeout;
+    http.maxTotalBodyBytes = settings.memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor;
+    http.maxConnections
+        = std::min(http.maxConnections, (settings.maxDescriptors - ReservedDescriptors) / DescriptorsPerCall);
     return http;
 }
 
@@ -67,11 +81,12 @@
     , m_eventPauses(metrics.latency("event_pause_seconds"))
     , m_observers(std::move(observers))
     , m_httpServer(m_context,
-                   httpLimitsOf(CallerLimits()),
+                   httpLimitsOf(CallerLimits(), settings),
                    [this](HttpExchange &exchange) -> Task<> {
                        CallHandler handler(*this, exchange);
                        co_await handler.run();
                    })
+    , m_callerLoad(metrics)
     , m_servers(serverTableOptions(settings))
     , m_random(std::random_device()())
     , m_maxHostCount(MinHostCount)
@@ -114,6 +129,7 @@
                }})
 {
     m_servers.coldServers() = ColdServerLimit({settings.host, settings.coldOvershoot, settings.coldSlack});
+    m_httpServer.setHeadCheck([this](const auto &head) { return refusesHead(head); });
 }
 
 GatewayThread::~GatewayThread() = default;
@@ -143,10 +159,16 @@
     return m_context;
 }
 
+bool GatewayThread::refusesHead(const HttpRequest::header_type &head) const
+{
+    const auto call = m_codec.parseCall(head);
+    return call.has_error() || findCallerRoute(m_configuration.get(), m_servers.hasServers(), call.value()).has_error();
+}
+
 void GatewayThread::applyConfiguration(std::shared_ptr<const TrafficConfiguration> configuration)
 {
     m_configuration = std::move(configuration);
-    m_httpServer.setLimits(httpLimitsOf(m_configuration->limits()));
+    m_httpServer.setLimits(httpLimitsOf(m_configuration->limits(), m_settings));
     m_servers.coldServers().setServices(m_configuration->services());
 }
 
@@ -502,6 +524,7 @@
         retriesLeft = std::min(retriesLeft, budget.retriesLeft(steadyNow()));
     }
     m_metrics.gauge("retries_left").set(retriesLeft);
+    m_callerLoad.record(m_httpServer, steadyNow());
     m_metrics.gauge("calls_in_progress").set(static_cast<std::int64_t>(m_callCount.load()));
     std::size_t waiting = 0;
     for (const auto &[service, queue] : m_callQueues) {
