--- a/src/traffic/concurrencylimit.cpp
+++ b/src/traffic/concurrencylimit.cpp
@@ -14,6 +14,14 @@
 /// The least number of steps may reach back for so many windows.
 constexpr int SlowWindowFactor = 4;
 
+/// The value below which this fraction of the values lies. Changes their order.
+double quantile(std::vector<double> &values, double fraction)
+{
+    const auto position = values.begin() + static_cast<std::ptrdiff_t>(fraction * static_cast<double>(values.size()));
+    std::nth_element(values.begin(), position, values.end());
+    return *position;
+}
+
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
@@ -50,10 +58,10 @@
     if (limits.size() < m_options.minSteps) {
         return slots;
     }
-    const auto missed = static_cast<std::size_t>((1 - m_options.keptFraction) * static_cast<double>(limits.size()));
-    const auto position = limits.begin() + static_cast<std::ptrdiff_t>(missed);
-    std::nth_element(limits.begin(), position, limits.end());
-    return std::clamp(*position, m_options.minSlotsFraction * slots, slots);
+    if (quantile(limits, 0.5) < m_options.hopelessSlotsFraction * slots) {
+        return slots;
+    }
+    return std::clamp(quantile(limits, 1 - m_options.keptFraction), m_options.minSlotsFraction * slots, slots);
 }
 
 } // namespace Cardamomhill
--- a/src/traffic/concurrencylimit.h
+++ b/src/traffic/concurrencylimit.h
@@ -23,6 +23,10 @@
     /// The limit never goes below this fraction of the slots: with few streams a single long prompt decides how long a
     /// step takes, so a lower limit would only cost throughput.
     double minSlotsFraction = 0.4;
+    /// If most steps would be too long even with this fraction of the slots, nothing helps the pauses: the engines may
+    /// use all slots, since answers that are late in any case are worth more than none. A rank that has turned slow is
+    /// such a case.
+    double hopelessSlotsFraction = 0.3;
     /// Steps that are needed before the limit is below the slots.
     std::size_t minSteps = 12;
 };
