Four failures of planned stops as tests

- A process that is stopped (SIGSTOP) for 0.3 s around its SIGTERM counts the drain from the handling of the signal.
A call sent later than the drain grace after SIGTERM is taken and cut at the end of the grace time.
- A process that handles SIGTERM 0.48 s late ends what runs after the kill, so its callers get no answer and the log has no line of their calls.
- A stream is taken in a stop by nine in ten of the latest 64 durations, although a call 81 before took longer than the process has left.
- The line of a cut call does not say how the call was admitted.

--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -33,6 +33,8 @@
 constexpr Milliseconds StartTimeout{15000};
 constexpr Milliseconds PollInterval{20};
 constexpr Milliseconds EventInterval{100};
+/// Calls after which a process knows how long calls of their route take.
+constexpr int KnownCalls = 80;
 constexpr unsigned Ok = 200;
 constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
@@ -110,6 +112,15 @@
         m_killsAt = steadyNow() + TerminationGrace;
     }
 
+    /// Sends SIGTERM to a process that does not run until so much later, as on a host whose processors are taken.
+    Task<> terminateWhilePaused(Milliseconds pause)
+    {
+        m_process->signal(SIGSTOP);
+        terminate();
+        co_await sleep(pause);
+        m_process->signal(SIGCONT);
+    }
+
     Task<> sleep(Milliseconds time)
     {
         asio::steady_timer timer(m_context, time);
@@ -132,6 +143,16 @@
         co_return co_await call(connection, request);
     }
 
+    /// Sends so many streams of one event, one after another.
+    Task<> streamOften(HttpClientConnection &connection, int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            const auto id = "known" + std::to_string(number);
+            const auto result = co_await stream(connection, id, 1);
+            CHECK(result.isComplete);
+        }
+    }
+
     /// As stream(), and sends SIGTERM to the process when the first event has arrived.
     Task<CallResult> streamAndTerminate(HttpClientConnection &connection, const std::string &id, int events)
     {
@@ -259,6 +280,12 @@
     return result.isComplete && (result.status == Ok || (result.status == Unavailable && gateway.runs[id] == 0));
 }
 
+std::string lineOf(const std::string &log, const std::string &text)
+{
+    const auto position = log.find(text);
+    return position == std::string::npos ? std::string() : log.substr(position, log.find('\n', position) - position);
+}
+
 } // namespace
 
 TEST_CASE("a call on a kept connection late in a stop is not begun and then cut when the process is killed")
@@ -453,3 +480,93 @@
     CHECK_FALSE(gateway.wasKilled);
     CHECK(gateway.log().find("event=exit reason=drained") != std::string::npos);
 }
+
+TEST_CASE("a call sent after the drain grace, counted from SIGTERM, is not begun because the signal was handled late")
+{
+    StoppedGateway gateway;
+    CallResult late;
+    const std::string lateId = "late";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        co_await gateway.streamOften(*connection, KnownCalls);
+        co_await gateway.terminateWhilePaused(Milliseconds(300));
+        // Longer than the drain grace after SIGTERM, and shorter after its handling.
+        co_await gateway.sleep(Milliseconds(780));
+        late = co_await gateway.stream(*connection, lateId, 50);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(isAnsweredOrNotRun(gateway, lateId, late));
+}
+
+TEST_CASE("a process that handled SIGTERM late still ends its calls before it is killed")
+{
+    StoppedGateway gateway;
+    CallResult payment;
+    const std::string paymentId = "payment";
+    const auto pay = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        payment = co_await gateway.pay(*connection, paymentId, AnswerTimeout, AnswerTimeout);
+    };
+    const auto scenario = [&]() -> Task<> {
+        asio::co_spawn(co_await asio::this_coro::executor, pay(), asio::detached);
+        co_await gateway.sleep(EventInterval);
+        co_await gateway.terminateWhilePaused(Milliseconds(480));
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK_FALSE(gateway.wasKilled);
+    CHECK(payment.status == BadGateway);
+    CHECK(payment.isComplete);
+}
+
+TEST_CASE("a stream is not begun in a stop if one of many like it took longer than the process has left")
+{
+    StoppedGateway gateway;
+    CallResult late;
+    const std::string longId = "long";
+    const std::string lateId = "late";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        const auto earlier = co_await gateway.stream(*connection, longId, 40);
+        CHECK(earlier.isComplete);
+        co_await gateway.streamOften(*connection, KnownCalls);
+        gateway.terminate();
+        co_await gateway.sleep(EventInterval);
+        late = co_await gateway.stream(*connection, lateId, 40);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(isAnsweredOrNotRun(gateway, lateId, late));
+}
+
+TEST_CASE("a stream like many that were short is taken in a stop, and the line of its end says how it was admitted")
+{
+    StoppedGateway gateway;
+    CallResult taken;
+    CallResult longer;
+    const std::string takenId = "taken";
+    const std::string longerId = "longer";
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        co_await gateway.streamOften(*connection, KnownCalls);
+        auto second = co_await gateway.connect();
+        gateway.terminate();
+        co_await gateway.sleep(EventInterval);
+        taken = co_await gateway.stream(*second, takenId, 2);
+        longer = co_await gateway.stream(*connection, longerId, 60);
+    };
+    gateway.run(scenario());
+    const auto log = gateway.log();
+    CAPTURE(log);
+    CHECK(taken.status == Ok);
+    CHECK(taken.isComplete);
+    // Nothing could tell this one from the short ones.
+    CHECK_FALSE(longer.isComplete);
+    const auto line = lineOf(log, "event=ended-early request=" + longerId);
+    CAPTURE(line);
+    CHECK(line.find("admitted=usually-ends-in-time") != std::string::npos);
+    CHECK(line.find("admitted_draining_ms=") != std::string::npos);
+    CHECK(line.find("admitted_limit_ms=" + std::to_string(AnswerTimeout.count())) != std::string::npos);
+    CHECK(line.find("admitted_expected_ms=") != std::string::npos);
+}
