Take long calls in a stop by the longest of many like them

Cause: a call that may outlast a stopping process was taken if nine in ten of the latest 64 durations of its route fit into the time left. About one call in a hundred was then cut at the end of the grace time, and more when load rose during the stop, since durations of ended calls lag behind.

Change: it is taken if a quarter more than the longest of the latest 500 calls, and of those that still run, fits into the time left, and only once 64 calls are known. Of n calls one in n + 1 outlasts all before it, so fewer than one in 500 is cut even if calls get longer by that quarter. A refused call costs its caller one more hop, a cut one is lost. Calls whose limit ends in time are taken as before.

The lines taken-while-draining and ended-early say how the call was admitted: the reason, its limit, how long the process had been stopping, and the duration that was expected.

--- a/src/control/serverdrain.cpp
+++ b/src/control/serverdrain.cpp
@@ -46,14 +46,21 @@
     return std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow()));
 }
 
-bool ServerDrain::admits(const std::string &callClass, Milliseconds limit) const
+CallAdmission ServerDrain::admit(const std::string &callClass, Milliseconds limit, Microseconds oldestRunning) const
 {
+    CallAdmission admission;
+    admission.limit = limit;
     if (!isDraining()) {
-        return true;
+        return admission;
     }
     const auto durations = m_callDurations.find(callClass);
-    return m_drain.admits(
-        steadyNow(), limit, durations == m_callDurations.end() ? std::nullopt : durations->second.usual());
+    const auto expected = durations == m_callDurations.end() ? std::nullopt : durations->second.expected(oldestRunning);
+    admission.verdict = m_drain.admission(steadyNow(), limit, expected);
+    admission.drainingTime = drainingTime();
+    if (expected) {
+        admission.expected = std::chrono::ceil<Milliseconds>(*expected);
+    }
+    return admission;
 }
 
 void ServerDrain::recordCallDuration(const std::string &callClass, Microseconds duration, CallDurations::End end)
--- a/src/control/serverdrain.h
+++ b/src/control/serverdrain.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clocktypes.h"
+#include "drain/calladmission.h"
 #include "drain/entrydrain.h"
 #include "net/asio.h"
 #include "traffic/calldurations.h"
@@ -42,7 +43,8 @@
     /// Whether a call may begin, given the longest time that it may take. Once the server drains, only calls that are
     /// likely to end before the process is killed may.
     /// @param callClass names the calls that usually take equally long, such as those of one route
-    bool admits(const std::string &callClass, Milliseconds limit) const;
+    /// @param oldestRunning how long the oldest call of the class in progress has taken so far
+    CallAdmission admit(const std::string &callClass, Milliseconds limit, Microseconds oldestRunning) const;
     void recordCallDuration(const std::string &callClass, Microseconds duration, CallDurations::End end);
 
     /// Logs an event of the drain with the numbers of calls and connections.
--- a/src/drain/entrydrain.cpp
+++ b/src/drain/entrydrain.cpp
@@ -42,14 +42,18 @@
     m_isClosed = m_isClosed || m_mustEndCalls;
 }
 
-bool EntryDrain::admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const
+AdmissionVerdict EntryDrain::admission(SteadyTime now, Microseconds limit, std::optional<Microseconds> expected) const
 {
     const auto timeLeft = m_deadline.timeLeft(elapsed(now));
     if (!isLeaving() || !timeLeft) {
-        return true;
+        return AdmissionVerdict::NotStopping;
     }
-    const bool acceptsNewCallers = elapsed(now) < m_gracePeriod - admissionMargin;
-    return limit <= *timeLeft || (acceptsNewCallers && usual && *usual <= *timeLeft);
+    if (limit <= *timeLeft) {
+        return AdmissionVerdict::EndsInTime;
+    }
+    const bool isInGracePeriod = elapsed(now) < m_gracePeriod - admissionMargin;
+    const bool isExpectedInTime = expected && *expected <= *timeLeft;
+    return isInGracePeriod && isExpectedInTime ? AdmissionVerdict::UsuallyEndsInTime : AdmissionVerdict::Refused;
 }
 
 bool EntryDrain::isLeaving() const
--- a/src/drain/entrydrain.h
+++ b/src/drain/entrydrain.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "drain/admissionverdict.h"
 #include "drain/leavedecision.h"
 #include "drain/terminationdeadline.h"
 
@@ -33,10 +34,11 @@
     void onTick(SteadyTime now);
 
     /// Whether a call that arrives now may begin. Once the process leaves, a call is admitted if it must end before the
-    /// process does, or, while connections are accepted, if calls like it are known to end before that usually.
+    /// process does, or, in the grace period, if calls like it are known to end before that. A call that is refused
+    /// reaches another host at once, one that is cut is lost.
     /// @param limit the longest time that the call may take
-    /// @param usual how long such calls take, or nothing if that is not known
-    bool admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const;
+    /// @param expected how long such calls take at most, or nothing if that is not known
+    AdmissionVerdict admission(SteadyTime now, Microseconds limit, std::optional<Microseconds> expected) const;
 
     bool isLeaving() const;
     LeaveReason reason() const;
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -146,7 +146,7 @@
 
 bool TrafficThread::admitsRequest(const ServiceId &service, Milliseconds limit) const
 {
-    return m_drain.admits(service.value(), limit);
+    return m_drain.admit(service.value(), limit, Microseconds(0)).isAdmitted();
 }
 
 void TrafficThread::recordDuration(const ServiceId &service, Microseconds duration, CallDurations::End end)
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -66,6 +66,11 @@
     return route.services.empty() ? ServiceId() : route.services[distribution(random)].service;
 }
 
+std::string textOf(std::optional<Milliseconds> time)
+{
+    return time ? std::to_string(time->count()) : std::string();
+}
+
 } // namespace
 
 CallHandler::CallHandler(GatewayThread &thread, HttpExchange &exchange)
@@ -118,10 +123,24 @@
               {"server", m_currentAttempt == nullptr ? std::string() : m_currentAttempt->server().value()},
               {"events", m_state.eventCount},
               {"silence_ms", silence.count()},
-              {"elapsed_ms", age.count()}});
+              {"elapsed_ms", age.count()},
+              {"admitted", nameOf(m_state.admission.verdict)},
+              {"admitted_limit_ms", m_state.admission.limit.count()},
+              {"admitted_draining_ms", textOf(m_state.admission.drainingTime)},
+              {"admitted_expected_ms", textOf(m_state.admission.expected)}});
     cancelAttempts("the host is stopping");
 }
 
+const Route &CallHandler::route() const
+{
+    return *m_state.route;
+}
+
+SteadyTime CallHandler::startedAt() const
+{
+    return m_state.startedAt;
+}
+
 void CallHandler::cancelAttempts(std::string_view cause)
 {
     if (m_currentAttempt != nullptr) {
@@ -164,7 +183,8 @@
     if (auto problem = blockedProblem()) {
         return problem;
     }
-    if (!m_thread.admitsCall(*m_state.route, limit)) {
+    m_state.admission = m_thread.admitCall(*m_state.route, limit);
+    if (!m_state.admission.isAdmitted()) {
         ++m_thread.stopSummary().refused;
         return Problem{
             ProblemKind::NotReady, StatusUnavailable, "not-sent", "the host is stopping", StoppingRetryAfter};
@@ -396,16 +416,19 @@
 
 void CallHandler::recordArrivalWhileDraining()
 {
-    const auto drainingTime = m_thread.drainingTime();
-    if (!drainingTime) {
+    const auto &admission = m_state.admission;
+    if (!admission.drainingTime) {
         return;
     }
     m_thread.metrics().counter("calls_taken_draining_total").add();
     ++m_thread.stopSummary().taken;
-    logEvent(
-        LogLevel::Info,
-        "taken-while-draining",
-        {{"request", m_state.head.id}, {"draining_ms", drainingTime->count()}, {"limit_ms", remainingTime().count()}});
+    logEvent(LogLevel::Info,
+             "taken-while-draining",
+             {{"request", m_state.head.id},
+              {"draining_ms", admission.drainingTime->count()},
+              {"limit_ms", admission.limit.count()},
+              {"admitted", nameOf(admission.verdict)},
+              {"expected_ms", textOf(admission.expected)}});
 }
 
 void CallHandler::recordOutcome(std::string_view outcome)
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -16,6 +16,7 @@
 class Attempt;
 class GatewayThread;
 class HttpExchange;
+struct Route;
 
 /// Serves one call: finds its route and organisation, sends it to a backend server, retries where that is allowed, and
 /// gives the caller exactly one answer.
@@ -32,6 +33,10 @@
     /// Gives the call up, because the process is about to be killed, and answers the caller as far as that is possible.
     void endEarly();
 
+    /// The route of the call, once the call has started.
+    const Route &route() const;
+    SteadyTime startedAt() const;
+
 private:
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clocktypes.h"
+#include "drain/calladmission.h"
 #include "net/httpexchange.h"
 #include "traffic/attempthistory.h"
 #include "traffic/callhead.h"
@@ -38,6 +39,8 @@
     OrganisationId organisation;
     SteadyTime startedAt{};
     SteadyTime deadline{};
+    /// Why the call was begun although the process may have been stopping.
+    CallAdmission admission;
     AttemptHistory attempts;
     /// Which attempt delivers.
     DeliveryTurn turn;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -289,9 +289,22 @@
     return m_drain.drainingTime();
 }
 
-bool GatewayThread::admitsCall(const Route &route, Milliseconds limit) const
+CallAdmission GatewayThread::admitCall(const Route &route, Milliseconds limit) const
 {
-    return m_drain.admits(route.hostName + route.pathPrefix, limit);
+    const auto oldestRunning = m_drain.isDraining() ? oldestCallAge(route) : Microseconds(0);
+    return m_drain.admit(route.hostName + route.pathPrefix, limit, oldestRunning);
+}
+
+Microseconds GatewayThread::oldestCallAge(const Route &route) const
+{
+    const auto now = steadyNow();
+    Microseconds oldest{0};
+    for (const auto *const call : m_calls) {
+        if (call->route().hostName == route.hostName && call->route().pathPrefix == route.pathPrefix) {
+            oldest = std::max(oldest, std::chrono::duration_cast<Microseconds>(now - call->startedAt()));
+        }
+    }
+    return oldest;
 }
 
 StopSummary &GatewayThread::stopSummary()
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -5,6 +5,7 @@
 #include "core/identifiers.h"
 #include "core/random.h"
 #include "core/result.h"
+#include "drain/calladmission.h"
 #include "gateway/backendconnectionpool.h"
 #include "gateway/peerexchange.h"
 #include "gateway/promptguard.h"
@@ -91,7 +92,7 @@
     std::optional<Milliseconds> drainingTime() const;
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
     /// likely to end before it is killed may.
-    bool admitsCall(const Route &route, Milliseconds limit) const;
+    CallAdmission admitCall(const Route &route, Milliseconds limit) const;
     /// What the planned stop of the process has done so far. Other threads may read it once run() has ended.
     StopSummary &stopSummary();
     void recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end);
@@ -142,6 +143,8 @@
 
 private:
     Task<> tickLoop();
+    /// How long the oldest call of a route in progress has taken so far.
+    Microseconds oldestCallAge(const Route &route) const;
     void applyGroupNotice(const GroupNotice &notice);
     /// Ends the attempts whose prompts have a blocked part, before their servers begin to answer.
     void cancelBlockedAttempts();
--- a/src/traffic/calldurations.cpp
+++ b/src/traffic/calldurations.cpp
@@ -5,32 +5,28 @@
 namespace Cardamomhill
 {
 
-namespace
-{
-
-/// One in this many calls may take longer than usual.
-constexpr std::size_t CallsPerOutlier = 10;
-
-} // namespace
-
 void CallDurations::record(Microseconds duration, End end)
 {
-    if (end == End::Unfinished && duration <= usual().value_or(Microseconds::max())) {
+    if (end == End::Unfinished && duration <= longest().value_or(Microseconds::max())) {
         return;
     }
-    m_latest[m_count++ % windowSize] = duration;
+    auto &blockLongest = m_longest[m_count / blockSize % blockCount];
+    const bool isFirstOfBlock = m_count % blockSize == 0;
+    blockLongest = isFirstOfBlock ? duration : std::max(blockLongest, duration);
+    ++m_count;
+}
+
+std::optional<Microseconds> CallDurations::longest() const
+{
+    return m_count == 0 ? std::nullopt : std::optional(*std::max_element(m_longest.begin(), m_longest.end()));
 }
 
-std::optional<Microseconds> CallDurations::usual() const
+std::optional<Microseconds> CallDurations::expected(Microseconds oldestRunning) const
 {
-    const auto size = std::min(m_count, windowSize);
-    if (size == 0) {
+    if (m_count < minCount) {
         return std::nullopt;
     }
-    auto sorted = m_latest;
-    const auto position = sorted.begin() + static_cast<std::ptrdiff_t>(size - 1 - size / CallsPerOutlier);
-    std::nth_element(sorted.begin(), position, sorted.begin() + static_cast<std::ptrdiff_t>(size));
-    return *position;
+    return std::max(*longest(), oldestRunning) * marginNumerator / marginDenominator;
 }
 
 } // namespace Cardamomhill
--- a/src/traffic/calldurations.h
+++ b/src/traffic/calldurations.h
@@ -10,7 +10,7 @@
 namespace Cardamomhill
 {
 
-/// How long the latest calls of a class, such as those of one service, took.
+/// How long the latest calls of a class, such as those of one route, took at most.
 class CallDurations
 {
 public:
@@ -22,15 +22,29 @@
         Unfinished,
     };
 
+    /// The number of calls from which on their longest duration says something about the next one: of n calls one in
+    /// n + 1 takes longer than all before it.
+    static constexpr std::size_t minCount = 64;
+    /// How much longer than all of the latest ones the next call may take, as a fraction of that (numerator and
+    /// denominator). Calls that began when the load was lower took less time than those that begin now.
+    static constexpr int marginNumerator = 5;
+    static constexpr int marginDenominator = 4;
+
     void record(Microseconds duration, End end);
 
-    /// A duration that nine in ten of the latest calls did not exceed, or nothing before the first call.
-    std::optional<Microseconds> usual() const;
+    /// The longest of the latest calls, some 500, or nothing before the first call.
+    std::optional<Microseconds> longest() const;
+
+    /// A duration that hardly any call will exceed, or nothing if too few calls are known.
+    /// @param oldestRunning how long the oldest call of the class that has not ended has taken so far
+    std::optional<Microseconds> expected(Microseconds oldestRunning) const;
 
 private:
-    static constexpr std::size_t windowSize = 64;
+    /// The longest durations are kept for blocks of calls, of which the oldest is forgotten as a whole.
+    static constexpr std::size_t blockSize = 64;
+    static constexpr std::size_t blockCount = 8;
 
-    std::array<Microseconds, windowSize> m_latest{};
+    std::array<Microseconds, blockCount> m_longest{};
     std::size_t m_count = 0;
 };
 
--- a/tests/draintest.cpp
+++ b/tests/draintest.cpp
@@ -249,35 +249,37 @@
 
 TEST_CASE("a process that leaves admits no call that would run when it is killed")
 {
+    constexpr auto Refused = AdmissionVerdict::Refused;
     const Microseconds grace = Seconds(3);
     const Microseconds killed = Seconds(8);
     const Microseconds unlimited = Seconds(60);
     EntryDrain drain(grace, killed);
     const SteadyTime start{Seconds(100)};
-    CHECK(drain.admits(start, unlimited, unlimited));
+    CHECK(drain.admission(start, unlimited, unlimited) == AdmissionVerdict::NotStopping);
     drain.onTerminate(start);
     SUBCASE("a call that must end before the process does is admitted at any time")
     {
-        CHECK(drain.admits(start + Seconds(6), Milliseconds(1600), unlimited));
-        CHECK_FALSE(drain.admits(start + Seconds(6), Milliseconds(1601), Milliseconds(10)));
+        CHECK(drain.admission(start + Seconds(6), Milliseconds(1600), unlimited) == AdmissionVerdict::EndsInTime);
+        CHECK(drain.admission(start + Seconds(6), Milliseconds(1601), Milliseconds(10)) == Refused);
     }
-    SUBCASE("while connections are accepted, a longer one is admitted if calls like it usually end in time")
+    SUBCASE("in the grace period, a longer one is admitted if calls like it are expected to end in time")
     {
-        CHECK(drain.admits(start + Seconds(2), unlimited, Milliseconds(5600)));
-        CHECK_FALSE(drain.admits(start + Seconds(2), unlimited, Milliseconds(5601)));
-        CHECK(drain.admits(start + Milliseconds(2899), unlimited, Milliseconds(1)));
-        CHECK_FALSE(drain.admits(start + Milliseconds(2900), unlimited, Milliseconds(1)));
+        constexpr auto Admitted = AdmissionVerdict::UsuallyEndsInTime;
+        CHECK(drain.admission(start + Seconds(2), unlimited, Milliseconds(5600)) == Admitted);
+        CHECK(drain.admission(start + Seconds(2), unlimited, Milliseconds(5601)) == Refused);
+        CHECK(drain.admission(start + Milliseconds(2899), unlimited, Milliseconds(1)) == Admitted);
+        CHECK(drain.admission(start + Milliseconds(2900), unlimited, Milliseconds(1)) == Refused);
     }
     SUBCASE("a longer one is refused if it is not known how long calls like it take")
     {
-        CHECK_FALSE(drain.admits(start + Milliseconds(1), unlimited, std::nullopt));
-        CHECK(drain.admits(start + Milliseconds(1), Seconds(7), std::nullopt));
+        CHECK(drain.admission(start + Milliseconds(1), unlimited, std::nullopt) == Refused);
+        CHECK(drain.admission(start + Milliseconds(1), Seconds(7), std::nullopt) == AdmissionVerdict::EndsInTime);
     }
     SUBCASE("without a time of the kill, every call is admitted")
     {
         EntryDrain endless(grace);
         endless.onTerminate(start);
-        CHECK(endless.admits(start + Seconds(50), unlimited, unlimited));
+        CHECK(endless.admission(start + Seconds(50), unlimited, unlimited) == AdmissionVerdict::NotStopping);
     }
 }
 
