Count the times of a stop from when its signal can have been sent

Cause: all times of a stop were counted from the handling of SIGTERM, on the traffic thread. A process that does not run for a while, on a host whose processors are taken, handles the signal late, while callers and the platform count from its sending. Two failures follow. A call sent later than the drain grace after SIGTERM was taken and cut at the end. With a delay of more than the margin of 0.4 s the process was killed before it ended what ran: no answer where one was possible, and no line for the calls that it cut.

Change: the control thread notes every 50 ms that it runs. The kernel delivers a signal before the thread goes on, so the signal was not sent before the last tick but one. Admission counts from there. What still runs is ended by that time too, but in the last sixth of the grace time only, since the delay is an upper bound and the callers count on five sixths. The listening socket still closes by the time of the handling, which is later, so that no caller is turned away. The line draining says the bound (signal_delay_ms).

--- a/src/control/serverdrain.cpp
+++ b/src/control/serverdrain.cpp
@@ -26,9 +26,10 @@
 {
 }
 
-void ServerDrain::start()
+void ServerDrain::start(SteadyTime signalNotSentBefore)
 {
-    m_drain.onTerminate(steadyNow());
+    const auto now = steadyNow();
+    m_drain.onTerminate(now, std::chrono::duration_cast<Microseconds>(now - signalNotSentBefore));
     m_server.setCloseAfterAnswers(true);
     spawn(m_context.get_executor(), "server-drain", drainLoop());
 }
--- a/src/control/serverdrain.h
+++ b/src/control/serverdrain.h
@@ -35,7 +35,8 @@
 
     ServerDrain(asio::io_context &context, HttpServer &server, const EntryDrain &drain, Handlers handlers);
 
-    void start();
+    /// @param signalNotSentBefore when the signal to stop can have been sent at the earliest
+    void start(SteadyTime signalNotSentBefore);
     bool isDraining() const;
     /// Time since start(), or nothing before it.
     std::optional<Milliseconds> drainingTime() const;
--- a/src/drain/entrydrain.cpp
+++ b/src/drain/entrydrain.cpp
@@ -9,8 +9,11 @@
 {
 }
 
-void EntryDrain::onTerminate(SteadyTime now)
+void EntryDrain::onTerminate(SteadyTime now, Microseconds signalDelay)
 {
+    if (!isLeaving()) {
+        m_deadline.setSignalDelay(signalDelay);
+    }
     m_decision.leave(LeaveReason::Terminated, now);
 }
 
@@ -51,7 +54,7 @@
     if (limit <= *timeLeft) {
         return AdmissionVerdict::EndsInTime;
     }
-    const bool isInGracePeriod = elapsed(now) < m_gracePeriod - admissionMargin;
+    const bool isInGracePeriod = elapsed(now) + m_deadline.signalDelay() < m_gracePeriod - admissionMargin;
     const bool isExpectedInTime = expected && *expected <= *timeLeft;
     return isInGracePeriod && isExpectedInTime ? AdmissionVerdict::UsuallyEndsInTime : AdmissionVerdict::Refused;
 }
--- a/src/drain/entrydrain.h
+++ b/src/drain/entrydrain.h
@@ -24,7 +24,9 @@
     /// @param terminationGrace time from the decision to leave until the platform kills the process, if it does
     explicit EntryDrain(Microseconds gracePeriod, std::optional<Microseconds> terminationGrace = std::nullopt);
 
-    void onTerminate(SteadyTime now);
+    /// @param signalDelay how long before `now` the signal can have been sent. Callers and the platform count their
+    /// times from then.
+    void onTerminate(SteadyTime now, Microseconds signalDelay = Microseconds(0));
     void onRetired(SteadyTime now);
     /// Call with the state of this host in a host list, or nothing if the list lacks it.
     void onHostList(std::optional<MemberState> listed, SteadyTime now);
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -136,7 +136,7 @@
 
 void TrafficThread::startDraining()
 {
-    m_drain.start();
+    m_drain.start(steadyNow());
 }
 
 std::optional<Milliseconds> TrafficThread::drainingTime() const
--- a/src/gateway/gatewayprogram.cpp
+++ b/src/gateway/gatewayprogram.cpp
@@ -4,6 +4,7 @@
 #include "control/operatorserver.h"
 #include "control/storerelay.h"
 #include "coordinator/groupcoordinatormanager.h"
+#include "drain/signaltime.h"
 #include "drain/terminationdeadline.h"
 #include "gateway/gatewaycontrol.h"
 #include "gateway/gatewaysettings.h"
@@ -28,6 +29,8 @@
 {
 
 constexpr Milliseconds StopCheckPeriod{20};
+/// Bounds how much too early a signal is taken to have been sent, at twice this.
+constexpr Milliseconds SignalTickPeriod{50};
 
 /// Owns the components of a gateway process and its two threads: the control thread, which is the main thread, and the
 /// traffic thread.
@@ -127,6 +130,7 @@
             m_groupCoordinatorManager.start();
         }
         waitForSignal();
+        spawn(m_context.get_executor(), "signal-time", tickSignalTime());
         logEvent(LogLevel::Info,
                  "started",
                  {{"host", m_settings.host.value()}, {"failure_domain", m_settings.failureDomain.value()}});
@@ -160,6 +164,17 @@
         });
     }
 
+    Task<> tickSignalTime()
+    {
+        asio::steady_timer timer(m_context);
+        SystemError error;
+        while (!error && !m_isDraining) {
+            m_signalTime.onTick(steadyNow());
+            timer.expires_after(SignalTickPeriod);
+            co_await timer.async_wait(storeError(error));
+        }
+    }
+
     void logStopSummary()
     {
         const auto &summary = m_trafficThread.stopSummary();
@@ -178,7 +193,8 @@
     /// the time before the kill is over.
     Task<> stopAfterCoordination()
     {
-        const TerminationDeadline deadline(m_settings.terminationGrace);
+        TerminationDeadline deadline(m_settings.terminationGrace);
+        deadline.setSignalDelay(m_signalDelay);
         asio::steady_timer timer(m_context);
         SystemError error;
         const auto isOverdue = [&] {
@@ -195,14 +211,18 @@
     {
         m_isDraining = true;
         m_drainingSince = steadyNow();
+        m_signalDelay = std::chrono::duration_cast<Microseconds>(m_drainingSince - m_signalTime.notSentBefore());
         m_metrics.gauge("draining").set(1);
         m_groupCoordinatorManager.stop();
         logEvent(LogLevel::Info,
                  "draining",
                  {{"calls", m_trafficThread.callCount()},
                   {"listener_closes_ms", m_settings.drainGrace.count()},
-                  {"killed_ms", m_settings.terminationGrace.count()}});
-        asio::post(m_trafficThread.context(), [this] { m_trafficThread.startDraining(); });
+                  {"killed_ms", m_settings.terminationGrace.count()},
+                  {"signal_delay_ms", std::chrono::duration_cast<Milliseconds>(m_signalDelay).count()}});
+        asio::post(m_trafficThread.context(), [this, notSentBefore = m_signalTime.notSentBefore()] {
+            m_trafficThread.startDraining(notSentBefore);
+        });
     }
 
     bool isReady() const
@@ -235,7 +255,10 @@
     HostDirectory m_hostDirectory;
     OperatorServer m_operatorServer;
     bool m_isDraining = false;
+    SignalTime m_signalTime{steadyNow()};
     SteadyTime m_drainingSince{};
+    /// How long before it was handled the signal can have been sent.
+    Microseconds m_signalDelay{0};
 };
 
 } // namespace
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -234,9 +234,9 @@
     }
 }
 
-void GatewayThread::startDraining()
+void GatewayThread::startDraining(SteadyTime signalNotSentBefore)
 {
-    m_drain.start();
+    m_drain.start(signalNotSentBefore);
 }
 
 bool GatewayThread::canServe() const
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -87,7 +87,8 @@
     /// Closes callers' connections after their answers, so that callers connect to another host before this one stops,
     /// later the listening socket, and shortly before the process is killed what still runs. Ends run() when no
     /// connection is left or the time is over.
-    void startDraining();
+    /// @param signalNotSentBefore when the signal to stop can have been sent at the earliest
+    void startDraining(SteadyTime signalNotSentBefore);
     /// Time since startDraining(), or nothing before it.
     std::optional<Milliseconds> drainingTime() const;
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
--- a/tests/draintest.cpp
+++ b/tests/draintest.cpp
@@ -1,5 +1,6 @@
 #include "drain/drain.h"
 #include "core/random.h"
+#include "drain/signaltime.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -283,4 +284,72 @@
     }
 }
 
+TEST_CASE("a process that handles SIGTERM late admits and ends calls by when the signal can have been sent")
+{
+    constexpr auto Refused = AdmissionVerdict::Refused;
+    const Microseconds unlimited = Seconds(60);
+    const SteadyTime handled{Seconds(100)};
+    EntryDrain drain(Seconds(3), Seconds(8));
+    drain.onTerminate(handled, Milliseconds(300));
+    // A repeated signal is handled in time, which says nothing about the first one.
+    drain.onTerminate(handled + Milliseconds(1));
+    CHECK(drain.admission(handled + Milliseconds(2599), unlimited, Milliseconds(1))
+          == AdmissionVerdict::UsuallyEndsInTime);
+    CHECK(drain.admission(handled + Milliseconds(2600), unlimited, Milliseconds(1)) == Refused);
+    CHECK(drain.admission(handled + Seconds(5), Milliseconds(2300), {}) == AdmissionVerdict::EndsInTime);
+    CHECK(drain.admission(handled + Seconds(5), Milliseconds(2301), {}) == Refused);
+    // Callers connect until the grace period after the signal is over, which is no later than this.
+    drain.onTick(handled + Milliseconds(2999));
+    CHECK(drain.acceptsConnections());
+    drain.onTick(handled + Milliseconds(7299));
+    CHECK_FALSE(drain.mustEndCalls());
+    drain.onTick(handled + Milliseconds(7300));
+    CHECK(drain.mustEndCalls());
+    CHECK_FALSE(drain.shouldExit());
+    drain.onTick(handled + Milliseconds(7500));
+    CHECK(drain.shouldExit());
+}
+
+TEST_CASE("calls are ended before the kill for any delay of the signal that leaves time, and never before the last "
+          "sixth of the grace")
+{
+    CHECK(rc::check("any grace and delay", [] {
+        const Microseconds grace = Milliseconds(*rc::gen::inRange(100, 60'000));
+        const Microseconds delay = Milliseconds(*rc::gen::inRange(0, 3000));
+        TerminationDeadline deadline(grace);
+        deadline.setSignalDelay(delay);
+        const auto lastSixth = grace - grace / 6;
+        RC_ASSERT(!deadline.mustEnd(lastSixth - Microseconds(1)));
+        RC_ASSERT(deadline.mustEnd(std::max(lastSixth, grace - delay - TerminationDeadline::maxMargin)
+                                   + TerminationDeadline::maxMargin));
+        if (grace >= Seconds(8) && delay <= Milliseconds(900)) {
+            RC_ASSERT(deadline.mustEnd(grace - delay - Milliseconds(360)));
+        }
+        const auto timeLeft = deadline.timeLeft(Microseconds(0));
+        RC_ASSERT(!deadline.mustEnd(*timeLeft - Microseconds(1)));
+    }));
+}
+
+TEST_CASE("a signal is not taken to be sent later than it was, whichever of tick and signal is handled first")
+{
+    CHECK(rc::check("a thread that does not run for a while", [] {
+        const Microseconds period = Milliseconds(50);
+        SteadyTime now{Seconds(1)};
+        SignalTime time(now);
+        const auto ticks = *rc::gen::inRange(1, 10);
+        for (int tick = 0; tick < ticks; ++tick) {
+            now += period;
+            time.onTick(now);
+        }
+        const auto pause = Microseconds(*rc::gen::inRange(1, 1'000'000));
+        const auto sent = now + Microseconds(*rc::gen::inRange<std::int64_t>(0, pause.count()));
+        now += pause;
+        if (*rc::gen::arbitrary<bool>()) {
+            time.onTick(now);
+        }
+        RC_ASSERT(time.notSentBefore() <= sent);
+        RC_ASSERT(now - time.notSentBefore() <= pause + period);
+    }));
+}
+
 } // namespace Cardamomhill
