Play late signals and several failure domains in the soak of planned stops

A refusal is judged from when the process ran again, since a paused one answers nobody.

Without the options a seed plays as before.

--- a/tests/soak/plannedstops.h
+++ b/tests/soak/plannedstops.h
@@ -14,6 +14,10 @@
     Milliseconds terminationGrace{2400};
     /// Whether the gateway is told the grace time. Programs from before that setting existed refuse it.
     bool hasGraceSetting = true;
+    /// Longest time for which a process does not run around its SIGTERM, as on a host whose processors are taken.
+    Milliseconds maxSignalDelay{0};
+    /// Hosts and servers are in failure domains `d1`, `d2` and so on in turn.
+    std::size_t failureDomains = 1;
     /// Whether servers pause in some streams for longer than these may be silent before they are continued elsewhere.
     bool hasPauses = false;
     /// Number of groups of engines that serve the streams; without any, single servers do.
@@ -42,6 +46,10 @@
     Task<> start(StopHost &host);
     Task<> stopHosts(SteadyTime until);
     Task<> stop(StopHost &host);
+    /// Sends SIGTERM to a process that does not run until a random time later, if there is to be a delay.
+    void terminate(StopHost &host);
+    Task<> resume(StopHost &host);
+    std::string failureDomain(std::size_t number) const;
     /// Measures how late this process itself is.
     Task<> measureDelay();
     void recordRun(const HttpRequest &request, const std::string &server);
--- a/tests/soak/soakhost.h
+++ b/tests/soak/soakhost.h
@@ -22,6 +22,8 @@
              const std::string &directory,
              std::string drainSettings = "drain_grace_ms: 300\n");
 
+    /// Sets the failure domain of the next process.
+    void setFailureDomain(std::string failureDomain);
     /// Writes the settings and starts the process.
     void start();
     void signal(int signalNumber);
@@ -39,6 +41,7 @@
     std::string m_settingsFile;
     std::string m_logFile;
     std::string m_drainSettings;
+    std::string m_failureDomain = "d1";
     tcp::endpoint m_listen;
     tcp::endpoint m_operatorListen;
     tcp::endpoint m_peerListen;
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -15,6 +15,7 @@
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
       "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
+      "[--signal-delay-ms N] [--domains N]\n"
       "[--groups N [--ranks N] [--answer-delay-ms N] [--execution-delay-ms N] [--lost-answers PERCENT] "
       "[--preemptions PERCENT]]]\n";
 
@@ -57,6 +58,8 @@
                                   {"callers", required_argument, nullptr, 'c'},
                                   {"planned-stops", no_argument, nullptr, 'P'},
                                   {"grace-ms", required_argument, nullptr, 'g'},
+                                  {"signal-delay-ms", required_argument, nullptr, 'S'},
+                                  {"domains", required_argument, nullptr, 'D'},
                                   {"pauses", no_argument, nullptr, 'q'},
                                   {"no-grace-setting", no_argument, nullptr, 'n'},
                                   {"groups", required_argument, nullptr, 'G'},
@@ -84,6 +87,10 @@
             isValid = false;
         } else if (optionId == 'G') {
             stopOptions.groups = number;
+        } else if (optionId == 'S') {
+            stopOptions.maxSignalDelay = Milliseconds(number);
+        } else if (optionId == 'D') {
+            stopOptions.failureDomains = number;
         } else if (optionId == 'R') {
             stopOptions.group.ranks = number;
         } else if (optionId == 'A') {
--- a/tests/soak/stophost.h
+++ b/tests/soak/stophost.h
@@ -14,6 +14,8 @@
     std::unique_ptr<SoakHost> host;
     /// When each process of the host was sent SIGTERM; the last one is that of the current process.
     std::vector<std::optional<SteadyTime>> terminatedAt;
+    /// Until when the current process, and those before it, did not run around their SIGTERM.
+    std::vector<SteadyTime> pausedUntil;
     /// Whether callers open new connections to the host.
     bool isInRotation = false;
     bool isStopping = false;
--- a/tests/standins/enginegroupoptions.h
+++ b/tests/standins/enginegroupoptions.h
@@ -14,6 +14,8 @@
     std::string name;
     std::string service;
     std::size_t ranks = 2;
+    /// The ranks are in failure domains `d1`, `d2` and so on in turn.
+    std::size_t failureDomains = 1;
     std::size_t slots = 12;
     /// Requests that wait at a rank; further ones are refused as not run.
     std::size_t queue = 24;
