Expect long calls of a process that has seen only short ones end

How long calls take counts as known only when the class has been known for twice the limit of the call. Then at least half of its calls have been seen to the end. Before that a call that may outlast the process is refused.

The cases of plannedstoptest that need known durations let the process learn them for 7.4 s with a deadline of 3.6 s.

--- a/src/control/serverdrain.cpp
+++ b/src/control/serverdrain.cpp
@@ -54,9 +54,11 @@
     if (!isDraining()) {
         return admission;
     }
+    const auto now = steadyNow();
     const auto durations = m_callDurations.find(callClass);
-    const auto expected = durations == m_callDurations.end() ? std::nullopt : durations->second.expected(oldestRunning);
-    admission.verdict = m_drain.admission(steadyNow(), limit, expected);
+    const auto expected
+        = durations == m_callDurations.end() ? std::nullopt : durations->second.expected(limit, oldestRunning, now);
+    admission.verdict = m_drain.admission(now, limit, expected);
     admission.drainingTime = drainingTime();
     if (expected) {
         admission.expected = std::chrono::ceil<Milliseconds>(*expected);
@@ -70,7 +72,7 @@
     if (m_callDurations.size() >= MaxCallClasses && !m_callDurations.contains(callClass)) {
         m_callDurations.clear();
     }
-    m_callDurations[callClass].record(duration, end);
+    m_callDurations[callClass].record(duration, end, steadyNow());
 }
 
 void ServerDrain::log(std::string_view event, std::string_view reason) const
--- a/src/traffic/calldurations.h
+++ b/src/traffic/calldurations.h
@@ -29,15 +29,19 @@
     /// denominator). Calls that began when the load was lower took less time than those that begin now.
     static constexpr int marginNumerator = 5;
     static constexpr int marginDenominator = 4;
+    /// For how many times the limit of a call the class must be known. Before that, most calls that have ended are
+    /// short ones, since the long ones of the same time still run.
+    static constexpr int minKnownLimits = 2;
 
-    void record(Microseconds duration, End end);
+    void record(Microseconds duration, End end, SteadyTime now);
 
     /// The longest of the latest calls, some 500, or nothing before the first call.
     std::optional<Microseconds> longest() const;
 
-    /// A duration that hardly any call will exceed, or nothing if too few calls are known.
+    /// A duration that hardly any call will exceed, or nothing if too little is known.
+    /// @param limit the longest time that a call may take
     /// @param oldestRunning how long the oldest call of the class that has not ended has taken so far
-    std::optional<Microseconds> expected(Microseconds oldestRunning) const;
+    std::optional<Microseconds> expected(Microseconds limit, Microseconds oldestRunning, SteadyTime now) const;
 
 private:
     /// The longest durations are kept for blocks of calls, of which the oldest is forgotten as a whole.
@@ -46,6 +50,8 @@
 
     std::array<Microseconds, blockCount> m_longest{};
     std::size_t m_count = 0;
+    /// When the first call began.
+    SteadyTime m_knownSince{};
 };
 
 } // namespace Cardamomhill
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -35,6 +35,9 @@
 constexpr Milliseconds EventInterval{100};
 /// Calls after which a process knows how long calls of their route take.
 constexpr int KnownCalls = 80;
+/// The deadline of calls that a process may take since it knows that, and for how long it must know.
+constexpr Milliseconds KnownDeadline{3600};
+constexpr Milliseconds KnownTime{7400};
 constexpr unsigned Ok = 200;
 constexpr unsigned BadGateway = 502;
 constexpr unsigned Unavailable = 503;
@@ -153,6 +156,22 @@
         }
     }
 
+    /// Lets the process learn that streams are short.
+    Task<> learnDurations(HttpClientConnection &connection)
+    {
+        const auto knownFrom = steadyNow();
+        co_await streamOften(connection, KnownCalls);
+        co_await sleep(std::chrono::duration_cast<Milliseconds>(knownFrom + KnownTime - steadyNow()));
+    }
+
+    /// As stream(), with a deadline after which the process may be killed.
+    Task<CallResult> streamWithDeadline(HttpClientConnection &connection, const std::string &id, int events)
+    {
+        auto request = makeStream(id, events);
+        request.set("Cardamomhill-Request-Deadline", std::to_string(KnownDeadline.count()));
+        co_return co_await call(connection, request);
+    }
+
     /// As stream(), and sends SIGTERM to the process when the first event has arrived.
     Task<CallResult> streamAndTerminate(HttpClientConnection &connection, const std::string &id, int events)
     {
@@ -280,6 +299,12 @@
     return result.isComplete && (result.status == Ok || (result.status == Unavailable && gateway.runs[id] == 0));
 }
 
+Task<> resumeLater(StoppedGateway &gateway, Milliseconds pause)
+{
+    co_await gateway.sleep(pause);
+    gateway.signal(SIGCONT);
+}
+
 std::string lineOf(const std::string &log, const std::string &text)
 {
     const auto position = log.find(text);
@@ -488,11 +513,11 @@
     const std::string lateId = "late";
     const auto scenario = [&]() -> Task<> {
         auto connection = co_await gateway.connect();
-        co_await gateway.streamOften(*connection, KnownCalls);
+        co_await gateway.learnDurations(*connection);
         co_await gateway.terminateWhilePaused(Milliseconds(300));
         // Longer than the drain grace after SIGTERM, and shorter after its handling.
         co_await gateway.sleep(Milliseconds(780));
-        late = co_await gateway.stream(*connection, lateId, 50);
+        late = co_await gateway.streamWithDeadline(*connection, lateId, 50);
     };
     gateway.run(scenario());
     CAPTURE(gateway.log());
@@ -530,10 +555,10 @@
         auto connection = co_await gateway.connect();
         const auto earlier = co_await gateway.stream(*connection, longId, 40);
         CHECK(earlier.isComplete);
-        co_await gateway.streamOften(*connection, KnownCalls);
+        co_await gateway.learnDurations(*connection);
         gateway.terminate();
         co_await gateway.sleep(EventInterval);
-        late = co_await gateway.stream(*connection, lateId, 40);
+        late = co_await gateway.streamWithDeadline(*connection, lateId, 40);
     };
     gateway.run(scenario());
     CAPTURE(gateway.log());
@@ -549,12 +574,12 @@
     const std::string longerId = "longer";
     const auto scenario = [&]() -> Task<> {
         auto connection = co_await gateway.connect();
-        co_await gateway.streamOften(*connection, KnownCalls);
+        co_await gateway.learnDurations(*connection);
         auto second = co_await gateway.connect();
         gateway.terminate();
         co_await gateway.sleep(EventInterval);
-        taken = co_await gateway.stream(*second, takenId, 2);
-        longer = co_await gateway.stream(*connection, longerId, 60);
+        taken = co_await gateway.streamWithDeadline(*second, takenId, 2);
+        longer = co_await gateway.streamWithDeadline(*connection, longerId, 60);
     };
     gateway.run(scenario());
     const auto log = gateway.log();
@@ -567,6 +592,41 @@
     CAPTURE(line);
     CHECK(line.find("admitted=usually-ends-in-time") != std::string::npos);
     CHECK(line.find("admitted_draining_ms=") != std::string::npos);
-    CHECK(line.find("admitted_limit_ms=" + std::to_string(AnswerTimeout.count())) != std::string::npos);
+    CHECK(line.find("admitted_limit_ms=" + std::to_string(KnownDeadline.count())) != std::string::npos);
     CHECK(line.find("admitted_expected_ms=") != std::string::npos);
 }
+
+TEST_CASE("requests that reach a stopping process while it does not run, at the close of its socket and of its idle "
+          "connections, are answered")
+{
+    constexpr Milliseconds Pause{300};
+    StoppedGateway gateway;
+    CallResult waiting;
+    CallResult crossing;
+    const std::string waitingId = "waiting";
+    const std::string crossingId = "crossing";
+    const auto connectAndPay = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        waiting = co_await gateway.pay(*connection, waitingId, Milliseconds(1), ShortDeadline);
+    };
+    const auto scenario = [&]() -> Task<> {
+        auto kept = co_await gateway.connect();
+        co_await gateway.streamOften(*kept, 1);
+        gateway.terminate();
+        co_await gateway.sleep(DrainGrace - EventInterval);
+        gateway.signal(SIGSTOP);
+        asio::co_spawn(co_await asio::this_coro::executor, connectAndPay(), asio::detached);
+        co_await gateway.sleep(Pause);
+        // The process closes its socket now, and idle connections 300 ms later.
+        gateway.signal(SIGCONT);
+        co_await gateway.sleep(Milliseconds(200));
+        gateway.signal(SIGSTOP);
+        asio::co_spawn(co_await asio::this_coro::executor, resumeLater(gateway, Pause), asio::detached);
+        crossing = co_await gateway.pay(*kept, crossingId, Milliseconds(1), ShortDeadline);
+    };
+    gateway.run(scenario());
+    CAPTURE(gateway.log());
+    CHECK(waiting.status == Ok);
+    CHECK(waiting.isComplete);
+    CHECK(isAnsweredOrNotRun(gateway, crossingId, crossing));
+}
