Let groups form anew in the middle of a switch in the soak of planned stops

A call whose last server broke it off counts as broken-off, which the rule excuses (stopverdicttest).

--- a/tests/soak/stopcall.h
+++ b/tests/soak/stopcall.h
@@ -28,6 +28,8 @@
     std::optional<SteadyTime> lastEventAt;
     /// When that server had written its whole answer; empty if it had not when the connection ended.
     std::optional<SteadyTime> answeredAt;
+    /// That server broke the answer off.
+    bool isBrokenOff = false;
     unsigned status = 0;
     bool isComplete = false;
     /// The caller gave up, a second after the timeout of the route.
--- a/tests/soak/stopverdict.cpp
+++ b/tests/soak/stopverdict.cpp
@@ -37,6 +37,8 @@
         return "timed-out";
     case StopVerdict::LeftSilent:
         return "left-silent";
+    case StopVerdict::BrokenOff:
+        return "broken-off";
     case StopVerdict::Unread:
         return "unread";
     case StopVerdict::Unexplained:
@@ -56,6 +58,9 @@
     if (call.endedAt - call.sentAt >= routeTimeout - DeadlineResolution) {
         return StopVerdict::TimedOut;
     }
+    if (call.isBrokenOff) {
+        return StopVerdict::BrokenOff;
+    }
     if (call.wasLeftSilent) {
         return StopVerdict::LeftSilent;
     }
--- a/tests/soak/stopverdict.h
+++ b/tests/soak/stopverdict.h
@@ -14,6 +14,8 @@
     TimedOut,
     /// The caller gave up a stream that was silent for too long.
     LeftSilent,
+    /// The last server that had the call broke it off.
+    BrokenOff,
     /// The connection ended at once and no server got the call.
     Unread,
     Unexplained
--- a/tests/standins/enginegroup.h
+++ b/tests/standins/enginegroup.h
@@ -33,6 +33,8 @@
         std::function<void(const std::string &)> onEvent;
         /// Called when the whole of a stream has been written.
         std::function<void(const std::string &)> onAnswered;
+        /// Called when the group breaks off a request.
+        std::function<void(const std::string &)> onBrokenOff = [](const std::string &) {};
     };
 
     EngineGroup(asio::io_context &context, EngineGroupOptions options, Observers observers);
@@ -49,6 +51,8 @@
     /// Number of passes that began with different maps at two ranks.
     std::uint64_t splitPassCount() const;
     std::uint64_t orderCount() const;
+    /// How often the group formed anew.
+    std::uint64_t reformationCount() const;
     /// Longest time for which a pass was held, in whole passes that could have been made.
     Milliseconds longestHold() const;
 
@@ -57,6 +61,10 @@
 
     Task<> passLoop();
     void pass();
+    void registerRanks();
+    /// Breaks all streams off, and forgets orders, as a group does that has lost a rank.
+    void breakOff();
+    Task<> formAnew();
     void runStreams(EngineRank &rank);
     void selectExperts(EngineRank &rank) const;
     Task<> serve(std::size_t rank, HttpExchange &exchange);
@@ -80,6 +88,9 @@
     Observers m_observers;
     Random m_random;
     std::vector<EngineRank> m_ranks;
+    PlatformStore *m_store = nullptr;
+    std::uint64_t m_epoch = 1;
+    bool m_isOpen = true;
     SteadyTime m_startedAt{};
     std::uint64_t m_heldPasses = 0;
     std::uint64_t m_longestHoldPasses = 0;
--- a/tests/standins/enginegroupoptions.h
+++ b/tests/standins/enginegroupoptions.h
@@ -28,6 +28,9 @@
     double lostAnswers = 0;
     /// Fraction of the passes of a rank in which its newest request is preempted and read again.
     double preemptions = 0;
+    /// Fraction of the passes before which a rank has an order to hold a pass or to switch, in which the group breaks
+    /// off its streams and forms anew.
+    double reformations = 0;
     std::uint64_t seed = 1;
 };
 
--- a/tests/standins/enginerank.h
+++ b/tests/standins/enginerank.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -32,6 +33,7 @@
     };
 
     std::unique_ptr<HttpServer> server;
+    std::string address;
     Map map;
     std::optional<Map> prepared;
     SteadyTime copiedAt{};
--- a/tests/stopverdicttest.cpp
+++ b/tests/stopverdicttest.cpp
@@ -70,3 +70,11 @@
     call.isComplete = false;
     CHECK(verdict(call) == StopVerdict::TimedOut);
 }
+
+TEST_CASE("a call is excused if the last server that had it broke it off")
+{
+    auto call = cutCall(std::chrono::milliseconds(900), std::chrono::milliseconds(1000));
+    CHECK(verdict(call) == StopVerdict::Unexplained);
+    call.isBrokenOff = true;
+    CHECK(verdict(call) == StopVerdict::BrokenOff);
+}
