Let a test of a late signal keep its connection for the whole call

The connection belongs to the scenario, which waits for its call now. The cases and checks are the same; clang-tidy's analyzer no longer warns.

--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -529,15 +529,15 @@
     StoppedGateway gateway;
     CallResult payment;
     const std::string paymentId = "payment";
-    const auto pay = [&]() -> Task<> {
-        auto connection = co_await gateway.connect();
-        payment = co_await gateway.pay(*connection, paymentId, AnswerTimeout, AnswerTimeout);
-    };
-    const auto scenario = [&]() -> Task<> {
-        asio::co_spawn(co_await asio::this_coro::executor, pay(), asio::detached);
+    const auto terminateLate = [&]() -> Task<> {
         co_await gateway.sleep(EventInterval);
         co_await gateway.terminateWhilePaused(Milliseconds(480));
     };
+    const auto scenario = [&]() -> Task<> {
+        auto connection = co_await gateway.connect();
+        asio::co_spawn(co_await asio::this_coro::executor, terminateLate(), asio::detached);
+        payment = co_await gateway.pay(*connection, paymentId, AnswerTimeout, AnswerTimeout);
+    };
     gateway.run(scenario());
     CAPTURE(gateway.log());
     CHECK_FALSE(gateway.wasKilled);
