Keep a place at the other server for a call that is given up for it

Cause: an attempt whose server has been silent for too long was cancelled if another server had room, and each of several attempts that were cancelled in the same tick saw the same place. One call got it. The others had left their queue and ended with 502; their retries were charged.

Change: the place that the attempt has seen counts as taken until its call chooses again, which happens in the step in which the attempt ends. So only as many calls leave as there are places; the others stay where they are.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -139,8 +139,8 @@
     }
     if (m_state.hasAnswerBegun) {
         m_state.continuation->begin(*this, cause);
-    } else if (canAnotherServerTakeCall()) {
-        cancelForRetry(cause);
+    } else {
+        cancelForOtherServer(cause);
     }
 }
 
@@ -149,23 +149,28 @@
     return m_state.isCallerGone || !m_cancelCause.empty();
 }
 
-bool Attempt::canAnotherServerTakeCall() const
+void Attempt::cancelForOtherServer(std::string_view cause)
 {
     const auto choice = m_thread.servers().choose(m_state.query, steadyNow(), m_thread.random());
-    return choice.hasServer();
+    if (choice.hasServer() && cancelForRetry(cause)) {
+        m_state.reservedServer = choice.server;
+        m_thread.servers().recordCallStarted(choice.server);
+    }
 }
 
-void Attempt::cancelForRetry(std::string_view cause)
+bool Attempt::cancelForRetry(std::string_view cause)
 {
     if (isGivenUp()) {
-        return;
+        return false;
     }
     // Charged here, since several attempts that are cancelled at the same time would all see the last retry.
     if (m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, remainingTime())
         && m_thread.retryBudget(m_state.query.service).tryTakeRetry(steadyNow())) {
         m_state.isRetryReserved = true;
         cancel(cause);
+        return true;
     }
+    return false;
 }
 
 void Attempt::cancelIfBlocked()
@@ -517,7 +522,11 @@
     const auto streamSilence = now - m_lastArrival;
     if (!m_thread.servers().isAvailable(m_server)) {
         constexpr std::string_view Cause = "the server or its group cannot be reached";
-        m_state.hasAnswerBegun ? moveElsewhere(Cause) : cancelForRetry(Cause);
+        if (m_state.hasAnswerBegun) {
+            moveElsewhere(Cause);
+        } else {
+            cancelForRetry(Cause);
+        }
         return;
     }
     // Any rank of a group shows that the group makes progress. Without a group only the server itself does, and a call
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -91,8 +91,11 @@
     /// Whether nobody waits for this attempt any more.
     bool isGivenUp() const;
     /// Cancels the attempt for a retry, if the route, the time left and the retry budget allow one.
-    void cancelForRetry(std::string_view cause);
-    bool canAnotherServerTakeCall() const;
+    /// @return whether it was cancelled
+    bool cancelForRetry(std::string_view cause);
+    /// As cancelForRetry(), if another server can take the call. A place there is kept for it, since several attempts
+    /// that are cancelled at the same time would all see the last one.
+    void cancelForOtherServer(std::string_view cause);
     /// How long nothing may arrive from the server, or from its group if it has one.
     Milliseconds silenceLimit(const StreamTimeouts &timeouts, bool hasGroup) const;
 
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -271,9 +271,18 @@
     m_currentAttempt = nullptr;
     m_continuation.silentAttemptEnded();
     recordAttemptEnd(m_thread, m_state, attempt, end);
+    releaseReservedPlace();
     co_return co_await finishContinuations(end);
 }
 
+void CallHandler::releaseReservedPlace()
+{
+    if (!m_state.reservedServer.isEmpty()) {
+        const auto server = std::exchange(m_state.reservedServer, BackendServerId());
+        m_thread.servers().recordCallEnded(server, AttemptEnd::Withdrawn, steadyNow());
+    }
+}
+
 Task<AttemptEnd> CallHandler::finishContinuations(AttemptEnd end)
 {
     while (const auto continuation = m_continuation.release()) {
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -49,6 +49,8 @@
     /// Waits for attempts that continue the stream of one that has ended. Returns how the last one ended that could
     /// deliver.
     Task<AttemptEnd> finishContinuations(AttemptEnd end);
+    /// Gives up the place that is kept for the call. It is still free when the call chooses a server without waiting.
+    void releaseReservedPlace();
     void cancelAttempts(std::string_view cause);
     bool decideRetry(AttemptEnd end);
     RetryVerdict retryVerdict(SteadyTime now);
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -48,6 +48,8 @@
     StreamContinuation *continuation = nullptr;
     /// The retry budget was charged when the current attempt was cancelled for a retry.
     bool isRetryReserved = false;
+    /// The server at which a place is kept for the call, whose current attempt was cancelled for it; empty if none is.
+    BackendServerId reservedServer;
     std::optional<FallbackAnswer> fallbackAnswer;
     /// Id of the last event that was delivered; at first the one that the caller resumes after.
     std::string lastEventId;
