--- a/src/control/serverdrain.cpp
+++ b/src/control/serverdrain.cpp
@@ -26,9 +26,10 @@
 {
 }
 
-void ServerDrain::start()
+void ServerDrain::start(SteadyTime signalNotSentBefore)
 {
-    m_drain.onTerminate(steadyNow());
+    const auto now = steadyNow();
+    m_drain.onTerminate(now, std::chrono::duration_cast<Microseconds>(now - signalNotSentBefore));
     m_server.setCloseAfterAnswers(true);
     spawn(m_context.get_executor(), "server-drain", drainLoop());
 }
@@ -46,14 +47,23 @@
     return std::chrono::duration_cast<Milliseconds>(m_drain.elapsed(steadyNow()));
 }
 
-bool ServerDrain::admits(const std::string &callClass, Milliseconds limit) const
+CallAdmission ServerDrain::admit(const std::string &callClass, Milliseconds limit, Microseconds oldestRunning) const
 {
+    CallAdmission admission;
+    admission.limit = limit;
     if (!isDraining()) {
-        return true;
+        return admission;
     }
+    const auto now = steadyNow();
     const auto durations = m_callDurations.find(callClass);
-    return m_drain.admits(
-        steadyNow(), limit, durations == m_callDurations.end() ? std::nullopt : durations->second.usual());
+    const auto expected
+        = durations == m_callDurations.end() ? std::nullopt : durations->second.expected(limit, oldestRunning, now);
+    admission.verdict = m_drain.admission(now, limit, expected);
+    admission.drainingTime = drainingTime();
+    if (expected) {
+        admission.expected = std::chrono::ceil<Milliseconds>(*expected);
+    }
+    return admission;
 }
 
 void ServerDrain::recordCallDuration(const std::string &callClass, Microseconds duration, CallDurations::End end)
@@ -62,7 +72,7 @@
     if (m_callDurations.size() >= MaxCallClasses && !m_callDurations.contains(callClass)) {
         m_callDurations.clear();
     }
-    m_callDurations[callClass].record(duration, end);
+    m_callDurations[callClass].record(duration, end, steadyNow());
 }
 
 void ServerDrain::log(std::string_view event, std::string_view reason) const
--- a/src/drain/entrydrain.cpp
+++ b/src/drain/entrydrain.cpp
@@ -9,8 +9,11 @@
 {
 }
 
-void EntryDrain::onTerminate(SteadyTime now)
+void EntryDrain::onTerminate(SteadyTime now, Microseconds signalDelay)
 {
+    if (!isLeaving()) {
+        m_deadline.setSignalDelay(signalDelay);
+    }
     m_decision.leave(LeaveReason::Terminated, now);
 }
 
@@ -42,14 +45,18 @@
     m_isClosed = m_isClosed || m_mustEndCalls;
 }
 
-bool EntryDrain::admits(SteadyTime now, Microseconds limit, std::optional<Microseconds> usual) const
+AdmissionVerdict EntryDrain::admission(SteadyTime now, Microseconds limit, std::optional<Microseconds> expected) const
 {
     const auto timeLeft = m_deadline.timeLeft(elapsed(now));
     if (!isLeaving() || !timeLeft) {
-        return true;
+        return AdmissionVerdict::NotStopping;
+    }
+    if (limit <= *timeLeft) {
+        return AdmissionVerdict::EndsInTime;
     }
-    const bool acceptsNewCallers = elapsed(now) < m_gracePeriod - admissionMargin;
-    return limit <= *timeLeft || (acceptsNewCallers && usual && *usual <= *timeLeft);
+    const bool isInGracePeriod = elapsed(now) + m_deadline.signalDelay() < m_gracePeriod - admissionMargin;
+    const bool isExpectedInTime = expected && *expected <= *timeLeft;
+    return isInGracePeriod && isExpectedInTime ? AdmissionVerdict::UsuallyEndsInTime : AdmissionVerdict::Refused;
 }
 
 bool EntryDrain::isLeaving() const
--- a/src/entry/trafficthread.cpp
+++ b/src/entry/trafficthread.cpp
@@ -153,7 +153,7 @@
 
 void TrafficThread::startDraining()
 {
-    m_drain.start();
+    m_drain.start(steadyNow());
 }
 
 std::optional<Milliseconds> TrafficThread::drainingTime() const
@@ -163,7 +163,7 @@
 
 bool TrafficThread::admitsRequest(const ServiceId &service, Milliseconds limit) const
 {
-    return m_drain.admits(service.value(), limit);
+    return m_drain.admit(service.value(), limit, Microseconds(0)).isAdmitted();
 }
 
 void TrafficThread::recordDuration(const ServiceId &service, Microseconds duration, CallDurations::End end)
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -70,6 +70,11 @@
     return route.services.empty() ? ServiceId() : route.services[distribution(random)].service;
 }
 
+std::string textOf(std::optional<Milliseconds> time)
+{
+    return time ? std::to_string(time->count()) : std::string();
+}
+
 } // namespace
 
 CallHandler::CallHandler(GatewayThread &thread, HttpExchange &exchange)
@@ -126,10 +131,24 @@
               {"server", m_currentAttempt == nullptr ? std::string() : m_currentAttempt->server().value()},
               {"events", m_state.eventCount},
               {"silence_ms", silence.count()},
-              {"elapsed_ms", age.count()}});
+              {"elapsed_ms", age.count()},
+              {"admitted", nameOf(m_state.admission.verdict)},
+              {"admitted_limit_ms", m_state.admission.limit.count()},
+              {"admitted_draining_ms", textOf(m_state.admission.drainingTime)},
+              {"admitted_expected_ms", textOf(m_state.admission.expected)}});
     cancelAttempts("the host is stopping");
 }
 
+const Route &CallHandler::route() const
+{
+    return *m_state.route;
+}
+
+SteadyTime CallHandler::startedAt() const
+{
+    return m_state.startedAt;
+}
+
 void CallHandler::cancelAttempts(std::string_view cause)
 {
     if (m_currentAttempt != nullptr) {
@@ -170,7 +189,8 @@
     if (auto problem = blockedProblem()) {
         return problem;
     }
-    if (!m_thread.admitsCall(*m_state.route, limit)) {
+    m_state.admission = m_thread.admitCall(*m_state.route, limit);
+    if (!m_state.admission.isAdmitted()) {
         ++m_thread.stopSummary().refused;
         return Problem{
             ProblemKind::NotReady, StatusUnavailable, "not-sent", "the host is stopping", StoppingRetryAfter};
@@ -240,9 +260,18 @@
     m_currentAttempt = nullptr;
     m_continuation.silentAttemptEnded();
     recordAttemptEnd(m_thread, m_state, attempt, end);
+    releaseReservedPlace();
     co_return co_await finishContinuations(end);
 }
 
+void CallHandler::releaseReservedPlace()
+{
+    if (!m_state.reservedServer.isEmpty()) {
+        const auto server = std::exchange(m_state.reservedServer, BackendServerId());
+        m_thread.servers().recordCallEnded(server, AttemptEnd::Withdrawn, steadyNow());
+    }
+}
+
 Task<AttemptEnd> CallHandler::finishContinuations(AttemptEnd end)
 {
     while (const auto continuation = m_continuation.release()) {
@@ -400,16 +429,19 @@
 
 void CallHandler::recordArrivalWhileDraining()
 {
-    const auto drainingTime = m_thread.drainingTime();
-    if (!drainingTime) {
+    const auto &admission = m_state.admission;
+    if (!admission.drainingTime) {
         return;
     }
     m_thread.metrics().counter("calls_taken_draining_total").add();
     ++m_thread.stopSummary().taken;
-    logEvent(
-        LogLevel::Info,
-        "taken-while-draining",
-        {{"request", m_state.head.id}, {"draining_ms", drainingTime->count()}, {"limit_ms", remainingTime().count()}});
+    logEvent(LogLevel::Info,
+             "taken-while-draining",
+             {{"request", m_state.head.id},
+              {"draining_ms", admission.drainingTime->count()},
+              {"limit_ms", admission.limit.count()},
+              {"admitted", nameOf(admission.verdict)},
+              {"expected_ms", textOf(admission.expected)}});
 }
 
 void CallHandler::recordOutcome(std::string_view outcome)
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -17,6 +17,7 @@
 class Attempt;
 class GatewayThread;
 class HttpExchange;
+struct Route;
 
 /// Serves one call: finds its route and organisation, sends it to a backend server, retries where that is allowed, and
 /// gives the caller exactly one answer.
@@ -33,6 +34,10 @@
     /// Gives the call up, because the process is about to be killed, and answers the caller as far as that is possible.
     void endEarly();
 
+    /// The route of the call, once the call has started.
+    const Route &route() const;
+    SteadyTime startedAt() const;
+
 private:
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
@@ -46,6 +51,8 @@
     /// Waits for attempts that continue the stream of one that has ended. Returns how the last one ended that could
     /// deliver.
     Task<AttemptEnd> finishContinuations(AttemptEnd end);
+    /// Gives up the place that is kept for the call. It is still free when the call chooses a server without waiting.
+    void releaseReservedPlace();
     void cancelAttempts(std::string_view cause);
     bool decideRetry(AttemptEnd end);
     RetryVerdict retryVerdict(SteadyTime now);
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clocktypes.h"
+#include "drain/calladmission.h"
 #include "net/httpexchange.h"
 #include "traffic/attempthistory.h"
 #include "traffic/callhead.h"
@@ -46,6 +47,8 @@
     std::optional<Urgency> urgency;
     SteadyTime startedAt{};
     SteadyTime deadline{};
+    /// Why the call was begun although the process may have been stopping.
+    CallAdmission admission;
     AttemptHistory attempts;
     /// Which attempt delivers.
     DeliveryTurn turn;
@@ -53,6 +56,8 @@
     StreamContinuation *continuation = nullptr;
     /// The retry budget was charged when the current attempt was cancelled for a retry.
     bool isRetryReserved = false;
+    /// The server at which a place is kept for the call, whose current attempt was cancelled for it; empty if none is.
+    BackendServerId reservedServer;
     std::optional<FallbackAnswer> fallbackAnswer;
     /// Id of the last event that was delivered; at first the one that the caller resumes after.
     std::string lastEventId;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -5,6 +5,7 @@
 #include "core/identifiers.h"
 #include "core/random.h"
 #include "core/result.h"
+#include "drain/calladmission.h"
 #include "gateway/backendconnectionpool.h"
 #include "gateway/callerloadreport.h"
 #include "gateway/peerexchange.h"
@@ -93,12 +94,13 @@
     /// Closes callers' connections after their answers, so that callers connect to another host before this one stops,
     /// later the listening socket, and shortly before the process is killed what still runs. Ends run() when no
     /// connection is left or the time is over.
-    void startDraining();
+    /// @param signalNotSentBefore when the signal to stop can have been sent at the earliest
+    void startDraining(SteadyTime signalNotSentBefore);
     /// Time since startDraining(), or nothing before it.
     std::optional<Milliseconds> drainingTime() const;
     /// Whether a call may begin, given the longest time that it may take. Once the process drains, only calls that are
     /// likely to end before it is killed may.
-    bool admitsCall(const Route &route, Milliseconds limit) const;
+    CallAdmission admitCall(const Route &route, Milliseconds limit) const;
     /// What the planned stop of the process has done so far. Other threads may read it once run() has ended.
     StopSummary &stopSummary();
     void recordCallDuration(const Route &route, Microseconds duration, CallDurations::End end);
@@ -164,6 +166,8 @@
     void closeEvacuatedConnections();
     /// Whether a call with this head is refused whatever its body is.
     bool refusesHead(const HttpRequest::header_type &head) const;
+    /// How long the oldest call of a route in progress has taken so far.
+    Microseconds oldestCallAge(const Route &route) const;
     void applyGroupNotice(const GroupNotice &notice);
     /// Ends the attempts whose prompts have a blocked part, before their servers begin to answer.
     void cancelBlockedAttempts();
--- a/tests/evacuationattempttest.cpp
+++ b/tests/evacuationattempttest.cpp
@@ -37,7 +37,7 @@
 class ObservedHeaders : public Platform::CallHeaders
 {
 public:
-    Result<CallHead, CallHeaderError> parseCall(const HttpRequest &request) const override
+    Result<CallHead, CallHeaderError> parseCall(const HttpRequest::header_type &request) const override
     {
         if (onCall) {
             onCall();
--- a/tests/standins/enginegroupoptions.h
+++ b/tests/standins/enginegroupoptions.h
@@ -14,6 +14,8 @@
     std::string name;
     std::string service;
     std::size_t ranks = 2;
+    /// The ranks are in failure domains `d1`, `d2` and so on in turn.
+    std::size_t failureDomains = 1;
     std::size_t slots = 12;
     /// Requests that wait at a rank; further ones are refused as not run.
     std::size_t queue = 24;
@@ -26,6 +28,9 @@
     double lostAnswers = 0;
     /// Fraction of the passes of a rank in which its newest request is preempted and read again.
     double preemptions = 0;
+    /// Fraction of the passes before which a rank has an order to hold a pass or to switch, in which the group breaks
+    /// off its streams and forms anew.
+    double reformations = 0;
     std::uint64_t seed = 1;
 };
 
