Count heads with very many fields, and parse a long head only as a whole

Cause: the parser keeps about 80 bytes for a field of 4 bytes, and parsed a head as it arrived. A crowd of 64 callers with 14,000 fields each (limit raised to 60,000 bytes in the test) and an unfinished small body let a gateway grow by 70.9 MB, of which nothing came back.

A head with more than 64 fields is counted in the budget of bodies, 160 bytes a field, and freed before its refusal is sent. MessageReader holds back a request's head of more than 1 KB until its end has arrived or it is over the limit.

--- a/src/net/bodymemory.cpp
+++ b/src/net/bodymemory.cpp
@@ -1,9 +1,11 @@
 #include "net/bodymemory.h"
 
+#include "net/httplimits.h"
 #include "net/steadynow.h"
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 #include <limits>
 
 namespace Cardamomhill
@@ -26,6 +28,11 @@
 /// The buffer of such a body has this many times its grant once it is large. That needs no more memory, since the pages
 /// of a large buffer take none before they are written, and saves copies.
 constexpr std::size_t BufferGrowth = 4;
+/// A field takes about 80 bytes once it is parsed, and as much in the request for a server. The shortest is "a:" with
+/// the end of its line. Heads with a usual number of fields are not counted.
+constexpr std::size_t FieldMemoryBytes = 160;
+constexpr std::size_t ShortestFieldBytes = 4;
+constexpr std::size_t UsualFieldCount = 64;
 /// More can't be counted, and no body comes near it.
 constexpr std::uint64_t MaxCountedBodyBytes = std::numeric_limits<std::size_t>::max() / (2 * ReserveDivisor);
 
@@ -35,11 +42,18 @@
     std::string().swap(body.bytes);
 }
 
-BodyBudgetLimits budgetLimits(std::size_t totalBytes, std::uint64_t maxBodyBytes)
+std::uint64_t countedBodyBytes(const HttpLimits &limits)
 {
-    const auto largestBody = static_cast<std::size_t>(maxBodyBytes) + LargeStepBytes;
+    return std::min(limits.maxBodyBytes, MaxCountedBodyBytes);
+}
+
+BodyBudgetLimits budgetLimits(const HttpLimits &http)
+{
+    const std::size_t largestHead = http.maxHeaderBytes / ShortestFieldBytes * FieldMemoryBytes;
+    const auto largestBody = static_cast<std::size_t>(countedBodyBytes(http)) + LargeStepBytes + largestHead;
     BodyBudgetLimits limits;
-    limits.totalBytes = std::max(totalBytes, largestBody / (ReserveDivisor - 1) * ReserveDivisor + ReserveDivisor);
+    limits.totalBytes
+        = std::max(http.maxTotalBodyBytes, largestBody / (ReserveDivisor - 1) * ReserveDivisor + ReserveDivisor);
     limits.smallReserveBytes = limits.totalBytes / ReserveDivisor;
     limits.smallBodyBytes = SmallBodyBytes;
     limits.idleTime = IdleTime;
@@ -49,16 +63,22 @@
 
 } // namespace
 
-BodyMemory::BodyMemory(std::size_t totalBytes, std::uint64_t maxBodyBytes)
-    : m_maxBodyBytes(std::min(maxBodyBytes, MaxCountedBodyBytes))
-    , m_budget(budgetLimits(totalBytes, m_maxBodyBytes))
+BodyMemory::BodyMemory(const HttpLimits &limits)
+    : m_maxBodyBytes(countedBodyBytes(limits))
+    , m_budget(budgetLimits(limits))
+{
+}
+
+void BodyMemory::setLimits(const HttpLimits &limits)
 {
+    m_maxBodyBytes = countedBodyBytes(limits);
+    m_budget.setLimits(budgetLimits(limits));
 }
 
-void BodyMemory::setLimits(std::size_t totalBytes, std::uint64_t maxBodyBytes)
+std::size_t BodyMemory::headBytes(const HttpRequest::header_type &head)
 {
-    m_maxBodyBytes = std::min(maxBodyBytes, MaxCountedBodyBytes);
-    m_budget.setLimits(budgetLimits(totalBytes, m_maxBodyBytes));
+    const auto count = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
+    return count > UsualFieldCount ? count * FieldMemoryBytes : 0;
 }
 
 bool BodyMemory::makeRoom(RequestBody &body, std::size_t bytes, std::optional<std::uint64_t> statedLength)
@@ -75,7 +95,7 @@
         m_bodies.emplace(*body.id, &body);
     }
     const auto wanted = grantFor(bytes, statedLength);
-    const auto grant = m_budget.take(*body.id, wanted, now);
+    const auto grant = m_budget.take(*body.id, wanted + body.headBytes, now);
     for (const auto dropped : grant.dropped) {
         drop(dropped);
     }
@@ -124,6 +144,7 @@
         body.id.reset();
     }
     body.grantedBytes = 0;
+    body.headBytes = 0;
     body.isDropped = false;
     freeBytes(body);
 }
--- a/src/net/bodymemory.h
+++ b/src/net/bodymemory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/bodybudget.h"
+#include "net/httpexchange.h"
 #include "net/requestbody.h"
 
 #include <cstddef>
@@ -11,6 +12,8 @@
 namespace Cardamomhill
 {
 
+struct HttpLimits;
+
 /// The memory of all request bodies of a server: grows their buffers within a budget and frees those that give way.
 ///
 /// A body whose length is stated gets its whole buffer at once, so that it is refused before it is sent rather than in
@@ -18,10 +21,13 @@
 class BodyMemory
 {
 public:
-    /// @param totalBytes limit on all bodies together; raised if a single body of the largest size would not fit
-    BodyMemory(std::size_t totalBytes, std::uint64_t maxBodyBytes);
+    explicit BodyMemory(const HttpLimits &limits);
+
+    /// The limit on all bodies together is raised if a single one of the largest size would not fit.
+    void setLimits(const HttpLimits &limits);
 
-    void setLimits(std::size_t totalBytes, std::uint64_t maxBodyBytes);
+    /// What the fields of a head take in memory, or 0 if they are as few as usual.
+    static std::size_t headBytes(const HttpRequest::header_type &head);
 
     /// Makes room for a body of so many bytes. Returns false if there is none or if the body gave way to another one.
     /// The body must not move until release().
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -8,6 +8,7 @@
 #include "net/steadynow.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -113,7 +114,7 @@
     : m_context(context)
     , m_limits(limits)
     , m_handler(std::move(handler))
-    , m_bodyMemory(limits.maxTotalBodyBytes, limits.maxBodyBytes)
+    , m_bodyMemory(limits)
     , m_discardBuffer(DiscardBufferBytes)
     , m_acceptor(context)
 {
@@ -131,7 +132,7 @@
 void HttpServer::setLimits(const HttpLimits &limits)
 {
     m_limits = limits;
-    m_bodyMemory.setLimits(limits.maxTotalBodyBytes, limits.maxBodyBytes);
+    m_bodyMemory.setLimits(limits);
 }
 
 void HttpServer::setHeadCheck(HeadCheck check)
@@ -318,8 +319,9 @@
         co_await m_handler(exchange);
         exchange.stopWatching();
     } else if (status != 0) {
-        // What has arrived of the body is not needed any more, and the answer may take long to be sent.
+        // What has arrived is not needed any more, and the answer may take long to be sent.
         m_bodyMemory.release(connection.body);
+        connection.reader.reset();
         HttpHeaders headers;
         if (status == StatusUnavailable) {
             headers.emplace_back("Retry-After", OverloadedRetryAfter);
@@ -352,10 +354,15 @@
     auto &reader = connection.reader;
     auto &body = connection.body;
     const auto maxBodyBytes = m_limits.maxBodyBytes;
+    body.headBytes = BodyMemory::headBytes(reader.head());
+    bool isChecked = false;
+    if (body.headBytes > 0 && !m_bodyMemory.makeRoom(body, 0, reader.statedLength())) {
+        co_return failure(NetError{NetErrorCode::Overloaded, "no memory for the head"});
+    }
     auto appended = reader.appendReceived(body.bytes, maxBodyBytes);
     // A body that arrives with its head is not counted: it has at most the bytes of one read.
     while (appended.has_value() && !reader.isDone()) {
-        if (!body.id && skipsBody(connection)) {
+        if (!std::exchange(isChecked, true) && skipsBody(connection)) {
             connection.isBodySkipped = true;
             ++m_counts.skippedBodies;
             m_bodyMemory.release(body);
--- a/src/net/messagereader.cpp
+++ b/src/net/messagereader.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace Cardamomhill
@@ -12,6 +13,9 @@
 namespace
 {
 
+/// Most heads are shorter, and a malformed beginning is refused before the rest arrives.
+constexpr std::size_t MaxPartialHeadBytes = 1024;
+
 NetError readError(const SystemError &error)
 {
     if (error == beast::error::timeout) {
@@ -66,6 +70,8 @@
     m_body.reset();
     m_parser.emplace();
     m_parser->header_limit(headerBytes);
+    m_headerLimit = headerBytes;
+    m_scannedBytes = 0;
     m_parser->body_limit(bodyBytes);
     m_parser->skip(!hasBody);
     for (;;) {
@@ -78,7 +84,8 @@
             co_return success();
         }
         auto received = co_await receive();
-        if (received.has_error() && received.error().code == NetErrorCode::Closed && m_parser->got_some()) {
+        if (received.has_error() && received.error().code == NetErrorCode::Closed
+            && (m_parser->got_some() || m_buffer.size() > 0)) {
             co_return failure(NetError{NetErrorCode::ReadFailed, SystemError(http::error::partial_message).message()});
         }
         if (received.has_error()) {
@@ -87,6 +94,24 @@
     }
 }
 
+/// Whether to parse what was received of a head. The parser takes many times the bytes of short fields, so it gets a
+/// long head only as a whole or once it is over the limit.
+template<bool isRequest>
+bool MessageReader<isRequest>::shouldParse()
+{
+    constexpr std::string_view HeadEnd = "\r\n\r\n";
+    const auto received = m_buffer.data();
+    const std::string_view bytes(static_cast<const char *>(received.data()), received.size());
+    if ((bytes.size() <= MaxPartialHeadBytes && m_scannedBytes == 0 && !m_parser->got_some())
+        || bytes.size() >= m_headerLimit || bytes.starts_with(HeadEnd.substr(2))) {
+        return true;
+    }
+    // The end may begin in what was scanned before.
+    const auto start = m_scannedBytes - std::min(m_scannedBytes, HeadEnd.size() - 1);
+    m_scannedBytes = bytes.size();
+    return bytes.find(HeadEnd, start) != std::string_view::npos;
+}
+
 /// Returns whether the head is complete.
 template<bool isRequest>
 Result<bool, NetError> MessageReader<isRequest>::parseHead()
@@ -94,7 +119,11 @@
     if (m_buffer.size() == 0) {
         return false;
     }
+    if (isRequest && !shouldParse()) {
+        return false;
+    }
     SystemError error;
+    m_scannedBytes = 0;
     try {
         m_buffer.consume(m_parser->put(m_buffer.data(), error));
     } catch (const std::length_error &exception) {
--- a/src/net/messagereader.h
+++ b/src/net/messagereader.h
@@ -82,6 +82,7 @@
 private:
     using Parser = boost::beast::http::parser<isRequest, boost::beast::http::empty_body>;
 
+    bool shouldParse();
     Result<bool, NetError> parseHead();
     BodyDecoder::Framing framing() const;
 
@@ -89,6 +90,9 @@
     std::size_t m_readBytes;
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    std::size_t m_headerLimit = 0;
+    /// Bytes of the buffer that don't contain the end of the head.
+    std::size_t m_scannedBytes = 0;
     std::optional<BodyDecoder> m_body;
 };
 
--- a/tests/bodybudgettest.cpp
+++ b/tests/bodybudgettest.cpp
@@ -3,6 +3,7 @@
 
 #include "net/bodybudget.h"
 #include "net/bodymemory.h"
+#include "net/httplimits.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -234,11 +235,24 @@
     CHECK(budget.usedBytes() == Small);
 }
 
+namespace
+{
+
+HttpLimits httpLimits(std::size_t maxBodyBytes)
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = maxBodyBytes;
+    limits.maxTotalBodyBytes = 2 * maxBodyBytes;
+    return limits;
+}
+
+} // namespace
+
 // Guards against a buffer that outlives its body, which doubled the memory of a process.
 TEST_CASE("a body that is released frees its buffer and what it held")
 {
     constexpr std::size_t MaxBodyBytes = 1'000'000;
-    BodyMemory memory(2 * MaxBodyBytes, MaxBodyBytes);
+    BodyMemory memory(httpLimits(MaxBodyBytes));
     RequestBody body;
     REQUIRE(memory.makeRoom(body, 1, MaxBodyBytes));
     CHECK(memory.usedBytes() == MaxBodyBytes);
@@ -252,7 +266,7 @@
 {
     constexpr std::size_t MaxBodyBytes = 1'000'000;
     constexpr std::size_t Step = 1000;
-    BodyMemory memory(2 * MaxBodyBytes, MaxBodyBytes);
+    BodyMemory memory(httpLimits(MaxBodyBytes));
     RequestBody body;
     while (body.bytes.size() < MaxBodyBytes) {
         REQUIRE(memory.makeRoom(body, body.bytes.size() + Step, std::nullopt));
--- a/tests/bodymemorytest.cpp
+++ b/tests/bodymemorytest.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr std::size_t BodyLimit = 1'000'000;
+/// Higher than usual, so that a small crowd shows what the fields of heads take.
+constexpr std::size_t HeadLimit = 60'000;
 constexpr std::size_t CrowdSize = 64;
 /// More than max_descriptors in the settings below.
 constexpr std::size_t IdleCrowdSize = 500;
@@ -72,6 +74,7 @@
     {
         m_fleet.configure([](nlohmann::json &document) {
             document["limits"]["max-body-bytes"] = BodyLimit;
+            document["limits"]["max-header-bytes"] = HeadLimit;
             // The bodies of all members of a crowd are to be unfinished at the same time.
             document["limits"]["header-timeout-ms"] = CrowdTimeout.count();
             document["limits"]["idle-timeout-ms"] = CrowdTimeout.count();
@@ -280,3 +283,10 @@
 {
     CrowdedGateway().send(IdleCrowdSize, {Key + length(1000), "x", 1, "", Milliseconds(0)});
 }
+
+TEST_CASE("heads with very many fields before a small body that stops short of its end")
+{
+    constexpr std::size_t FieldCount = 14'000;
+    const auto fields = Key + repeated("a:\r\n", FieldCount) + length(1000);
+    CrowdedGateway().send(CrowdSize, {fields, "x", 1, "", Milliseconds(0)});
+}
