--- a/src/traffic/concurrencylimit.cpp
+++ b/src/traffic/concurrencylimit.cpp
@@ -39,7 +39,7 @@
                                           double slots,
                                           SteadyTime now) const
 {
-    const double objective = m_options.objectiveFraction * static_cast<double>(Microseconds(pauseObjective).count());
+    const auto objective = static_cast<double>(Microseconds(pauseObjective).count());
     const auto emptyStep = static_cast<double>(model.eventTime(0).count());
     std::vector<double> limits;
     limits.reserve(std::min(m_count, MaxSteps));
--- a/src/traffic/concurrencylimit.h
+++ b/src/traffic/concurrencylimit.h
@@ -16,13 +16,11 @@
     /// until the next map is in force.
     Milliseconds window{5000};
     /// Fraction of the steps of the window that keep the objective. An answer has some 25 steps, and one that is too
-    /// long makes it late.
-    double keptFraction = 0.97;
-    /// Fraction of the objective that a step may take; the rest is for the way to the caller.
-    double objectiveFraction = 0.9;
+    /// long makes it late. A limit by the slowest single steps would refuse calls on calm days.
+    double keptFraction = 0.95;
     /// The limit never goes below this fraction of the slots: with few streams a single long prompt decides how long a
     /// step takes, so a lower limit would only cost throughput.
-    double minSlotsFraction = 0.4;
+    double minSlotsFraction = 0.45;
     /// If most steps would be too long even with this fraction of the slots, nothing helps the pauses: the engines may
     /// use all slots, since answers that are late in any case are worth more than none. A rank that has turned slow is
     /// such a case.
--- a/src/traffic/groupadmission.h
+++ b/src/traffic/groupadmission.h
@@ -25,7 +25,7 @@
     /// @param limit number of streams with which the pauses stay within their objective
     double streamsPerEngine(double limit, double slots) const
     {
-        constexpr double ReservedPerRank = 0.15;
+        constexpr double ReservedPerRank = 0.05;
         return rank() == 0 ? slots : limit * (1 - ReservedPerRank * (rank() - 1));
     }
 };
