Sum a group's room once for a choice, and send requests in one place

Each admitted stream summed the calls of all servers of its service twice: in the choice and again for its pace. The choice carries the room now. HttpClientConnection::start() had its body twice, for a whole request and for a head with a body.

--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -123,7 +123,7 @@
     if (!choice.hasServer() || shouldWait(choice, now)) {
         return false;
     }
-    const auto room = m_thread.servers().groupRoom(choice.server, m_state.query, now);
+    const auto &room = choice.room;
     return !room || m_state.query.admission->group->rank() == 0
         || m_thread.admissionPacer(m_state.query.service)
                .tryAdmit(room->calls, room->engines, m_thread.liveHostCount(), now);
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -52,6 +52,12 @@
 }
 
 Task<Result<void, NetError>> HttpClientConnection::start(HttpRequest request, Milliseconds timeout)
+{
+    co_return co_await sendAndReadHead(request, timeout);
+}
+
+template<class Request>
+Task<Result<void, NetError>> HttpClientConnection::sendAndReadHead(const Request &request, Milliseconds timeout)
 {
     m_stream.expires_after(timeout);
     SystemError error;
@@ -69,14 +75,7 @@
     http::request<http::span_body<const char>> request(std::move(requestHead));
     request.body() = beast::span<const char>(body.data(), body.size());
     request.prepare_payload();
-    m_stream.expires_after(timeout);
-    SystemError error;
-    co_await http::async_write(m_stream, request, storeError(error));
-    if (error) {
-        co_return failure(netError(NetErrorCode::WriteFailed, error));
-    }
-    m_hasBody = request.method() != http::verb::head;
-    co_return co_await readHead(timeout);
+    co_return co_await sendAndReadHead(request, timeout);
 }
 
 Task<Result<void, NetError>> HttpClientConnection::discardAnswer(Milliseconds timeout)
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -64,6 +64,8 @@
 private:
     static constexpr std::size_t DefaultReadBufferBytes = 16 * 1024;
 
+    template<class Request>
+    Task<Result<void, NetError>> sendAndReadHead(const Request &request, Milliseconds timeout);
     Task<Result<void, NetError>> readHead(Milliseconds timeout);
 
     beast::tcp_stream m_stream;
--- a/src/traffic/serverchoice.h
+++ b/src/traffic/serverchoice.h
@@ -2,9 +2,11 @@
 
 #include "core/identifiers.h"
 #include "traffic/choicereason.h"
+#include "traffic/grouproom.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace Cardamomhill
 {
@@ -22,6 +24,8 @@
     std::size_t skippedCold = 0;
     /// Tokens of the beginning of the prompt that the server probably holds.
     std::uint64_t heldTokens = 0;
+    /// The room in the server's group; nothing if the call's admission does not limit groups.
+    std::optional<GroupRoom> room;
 
     bool hasServer() const
     {
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -134,6 +134,9 @@
     if (comparison.best != comparison.bestUnheld) {
         choice.reason = ChoiceReason::HoldsPrompt;
     }
+    if (comparison.best != nullptr) {
+        choice.room = roomOf(*comparison.best, rooms);
+    }
     return choice;
 }
 
@@ -264,23 +267,17 @@
     return rooms;
 }
 
-bool ServerTable::hasRoom(const Entry &entry, const std::unordered_map<GroupId, GroupRoom> &rooms)
+std::optional<GroupRoom> ServerTable::roomOf(const Entry &entry, const std::unordered_map<GroupId, GroupRoom> &rooms)
 {
     const auto &groupMembership = entry.server.groupMembership;
     const auto room = groupMembership ? rooms.find(groupMembership->group) : rooms.end();
-    return room == rooms.end() || room->second.calls > 0;
+    return room == rooms.end() ? std::nullopt : std::optional(room->second);
 }
 
-std::optional<GroupRoom>
-ServerTable::groupRoom(const BackendServerId &id, const ServerQuery &query, SteadyTime now) const
+bool ServerTable::hasRoom(const Entry &entry, const std::unordered_map<GroupId, GroupRoom> &rooms)
 {
-    const auto *found = server(id);
-    if (found == nullptr || !found->groupMembership) {
-        return std::nullopt;
-    }
-    const auto rooms = groupRooms(query, now);
-    const auto room = rooms.find(found->groupMembership->group);
-    return room == rooms.end() ? std::nullopt : std::optional(room->second);
+    const auto room = roomOf(entry, rooms);
+    return !room || room->calls > 0;
 }
 
 Microseconds ServerTable::meanStep(const ServiceId &service) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -122,9 +122,6 @@
     /// to send the first event soonest.
     ServerChoice choose(const ServerQuery &query, SteadyTime now, Random &random) const;
 
-    /// The room that the group of a server has for a call; nothing if the call's admission does not limit groups.
-    std::optional<GroupRoom> groupRoom(const BackendServerId &id, const ServerQuery &query, SteadyTime now) const;
-
     /// Mean duration of the steps of a service's groups; 0 if none is known.
     Microseconds meanStep(const ServiceId &service) const;
 
@@ -213,6 +210,7 @@
     Score scoreOf(const Entry &entry, SteadyTime now) const;
     /// The room in each group of the service for a call; empty if the call's admission does not limit groups.
     std::unordered_map<GroupId, GroupRoom> groupRooms(const ServerQuery &query, SteadyTime now) const;
+    static std::optional<GroupRoom> roomOf(const Entry &entry, const std::unordered_map<GroupId, GroupRoom> &rooms);
     /// Whether the server has no group, or its group has room.
     static bool hasRoom(const Entry &entry, const std::unordered_map<GroupId, GroupRoom> &rooms);
     double meanRunningStreams(const GroupId &group, const ServiceId &service, SteadyTime now) const;
