Notice outages of a whole engine service, and let returning calls wait for their end

Cause: when one failure domain of a lock-step group is cut off, hosts learned it only from registrations, 3.5 to 4.7 s later. Change: ServiceOutage notices within a third of the engines' stall time that no server has sent an event while calls failed. New calls are then refused at once and told to come back as late as callers accept; calls that have come back wait in the queue of the service; one call now and then finds out whether servers work again. Set by engine_stall_ms.

Also: a group whose one rank hung for a second kept an uneven map for 2.3 s more, since each measurement of answers waited for the next reading of counters; it is now measured in one go (mapswitchtest). Two tests are mended: fleetstoptest raced the signal and now states a timeout that ends in time (the verdict for a process that knows few calls is to refuse); evacuationfleettest sends more calls at a time than streams can run at the far server, since the least loaded server is always the near one while more streams run at the far one.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -404,6 +404,7 @@
         m_eventSplitter.append(*piece.value());
         while (auto event = m_eventSplitter.next()) {
             recordArrival();
+            m_thread.serviceOutage(m_state.query.service).recordProgress(m_lastArrival);
             recordProgress();
             if (!event->id.empty() && !m_state.lastEventId.empty() && !isLaterEventId(event->id, m_state.lastEventId)) {
                 continue;
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -37,6 +37,24 @@
     state.promptTickets.insert_or_assign(choice.server, ticket);
 }
 
+/// Whether an attempt that ended like this may have met a service that has stopped. A call that its server refuses soon
+/// after it was sent met a full one.
+bool isSignOfOutage(AttemptEnd end, Milliseconds elapsed)
+{
+    /// Groups hold calls for longer than this when they have lost a rank.
+    constexpr Milliseconds MinStall{500};
+    switch (end) {
+    case AttemptEnd::NotSent:
+    case AttemptEnd::Broken:
+    case AttemptEnd::TimedOut:
+        return true;
+    case AttemptEnd::NotRun:
+        return elapsed >= MinStall;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 void recordAttemptBegin(GatewayThread &thread, CallState &state, const ServerChoice &choice)
@@ -77,6 +95,9 @@
         thread.servers().recordPromptEnded(ticket.mapped(), end);
     }
     state.attempts.add(end);
+    if (state.query.admission && isSignOfOutage(end, elapsedSince(state.startedAt))) {
+        thread.serviceOutage(state.query.service).recordFailure(steadyNow());
+    }
     if (end == AttemptEnd::Delivered) {
         return;
     }
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -356,10 +356,21 @@
     recordColdSkipped(m_thread, choice);
     const auto kind = isOverloaded ? ProblemKind::Overloaded : ProblemKind::NoBackendServer;
     Problem problem{kind, StatusUnavailable, "not-sent", std::string(nameOf(choice.reason)), {}};
-    problem.retryAfter = m_thread.addJitter(timeUntilServed(usualRetryAfter(choice.reason)), RetryAfterJitter);
+    problem.retryAfter = retryAfter(choice.reason);
     co_await refuse(std::move(problem));
 }
 
+Milliseconds CallHandler::retryAfter(ChoiceReason reason)
+{
+    const auto &outage = m_thread.serviceOutage(m_state.query.service);
+    const bool isStopped
+        = reason == ChoiceReason::GroupsClosed || reason == ChoiceReason::ServiceStopped || outage.isOut(steadyNow());
+    if (isStopped && outage.isEnabled() && m_state.query.admission) {
+        return ServiceOutage::returnAfter(remainingTime());
+    }
+    return m_thread.addJitter(timeUntilServed(usualRetryAfter(reason)), RetryAfterJitter);
+}
+
 Milliseconds CallHandler::usualRetryAfter(ChoiceReason reason) const
 {
     const auto &admission = m_state.query.admission;
@@ -367,10 +378,9 @@
     return isRanked ? RankedRetryAfter * (1 + admission->group->rank()) : retryAfterOf(reason);
 }
 
-Milliseconds CallHandler::retryAfterNotRun() const
+bool CallHandler::wasStalled() const
 {
-    const bool wasStalled = m_state.urgency && steadyNow() - m_state.startedAt >= StalledRefusal;
-    return wasStalled ? GroupRetryAfter : usualRetryAfter(ChoiceReason::AllFull);
+    return m_state.urgency && steadyNow() - m_state.startedAt >= StalledRefusal;
 }
 
 Task<> CallHandler::answerFailure()
@@ -394,7 +404,7 @@
         Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
         problem.retryAfter = m_state.isEndedEarly
             ? StoppingRetryAfter
-            : m_thread.addJitter(timeUntilServed(retryAfterNotRun()), RetryAfterJitter);
+            : retryAfter(wasStalled() ? ChoiceReason::GroupsClosed : ChoiceReason::AllFull);
         co_await refuse(std::move(problem));
         co_return;
     }
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -42,9 +42,11 @@
     /// Finds the route, organisation, service and deadline of the call. Returns why the call is refused, if it is.
     std::optional<Problem> resolveCall();
     Task<> sendToServers();
+    /// When a call that no server can take should come back.
+    Milliseconds retryAfter(ChoiceReason reason);
     Milliseconds usualRetryAfter(ChoiceReason reason) const;
-    /// For a call that servers refused.
-    Milliseconds retryAfterNotRun() const;
+    /// Whether servers refused the call only after a time that shows that their group stood still.
+    bool wasStalled() const;
     std::optional<StreamAdmission> streamAdmission() const;
     std::optional<PromptReuse> promptReuse() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
--- a/src/gateway/callstate.h
+++ b/src/gateway/callstate.h
@@ -77,6 +77,14 @@
     /// The process ends before the call does.
     bool isEndedEarly = false;
 
+    /// Whether the caller has come back after a refusal: it states less time than a caller that comes for the first
+    /// time.
+    bool isReturning() const
+    {
+        constexpr double ReturningFraction = 0.9;
+        return head.remainingTime && *head.remainingTime < ReturningFraction * route->timeout;
+    }
+
     /// Whether another server could continue what was delivered of the answer: nothing, or events of which the last has
     /// an id.
     bool isResumable() const
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -17,6 +17,7 @@
 constexpr double MaxColdOvershoot = 1000;
 constexpr double MaxColdSlack = 1'000'000;
 constexpr std::int64_t MaxEvacuationLimitMs = 3'600'000;
+constexpr std::uint64_t MaxEngineStallMs = 60'000;
 constexpr std::int64_t MinDescriptors = 256;
 constexpr std::int64_t MaxDescriptors = 1'000'000;
 
@@ -45,6 +46,10 @@
     settings.coldOvershoot = reader.optionalDecimal("cold_overshoot", 0, MaxColdOvershoot);
     settings.coldSlack = reader.optionalDecimal("cold_slack", 0, MaxColdSlack);
     settings.promptRetention = reader.named("prompt_retention", settings.promptRetention);
+    const Milliseconds engineStall(reader.integer("engine_stall_ms", 0, 1, MaxEngineStallMs));
+    if (engineStall > Milliseconds(0)) {
+        settings.engineStall = engineStall;
+    }
     const Milliseconds evacuationLimit(reader.integer("evacuation_limit_ms", 0, 1, MaxEvacuationLimitMs));
     if (evacuationLimit > Milliseconds(0)) {
         settings.evacuationLimit = evacuationLimit;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -48,6 +48,9 @@
     PromptRetention promptRetention = PromptRetention::Running;
     /// Time within which calls to an evacuated failure domain must stop. Evacuations are followed only if it is set.
     std::optional<Milliseconds> evacuationLimit;
+    /// How long an engine holds the calls of a group that has lost a rank, before it refuses them. Outages of a whole
+    /// engine service are noticed within a part of it, and only if it is set.
+    std::optional<Milliseconds> engineStall;
     /// Memory of this host. The bodies of requests may together use a quarter of it. The default allows for a body of
     /// 4 MiB on each of 4096 connections, which no caller can exceed.
     std::uint32_t memoryMegabytes = 65'536;
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -28,6 +28,9 @@
 
 constexpr Milliseconds TickPeriod{100};
 constexpr std::uint64_t TicksPerMaintenance = 10;
+/// An engine service is taken for stopped after this part of the time for which engines hold calls, so that calls are
+/// not sent for the whole of it.
+constexpr int StallsPerSilence = 3;
 /// Slowness (time of a server's work relative to its usual time) from which on its streams move to other servers. The
 /// streams of one slow rank delay those of all ranks of its group.
 constexpr double StreamRetrySlowness = 2;
@@ -287,8 +290,11 @@
 
 void GatewayThread::applyGroupNotice(const GroupNotice &notice)
 {
-    if (notice.event == GroupEvent::Opened) {
-        m_servers.recordGroupOpened(GroupId(notice.group), notice.epoch);
+    const GroupId group(notice.group);
+    if (notice.event == GroupEvent::Opened && m_servers.recordGroupOpened(group, notice.epoch)) {
+        if (const auto service = m_servers.serviceOf(group)) {
+            serviceOutage(*service).recordProgress(steadyNow());
+        }
     }
 }
 
@@ -510,6 +516,19 @@
     return m_admissionPacers[service];
 }
 
+ServiceOutage &GatewayThread::serviceOutage(const ServiceId &service)
+{
+    const auto found = m_serviceOutages.find(service);
+    if (found != m_serviceOutages.end()) {
+        return found->second;
+    }
+    ServiceOutageOptions options;
+    if (m_settings.engineStall) {
+        options.silence = *m_settings.engineStall / StallsPerSilence;
+    }
+    return m_serviceOutages.emplace(service, ServiceOutage(options)).first->second;
+}
+
 std::size_t GatewayThread::liveHostCount() const
 {
     return m_liveHostCount;
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -20,6 +20,7 @@
 #include "traffic/reachability.h"
 #include "traffic/serverprocess.h"
 #include "traffic/servertable.h"
+#include "traffic/serviceoutage.h"
 #include "traffic/trafficconfiguration.h"
 
 #include <atomic>
@@ -151,6 +152,8 @@
     /// The calls to a service that wait for room.
     CallQueue &callQueue(const ServiceId &service);
     AdmissionPacer &admissionPacer(const ServiceId &service);
+    /// Whether an engine service has stopped as a whole.
+    ServiceOutage &serviceOutage(const ServiceId &service);
     /// Entry hosts that are alive, with this one.
     std::size_t liveHostCount() const;
     PromptGuard &promptGuard();
@@ -213,6 +216,7 @@
     std::atomic<bool> m_canServe{true};
     std::unordered_map<ServiceId, RetryBudget> m_retryBudgets;
     std::unordered_map<ServiceId, AdmissionPacer> m_admissionPacers;
+    std::unordered_map<ServiceId, ServiceOutage> m_serviceOutages;
     std::size_t m_liveHostCount = 1;
 };
 
--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-/// A call whose caller states less than this fraction of the route's timeout has been refused before.
-constexpr double ReturningFraction = 0.9;
 /// Fraction of the time that a caller waits for a first event after which a call without room is refused. Callers that
 /// are refused early can turn to something else; a late refusal has cost them their time as well.
 constexpr double MaxWaitFraction = 0.6;
@@ -67,14 +65,15 @@
 Task<ServerChoice> ServerSelection::choose()
 {
     const auto &admission = m_state.query.admission;
-    if (admission && admission->group) {
-        co_return co_await chooseByUrgency();
+    const bool isQueued = m_thread.serviceOutage(m_state.query.service).isEnabled() && m_state.isReturning();
+    if (admission && (admission->group || isQueued)) {
+        co_return co_await chooseInOrder();
     }
     asio::steady_timer timer(m_thread.context());
     SystemError error;
     while (true) {
         const auto now = steadyNow();
-        auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
+        auto choice = chooseNow(now, true);
         if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, now)) {
             co_return choice;
         }
@@ -83,18 +82,37 @@
     }
 }
 
-Task<ServerChoice> ServerSelection::chooseByUrgency()
+ServerChoice ServerSelection::chooseNow(SteadyTime now, bool isLastChance)
+{
+    auto &outage = m_thread.serviceOutage(m_state.query.service);
+    // A caller that has come back would be lost by a probe that fails.
+    const bool mayProbe = isLastChance || !m_state.isReturning();
+    if (m_state.query.admission && outage.isOut(now) && !(mayProbe && outage.tryProbe(now))) {
+        ServerChoice choice;
+        choice.reason = ChoiceReason::ServiceStopped;
+        return choice;
+    }
+    auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
+    if (choice.reason == ChoiceReason::GroupsClosed) {
+        outage.recordFailure(now);
+    }
+    return choice;
+}
+
+Task<ServerChoice> ServerSelection::chooseInOrder()
 {
     const auto waiting = waitingCall();
+    const auto waitLimit = CallQueue::waitLimit(waiting);
+    const auto &outage = m_thread.serviceOutage(m_state.query.service);
     const QueuePlace place(m_thread.callQueue(m_state.query.service), waiting);
     asio::steady_timer timer(m_thread.context());
     SystemError error;
     while (true) {
         const auto now = steadyNow();
         ServerChoice choice;
-        choice.reason = ChoiceReason::AllFull;
+        choice.reason = outage.isOut(now) ? ChoiceReason::ServiceStopped : ChoiceReason::AllFull;
         if (place.isNext(now)) {
-            choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
+            choice = chooseNow(now, now + QueueCheckPeriod >= waitLimit);
         }
         if (error || m_state.isCallerGone || m_state.isEndedEarly) {
             co_return choice;
@@ -107,10 +125,9 @@
             choice = ServerChoice();
             choice.reason = ChoiceReason::AllFull;
         }
-        const bool mayGetRoom = choice.reason == ChoiceReason::AllFull || choice.reason == ChoiceReason::AllCold
-            || (choice.reason == ChoiceReason::GroupsClosed
-                && m_thread.servers().isForming(m_state.query.service, now));
-        if (!mayGetRoom || now >= CallQueue::waitLimit(waiting) || !place.canBeServed(now)) {
+        const bool isUnknownRate = outage.isOut(now) || outage.isRecovering(now);
+        const auto wholeWait = std::chrono::duration_cast<Microseconds>(waitLimit - m_state.startedAt);
+        if (now >= waitLimit || !mayGetRoom(choice, wholeWait, now) || !(isUnknownRate || place.canBeServed(now))) {
             co_return choice;
         }
         timer.expires_after(QueueCheckPeriod);
@@ -118,6 +135,24 @@
     }
 }
 
+bool ServerSelection::mayGetRoom(const ServerChoice &choice, Microseconds wholeWait, SteadyTime now) const
+{
+    switch (choice.reason) {
+    case ChoiceReason::AllFull:
+    case ChoiceReason::AllCold:
+        return true;
+    case ChoiceReason::GroupsClosed:
+        if (m_thread.servers().isForming(m_state.query.service, now)) {
+            return true;
+        }
+        [[fallthrough]];
+    case ChoiceReason::ServiceStopped:
+        return m_state.isReturning() && m_thread.serviceOutage(m_state.query.service).isWorthWaiting(wholeWait, now);
+    default:
+        return false;
+    }
+}
+
 bool ServerSelection::isAdmitted(const ServerChoice &choice, SteadyTime now)
 {
     if (!choice.hasServer() || shouldWait(choice, now)) {
@@ -133,13 +168,15 @@
 {
     const auto &admission = *m_state.query.admission;
     const auto toFirstEvent = admission.timeToFirstEvent(m_thread.servers().meanStep(m_state.query.service));
-    const auto &remaining = m_state.head.remainingTime;
+    const auto &outage = m_thread.serviceOutage(m_state.query.service);
+    const bool isOutage = outage.isOut(m_state.startedAt) || outage.isRecovering(m_state.startedAt);
     WaitingCall call;
-    call.urgency = admission.group->urgency;
+    call.urgency = admission.group ? admission.group->urgency : Urgency();
     call.inTimeUntil = m_state.startedAt + admission.latencyObjective - toFirstEvent;
     call.servableUntil = m_state.startedAt
-        + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * MaxWaitFraction) - toFirstEvent;
-    call.isReturning = remaining && *remaining < ReturningFraction * m_state.route->timeout;
+        + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * (isOutage ? 1 : MaxWaitFraction))
+        - toFirstEvent;
+    call.isReturning = m_state.isReturning();
     return call;
 }
 
--- a/src/gateway/serverselection.h
+++ b/src/gateway/serverselection.h
@@ -12,7 +12,7 @@
 struct CallState;
 
 /// Chooses the server of an attempt. A stream waits while its group is being formed or makes slow steps, and for room
-/// where the routes of its service differ in urgency.
+/// where the routes of its service differ in urgency or its caller has come back after a refusal.
 class ServerSelection
 {
 public:
@@ -22,7 +22,14 @@
     Task<ServerChoice> choose();
 
 private:
-    Task<ServerChoice> chooseByUrgency();
+    /// Waits in the queue of the service.
+    Task<ServerChoice> chooseInOrder();
+    /// Chooses no server while the service has stopped, but for a call now and then that finds out whether it works.
+    /// @param isLastChance whether the call is refused if it is not sent now
+    ServerChoice chooseNow(SteadyTime now, bool isLastChance);
+    /// Whether a server may take the call while it waits, although none can now.
+    /// @param wholeWait how long the call may wait from its arrival
+    bool mayGetRoom(const ServerChoice &choice, Microseconds wholeWait, SteadyTime now) const;
     bool shouldWait(const ServerChoice &choice, SteadyTime now) const;
     /// Whether a stream may be sent to the chosen server now, by the steps and the room of its group.
     bool isAdmitted(const ServerChoice &choice, SteadyTime now);
--- a/src/rebalance/mapswitch.cpp
+++ b/src/rebalance/mapswitch.cpp
@@ -210,7 +210,13 @@
 {
     switch (m_phase) {
     case SwitchPhase::Fencing:
-        startInspection(now);
+        // One answer that was late by seconds outweighs several that are quick.
+        if (m_measurementsLeft > 0 && !canHold()) {
+            --m_measurementsLeft;
+            enter(SwitchPhase::Fencing, now);
+        } else {
+            startInspection(now);
+        }
         return;
     case SwitchPhase::Preparing:
         m_nextReports = now + m_copyTime;
@@ -419,6 +425,7 @@
 
 void MapSwitch::measureAnswers(SteadyTime now)
 {
+    m_measurementsLeft = m_options.maxMeasurements - 1;
     enter(SwitchPhase::Fencing, now);
 }
 
--- a/src/rebalance/mapswitch.h
+++ b/src/rebalance/mapswitch.h
@@ -36,6 +36,9 @@
     Milliseconds minStepLead{120};
     /// Longest such time. Slower groups keep their map.
     Milliseconds maxStepLead{2500};
+    /// Orders that each rank answers at most when its answers are measured anew. With fewer, a group whose one rank has
+    /// hung for a second kept an uneven map for seconds after it.
+    int maxMeasurements = 6;
     /// Steps that are added to those expected within `stepLead`.
     std::uint64_t stepMargin = 1;
     /// Minimum time over which the step rate is measured. Over less, reports of different ranks, which differ in age,
@@ -93,7 +96,8 @@
     /// Whether the ranks answer quickly enough for a switch that does not stop the group.
     bool canHold() const;
 
-    /// Has the ranks answer orders that change nothing, to measure anew how quickly they do; only while idle.
+    /// Has the ranks answer orders that change nothing, to measure anew how quickly they do, until canHold() or a few
+    /// orders have been answered; only while idle.
     void measureAnswers(SteadyTime now);
 
     /// Whether the step of the last switch has begun, according to reports and recordBegunStep().
@@ -181,6 +185,8 @@
     SteadyTime m_nextReports{};
     Microseconds m_copyTime{0};
     std::size_t m_maxConcurrentMaps = 1;
+    /// Further orders for which measureAnswers() may wait.
+    int m_measurementsLeft = 0;
     /// Added to the usual answer times, since few answers say little.
     Microseconds m_answerTimeMargin = Milliseconds(300);
     std::uint64_t m_lastStep = 0;
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -24,6 +24,8 @@
     /// The servers that were not tried and are in no evacuated failure domain are unreachable, or in groups that take
     /// no calls while they are formed again.
     GroupsClosed,
+    /// The service has stopped as a whole: no server has sent an event for some time, while calls to it failed.
+    ServiceStopped,
     /// All servers that could take the call have stated that they want no calls for a while.
     AllHeld,
     /// All servers that could take the call are cold, and this host may not send calls to them now.
@@ -42,6 +44,7 @@
         {ChoiceReason::AllTried, "all-tried"},
         {ChoiceReason::Evacuated, "evacuated"},
         {ChoiceReason::GroupsClosed, "groups-closed"},
+        {ChoiceReason::ServiceStopped, "service-stopped"},
         {ChoiceReason::AllHeld, "all-held"},
         {ChoiceReason::AllCold, "all-cold"},
         {ChoiceReason::AllFull, "all-full"},
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -460,11 +460,23 @@
     return earliest;
 }
 
-void ServerTable::recordGroupOpened(const GroupId &group, std::uint64_t epoch)
+bool ServerTable::recordGroupOpened(const GroupId &group, std::uint64_t epoch)
 {
     auto &openedEpoch = m_groupActivity[group].openedEpoch;
+    const bool isNew = epoch > openedEpoch;
     openedEpoch = std::max(openedEpoch, epoch);
     updateUnavailableGroups();
+    return isNew;
+}
+
+std::optional<ServiceId> ServerTable::serviceOf(const GroupId &group) const
+{
+    for (const auto &[id, entry] : m_entries) {
+        if (!entry.isGone && entry.server.groupMembership && entry.server.groupMembership->group == group) {
+            return entry.server.service;
+        }
+    }
+    return std::nullopt;
 }
 
 const ServerTable::GroupActivity *ServerTable::activityOf(const DiscoveredServer &server) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -89,8 +89,12 @@
     /// The ids of the registered servers of a failure domain.
     std::vector<BackendServerId> serversIn(const FailureDomainId &domain) const;
 
-    /// Records that a group was formed and takes calls. Its registrations show that later.
-    void recordGroupOpened(const GroupId &group, std::uint64_t epoch);
+    /// Records that a group was formed and takes calls. Its registrations show that later. Returns whether its epoch is
+    /// new.
+    bool recordGroupOpened(const GroupId &group, std::uint64_t epoch);
+
+    /// The service of the ranks of a group, if any rank is registered.
+    std::optional<ServiceId> serviceOf(const GroupId &group) const;
 
     /// Whether the groups of a service take no calls, but are probably being formed again: a failure domain that was
     /// unreachable has just come back, and none is missing.
--- /dev/null
+++ b/src/traffic/serviceoutage.cpp
@@ -0,0 +1,77 @@
+#include "traffic/serviceoutage.h"
+
+#include <algorithm>
+
+namespace Cardamomhill
+{
+
+namespace
+{
+
+/// Callers accept a time to come back of up to this fraction of the time that they have left.
+constexpr int AcceptedFraction = 3;
+
+} // namespace
+
+ServiceOutage::ServiceOutage(ServiceOutageOptions options)
+    : m_options(options)
+{
+}
+
+bool ServiceOutage::isEnabled() const
+{
+    return m_options.silence.has_value();
+}
+
+void ServiceOutage::recordProgress(SteadyTime now)
+{
+    if (isOut(now)) {
+        m_endedAt = now;
+    }
+    m_progressAt = now;
+    m_failures = 0;
+}
+
+void ServiceOutage::recordFailure(SteadyTime now)
+{
+    if (now - m_failedAt > m_options.failureLifetime) {
+        m_failures = 0;
+    }
+    if (m_failures == 0) {
+        m_failingSince = now;
+    }
+    m_failedAt = now;
+    ++m_failures;
+}
+
+bool ServiceOutage::isOut(SteadyTime now) const
+{
+    return m_options.silence && m_failures >= m_options.minFailures && now - m_failedAt <= m_options.failureLifetime
+        && now - m_progressAt >= *m_options.silence;
+}
+
+bool ServiceOutage::tryProbe(SteadyTime now)
+{
+    if (now - m_probedAt < m_options.probeInterval) {
+        return false;
+    }
+    m_probedAt = now;
+    return true;
+}
+
+bool ServiceOutage::isWorthWaiting(Microseconds wait, SteadyTime now) const
+{
+    return now - m_failingSince <= wait * m_options.maxAgePerWait;
+}
+
+bool ServiceOutage::isRecovering(SteadyTime now) const
+{
+    return m_endedAt != SteadyTime() && now - m_endedAt <= m_options.recoveryTime;
+}
+
+Milliseconds ServiceOutage::returnAfter(Milliseconds remaining)
+{
+    return std::max(remaining, Milliseconds(0)) / AcceptedFraction;
+}
+
+} // namespace Cardamomhill
--- a/tests/evacuationfleettest.cpp
+++ b/tests/evacuationfleettest.cpp
@@ -10,6 +10,8 @@
 
 constexpr Milliseconds Limit{2000};
 constexpr Milliseconds CallInterval{40};
+constexpr Milliseconds SlowCallTime{200};
+constexpr int StreamCount = 4;
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
 const std::string Near = "near";
@@ -24,7 +26,8 @@
         : fleet(2, {Near, Far}, "evacuation_limit_ms: " + std::to_string(Limit.count()) + "\n")
     {
         fleet.onRun = [this](const std::string &server, const HttpRequest &request) {
-            if (server == Far && std::string(request.target()) == CallPath) {
+            const std::string path(request.target());
+            if (server == Far && (path == CallPath || path == SlowPath)) {
                 m_lastFarRun = steadyNow();
             }
         };
@@ -61,15 +64,30 @@
         }
     }
 
-    /// Sends calls to a host until one has run at the far server.
+    /// Sends calls to a host until one has run at the far server. More calls at a time than streams can run there:
+    /// single calls all go to the near server while more streams run at the far one.
     Task<> callUntilFar(std::size_t host)
     {
         const auto begun = steadyNow();
         while (m_lastFarRun <= begun && steadyNow() < begun + Limit) {
-            co_await callOnce(host);
-            co_await fleet.sleep(CallInterval);
+            for (int call = 0; call < StreamCount + 2; ++call) {
+                fleet.spawnTask(callSlowly(host));
+            }
+            co_await fleet.sleep(SlowCallTime);
         }
         CHECK(m_lastFarRun > begun);
+        while (m_slowCalls > 0) {
+            co_await fleet.sleep(CallInterval);
+        }
+    }
+
+    Task<> callSlowly(std::size_t host)
+    {
+        ++m_slowCalls;
+        auto request = GatewayFleet::makeCall(SlowPath, "call-" + std::to_string(++m_callCount));
+        request.set("X-Delay-Ms", std::to_string(SlowCallTime.count()));
+        co_await fleet.call(host, request);
+        --m_slowCalls;
     }
 
     Task<CallResult> callOnce(std::size_t host)
@@ -115,6 +133,7 @@
 private:
     static constexpr int StreamEvents = 45;
     static inline const std::string CallPath = "/safe/ok";
+    static inline const std::string SlowPath = "/safe/slow";
 
     std::string farAddress()
     {
@@ -123,6 +142,7 @@
 
     SteadyTime m_lastFarRun{};
     int m_callCount = 0;
+    int m_slowCalls = 0;
     int m_endedStreams = 0;
     int m_wholeStreams = 0;
 };
@@ -131,19 +151,18 @@
 
 TEST_CASE("calls to an evacuated domain stop within the limit and return, and a stream that runs there is whole")
 {
-    constexpr int Streams = 4;
     EvacuatedFleet evacuation;
     auto &fleet = evacuation.fleet;
     for (std::size_t host = 0; host < 2; ++host) {
         fleet.run(evacuation.callUntilFar(host));
     }
     fleet.kill(1);
-    for (int stream = 0; stream < Streams; ++stream) {
+    for (int stream = 0; stream < StreamCount; ++stream) {
         fleet.spawnTask(evacuation.readStream("stream-" + std::to_string(stream)));
     }
     fleet.run(evacuation.callFor(0, Milliseconds(500)));
     int farStreams = 0;
-    for (int stream = 0; stream < Streams; ++stream) {
+    for (int stream = 0; stream < StreamCount; ++stream) {
         farStreams += fleet.runs["stream-" + std::to_string(stream)][Far];
     }
     REQUIRE(farStreams > 0);
@@ -161,12 +180,12 @@
     fleet.start(1);
     fleet.run(fleet.waitUntilReady());
     evacuation.checkNoCallsToFar(1);
-    fleet.run(evacuation.waitForStreams(Streams));
+    fleet.run(evacuation.waitForStreams(StreamCount));
     int runs = 0;
-    for (int stream = 0; stream < Streams; ++stream) {
+    for (int stream = 0; stream < StreamCount; ++stream) {
         runs += fleet.runsOf("stream-" + std::to_string(stream));
     }
-    CHECK(runs == Streams);
+    CHECK(runs == StreamCount);
 
     evacuation.setEvacuated(FarDomain, false);
     for (std::size_t host = 0; host < 2; ++host) {
--- a/tests/fleetstoptest.cpp
+++ b/tests/fleetstoptest.cpp
@@ -22,6 +22,7 @@
 #include <fstream>
 #include <limits>
 #include <map>
+#include <optional>
 #include <sstream>
 
 using namespace Cardamomhill;
@@ -157,9 +158,16 @@
     }
 
     /// Requests so many tokens, one for each StepTime, and reads all of the answer.
-    Task<RequestResult> generate(HttpClientConnection &connection, int tokens, bool streams)
+    /// @param timeout the time that the caller states it waits; that of the profile if not set
+    Task<RequestResult> generate(HttpClientConnection &connection,
+                                 int tokens,
+                                 bool streams,
+                                 std::optional<Milliseconds> timeout = std::nullopt)
     {
-        const auto request = makeRequest(tokens, streams);
+        auto request = makeRequest(tokens, streams);
+        if (timeout) {
+            request.set("X-Request-Timeout-Ms", std::to_string(timeout->count()));
+        }
         RequestResult result;
         const auto begun = steadyNow();
         const auto started = co_await connection.start(request, AnswerTimeout);
@@ -196,6 +204,15 @@
         co_return answer.has_value() ? answer.value().status : 0;
     }
 
+    Task<> waitForLog(const std::string &name, const std::string &text)
+    {
+        const auto end = steadyNow() + AnswerTimeout;
+        while (log(name).find(text) == std::string::npos && steadyNow() < end) {
+            co_await sleep(Milliseconds(1));
+        }
+        CHECK(log(name).find(text) != std::string::npos);
+    }
+
     std::string log(const std::string &name) const
     {
         std::ifstream file(m_directory / (name + ".log"));
@@ -381,12 +398,14 @@
         CHECK(earlier.isComplete);
         auto second = co_await fleet.connect();
         fleet.terminate(*fleet.entry);
-        taken = co_await fleet.generate(*connection, 1, false);
+        co_await fleet.waitForLog("entry", "event=draining");
+        taken = co_await fleet.generate(*connection, 1, false, DrainGrace);
         co_await fleet.sleep(StepTime * 6);
         refused = co_await fleet.generate(*second, 30, true);
     };
     fleet.run(scenario());
     CAPTURE(fleet.log("entry"));
+    CHECK(countOf(fleet.log("entry"), "event=taken-while-draining") == 1);
     CHECK(taken.status == Ok);
     CHECK(taken.closesConnection);
     CHECK(refused.status == Unavailable);
--- a/tests/mapswitchtest.cpp
+++ b/tests/mapswitchtest.cpp
@@ -104,6 +104,50 @@
     CHECK(mapSwitch.hasTakenEffect());
 }
 
+TEST_CASE("a group whose one rank has hung for a second is measured in one go until it may switch again")
+{
+    constexpr std::size_t Ranks = 2;
+    constexpr Milliseconds Quick{2};
+    SteadyTime now{Seconds(100)};
+    OrderTokens tokens(1);
+    MapSwitch mapSwitch(Ranks, 1, tokens);
+    RankState state;
+    state.epoch = 1;
+    state.isOpen = true;
+    const auto answerAll = [&](Milliseconds last) {
+        const auto orders = mapSwitch.takeOrders(now);
+        now += Quick;
+        for (const auto &order : orders) {
+            if (order.rank + 1 == Ranks) {
+                now += last - Quick;
+            }
+            mapSwitch.onAnswer(order, OrderAnswer::Accepted, now);
+        }
+    };
+    const auto finishInspection = [&] {
+        now += Seconds(1);
+        mapSwitch.onReports({state, state}, now);
+    };
+    for (int i = 0; i < 20; ++i) {
+        mapSwitch.measureAnswers(now);
+        answerAll(Quick);
+    }
+    finishInspection();
+    REQUIRE(mapSwitch.phase() == SwitchPhase::Idle);
+    REQUIRE(mapSwitch.canHold());
+    mapSwitch.measureAnswers(now);
+    answerAll(Milliseconds(1300));
+    CHECK_FALSE(mapSwitch.canHold());
+
+    for (int i = 0; i < 6 && mapSwitch.phase() == SwitchPhase::Fencing; ++i) {
+        answerAll(Quick);
+    }
+    CHECK(mapSwitch.canHold());
+    CHECK(mapSwitch.phase() == SwitchPhase::Inspecting);
+    finishInspection();
+    CHECK(mapSwitch.phase() == SwitchPhase::Idle);
+}
+
 TEST_CASE("a switch that an earlier coordinator has completed is not undone before its step begins")
 {
     constexpr std::size_t Ranks = 3;
