Share the queue of a service among organisations, and let the soak evacuate a failure domain

Cause: calls of equal urgency waited in the order of their deadlines, so that a large organisation could take all room in an overload; and the soak did not know evacuations.

--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/serverselection.h"
 
+#include "core/hash.h"
 #include "gateway/callstate.h"
 #include "gateway/gatewaythread.h"
 #include "net/steadynow.h"
@@ -22,6 +23,7 @@
 public:
     QueuePlace(CallQueue &queue, const WaitingCall &call)
         : m_queue(queue)
+        , m_organisation(call.organisation)
         , m_ticket(queue.add(call))
     {
     }
@@ -46,11 +48,12 @@
 
     void recordSent(SteadyTime now) const
     {
-        m_queue.recordSent(now);
+        m_queue.recordSent(now, m_organisation);
     }
 
 private:
     CallQueue &m_queue;
+    WaitingCall::OrganisationKey m_organisation;
     CallQueue::Ticket m_ticket;
 };
 
@@ -177,6 +180,7 @@
         + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * (isOutage ? 1 : MaxWaitFraction))
         - toFirstEvent;
     call.isReturning = m_state.isReturning();
+    call.organisation = hash64(m_state.organisation.value());
     return call;
 }
 
--- a/src/traffic/callqueue.cpp
+++ b/src/traffic/callqueue.cpp
@@ -1,7 +1,6 @@
 #include "traffic/callqueue.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace Cardamomhill
 {
@@ -12,15 +11,20 @@
 /// Time over which the rate of sent calls is counted.
 constexpr Seconds RateWindow{2};
 
-/// The smallest goes first.
-auto orderOf(const WaitingCall &call, CallQueue::Ticket ticket, SteadyTime now)
+} // namespace
+
+CallQueue::Order CallQueue::orderOf(const WaitingCall &call, Ticket ticket, SteadyTime now) const
 {
-    const bool isLate = call.inTimeUntil < now;
-    return std::tuple(call.urgency, isLate, isLate ? call.servableUntil : call.inTimeUntil, ticket);
+    const auto sent = m_sentOf.find(call.organisation);
+    Order order;
+    order.urgency = call.urgency;
+    order.isLate = call.inTimeUntil < now;
+    order.sentOfOrganisation = sent == m_sentOf.end() ? 0 : sent->second;
+    order.deadline = order.isLate ? call.servableUntil : call.inTimeUntil;
+    order.ticket = ticket;
+    return order;
 }
 
-} // namespace
-
 CallQueue::Ticket CallQueue::add(const WaitingCall &call)
 {
     m_calls.emplace(++m_lastTicket, call);
@@ -46,16 +50,22 @@
     return callsBefore(ticket, now) == 0;
 }
 
-void CallQueue::recordSent(SteadyTime now)
+void CallQueue::recordSent(SteadyTime now, WaitingCall::OrganisationKey organisation)
 {
-    m_sentAt[m_sentCount++ % MaxSent] = now;
+    auto &oldest = m_sent[m_sentCount % MaxSent];
+    if (m_sentCount >= MaxSent && --m_sentOf[oldest.organisation] == 0) {
+        m_sentOf.erase(oldest.organisation);
+    }
+    oldest = {now, organisation};
+    ++m_sentOf[organisation];
+    ++m_sentCount;
 }
 
 bool CallQueue::canBeServed(Ticket ticket, SteadyTime now) const
 {
     const auto before = callsBefore(ticket, now);
-    const auto sent = std::count_if(m_sentAt.begin(), m_sentAt.end(), [now](SteadyTime sentAt) {
-        return sentAt != SteadyTime() && now - sentAt <= RateWindow;
+    const auto sent = std::count_if(m_sent.begin(), m_sent.end(), [now](const SentCall &call) {
+        return call.sentAt != SteadyTime() && now - call.sentAt <= RateWindow;
     });
     const auto timeLeft = std::chrono::duration<double>(waitLimit(m_calls.at(ticket)) - now);
     const auto window = std::chrono::duration<double>(RateWindow);
--- a/src/traffic/waitingcall.h
+++ b/src/traffic/waitingcall.h
@@ -3,11 +3,16 @@
 #include "core/clocktypes.h"
 #include "traffic/urgency.h"
 
+#include <cstdint>
+
 namespace Cardamomhill
 {
 
 /// A call that waits at its host until an engine may take it.
 struct WaitingCall {
+    /// A hash of the organisation's name. Calls without one count as those of one organisation.
+    using OrganisationKey = std::uint64_t;
+
     Urgency urgency;
     /// Until when it has to be sent to be answered within its objective.
     SteadyTime inTimeUntil{};
@@ -15,6 +20,7 @@
     SteadyTime servableUntil{};
     /// The caller has come back after a refusal: it will not come a third time, and its answer is late in any case.
     bool isReturning = false;
+    OrganisationKey organisation = 0;
 };
 
 } // namespace Cardamomhill
--- a/tests/soak/documents.cpp
+++ b/tests/soak/documents.cpp
@@ -40,7 +40,7 @@
 {
     return Json{{"service", "shop"},
                 {"address", entry.address},
-                {"zone", "d1"},
+                {"zone", entry.failureDomain},
                 {"version", "v1"},
                 {"slots", 8},
                 {"state", entry.isLeaving ? "draining" : "ready"},
--- a/tests/soak/documents.h
+++ b/tests/soak/documents.h
@@ -19,6 +19,7 @@
     /// Stands for the start time; the soak uses the number of the instance, which increases too.
     std::uint64_t startedAt = 0;
     bool isLeaving = false;
+    std::string failureDomain = "d1";
 };
 
 std::string serverDocument(const ServerEntry &entry);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak.h"
 
+#include "core/random.h"
 #include "logging/logging.h"
 #include "net/httpclient.h"
 #include "net/spawn.h"
@@ -27,6 +28,13 @@
 constexpr Milliseconds RecoveryTime{6000};
 constexpr int RecoveryCallsPerHost = 10;
 constexpr Milliseconds StartTimeout{15000};
+/// Time within which calls to an evacuated failure domain must stop, and how long evacuations and pauses between them
+/// last.
+constexpr Milliseconds EvacuationLimit{2000};
+constexpr Milliseconds MinEvacuationTime{1000};
+constexpr Milliseconds MaxEvacuationTime{6000};
+const std::string FailureDomain = "d1";
+const std::string EvacuatedDomain = "d2";
 constexpr Milliseconds EndTimeout{20000};
 constexpr Milliseconds PollInterval{50};
 constexpr Milliseconds StoreCallTimeout{1000};
@@ -68,15 +76,20 @@
         throw std::runtime_error(listening.error().message());
     }
     for (std::size_t i = 0; i < m_options.servers; ++i) {
+        const bool isEvacuated = m_options.hasEvacuations && i % 2 == 1;
         m_servers.push_back(std::make_unique<SoakServer>(
-            m_context, "server" + std::to_string(i), [this](const std::string &instance, const HttpRequest &request) {
-                onRun(instance, request);
-            }));
+            m_context,
+            "server" + std::to_string(i),
+            isEvacuated ? EvacuatedDomain : FailureDomain,
+            [this](const std::string &instance, const HttpRequest &request) { onRun(instance, request); }));
     }
     std::vector<SoakHost *> hosts;
     for (std::size_t i = 0; i < m_options.hosts; ++i) {
+        const auto settings = m_options.hasEvacuations
+            ? "evacuation_limit_ms: " + std::to_string(EvacuationLimit.count()) + "\n"
+            : std::string();
         m_hosts.push_back(std::make_unique<SoakHost>(
-            m_context, "host" + std::to_string(i), m_storeAddress, m_options.program, m_options.directory));
+            m_context, "host" + std::to_string(i), m_storeAddress, m_options.program, m_options.directory, settings));
         hosts.push_back(m_hosts.back().get());
     }
     for (std::size_t i = 0; i < m_options.callers; ++i) {
@@ -132,6 +145,10 @@
     for (const auto &caller : m_callers) {
         spawn(m_context.get_executor(), "soak-caller", caller->run(start + m_options.duration + RecoveryTime));
     }
+    if (m_options.hasEvacuations) {
+        ++m_faultsInProgress;
+        spawn(m_context.get_executor(), "soak-evacuations", evacuateAtRandom(start + m_options.duration));
+    }
     co_await injectFaults(start);
     endFaults();
     co_await sleep(RecoveryTime);
@@ -316,20 +333,55 @@
     }
 }
 
+Task<> Soak::evacuateAtRandom(SteadyTime end)
+{
+    Random random(m_options.seed);
+    std::uniform_int_distribution<Milliseconds::rep> time(MinEvacuationTime.count(), MaxEvacuationTime.count());
+    const std::string kind = "/objects/evacuations";
+    while (steadyNow() < end) {
+        co_await sleep(Milliseconds(time(random)) / 2);
+        const auto document = objectDocument(EvacuatedDomain, "{}");
+        m_evacuatedSince = co_await writeToStore("POST", kind, document);
+        co_await sleep(Milliseconds(time(random)));
+        m_evacuatedSince = SteadyTime::max();
+        co_await writeToStore("DELETE", kind + "/" + EvacuatedDomain, "");
+    }
+    --m_faultsInProgress;
+}
+
+void Soak::checkEvacuation(const std::string &call, const std::string &instance)
+{
+    const auto *host = m_ledger.hostOf(call);
+    const bool isThere = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &server) {
+        return server->entry().id == instance && server->entry().failureDomain == EvacuatedDomain;
+    });
+    if (!isThere || m_evacuatedSince == SteadyTime::max() || host == nullptr || isHeldUp(instance)) {
+        return;
+    }
+    ++m_checks["evacuation"];
+    if (steadyNow() - m_evacuatedSince > EvacuationLimit && timeLimitsApply(*m_hosts[*host], m_evacuatedSince)) {
+        m_ledger.addViolation("evacuation", call + " reached " + instance + " in the evacuated domain after the limit");
+    }
+}
+
+bool Soak::isHeldUp(const std::string &instance) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &server) {
+        return server->entry().id == instance && !server->linkStability().isStableSince(steadyNow());
+    });
+}
+
 void Soak::onRun(const std::string &instance, const HttpRequest &request)
 {
     const std::string call(request["Cardamomhill-Request-Id"]);
     m_ledger.ran(call, std::string(request["Cardamomhill-Tenant"]));
+    checkEvacuation(call, instance);
     const auto leaving = m_leavingSince.find(instance);
     const auto *host = m_ledger.hostOf(call);
     if (leaving == m_leavingSince.end() || leaving->second == SteadyTime::max() || host == nullptr) {
         return;
     }
-    // What was sent in time may be held up by a link that was harmed within the stable window.
-    const bool isHeldUp = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &server) {
-        return server->entry().id == instance && !server->linkStability().isStableSince(steadyNow());
-    });
-    if (isHeldUp) {
+    if (isHeldUp(instance)) {
         return;
     }
     ++m_checks["drain"];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,6 +23,8 @@
     std::size_t hosts = 3;
     std::size_t servers = 4;
     std::size_t callers = 12;
+    /// Whether a failure domain with half of the servers is evacuated and taken back at random times.
+    bool hasEvacuations = false;
     /// Path of the gateway program.
     std::string program;
     /// Directory for the settings and logs of the hosts.
@@ -54,6 +56,10 @@
     Task<> injectLinkFault(FaultKind kind, FaultProxy &link, Milliseconds duration);
     Task<> replaceServer(SoakServer &server, Milliseconds duration);
     Task<> drainServer(SoakServer &server);
+    Task<> evacuateAtRandom(SteadyTime end);
+    void checkEvacuation(const std::string &call, const std::string &instance);
+    /// Whether the link to a server was harmed lately, so that a call that was sent in time may arrive late.
+    bool isHeldUp(const std::string &instance) const;
     Task<> changeConfiguration();
     Task<> checkConfiguration(std::uint64_t version, SteadyTime acknowledgedAt);
     Task<> checkRecovery();
@@ -79,6 +85,8 @@
     std::unique_ptr<SoakCaller> m_prober;
     /// When the store acknowledged that an instance leaves; SteadyTime::max() until it has.
     std::map<std::string, SteadyTime> m_leavingSince;
+    /// When the store acknowledged that the failure domain is evacuated; SteadyTime::max() while it is not.
+    SteadyTime m_evacuatedSince = SteadyTime::max();
     std::map<std::string, std::size_t> m_checks;
     std::uint64_t m_version = 1;
     /// Number of faults in progress, including the checks that follow them.
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -14,7 +14,7 @@
 
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
-      "[--servers N] [--callers N] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
+      "[--servers N] [--callers N] [--evacuations] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
       "[--signal-delay-ms N] [--domains N]\n"
       "[--groups N [--ranks N] [--answer-delay-ms N] [--execution-delay-ms N] [--lost-answers PERCENT] "
       "[--preemptions PERCENT] [--reformations PERCENT]]]\n";
@@ -56,6 +56,7 @@
                                   {"hosts", required_argument, nullptr, 'h'},
                                   {"servers", required_argument, nullptr, 'b'},
                                   {"callers", required_argument, nullptr, 'c'},
+                                  {"evacuations", no_argument, nullptr, 'e'},
                                   {"planned-stops", no_argument, nullptr, 'P'},
                                   {"grace-ms", required_argument, nullptr, 'g'},
                                   {"reformations", required_argument, nullptr, 'F'},
@@ -78,6 +79,8 @@
             options.program = optarg;
         } else if (optionId == 'd') {
             options.directory = optarg;
+        } else if (optionId == 'e') {
+            options.hasEvacuations = true;
         } else if (optionId == 'P') {
             isPlannedStops = true;
         } else if (optionId == 'q') {
--- a/tests/soak/soakserver.cpp
+++ b/tests/soak/soakserver.cpp
@@ -7,9 +7,10 @@
 namespace Cardamomhill
 {
 
-SoakServer::SoakServer(asio::io_context &context, std::string name, RunObserver onRun)
+SoakServer::SoakServer(asio::io_context &context, std::string name, std::string failureDomain, RunObserver onRun)
     : m_context(context)
     , m_name(std::move(name))
+    , m_failureDomain(std::move(failureDomain))
     , m_onRun(std::move(onRun))
     , m_link(context, {})
 {
@@ -43,7 +44,11 @@
 ServerEntry SoakServer::entry() const
 {
     const auto number = m_instances.size();
-    return {m_name + "-" + std::to_string(number), controlAddress(m_link.endpoint()).value(), number, false};
+    return {m_name + "-" + std::to_string(number),
+            controlAddress(m_link.endpoint()).value(),
+            number,
+            false,
+            m_failureDomain};
 }
 
 StabilityTracker &SoakServer::linkStability()
--- a/tests/soak/soakserver.h
+++ b/tests/soak/soakserver.h
@@ -21,7 +21,7 @@
     /// Notified of each call that runs, with the instance that runs it.
     using RunObserver = std::function<void(const std::string &instance, const HttpRequest &)>;
 
-    SoakServer(asio::io_context &context, std::string name, RunObserver onRun);
+    SoakServer(asio::io_context &context, std::string name, std::string failureDomain, RunObserver onRun);
 
     /// Stops the current instance, if any, and starts one with a new id at the same address.
     void startInstance();
@@ -36,6 +36,7 @@
 private:
     asio::io_context &m_context;
     std::string m_name;
+    std::string m_failureDomain;
     RunObserver m_onRun;
     FaultProxy m_link;
     StabilityTracker m_linkStability;
--- a/tests/soaktest.sh
+++ b/tests/soaktest.sh
@@ -10,11 +10,13 @@
 SOAK="$BUILD_DIRECTORY/tests/soak/cardamomhill-soak"
 export BUILD_DIRECTORY DIRECTORY PROGRAM SOAK
 
-run_seed() { # run_seed SEED SECONDS: keeps the logs of a run that fails
+run_seed() { # run_seed SEED SECONDS [WORD]: keeps the logs of a run that fails; an option as third word is added
     local logs="$DIRECTORY/$1"
+    local option=""
+    [[ "${3:-}" == --* ]] && option="$3"
     mkdir -p "$logs"
     # shellcheck disable=SC2086
-    if "$SOAK" --program "$PROGRAM" --directory "$logs" --seed "$1" --seconds "$2" ${SOAK_ARGUMENTS:-} \
+    if "$SOAK" --program "$PROGRAM" --directory "$logs" --seed "$1" --seconds "$2" $option ${SOAK_ARGUMENTS:-} \
         >"$logs/soak.log" 2>&1; then
         grep '^seed' "$logs/soak.log"
         rm -rf "$logs"
@@ -29,7 +31,7 @@
 if [ -n "${SOAK_SEEDS:-}" ]; then
     for seed in $SOAK_SEEDS; do echo "$seed ${SOAK_SECONDS:-10}"; done
 else
-    grep -v '^#' tests/soak/seeds.txt | cut -d ' ' -f 1-2
+    grep -v '^#' tests/soak/seeds.txt | cut -d ' ' -f 1-3
 fi >"$DIRECTORY/plan.txt"
 status=0
 xargs -P "$JOBS" -L 1 bash -euo pipefail -c 'run_seed "$@"' run_seed <"$DIRECTORY/plan.txt" || status=1
--- a/tests/support/groupunderburst.h
+++ b/tests/support/groupunderburst.h
@@ -96,7 +96,8 @@
                 const WaitingCall call{{0, k.rank, 0},
                                        m_now + k.latencyObjective - 2 * m_stepTime,
                                        m_now + k.callerTimeout - 2 * m_stepTime,
-                                       false};
+                                       false,
+                                       0};
                 host.waiting.push_back({kind, m_now, host.queue.add(call), 0, false});
                 ++m_outcomes[kind].calls;
             }
