--- a/src/traffic/serviceoutage.h
+++ b/src/traffic/serviceoutage.h
@@ -18,8 +18,8 @@
     Milliseconds failureLifetime{3000};
     /// During an outage one call is sent each time to find out whether the servers are back.
     Milliseconds probeInterval{500};
-    /// An outage is expected to last as long again as it has lasted. A call waits if it has lasted for at most this many
-    /// times as long as the call can wait in all.
+    /// An outage is expected to last as long again as it has lasted. A call waits if it has lasted for at most this
+    /// many times as long as the call can wait in all.
     int maxAgePerWait = 8;
     /// Time after an outage in which the rate at which calls can be sent is not yet known.
     Milliseconds recoveryTime{2500};
