--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -78,7 +78,7 @@
     {"retry-decided", "verdict", "retry", "it was sent again"},
     {"refused", "detail", "all-full", "every server had its largest allowed number of waiting calls"},
     {"refused", "detail", "all-held", "every server had refused a call and asked for no calls for a while"},
-    {"refused", "detail", "service-stopped", "no engine of the service sent an event while calls to it failed"},
+    {"refused", "detail", "service-stopped", "no engine of the service sent an event to this host while calls to it failed"},
     {"refused", "detail", "groups-closed", "all groups of the service were re-forming or unreachable"},
     {"refused", "detail", "evacuated", "every server that could take it is in an evacuated failure domain"},
     {"refused", "detail", "all-tried", "each server of the service had been tried"},
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -222,6 +222,16 @@
     return m_server;
 }
 
+SteadyTime Attempt::begunAt() const
+{
+    return m_begunAt;
+}
+
+bool Attempt::isCancelled() const
+{
+    return !m_cancelCause.empty();
+}
+
 const std::string &Attempt::cause() const
 {
     return m_cause;
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -64,6 +64,9 @@
 
     /// Why the attempt delivered no complete answer; empty if it did.
     const std::string &cause() const;
+    SteadyTime begunAt() const;
+    /// Whether this host cancelled it.
+    bool isCancelled() const;
 
 private:
     Task<AttemptEnd> sendUnlessOver();
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -37,19 +37,19 @@
     state.promptTickets.insert_or_assign(choice.server, ticket);
 }
 
-/// Whether an attempt that ended like this may have met a service that has stopped. A call that its server refuses soon
-/// after it was sent met a full one.
-bool isSignOfOutage(AttemptEnd end, Milliseconds elapsed)
+/// Whether an attempt may have met a service that has stopped. One that its server refuses soon after it was sent met a
+/// full one, one whose time is over soon had a short limit, and one that this host cancelled says nothing.
+bool isSignOfOutage(const Attempt &attempt, AttemptEnd end)
 {
     /// Groups hold calls for longer than this when they have lost a rank.
     constexpr Milliseconds MinStall{500};
     switch (end) {
     case AttemptEnd::NotSent:
     case AttemptEnd::Broken:
+        return !attempt.isCancelled();
     case AttemptEnd::TimedOut:
-        return true;
     case AttemptEnd::NotRun:
-        return elapsed >= MinStall;
+        return !attempt.isCancelled() && elapsedSince(attempt.begunAt()) >= MinStall;
     default:
         return false;
     }
@@ -94,8 +94,10 @@
     if (const auto ticket = state.promptTickets.extract(attempt.server())) {
         thread.servers().recordPromptEnded(ticket.mapped(), end);
     }
+    // Each call counts once, however many servers it was sent to.
+    const bool isFirst = state.attempts.count() == 0;
     state.attempts.add(end);
-    if (state.query.admission && isSignOfOutage(end, elapsedSince(state.startedAt))) {
+    if (state.query.admission && isFirst && isSignOfOutage(attempt, end)) {
         thread.serviceOutage(state.query.service).recordFailure(steadyNow());
     }
     if (end == AttemptEnd::Delivered) {
--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -68,7 +68,8 @@
 Task<ServerChoice> ServerSelection::choose()
 {
     const auto &admission = m_state.query.admission;
-    const bool isQueued = m_thread.serviceOutage(m_state.query.service).isEnabled() && m_state.isReturning();
+    const bool isQueued = m_thread.serviceOutage(m_state.query.service).isEnabled() && m_state.isReturning()
+        && m_state.attempts.count() == 0;
     if (admission && (admission->group || isQueued)) {
         co_return co_await chooseInOrder();
     }
@@ -90,18 +91,27 @@
     auto &outage = m_thread.serviceOutage(m_state.query.service);
     // A caller that has come back would be lost by a probe that fails.
     const bool mayProbe = isLastChance || !m_state.isReturning();
-    if (m_state.query.admission && outage.isOut(now) && !(mayProbe && outage.tryProbe(now))) {
+    if (isStopped(now) && !(mayProbe && outage.tryProbe(now))) {
         ServerChoice choice;
         choice.reason = ChoiceReason::ServiceStopped;
         return choice;
     }
     auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
-    if (choice.reason == ChoiceReason::GroupsClosed) {
+    const bool isForming = m_thread.servers().isForming(m_state.query.service, now);
+    if (m_state.query.admission && choice.reason == ChoiceReason::GroupsClosed && !isForming) {
         outage.recordFailure(now);
     }
     return choice;
 }
 
+bool ServerSelection::isStopped(SteadyTime now) const
+{
+    // A call that was sent before may be continued where its first server has failed, so it is not held back.
+    const auto &service = m_state.query.service;
+    return m_state.query.admission && m_state.attempts.count() == 0 && m_thread.serviceOutage(service).isOut(now)
+        && !m_thread.servers().isForming(service, now);
+}
+
 Task<ServerChoice> ServerSelection::chooseInOrder()
 {
     const auto waiting = waitingCall();
@@ -113,9 +123,13 @@
     while (true) {
         const auto now = steadyNow();
         ServerChoice choice;
-        choice.reason = outage.isOut(now) ? ChoiceReason::ServiceStopped : ChoiceReason::AllFull;
-        if (place.isNext(now)) {
-            choice = chooseNow(now, now + QueueCheckPeriod >= waitLimit);
+        const bool isOut = isStopped(now);
+        const bool isLastChance = now + QueueCheckPeriod >= waitLimit;
+        choice.reason = isOut ? ChoiceReason::ServiceStopped : ChoiceReason::AllFull;
+        // Calls that wait for the end of an outage do not keep others from finding out whether it is over.
+        const bool mayAsk = isOut ? isLastChance || !m_state.isReturning() : place.isNext(now);
+        if (mayAsk) {
+            choice = chooseNow(now, isLastChance);
         }
         if (error || m_state.isCallerGone || m_state.isEndedEarly) {
             co_return choice;
@@ -128,7 +142,7 @@
             choice = ServerChoice();
             choice.reason = ChoiceReason::AllFull;
         }
-        const bool isUnknownRate = outage.isOut(now) || outage.isRecovering(now);
+        const bool isUnknownRate = isOut || outage.isRecovering(now);
         const auto wholeWait = std::chrono::duration_cast<Microseconds>(waitLimit - m_state.startedAt);
         if (now >= waitLimit || !mayGetRoom(choice, wholeWait, now) || !(isUnknownRate || place.canBeServed(now))) {
             co_return choice;
@@ -179,6 +193,7 @@
     call.servableUntil = m_state.startedAt
         + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * (isOutage ? 1 : MaxWaitFraction))
         - toFirstEvent;
+    call.servableUntil = std::min(call.servableUntil, m_state.deadline - toFirstEvent);
     call.isReturning = m_state.isReturning();
     call.organisation = hash64(m_state.organisation.value());
     return call;
--- a/src/gateway/serverselection.h
+++ b/src/gateway/serverselection.h
@@ -27,6 +27,8 @@
     /// Chooses no server while the service has stopped, but for a call now and then that finds out whether it works.
     /// @param isLastChance whether the call is refused if it is not sent now
     ServerChoice chooseNow(SteadyTime now, bool isLastChance);
+    /// Whether the service has stopped for calls that were not sent yet, and no group of it is being formed.
+    bool isStopped(SteadyTime now) const;
     /// Whether a server may take the call while it waits, although none can now.
     /// @param wholeWait how long the call may wait from its arrival
     bool mayGetRoom(const ServerChoice &choice, Microseconds wholeWait, SteadyTime now) const;
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -24,7 +24,8 @@
     /// The servers that were not tried and are in no evacuated failure domain are unreachable, or in groups that take
     /// no calls while they are formed again.
     GroupsClosed,
-    /// The service has stopped as a whole: no server has sent an event for some time, while calls to it failed.
+    /// The service has stopped as a whole: no server has sent an event to this host for some time, while calls to it
+    /// failed.
     ServiceStopped,
     /// All servers that could take the call have stated that they want no calls for a while.
     AllHeld,
--- a/src/traffic/serviceoutage.cpp
+++ b/src/traffic/serviceoutage.cpp
@@ -8,8 +8,12 @@
 namespace
 {
 
-/// Callers accept a time to come back of up to this fraction of the time that they have left.
+/// Callers accept a time to come back of up to this fraction of the time that they have left, by their clock: the
+/// answer takes some milliseconds to reach them.
 constexpr int AcceptedFraction = 3;
+constexpr Milliseconds AnswerDelay{60};
+/// Outages last for seconds.
+constexpr Milliseconds MaxReturn{5000};
 
 } // namespace
 
@@ -71,7 +75,7 @@
 
 Milliseconds ServiceOutage::returnAfter(Milliseconds remaining)
 {
-    return std::max(remaining, Milliseconds(0)) / AcceptedFraction;
+    return std::clamp((remaining - AnswerDelay) / AcceptedFraction, Milliseconds(0), MaxReturn);
 }
 
 } // namespace Cardamomhill
--- a/src/traffic/serviceoutage.h
+++ b/src/traffic/serviceoutage.h
@@ -58,7 +58,8 @@
     /// Whether the service has worked again only for a short time.
     bool isRecovering(SteadyTime now) const;
 
-    /// How long after its refusal a call should come back: as late as its caller accepts.
+    /// How long after its refusal a call should come back: as late as its caller accepts, but no longer than outages
+    /// usually last.
     /// @param remaining time until the call's deadline
     static Milliseconds returnAfter(Milliseconds remaining);
 
--- a/tests/evacuationfleettest.cpp
+++ b/tests/evacuationfleettest.cpp
@@ -86,7 +86,8 @@
         ++m_slowCalls;
         auto request = GatewayFleet::makeCall(SlowPath, "call-" + std::to_string(++m_callCount));
         request.set("X-Delay-Ms", std::to_string(SlowCallTime.count()));
-        co_await fleet.call(host, request);
+        const auto result = co_await fleet.call(host, request);
+        CHECK(result.status == Ok);
         --m_slowCalls;
     }
 
--- a/tests/outagereturntest.cpp
+++ b/tests/outagereturntest.cpp
@@ -106,9 +106,10 @@
     {
         const auto left = std::chrono::duration_cast<Milliseconds>(call.firstAt + Deadline - now);
         const auto after = m_isNoticed ? ServiceOutage::returnAfter(left) : OldReturn;
-        call.isOver = call.isReturning;
+        // A caller does not come back a third time, nor after a time that is longer than it accepts.
+        call.isOver = call.isReturning || after > left / AcceptedFraction;
         call.isReturning = true;
-        call.comesAt = now + std::min(after, left / AcceptedFraction);
+        call.comesAt = now + after;
     }
 
     bool m_isNoticed;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -342,6 +342,7 @@
         co_await sleep(Milliseconds(time(random)) / 2);
         const auto document = objectDocument(EvacuatedDomain, "{}");
         m_evacuatedSince = co_await writeToStore("POST", kind, document);
+        ++m_checks["evacuation-order"];
         co_await sleep(Milliseconds(time(random)));
         m_evacuatedSince = SteadyTime::max();
         co_await writeToStore("DELETE", kind + "/" + EvacuatedDomain, "");
--- a/tests/standins/enginegroup.cpp
+++ b/tests/standins/enginegroup.cpp
@@ -22,6 +22,8 @@
 constexpr int SpareReplicas = 2;
 /// Time in which a group forms anew, as serviceDocument() states it.
 constexpr Milliseconds FormingTime{600};
+/// Time for which a group that is down holds requests before it refuses them.
+constexpr Milliseconds RefusalDelay{600};
 /// Time to copy one expert: 580 MB at 92,000 Mbit/s.
 constexpr Milliseconds CopyTime{51};
 /// How long the same experts are popular.
@@ -129,6 +131,15 @@
     }
 }
 
+void EngineGroup::setDown(bool isDown)
+{
+    m_isDown = isDown;
+    m_isOpen = !isDown;
+    if (isDown) {
+        breakOff();
+    }
+}
+
 Task<> EngineGroup::formAnew()
 {
     m_isOpen = false;
@@ -462,6 +473,9 @@
     if (!m_isOpen || rank.running.size() + rank.waiting.size() >= m_options.slots + m_options.queue) {
         auto headers = headersFor(exchange.request());
         headers.emplace_back("Cardamomhill-Not-Executed", "1");
+        if (m_isDown) {
+            co_await sleep(RefusalDelay);
+        }
         co_await exchange.sendAnswer(Unavailable, "", "", std::move(headers));
         co_return;
     }
--- a/tests/standins/enginegroup.h
+++ b/tests/standins/enginegroup.h
@@ -45,6 +45,10 @@
     /// The service of a configuration that such groups serve.
     static nlohmann::json serviceDocument(const std::string &name);
 
+    /// While it is down, the group makes no passes and refuses requests after a while, as one that has lost a rank; its
+    /// registrations do not show that.
+    void setDown(bool isDown);
+
     std::uint64_t passCount() const;
     /// Number of switches that all ranks made.
     std::uint64_t switchCount() const;
@@ -91,6 +95,7 @@
     PlatformStore *m_store = nullptr;
     std::uint64_t m_epoch = 1;
     bool m_isOpen = true;
+    bool m_isDown = false;
     SteadyTime m_startedAt{};
     std::uint64_t m_heldPasses = 0;
     std::uint64_t m_longestHoldPasses = 0;
