Let waiting calls stay while groups are formed again, and join queues by the time that their callers have left

A call that waited was also queued at engines for as long as one that had just arrived. Change: that rate is not used while the outage lasts; what a returning caller has waited shortens the queue that it may join.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -203,6 +203,9 @@
     m_thread.retryBudget(m_state.query.service).recordFirstAttempt(steadyNow());
     m_state.query.admission = streamAdmission();
     m_state.query.promptReuse = promptReuse();
+    if (m_state.isReturning() && m_thread.serviceOutage(m_state.query.service).isEnabled()) {
+        m_state.query.arrivedAt = m_state.startedAt;
+    }
     while (true) {
         const auto choice = co_await ServerSelection(m_thread, m_state).choose();
         if (m_state.isCallerGone) {
--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -142,7 +142,8 @@
             choice = ServerChoice();
             choice.reason = ChoiceReason::AllFull;
         }
-        const bool isUnknownRate = isOut || outage.isRecovering(now);
+        // No call was sent lately, while the service had stopped and its groups were formed again.
+        const bool isUnknownRate = outage.isOut(now) || outage.isRecovering(now);
         const auto wholeWait = std::chrono::duration_cast<Microseconds>(waitLimit - m_state.startedAt);
         if (now >= waitLimit || !mayGetRoom(choice, wholeWait, now) || !(isUnknownRate || place.canBeServed(now))) {
             co_return choice;
--- a/src/traffic/serverquery.h
+++ b/src/traffic/serverquery.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clocktypes.h"
 #include "core/identifiers.h"
 #include "traffic/promptreuse.h"
 #include "traffic/streamadmission.h"
@@ -19,6 +20,8 @@
     std::optional<StreamAdmission> admission;
     /// The prompt, if servers that hold the beginning of it may answer sooner.
     std::optional<PromptReuse> promptReuse = std::nullopt;
+    /// When the call arrived, if what its caller has waited since is to shorten the time that it may be queued.
+    std::optional<SteadyTime> arrivedAt = std::nullopt;
 };
 
 } // namespace Cardamomhill
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -219,7 +219,7 @@
     if (!m_coldServers.maySend(entry.server.id, now)) {
         return ChoiceReason::AllCold;
     }
-    if (loadOf(entry, now) >= maxCallsOf(entry, query.admission)) {
+    if (loadOf(entry, now) >= maxCallsOf(entry, query, now)) {
         return ChoiceReason::AllFull;
     }
     return std::nullopt;
@@ -312,8 +312,9 @@
     return std::max<std::uint32_t>(entry.server.slots, 1);
 }
 
-double ServerTable::maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const
+double ServerTable::maxCallsOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const
 {
+    const auto &admission = query.admission;
     const double slots = slotsOf(entry);
     const auto &groupMembership = entry.server.groupMembership;
     if (!groupMembership) {
@@ -322,7 +323,9 @@
     const double maxCalls = slots * (1 + m_options.queuedCallsPerEngineSlot);
     const auto *activity = activityOf(entry.server);
     const auto step = activity == nullptr ? Microseconds(0) : activity->slowSteps.meanDuration();
-    return admission && step > Microseconds(0) ? std::min(maxCalls, admission->maxCalls(slots, step)) : maxCalls;
+    const auto waited = std::chrono::duration_cast<Microseconds>(now - query.arrivedAt.value_or(now));
+    return admission && step > Microseconds(0) ? std::min(maxCalls, admission->maxCalls(slots, step, waited))
+                                               : maxCalls;
 }
 
 void ServerTable::setUnreachable(std::set<FailureDomainId> domains, SteadyTime now)
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -231,7 +231,7 @@
     /// Whether the registration or the server itself says so.
     bool isLeaving(const Entry &entry) const;
     /// Calls in progress from which the server counts as full.
-    double maxCallsOf(const Entry &entry, const std::optional<StreamAdmission> &admission) const;
+    double maxCallsOf(const Entry &entry, const ServerQuery &query, SteadyTime now) const;
     void updateUnavailableGroups();
     /// The number of failures after decay.
     double failuresOf(const Entry &entry, SteadyTime now) const;
--- a/src/traffic/streamadmission.cpp
+++ b/src/traffic/streamadmission.cpp
@@ -24,10 +24,10 @@
 
 } // namespace
 
-double StreamAdmission::maxCalls(double slots, Microseconds step) const
+double StreamAdmission::maxCalls(double slots, Microseconds step, Microseconds waited) const
 {
     const auto stepTime = static_cast<double>(step.count());
-    const auto limit = static_cast<double>(Microseconds(firstEventLimit).count());
+    const auto limit = static_cast<double>((Microseconds(firstEventLimit) - waited).count());
     const double answerTime = stepsPerAnswer * stepTime;
     const double waitingTime = limit - StepsToFirstEvent * stepTime;
     return slots + std::max(0.0, waitingTime * slots / answerTime);
--- a/src/traffic/streamadmission.h
+++ b/src/traffic/streamadmission.h
@@ -30,7 +30,8 @@
     /// Number of calls in progress at an engine, with this one, up to which the first event is expected within the
     /// limit. At least the number of slots.
     /// @param step mean duration of a step of the engine; more than 0
-    double maxCalls(double slots, Microseconds step) const;
+    /// @param waited how long the caller has waited already
+    double maxCalls(double slots, Microseconds step, Microseconds waited = Microseconds(0)) const;
 
     /// Whether the stream should wait before it is sent to a group whose current step takes this long. The ranks of a
     /// group read the prompts of new streams in the steps of all others, and when steps are slow, after a shift of the
--- a/tests/streamadmissiontest.cpp
+++ b/tests/streamadmissiontest.cpp
@@ -192,6 +192,9 @@
     CHECK(quick == doctest::Approx(Slots + 7));
     CHECK(admission->maxCalls(Slots, Milliseconds(200)) < quick);
     CHECK(admission->maxCalls(Slots, Seconds(2)) == doctest::Approx(Slots));
+    // A caller that has waited for most of its time gets a slot or nothing.
+    CHECK(admission->maxCalls(Slots, Milliseconds(100), Milliseconds(400)) < quick);
+    CHECK(admission->maxCalls(Slots, Milliseconds(100), Milliseconds(1500)) == doctest::Approx(Slots));
 }
 
 TEST_CASE("calls without a complete profile or without an objective are not limited by time")
