Take only calls that go on failing for an outage

A host without streams is silent by nature: two calls that failed at one moment, at one server that crashed, made it refuse the next calls although they could have been served.

--- a/src/traffic/serviceoutage.cpp
+++ b/src/traffic/serviceoutage.cpp
@@ -50,7 +50,9 @@
 
 bool ServiceOutage::isOut(SteadyTime now) const
 {
-    return m_options.silence && m_failures >= m_options.minFailures && now - m_failedAt <= m_options.failureLifetime
+    // A host without streams is silent too: only calls that go on failing show an outage.
+    const bool goesOnFailing = m_options.silence && now - m_failingSince >= *m_options.silence / 2;
+    return goesOnFailing && m_failures >= m_options.minFailures && now - m_failedAt <= m_options.failureLifetime
         && now - m_progressAt >= *m_options.silence;
 }
 
--- a/tests/serviceoutagetest.cpp
+++ b/tests/serviceoutagetest.cpp
@@ -54,6 +54,19 @@
     CHECK(service.isOut(Start + Seconds(21)));
 }
 
+TEST_CASE("calls that fail at one moment at a host without streams are no outage before others can have been answered")
+{
+    constexpr Milliseconds FirstEvent{200};
+    auto service = outage();
+    for (int i = 0; i < 5; ++i) {
+        service.recordFailure(Start);
+    }
+    CHECK_FALSE(service.isOut(Start));
+    CHECK_FALSE(service.isOut(Start + FirstEvent));
+    service.recordProgress(Start + FirstEvent);
+    CHECK_FALSE(service.isOut(Start + Seconds(1)));
+}
+
 TEST_CASE("a service that sends nothing while calls fail is noticed after the silence, and only then")
 {
     const auto service = begunOutage();
