--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -338,6 +338,7 @@
     Random random(m_options.seed);
     std::uniform_int_distribution<Milliseconds::rep> time(MinEvacuationTime.count(), MaxEvacuationTime.count());
     const std::string kind = "/objects/evacuations";
+    const std::string object = std::string(kind).append("/").append(EvacuatedDomain);
     while (steadyNow() < end) {
         co_await sleep(Milliseconds(time(random)) / 2);
         const auto document = objectDocument(EvacuatedDomain, "{}");
@@ -345,7 +346,7 @@
         ++m_checks["evacuation-order"];
         co_await sleep(Milliseconds(time(random)));
         m_evacuatedSince = SteadyTime::max();
-        co_await writeToStore("DELETE", kind + "/" + EvacuatedDomain, "");
+        co_await writeToStore("DELETE", object, "");
     }
     --m_faultsInProgress;
 }
--- a/tests/stoppedservicetest.cpp
+++ b/tests/stoppedservicetest.cpp
@@ -65,7 +65,7 @@
         m_fleet.spawnTask(read("probe", RouteTimeoutMs));
         m_fleet.run(m_fleet.sleep(CallInterval));
         const auto runs = m_runs;
-        const auto result = call(id, RouteTimeoutMs);
+        auto result = call(id, RouteTimeoutMs);
         CHECK(m_runs == runs);
         return result;
     }
