Read the map of a new group while the last coordinator's orders are awaited

Cause: after a group had formed again, its coordinator read the map and the counters only after it had waited 250 ms for reports on orders of an earlier coordinator. Change: map and first counters are read during that wait; a map that another report contradicts is read again. Measured: groupcoordinatortest fails on the code before (0 of 5 ranks read before the first report) and passes three times after.

--- a/src/coordinator/groupcoordinator.cpp
+++ b/src/coordinator/groupcoordinator.cpp
@@ -115,6 +115,7 @@
         m_clients.push_back(std::make_shared<EngineClient>(m_context, *endpoint, rank.id, m_codec));
     }
     m_map.reset();
+    m_hasReadAhead = false;
     m_load.clear();
     m_schedule.clear();
     m_switch = std::make_shared<MapSwitch>(m_group.ranks.size(), m_group.epoch, m_tokens);
@@ -219,6 +220,9 @@
         co_await readOneState();
         break;
     case ReportNeed::None:
+        if (m_switch->phase() == SwitchPhase::Inspecting && !m_hasReadAhead) {
+            co_await readAhead();
+        }
         break;
     }
 }
@@ -297,6 +301,13 @@
         co_return;
     }
     updateSpeeds(states);
+    const bool isOtherMap = std::any_of(states.begin(), states.end(), [this](const auto &state) {
+        return state && state->mapVersion != m_readMapVersion;
+    });
+    if (m_switch->phase() == SwitchPhase::Inspecting && m_hasReadAhead && isOtherMap) {
+        // The last coordinator's switch took effect after the map was read.
+        m_map.reset();
+    }
     m_switch->onReports(states, steadyNow());
 }
 
@@ -349,10 +360,24 @@
         co_return false;
     }
     m_map = std::move(map);
+    m_readMapVersion = *version;
     logEvent(LogLevel::Info, "map-learned", {{"group", m_group.id.value()}, {"version", *version}});
     co_return true;
 }
 
+Task<> GroupCoordinator::readAhead()
+{
+    m_hasReadAhead = true;
+    if (m_engine.expertLayers == 0) {
+        co_return;
+    }
+    const auto switchAtStart = m_switch;
+    const bool isMapRead = co_await readMap();
+    if (isMapRead && m_switch == switchAtStart) {
+        co_await readLoad(m_schedule.due(steadyNow(), m_policy.pressure()));
+    }
+}
+
 Task<> GroupCoordinator::readUtilisation()
 {
     // A slow rank makes the whole group busy, so one rank is representative as long as the group is not busy.
--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -84,6 +84,9 @@
     void handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer);
     Task<> readOneState();
     Task<bool> readMap();
+    /// Reads the map and the first counters of a group that was just formed or taken over, while the reports on what the
+    /// last coordinator has left are awaited. The first plan then needs only one more reading.
+    Task<> readAhead();
     Task<> considerSwitch();
     Task<> readUtilisation();
     void updateSpeeds(const std::vector<std::optional<RankState>> &states);
@@ -108,6 +111,10 @@
     std::vector<std::shared_ptr<EngineClient>> m_clients;
     std::shared_ptr<MapSwitch> m_switch;
     std::shared_ptr<const ExpertMap> m_map;
+    /// Version of `m_map` when it was read from the ranks.
+    std::uint64_t m_readMapVersion = 0;
+    /// Whether the map and the counters were read before the current MapSwitch was idle.
+    bool m_hasReadAhead = false;
     /// Encoded map of the switch in progress.
     std::shared_ptr<const std::string> m_encodedMap;
     ExpertLoad m_load;
--- a/tests/groupcoordinatortest.cpp
+++ b/tests/groupcoordinatortest.cpp
@@ -10,6 +10,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -91,20 +93,40 @@
         return m_mapsSent;
     }
 
+    /// How many requests of a kind came before the first one of another kind.
+    std::size_t countBefore(const std::string &target, const std::string &other) const
+    {
+        const auto end = std::find(m_targets.begin(), m_targets.end(), other);
+        return static_cast<std::size_t>(std::count(m_targets.begin(), end, target));
+    }
+
+    std::size_t count(const std::string &target) const
+    {
+        return static_cast<std::size_t>(std::count(m_targets.begin(), m_targets.end(), target));
+    }
+
+    /// The ranks report another map from now on, as after a switch.
+    void switchMap()
+    {
+        ++m_mapVersion;
+    }
+
 private:
     Task<> answer(HttpExchange &exchange, std::uint32_t rank)
     {
         const std::string target(exchange.request().target());
+        m_targets.push_back(target);
+        const auto mapVersion = std::to_string(m_mapVersion);
         std::string body = "{}";
         if (target == "/report") {
             ++m_step;
-            body = R"({"group":{"epoch":1,"state":"open"},"step":)" + std::to_string(m_step)
-                + R"(,"map":1,"num-running":6,"num-waiting":3})";
+            body = R"({"group":{"epoch":1,"state":"open"},"step":)" + std::to_string(m_step) + R"(,"map":)" + mapVersion
+                + R"(,"num-running":6,"num-waiting":3})";
         } else if (target == "/picked") {
             m_selections += 5000;
             body = R"({"epoch":1,"counts":[)" + std::to_string(m_selections) + ",1,1,1,1]}";
         } else if (target == "/picked?lists=1") {
-            body = R"({"epoch":1,"map":{"version":1,"experts":[[)" + std::to_string(rank) + "]]}}";
+            body = R"({"epoch":1,"map":{"version":)" + mapVersion + R"(,"experts":[[)" + std::to_string(rank) + "]]}}";
         } else if (exchange.request().body().find("\"map\"") != std::string::npos) {
             ++m_mapsSent;
             asio::steady_timer timer(m_context, m_orderTime);
@@ -120,9 +142,57 @@
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     std::uint64_t m_step = 1;
     std::uint64_t m_selections = 0;
+    std::uint64_t m_mapVersion = 1;
+    std::vector<std::string> m_targets;
     int m_mapsSent = 0;
 };
 
+/// A loaded group with its coordinator.
+class CoordinatedGroup
+{
+public:
+    CoordinatedGroup()
+        : m_group(m_context, Milliseconds(0))
+        , m_coordinator(std::make_shared<GroupCoordinator>(
+              m_context, m_codec, m_metrics, 1, LinkMegabits, [](const GroupView &) {}))
+    {
+        m_coordinator->update(m_group.view(), LoadedGroup::engine());
+        m_coordinator->start();
+    }
+
+    ~CoordinatedGroup()
+    {
+        m_coordinator->stop();
+        m_context.run_for(Milliseconds(500));
+    }
+
+    CoordinatedGroup(const CoordinatedGroup &) = delete;
+    CoordinatedGroup &operator=(const CoordinatedGroup &) = delete;
+
+    LoadedGroup &group()
+    {
+        return m_group;
+    }
+
+    void runUntil(const std::function<bool(const LoadedGroup &)> &isReached)
+    {
+        const auto end = steadyNow() + Seconds(10);
+        while (!isReached(m_group) && steadyNow() < end) {
+            m_context.run_for(Milliseconds(1));
+        }
+        REQUIRE(isReached(m_group));
+    }
+
+private:
+    static constexpr double LinkMegabits = 1000;
+
+    asio::io_context m_context;
+    Platform::Engine m_codec;
+    MetricsRegistry m_metrics;
+    LoadedGroup m_group;
+    std::shared_ptr<GroupCoordinator> m_coordinator;
+};
+
 } // namespace
 
 TEST_CASE("a group may break and open again while reads and orders are in progress")
@@ -183,3 +253,24 @@
     context.run_for(4 * OrderTime);
     CHECK(group.mapsSent() == 1);
 }
+
+TEST_CASE("steps are not slow for longer since the map is read only after the reports on the last coordinator's orders")
+{
+    CoordinatedGroup coordinated;
+    coordinated.runUntil([](const LoadedGroup &group) { return group.mapsSent() > 0; });
+    const auto &group = coordinated.group();
+    CHECK(group.countBefore("/picked?lists=1", "/report") == Ranks);
+    CHECK(group.countBefore("/picked", "/report") > 0);
+    // It is not read again.
+    CHECK(group.count("/picked?lists=1") == Ranks);
+}
+
+TEST_CASE("a map that was replaced after it was read is not taken for the current one")
+{
+    CoordinatedGroup coordinated;
+    coordinated.runUntil([](const LoadedGroup &group) { return group.count("/picked") > 0; });
+    REQUIRE(coordinated.group().count("/report") == 0);
+    coordinated.group().switchMap();
+    coordinated.runUntil([](const LoadedGroup &group) { return group.mapsSent() > 0; });
+    CHECK(coordinated.group().count("/picked?lists=1") == 2 * Ranks);
+}
