Let new calls wait for the end of an outage, too, before they are told to return

Cause: in an outage of a whole service new calls were refused at once and told to return after a third of their time. What came in the first seconds of an outage of six seconds returned into it and was lost, although its caller would have waited. Change: a new call waits for 0.6 of the time that its caller waits for a first event, and is then told to return; only a call that has just arrived finds out whether the service works again. The end of an outage is noticed although the last failure is long ago, and the choice of a server asks once in a poll whether the service has stopped. A second rule for calls that were refused late is gone, since the outage answers that.

--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -39,8 +39,6 @@
 constexpr Milliseconds GroupRetryAfter{2000};
 /// The other hosts can take the calls of one that stops at once.
 constexpr Milliseconds StoppingRetryAfter{0};
-/// A call that its servers refused only after this time was at a group that stands still.
-constexpr Milliseconds StalledRefusal{1000};
 /// Largest random fraction by which Retry-After is lengthened, so that callers refused at the same time do not retry at
 /// the same time.
 constexpr double RetryAfterJitter = 1.0;
@@ -381,11 +379,6 @@
     return isRanked ? RankedRetryAfter * (1 + admission->group->rank()) : retryAfterOf(reason);
 }
 
-bool CallHandler::wasStalled() const
-{
-    return m_state.urgency && steadyNow() - m_state.startedAt >= StalledRefusal;
-}
-
 Task<> CallHandler::answerFailure()
 {
     if (m_state.hasAnswerBegun) {
@@ -405,9 +398,7 @@
             co_return;
         }
         Problem problem{ProblemKind::NotRun, StatusUnavailable, "not-run", "no server took the call", {}};
-        problem.retryAfter = m_state.isEndedEarly
-            ? StoppingRetryAfter
-            : retryAfter(wasStalled() ? ChoiceReason::GroupsClosed : ChoiceReason::AllFull);
+        problem.retryAfter = m_state.isEndedEarly ? StoppingRetryAfter : retryAfter(ChoiceReason::AllFull);
         co_await refuse(std::move(problem));
         co_return;
     }
--- a/src/gateway/callhandler.h
+++ b/src/gateway/callhandler.h
@@ -45,8 +45,6 @@
     /// When a call that no server can take should come back.
     Milliseconds retryAfter(ChoiceReason reason);
     Milliseconds usualRetryAfter(ChoiceReason reason) const;
-    /// Whether servers refused the call only after a time that shows that their group stood still.
-    bool wasStalled() const;
     std::optional<StreamAdmission> streamAdmission() const;
     std::optional<PromptReuse> promptReuse() const;
     Task<AttemptEnd> runAttempt(const ServerChoice &choice);
--- a/src/gateway/serverselection.cpp
+++ b/src/gateway/serverselection.cpp
@@ -11,14 +11,24 @@
 namespace
 {
 
-/// Fraction of the time that a caller waits for a first event after which a call without room is refused. Callers that
-/// are refused early can turn to something else; a late refusal has cost them their time as well.
+/// Fraction of the time that a caller waits for a first event after which a call without room is refused. The caller
+/// returns later, and when a service works again, all hosts fill its engines at once, so that the first events are
+/// late.
 constexpr double MaxWaitFraction = 0.6;
 /// How often a call that waits looks whether it can be sent.
 constexpr Milliseconds QueueCheckPeriod{10};
 
+ServerChoice withoutServer(ChoiceReason reason)
+{
+    ServerChoice choice;
+    choice.reason = reason;
+    return choice;
+}
+
+} // namespace
+
 /// The place of a call in the queue of its service while it waits.
-class QueuePlace
+class ServerSelection::QueuePlace
 {
 public:
     QueuePlace(CallQueue &queue, const WaitingCall &call)
@@ -57,8 +67,6 @@
     CallQueue::Ticket m_ticket;
 };
 
-} // namespace
-
 ServerSelection::ServerSelection(GatewayThread &thread, const CallState &state)
     : m_thread(thread)
     , m_state(state)
@@ -67,17 +75,14 @@
 
 Task<ServerChoice> ServerSelection::choose()
 {
-    const auto &admission = m_state.query.admission;
-    const bool isQueued = m_thread.serviceOutage(m_state.query.service).isEnabled() && m_state.isReturning()
-        && m_state.attempts.count() == 0;
-    if (admission && (admission->group || isQueued)) {
+    if (isQueued(steadyNow())) {
         co_return co_await chooseInOrder();
     }
     asio::steady_timer timer(m_thread.context());
     SystemError error;
     while (true) {
         const auto now = steadyNow();
-        auto choice = chooseNow(now, true);
+        auto choice = isStopped(now) ? probe(true, now) : chooseNow(now);
         if (error || m_state.isCallerGone || m_state.isEndedEarly || !shouldWait(choice, now)) {
             co_return choice;
         }
@@ -86,64 +91,66 @@
     }
 }
 
-ServerChoice ServerSelection::chooseNow(SteadyTime now, bool isLastChance)
+bool ServerSelection::isQueued(SteadyTime now) const
 {
-    auto &outage = m_thread.serviceOutage(m_state.query.service);
-    // A caller that has come back would be lost by a probe that fails.
-    const bool mayProbe = isLastChance || !m_state.isReturning();
-    if (isStopped(now) && !(mayProbe && outage.tryProbe(now))) {
-        ServerChoice choice;
-        choice.reason = ChoiceReason::ServiceStopped;
-        return choice;
+    const auto &admission = m_state.query.admission;
+    if (!admission || admission->group) {
+        return admission.has_value();
     }
+    return outage().isEnabled() && m_state.attempts.count() == 0 && (m_state.isReturning() || outage().isOut(now));
+}
+
+ServiceOutage &ServerSelection::outage() const
+{
+    return m_thread.serviceOutage(m_state.query.service);
+}
+
+ServerChoice ServerSelection::chooseNow(SteadyTime now)
+{
     auto choice = m_thread.servers().choose(m_state.query, now, m_thread.random());
     const bool isForming = m_thread.servers().isForming(m_state.query.service, now);
     if (m_state.query.admission && choice.reason == ChoiceReason::GroupsClosed && !isForming) {
-        outage.recordFailure(now);
+        outage().recordFailure(now);
     }
     return choice;
 }
 
+ServerChoice ServerSelection::probe(bool isLastChance, SteadyTime now)
+{
+    // An engine that has stopped holds the call for a while. A caller that has come back would then be lost, and so
+    // would one that has waited before.
+    const bool hasJustArrived = now - m_state.startedAt < QueueCheckPeriod;
+    const bool mayProbe = m_state.isReturning() ? isLastChance : hasJustArrived;
+    return mayProbe && outage().tryProbe(now) ? chooseNow(now) : withoutServer(ChoiceReason::ServiceStopped);
+}
+
 bool ServerSelection::isStopped(SteadyTime now) const
 {
     // A call that was sent before may be continued where its first server has failed, so it is not held back.
-    const auto &service = m_state.query.service;
-    return m_state.query.admission && m_state.attempts.count() == 0 && m_thread.serviceOutage(service).isOut(now)
-        && !m_thread.servers().isForming(service, now);
+    return m_state.query.admission && m_state.attempts.count() == 0 && outage().isOut(now)
+        && !m_thread.servers().isForming(m_state.query.service, now);
 }
 
 Task<ServerChoice> ServerSelection::chooseInOrder()
 {
     const auto waiting = waitingCall();
     const auto waitLimit = CallQueue::waitLimit(waiting);
-    const auto &outage = m_thread.serviceOutage(m_state.query.service);
     const QueuePlace place(m_thread.callQueue(m_state.query.service), waiting);
     asio::steady_timer timer(m_thread.context());
     SystemError error;
     while (true) {
         const auto now = steadyNow();
-        ServerChoice choice;
-        const bool isOut = isStopped(now);
         const bool isLastChance = now + QueueCheckPeriod >= waitLimit;
-        choice.reason = isOut ? ChoiceReason::ServiceStopped : ChoiceReason::AllFull;
-        // Calls that wait for the end of an outage do not keep others from finding out whether it is over.
-        const bool mayAsk = isOut ? isLastChance || !m_state.isReturning() : place.isNext(now);
-        if (mayAsk) {
-            choice = chooseNow(now, isLastChance);
-        }
+        auto choice = chooseInTurn(place, isLastChance, now);
         if (error || m_state.isCallerGone || m_state.isEndedEarly) {
             co_return choice;
         }
-        if (isAdmitted(choice, now)) {
+        if (choice.hasServer()) {
             place.recordSent(now);
             co_return choice;
         }
-        if (choice.hasServer()) {
-            choice = ServerChoice();
-            choice.reason = ChoiceReason::AllFull;
-        }
         // No call was sent lately, while the service had stopped and its groups were formed again.
-        const bool isUnknownRate = outage.isOut(now) || outage.isRecovering(now);
+        const bool isUnknownRate = outage().isOut(now) || outage().isRecovering(now);
         const auto wholeWait = std::chrono::duration_cast<Microseconds>(waitLimit - m_state.startedAt);
         if (now >= waitLimit || !mayGetRoom(choice, wholeWait, now) || !(isUnknownRate || place.canBeServed(now))) {
             co_return choice;
@@ -153,6 +160,17 @@
     }
 }
 
+ServerChoice ServerSelection::chooseInTurn(const QueuePlace &place, bool isLastChance, SteadyTime now)
+{
+    // Calls that wait for the end of an outage do not keep others from finding out whether it is over.
+    const bool isOut = isStopped(now);
+    if (!isOut && !place.isNext(now)) {
+        return withoutServer(ChoiceReason::AllFull);
+    }
+    auto choice = isOut ? probe(isLastChance, now) : chooseNow(now);
+    return !choice.hasServer() || isAdmitted(choice, now) ? choice : withoutServer(ChoiceReason::AllFull);
+}
+
 bool ServerSelection::mayGetRoom(const ServerChoice &choice, Microseconds wholeWait, SteadyTime now) const
 {
     switch (choice.reason) {
@@ -165,7 +183,7 @@
         }
         [[fallthrough]];
     case ChoiceReason::ServiceStopped:
-        return m_state.isReturning() && m_thread.serviceOutage(m_state.query.service).isWorthWaiting(wholeWait, now);
+        return outage().isWorthWaiting(wholeWait, now);
     default:
         return false;
     }
@@ -173,7 +191,7 @@
 
 bool ServerSelection::isAdmitted(const ServerChoice &choice, SteadyTime now)
 {
-    if (!choice.hasServer() || shouldWait(choice, now)) {
+    if (shouldWait(choice, now)) {
         return false;
     }
     const auto &room = choice.room;
@@ -186,16 +204,16 @@
 {
     const auto &admission = *m_state.query.admission;
     const auto toFirstEvent = admission.timeToFirstEvent(m_thread.servers().meanStep(m_state.query.service));
-    const auto &outage = m_thread.serviceOutage(m_state.query.service);
-    const bool isOutage = outage.isOut(m_state.startedAt) || outage.isRecovering(m_state.startedAt);
+    const bool isOutage = outage().isOut(m_state.startedAt) || outage().isRecovering(m_state.startedAt);
+    const bool isLastCall = isOutage && m_state.isReturning();
     WaitingCall call;
     call.urgency = admission.group ? admission.group->urgency : Urgency();
     call.inTimeUntil = m_state.startedAt + admission.latencyObjective - toFirstEvent;
     call.servableUntil = m_state.startedAt
-        + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * (isOutage ? 1 : MaxWaitFraction))
+        + std::chrono::duration_cast<Microseconds>(admission.firstEventLimit * (isLastCall ? 1 : MaxWaitFraction))
         - toFirstEvent;
     call.servableUntil = std::min(call.servableUntil, m_state.deadline - toFirstEvent);
-    call.isReturning = m_state.isReturning();
+    call.waitsWhenLate = m_state.isReturning() || isOutage;
     call.organisation = hash64(m_state.organisation.value());
     return call;
 }
--- a/src/traffic/callqueue.cpp
+++ b/src/traffic/callqueue.cpp
@@ -75,7 +75,7 @@
 
 SteadyTime CallQueue::waitLimit(const WaitingCall &call)
 {
-    return call.isReturning ? call.servableUntil : std::min(call.inTimeUntil, call.servableUntil);
+    return call.waitsWhenLate ? call.servableUntil : std::min(call.inTimeUntil, call.servableUntil);
 }
 
 std::size_t CallQueue::size() const
--- a/src/traffic/serviceoutage.cpp
+++ b/src/traffic/serviceoutage.cpp
@@ -29,8 +29,9 @@
 
 void ServiceOutage::recordProgress(SteadyTime now)
 {
-    if (isOut(now)) {
+    if (isOut(now) || m_wasOut) {
         m_endedAt = now;
+        m_wasOut = false;
     }
     m_progressAt = now;
     m_failures = 0;
@@ -46,6 +47,7 @@
     }
     m_failedAt = now;
     ++m_failures;
+    m_wasOut = m_wasOut || isOut(now);
 }
 
 bool ServiceOutage::isOut(SteadyTime now) const
--- a/src/traffic/serviceoutage.h
+++ b/src/traffic/serviceoutage.h
@@ -71,6 +71,8 @@
     /// When the first of the failures since the last progress was recorded.
     SteadyTime m_failingSince{};
     SteadyTime m_endedAt{};
+    /// An outage was noticed, and no progress was recorded since. Failures may be too old to show it any more.
+    bool m_wasOut = false;
     std::size_t m_failures = 0;
 };
 
--- a/src/traffic/waitingcall.h
+++ b/src/traffic/waitingcall.h
@@ -18,8 +18,9 @@
     SteadyTime inTimeUntil{};
     /// Until when it has to be sent to be answered before its caller gives it up.
     SteadyTime servableUntil{};
-    /// The caller has come back after a refusal: it will not come a third time, and its answer is late in any case.
-    bool isReturning = false;
+    /// The call waits although its answer will be late. True if its caller has come back after a refusal, since it will
+    /// not come a third time, and while the service has stopped.
+    bool waitsWhenLate = false;
     OrganisationKey organisation = 0;
 };
 
--- a/tests/serviceoutagetest.cpp
+++ b/tests/serviceoutagetest.cpp
@@ -114,3 +114,16 @@
     service.recordFailure(Start);
     CHECK_FALSE(service.isOut(Start + Seconds(1)));
 }
+
+TEST_CASE("the end of an outage is noticed although the last failure is long ago")
+{
+    // While calls are refused at once, few of them fail.
+    auto service = begunOutage();
+    service.recordFailure(Start + Silence + Milliseconds(1));
+    const auto end = Start + Seconds(10);
+    CHECK_FALSE(service.isOut(end));
+    service.recordProgress(end);
+    CHECK(service.isRecovering(end + Seconds(1)));
+    service.recordProgress(end + Seconds(5));
+    CHECK_FALSE(service.isRecovering(end + Seconds(6)));
+}
