Choose plain servers by expected response time, and between groups by steps

Cause: with failure domains that differ in demand, a choice by load alone sent two of three calls to another domain whether or not that was sooner, and as notices are 0.3 s old all hosts moved their calls to the same server at once. Between lock-step groups, one with slow steps got as many new streams as one with quick steps.

Change: for plain services with two to four servers in more than one failure domain, ServerTable compares all by ResponseTimeEstimate (wait for a slot, service time, round trip). Each host measures service times and, from connection setups, the latency of each domain itself. Where the wait makes another server sooner only a part of the calls moves, and servers that the notices show as full stay candidates while another has room. Streams go less to a group whose current step exceeds the pause objective while another group keeps it. Services with one domain or one group are served as before, with the same random numbers. Log: server-estimate, expected_ms in routed, reason soonest-response; counters choices_by_estimate_total, choices_of_soonest_response_total, choices_between_groups_total.

--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -28,6 +28,12 @@
      "holds-prompt",
      "sent to a server that holds the beginning of the prompt, since reading it again elsewhere takes longer than the "
      "wait there"},
+    {"routed",
+     "reason",
+     "soonest-response",
+     "sent to a server from which the response is expected sooner than from a less loaded one, which is farther away "
+     "or "
+     "slower"},
     {"attempt-ended", "end", "not-sent", "no connection was made, so the server did not receive the call"},
     {"attempt-ended",
      "end",
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -258,11 +258,15 @@
         co_return true;
     }
     m_connection = std::make_unique<HttpClientConnection>(m_thread.context(), ReadBufferBytes);
+    const auto begunAt = steadyNow();
     const auto connected = co_await m_connection->connect(*endpoint, std::min(ConnectTimeout, remainingTime()));
     const bool isConnected = connected.has_value();
     if (!isConnected) {
         m_cause = connected.error().message();
     }
+    if (isConnected) {
+        m_thread.recordConnectTime(m_failureDomain, std::chrono::duration_cast<Microseconds>(steadyNow() - begunAt));
+    }
     // A refused connection shows that the host is reachable.
     if (!m_state.isCallerGone) {
         m_thread.recordConnectResult(m_failureDomain,
@@ -283,6 +287,8 @@
         call.priority = m_state.query.admission->group->rank();
     }
     m_thread.codec().prepareForServer(request, call);
+    m_sentAt = steadyNow();
+    m_callsWhenSent = m_thread.servers().callsAt(m_server, m_sentAt);
     auto started = co_await m_connection->start(std::move(request.base()), m_state.body, remainingTime());
     started = co_await skipForeignAnswers(std::move(started));
     if (started.has_error()) {
@@ -385,6 +391,7 @@
     if (m_state.hasAnswerBegun) {
         co_return co_await endAnswer();
     }
+    recordAnswered();
     auto headers = answerHeaders();
     releaseConnection();
     if (m_answer.isSuccess()) {
@@ -587,6 +594,16 @@
     return hasWitness ? timeouts.stalledGroupTimeout : timeouts.queueTimeout;
 }
 
+void Attempt::recordAnswered()
+{
+    // Errors are often quick, and a server that fails must not look fast.
+    if (m_answer.isSuccess()) {
+        const auto now = steadyNow();
+        const auto elapsed = std::chrono::duration_cast<Microseconds>(now - m_sentAt);
+        m_thread.servers().recordAnswered(m_process, elapsed, m_callsWhenSent, now);
+    }
+}
+
 void Attempt::releaseConnection()
 {
     if (m_connection->isReusable() && m_thread.mayReuseConnection(m_process)) {
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -93,6 +93,8 @@
     Milliseconds remainingTime() const;
     void recordArrival();
     void releaseConnection();
+    /// Records how long the server took for the call, if it has answered it completely.
+    void recordAnswered();
     /// Whether nobody waits for this attempt any more.
     bool isGivenUp() const;
     /// Cancels the attempt for a retry, if the route, the time left and the retry budget allow one.
@@ -127,6 +129,9 @@
     std::string m_cause;
     /// When the head of the answer or the last whole event was received; before that, when the attempt began sending.
     SteadyTime m_lastArrival{};
+    SteadyTime m_sentAt{};
+    /// Calls in progress at the server when the request was sent.
+    double m_callsWhenSent = 0;
     /// Why this process cancelled the attempt itself; empty if it did not.
     std::string m_cancelCause;
 };
--- a/src/gateway/attemptrecord.cpp
+++ b/src/gateway/attemptrecord.cpp
@@ -37,6 +37,20 @@
     state.promptTickets.insert_or_assign(choice.server, ticket);
 }
 
+/// Counts choices that differ from those by load alone.
+void recordUnevenness(GatewayThread &thread, const ServerChoice &choice)
+{
+    if (choice.expectedMs > 0) {
+        thread.metrics().counter("choices_by_estimate_total").add();
+    }
+    if (choice.reason == ChoiceReason::SoonestResponse) {
+        thread.metrics().counter("choices_of_soonest_response_total").add();
+    }
+    if (choice.isGroupSelected) {
+        thread.metrics().counter("choices_between_groups_total").add();
+    }
+}
+
 /// Whether an attempt may have met a service that has stopped. One that its server refuses soon after it was sent met a
 /// full one, one whose time is over soon had a short limit, and one that this host cancelled says nothing.
 bool isSignOfOutage(const Attempt &attempt, AttemptEnd end)
@@ -73,10 +87,12 @@
               {"left_ms", state.remainingTime(steadyNow()).count()},
               {"after_event", state.lastEventId},
               {"held_tokens", choice.heldTokens},
+              {"expected_ms", choice.expectedMs},
               {"elapsed_ms", elapsedSince(state.startedAt).count()},
               {"urgency", state.urgency ? state.urgency->admissionRank() : 0}});
     state.query.tried.push_back(choice.server);
     recordPrompt(thread, state, choice);
+    recordUnevenness(thread, choice);
     thread.servers().recordCallStarted(choice.server);
     recordColdSkipped(thread, choice);
 }
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -28,6 +28,7 @@
 
 constexpr Milliseconds TickPeriod{100};
 constexpr std::uint64_t TicksPerMaintenance = 10;
+constexpr std::uint64_t TicksPerEstimateLog = 100;
 /// An engine service is taken for stopped after this part of the time for which engines hold calls, so that calls are
 /// not sent for the whole of it.
 constexpr int StallsPerSilence = 3;
@@ -349,6 +350,11 @@
     m_reachability.recordConnectionAttempt(domain, success, steadyNow());
 }
 
+void GatewayThread::recordConnectTime(const FailureDomainId &domain, Microseconds time)
+{
+    m_servers.recordConnectTime(domain, time);
+}
+
 bool GatewayThread::canServeAllEngines() const
 {
     if (!m_configuration) {
@@ -590,6 +596,22 @@
     }
 }
 
+void GatewayThread::logEstimates()
+{
+    for (const auto &estimate : m_servers.estimates(steadyNow())) {
+        logEvent(LogLevel::Info,
+                 "server-estimate",
+                 {{"service", estimate.service.value()},
+                  {"server", estimate.server.value()},
+                  {"failure_domain", estimate.failureDomain.value()},
+                  {"service_ms", estimate.serviceMs},
+                  {"round_trip_ms", estimate.roundTripMs},
+                  {"calls", estimate.calls},
+                  {"expected_ms", estimate.expectedMs},
+                  {"samples", estimate.samples}});
+    }
+}
+
 Milliseconds GatewayThread::uptime() const
 {
     return std::chrono::duration_cast<Milliseconds>(steadyNow() - m_startedAt);
@@ -612,6 +634,9 @@
             updateHostCount();
             updateGauges();
         }
+        if (ticks % TicksPerEstimateLog == 0) {
+            logEstimates();
+        }
         m_promptGuard.tick(m_peerExchange.hostCount());
         m_peerExchange.tick();
         checkReachability();
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -129,6 +129,8 @@
 
     /// An attempt to connect to a backend server has ended.
     void recordConnectResult(const FailureDomainId &domain, bool success);
+    /// A connection to a backend server was set up in this time.
+    void recordConnectTime(const FailureDomainId &domain, Microseconds time);
 
     /// Calls in progress. Thread-safe.
     std::size_t callCount() const;
@@ -181,6 +183,7 @@
     void updateHostCount();
     void updateGauges();
     void logColdServers();
+    void logEstimates();
     void applySlowdownFactors(const SlowdownFactors &slowdownFactors);
 
     const GatewaySettings &m_settings;
--- a/src/traffic/attemptend.h
+++ b/src/traffic/attemptend.h
@@ -47,6 +47,28 @@
     });
 }
 
+/// The number of failures that an attempt with this end counts as.
+constexpr double failureWeight(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Delivered:
+    case AttemptEnd::CallerGone:
+    case AttemptEnd::Withdrawn:
+    case AttemptEnd::Superseded:
+        return 0;
+    case AttemptEnd::ServerError:
+        return 0.3;
+    case AttemptEnd::NotRun:
+        return 0.4;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::OtherInstance:
+    case AttemptEnd::Broken:
+    case AttemptEnd::TimedOut:
+        return 1;
+    }
+    return 0;
+}
+
 /// Whether it is certain that the attempt did not run the call.
 constexpr bool didNotRun(AttemptEnd end)
 {
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -13,6 +13,8 @@
     LeastLoaded,
     /// The first event is expected sooner than from a less loaded server, since part of the prompt is held there.
     HoldsPrompt,
+    /// The response is expected sooner than from a less loaded server, which is farther away or slower.
+    SoonestResponse,
     /// This server and all others that could take the call failed recently or are slow.
     LastResort,
     /// The service has no servers, or all of them are shutting down.
@@ -40,6 +42,7 @@
     return std::to_array<NamedValue<ChoiceReason>>({
         {ChoiceReason::LeastLoaded, "least-loaded"},
         {ChoiceReason::HoldsPrompt, "holds-prompt"},
+        {ChoiceReason::SoonestResponse, "soonest-response"},
         {ChoiceReason::LastResort, "last-resort"},
         {ChoiceReason::NoServer, "no-server"},
         {ChoiceReason::AllTried, "all-tried"},
--- a/src/traffic/serverentry.h
+++ b/src/traffic/knownserver.h
@@ -13,7 +13,7 @@
 {
 
 /// What a host knows about one backend server.
-struct ServerEntry {
+struct KnownServer {
     DiscoveredServer server;
     ServerProcess process;
     ServerKey key = 0;
--- a/src/traffic/serverchoice.h
+++ b/src/traffic/serverchoice.h
@@ -24,6 +24,10 @@
     std::size_t skippedCold = 0;
     /// Tokens of the beginning of the prompt that the server probably holds.
     std::uint64_t heldTokens = 0;
+    /// Expected response time; 0 if it is not estimated.
+    double expectedMs = 0;
+    /// Some groups of the service make steps that are too long, and the server was chosen in a group of its own draw.
+    bool isGroupSelected = false;
     /// The room in the server's group; nothing if the call's admission does not limit groups.
     std::optional<GroupRoom> room;
 
--- a/src/traffic/serverchooser.cpp
+++ b/src/traffic/serverchooser.cpp
@@ -1,11 +1,17 @@
 #include "traffic/serverchooser.h"
 
+#include "traffic/groupselection.h"
+#include "traffic/observedtimes.h"
 #include "traffic/randomorder.h"
+#include "traffic/responsetimeestimate.h"
 #include "traffic/servermemory.h"
 #include "traffic/serverquery.h"
 #include "traffic/serverrecords.h"
 
 #include <algorithm>
+#include <map>
+#include <random>
+#include <tuple>
 
 namespace Cardamomhill
 {
@@ -25,24 +31,23 @@
     if (found == m_records.services.end()) {
         return choice;
     }
+    const auto &servers = found->second;
+    if (m_records.hasEstimates(m_query.service)) {
+        const auto serviceTimes = m_records.serviceTimesOf(m_query.service, m_now);
+        if (serviceTimes.count > 0) {
+            return chooseSoonest(servers, serviceTimes);
+        }
+    }
     m_rooms = groupRooms();
-    internal::RandomOrder order(found->second.size(), m_random);
+    m_selectedGroup = selectGroup(servers);
+    choice.isGroupSelected = !m_selectedGroup.isEmpty();
+    const internal::RandomOrder order(servers.size(), m_random);
     const auto holderId = holder();
-    while (m_comparison.healthy < m_records.options.sampledServers && !order.isDone()) {
-        const auto &id = found->second[order.next()];
-        const auto &entry = m_records.entries.at(id);
-        auto obstacle = obstacleOf(entry);
-        if (!obstacle && !hasRoom(entry)) {
-            obstacle = ChoiceReason::AllFull;
-        }
-        if (obstacle) {
-            choice.skippedCold += *obstacle == ChoiceReason::AllCold ? 1 : 0;
-            if (!choice.hasServer()) {
-                choice.reason = std::max(choice.reason, *obstacle);
-            }
-        } else if (id != holderId) {
-            compare(entry);
-        }
+    compareSample(servers, order, holderId);
+    if (!m_selectedGroup.isEmpty() && m_comparison.bestScore.isAvoided) {
+        m_selectedGroup = GroupId();
+        choice.isGroupSelected = false;
+        compareSample(servers, order, holderId);
     }
     if (!holderId.isEmpty() && hasRoom(m_records.entries.at(holderId))) {
         compare(m_records.entries.at(holderId));
@@ -56,7 +61,156 @@
     return choice;
 }
 
-void ServerChooser::compare(const ServerEntry &entry)
+ServerChoice ServerChooser::chooseSoonest(const std::vector<BackendServerId> &servers,
+                                          const ObservedTimes &serviceTimes)
+{
+    auto candidates = estimateCandidates(servers, serviceTimes);
+    auto &choice = m_comparison.choice;
+    choice.candidates = candidates.size();
+    if (candidates.empty()) {
+        return choice;
+    }
+    const double leastLoad = std::min_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+                                 return a.score < b.score;
+                             })->score.callsPerSlot;
+    const auto home = *std::min_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return std::tuple(a.score.isAvoided, a.estimate.milliseconds(0), a.expectedMs)
+            < std::tuple(b.score.isAvoided, b.estimate.milliseconds(0), b.expectedMs);
+    });
+    const auto best = *std::min_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.score.isAvoided, a.expectedMs) < std::tie(b.score.isAvoided, b.expectedMs);
+    });
+    std::erase_if(candidates, [&best](const auto &candidate) {
+        return candidate.score.isAvoided != best.score.isAvoided
+            || !best.estimate.isNearlyEqual(best.expectedMs, candidate.expectedMs);
+    });
+    const bool stays = home.entry != best.entry && staysAt(home, best);
+    const auto &chosen = stays ? home : candidates[m_random() % candidates.size()];
+    choice.server = chosen.entry->server.id;
+    choice.load = m_records.loadOf(*chosen.entry, m_now) / chosen.entry->slots();
+    choice.expectedMs = chosen.expectedMs;
+    choice.reason = ChoiceReason::SoonestResponse;
+    if (chosen.score.isAvoided) {
+        choice.reason = ChoiceReason::LastResort;
+    } else if (chosen.score.callsPerSlot <= leastLoad) {
+        choice.reason = ChoiceReason::LeastLoaded;
+    }
+    return choice;
+}
+
+std::vector<ServerChooser::EstimatedServer>
+ServerChooser::estimateCandidates(const std::vector<BackendServerId> &servers, const ObservedTimes &serviceTimes)
+{
+    std::vector<EstimatedServer> candidates;
+    bool hasAnyRoom = false;
+    for (const auto &id : servers) {
+        const auto &entry = m_records.entries.at(id);
+        const bool hasRoomNow = mayTake(entry);
+        hasAnyRoom = hasAnyRoom || hasRoomNow;
+        // What the last notices show as full may be so no more. If all hosts turned to the other servers, these would
+        // be overloaded before the next notices.
+        if (hasRoomNow || obstacleOf(entry) == ChoiceReason::AllFull) {
+            auto estimate = m_records.estimateOf(entry, serviceTimes, m_now);
+            estimate.serviceMs *= slowdownOf(entry);
+            candidates.push_back({&entry, scoreOf(entry), estimate, estimate.milliseconds(weighedCallsOf(entry))});
+        }
+    }
+    return hasAnyRoom ? candidates : std::vector<EstimatedServer>();
+}
+
+bool ServerChooser::staysAt(const EstimatedServer &home, const EstimatedServer &best)
+{
+    const double load = m_records.loadOf(*home.entry, m_now);
+    if (load == 0) {
+        return false;
+    }
+    const double reportedShare = std::min(1.0, m_records.peerCallsOf(*home.entry) / load);
+    const double probability = ResponseTimeEstimate::stayProbability(home.expectedMs, best.expectedMs, reportedShare);
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+GroupId ServerChooser::selectGroup(const std::vector<BackendServerId> &servers) const
+{
+    const auto groups = m_records.groups.find(m_query.service);
+    if (!m_records.options.selectsGroups || !m_query.admission || groups == m_records.groups.end()
+        || groups->second.size() < 2) {
+        return {};
+    }
+    const GroupSelection selection(m_query.admission->pauseObjective);
+    const bool isAnySlow = std::any_of(groups->second.begin(), groups->second.end(), [&](const GroupId &group) {
+        return selection.isSlow(currentStep(group));
+    });
+    return isAnySlow ? selection.select(groupCandidates(servers), m_random) : GroupId();
+}
+
+std::vector<GroupCandidate> ServerChooser::groupCandidates(const std::vector<BackendServerId> &servers) const
+{
+    std::map<GroupId, GroupCandidate> candidates;
+    for (const auto &id : servers) {
+        const auto &entry = m_records.entries.at(id);
+        if (!entry.server.groupMembership) {
+            continue;
+        }
+        const auto &group = entry.server.groupMembership->group;
+        const auto load = m_records.loadOf(entry, m_now);
+        auto &candidate = candidates[group];
+        candidate.hasCalls = candidate.hasCalls || load > 0;
+        if (!obstacleOf(entry) && hasRoom(entry)) {
+            candidate.room += maxCallsOf(entry) - load;
+        }
+    }
+    std::vector<GroupCandidate> result;
+    for (auto &[group, candidate] : candidates) {
+        candidate.group = group;
+        candidate.step = currentStep(group);
+        result.push_back(candidate);
+    }
+    return result;
+}
+
+Microseconds ServerChooser::currentStep(const GroupId &group) const
+{
+    const auto activity = m_records.groupActivity.find(group);
+    return activity == m_records.groupActivity.end() ? Microseconds(0)
+                                                     : activity->second.slowSteps.currentDuration(m_now);
+}
+
+bool ServerChooser::isInSelectedGroup(const KnownServer &entry) const
+{
+    return m_selectedGroup.isEmpty()
+        || (entry.server.groupMembership && entry.server.groupMembership->group == m_selectedGroup);
+}
+
+void ServerChooser::compareSample(const std::vector<BackendServerId> &servers,
+                                  internal::RandomOrder order,
+                                  const BackendServerId &holderId)
+{
+    while (m_comparison.healthy < m_records.options.sampledServers && !order.isDone()) {
+        const auto &id = servers[order.next()];
+        const auto &entry = m_records.entries.at(id);
+        if (isInSelectedGroup(entry) && mayTake(entry) && id != holderId) {
+            compare(entry);
+        }
+    }
+}
+
+bool ServerChooser::mayTake(const KnownServer &entry)
+{
+    auto obstacle = obstacleOf(entry);
+    if (!obstacle && !hasRoom(entry)) {
+        obstacle = ChoiceReason::AllFull;
+    }
+    if (obstacle) {
+        auto &choice = m_comparison.choice;
+        choice.skippedCold += *obstacle == ChoiceReason::AllCold ? 1 : 0;
+        if (!choice.hasServer()) {
+            choice.reason = std::max(choice.reason, *obstacle);
+        }
+    }
+    return !obstacle;
+}
+
+void ServerChooser::compare(const KnownServer &entry)
 {
     const auto unheldScore = scoreOf(entry);
     auto score = unheldScore;
@@ -95,7 +249,8 @@
     for (const auto &id : m_records.prompts.holders(reuse.prompt, MaxHolders, m_random)) {
         const auto found = m_records.entries.find(id);
         const bool isCandidate = found != m_records.entries.end() && found->second.server.service == m_query.service
-            && !obstacleOf(found->second) && !scoreOf(found->second).isAvoided && heldTokensOf(found->second) > 0;
+            && isInSelectedGroup(found->second) && !obstacleOf(found->second) && !scoreOf(found->second).isAvoided
+            && heldTokensOf(found->second) > 0;
         if (isCandidate) {
             return id;
         }
@@ -103,13 +258,13 @@
     return {};
 }
 
-std::uint64_t ServerChooser::heldTokensOf(const ServerEntry &entry) const
+std::uint64_t ServerChooser::heldTokensOf(const KnownServer &entry) const
 {
     const auto &reuse = *m_query.promptReuse;
     return m_records.prompts.heldTokens(entry.server.id, reuse.prompt, m_records.memoryOf(entry, reuse, m_now));
 }
 
-std::optional<ChoiceReason> ServerChooser::obstacleOf(const ServerEntry &entry) const
+std::optional<ChoiceReason> ServerChooser::obstacleOf(const KnownServer &entry) const
 {
     if (m_records.isLeaving(entry)) {
         return ChoiceReason::NoServer;
@@ -135,7 +290,7 @@
     return std::nullopt;
 }
 
-double ServerChooser::maxCallsOf(const ServerEntry &entry) const
+double ServerChooser::maxCallsOf(const KnownServer &entry) const
 {
     const auto &admission = m_query.admission;
     const double slots = entry.slots();
@@ -151,19 +306,29 @@
                                                : maxCalls;
 }
 
-ServerScore ServerChooser::scoreOf(const ServerEntry &entry) const
+ServerScore ServerChooser::scoreOf(const KnownServer &entry) const
 {
     const double failures = m_records.failuresOf(entry, m_now);
-    const auto slowdown = m_records.slowdownFactors.find(entry.key);
-    const double factor = slowdown == m_records.slowdownFactors.end() ? 1.0 : slowdown->second;
-    const double calls = m_records.loadOf(entry, m_now) + 1 + failures * m_records.options.failurePenaltyCalls;
+    const double factor = slowdownOf(entry);
     ServerScore score;
     score.isAvoided = failures >= m_records.options.failureThreshold || factor >= m_records.options.slownessThreshold;
     score.firstEventMs = 0;
-    score.callsPerSlot = calls * factor / entry.slots();
+    score.callsPerSlot = weighedCallsOf(entry) * factor / entry.slots();
     return score;
 }
 
+double ServerChooser::weighedCallsOf(const KnownServer &entry) const
+{
+    const double failures = m_records.failuresOf(entry, m_now);
+    return m_records.loadOf(entry, m_now) + 1 + failures * m_records.options.failurePenaltyCalls;
+}
+
+double ServerChooser::slowdownOf(const KnownServer &entry) const
+{
+    const auto slowdown = m_records.slowdownFactors.find(entry.key);
+    return slowdown == m_records.slowdownFactors.end() ? 1.0 : slowdown->second;
+}
+
 std::unordered_map<GroupId, GroupRoom> ServerChooser::groupRooms() const
 {
     std::unordered_map<GroupId, GroupRoom> rooms;
@@ -193,14 +358,14 @@
     return rooms;
 }
 
-std::optional<GroupRoom> ServerChooser::roomOf(const ServerEntry &entry) const
+std::optional<GroupRoom> ServerChooser::roomOf(const KnownServer &entry) const
 {
     const auto &groupMembership = entry.server.groupMembership;
     const auto room = groupMembership ? m_rooms.find(groupMembership->group) : m_rooms.end();
     return room == m_rooms.end() ? std::nullopt : std::optional(room->second);
 }
 
-bool ServerChooser::hasRoom(const ServerEntry &entry) const
+bool ServerChooser::hasRoom(const KnownServer &entry) const
 {
     const auto room = roomOf(entry);
     return !room || room->calls > 0;
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -9,33 +9,6 @@
 namespace Cardamomhill
 {
 
-namespace
-{
-
-/// The number of failures that an attempt with this end counts as.
-double failureWeight(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::Delivered:
-    case AttemptEnd::CallerGone:
-    case AttemptEnd::Withdrawn:
-    case AttemptEnd::Superseded:
-        return 0;
-    case AttemptEnd::ServerError:
-        return 0.3;
-    case AttemptEnd::NotRun:
-        return 0.4;
-    case AttemptEnd::NotSent:
-    case AttemptEnd::OtherInstance:
-    case AttemptEnd::Broken:
-    case AttemptEnd::TimedOut:
-        return 1;
-    }
-    return 0;
-}
-
-} // namespace
-
 ServerTable::ServerTable(ServerTableOptions options)
     : m_records(options)
 {
@@ -52,6 +25,7 @@
         if (entry.server.startedAt != server.startedAt || entry.server.address != server.address) {
             entry.isReplaced = false;
             m_records.prompts.forget(server.id);
+            m_records.serviceTimes.forget(server.id);
         }
         if (entry.server.service != server.service) {
             std::erase(m_records.services[entry.server.service], server.id);
@@ -74,12 +48,14 @@
         }
         std::erase(m_records.services[found->second.server.service], id);
         m_records.prompts.forget(id);
+        m_records.serviceTimes.forget(id);
         found->second.isGone = true;
         found->second.server.service = ServiceId();
         if (found->second.inProgress == 0) {
             m_records.entries.erase(found);
         }
     }
+    m_records.updateGroups();
     m_records.updateUnavailableGroups();
 }
 
@@ -260,6 +236,27 @@
     return !m_records.entries.empty();
 }
 
+void ServerTable::recordConnectTime(const FailureDomainId &domain, Microseconds time)
+{
+    m_records.latencies.record(domain, time);
+}
+
+double ServerTable::callsAt(const BackendServerId &id, SteadyTime now) const
+{
+    const auto found = m_records.entries.find(id);
+    return found == m_records.entries.end() ? 0 : m_records.loadOf(found->second, now);
+}
+
+void ServerTable::recordAnswered(const ServerProcess &process, Microseconds elapsed, double calls, SteadyTime now)
+{
+    m_records.recordAnswered(process, elapsed, calls, now);
+}
+
+std::vector<ServerEstimate> ServerTable::estimates(SteadyTime now) const
+{
+    return m_records.estimates(now);
+}
+
 void ServerTable::recordCallStarted(const BackendServerId &id)
 {
     ++m_records.entries[id].inProgress;
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -6,6 +6,7 @@
 #include "traffic/attemptend.h"
 #include "traffic/serverchanges.h"
 #include "traffic/serverchoice.h"
+#include "traffic/serverestimate.h"
 #include "traffic/serverrecords.h"
 
 #include <cstdint>
@@ -83,7 +84,8 @@
 
     /// Chooses the least loaded of a random sample of the servers that can take a call. For a call whose prompt may be
     /// held somewhere, the server that holds most of it is one more candidate, and the one is chosen that is expected
-    /// to send the first event soonest.
+    /// to send the first event soonest. Of a plain service with few servers in more than one failure domain, all are
+    /// compared by their expected response times. A stream goes less to groups whose steps are too long.
     ServerChoice choose(const ServerQuery &query, SteadyTime now, Random &random) const;
 
     /// Mean duration of the steps of a service's groups; 0 if none is known.
@@ -96,6 +98,17 @@
     const DiscoveredServer *server(const BackendServerId &id) const;
     bool hasServers() const;
 
+    /// Records how long setting up a connection to a server of a failure domain took.
+    void recordConnectTime(const FailureDomainId &domain, Microseconds time);
+    /// The estimated calls in progress at a server, of all entry hosts; 0 for an unknown one.
+    double callsAt(const BackendServerId &id, SteadyTime now) const;
+    /// Records that a process has answered a call completely. No effect for a service without estimates.
+    /// @param elapsed since the call was sent to it
+    /// @param calls in progress there when it was sent, with this one
+    void recordAnswered(const ServerProcess &process, Microseconds elapsed, double calls, SteadyTime now);
+    /// What choices by expected response time go by now, for each server of a service that has them.
+    std::vector<ServerEstimate> estimates(SteadyTime now) const;
+
     /// Counts a call in progress at a server. Each call of recordCallStarted() must be followed by one of
     /// recordCallEnded().
     void recordCallStarted(const BackendServerId &id);
--- a/src/traffic/servertableoptions.h
+++ b/src/traffic/servertableoptions.h
@@ -18,6 +18,11 @@
     /// Number of servers that a choice compares, sampled at random from those that can take the call. If hosts compared
     /// all servers of a large service, all would send their calls to the few that were idle in the last notices.
     std::size_t sampledServers = 3;
+    /// A plain service with at most so many servers, in more than one failure domain, has all of them compared by their
+    /// expected response times. With more servers the wait for one of them rarely exceeds the way to another domain.
+    std::size_t maxEstimatedServers = 4;
+    /// Whether streams are sent less to groups whose steps are longer than callers accept.
+    bool selectsGroups = true;
     /// Calls that one failure counts as in the load of a server, and the time in which that number halves.
     double failurePenaltyCalls = 6;
     Microseconds failureHalfLife = Seconds(2);
