Keep the limit of full plain servers where their fullness is certain

Cause: a server that the last notices show as full stays a candidate while another one has room. That also held where the only server with room was avoided: one that has stopped has few calls, so as long as it was registered the queues of all others had no limit. And it held where the host had filled the server by its own calls, which are not 0.3 s old: at a round trip of 60 ms a single host sent all calls to the near server beyond its limit.

Change: full servers stay candidates only while a server that is not avoided has room, and only if this host's own calls there are fewer than the limit.

--- a/src/traffic/serverchooser.cpp
+++ b/src/traffic/serverchooser.cpp
@@ -102,20 +102,26 @@
 ServerChooser::estimateCandidates(const std::vector<BackendServerId> &servers, const ObservedTimes &serviceTimes)
 {
     std::vector<EstimatedServer> candidates;
-    bool hasAnyRoom = false;
+    bool hasSoundRoom = false;
     for (const auto &id : servers) {
         const auto &entry = m_records.entries.at(id);
         const bool hasRoomNow = mayTake(entry);
-        hasAnyRoom = hasAnyRoom || hasRoomNow;
         // What the last notices show as full may be so no more. If all hosts turned to the other servers, these would
-        // be overloaded before the next notices.
-        if (hasRoomNow || obstacleOf(entry) == ChoiceReason::AllFull) {
+        // be overloaded before the next notices. A host that has filled a server by itself knows that it is full.
+        const bool mayHaveRoom = obstacleOf(entry) == ChoiceReason::AllFull && entry.inProgress < maxCallsOf(entry);
+        if (hasRoomNow || mayHaveRoom) {
             auto estimate = m_records.estimateOf(entry, serviceTimes, m_now);
             estimate.serviceMs *= slowdownOf(entry);
-            candidates.push_back({&entry, scoreOf(entry), estimate, estimate.milliseconds(weighedCallsOf(entry))});
+            const double expectedMs = estimate.milliseconds(weighedCallsOf(entry));
+            candidates.push_back({&entry, scoreOf(entry), estimate, expectedMs, hasRoomNow});
+            hasSoundRoom = hasSoundRoom || (hasRoomNow && !candidates.back().score.isAvoided);
         }
     }
-    return hasAnyRoom ? candidates : std::vector<EstimatedServer>();
+    if (!hasSoundRoom) {
+        // A server that has stopped has few calls. Its room must not lift the limit of the others.
+        std::erase_if(candidates, [](const auto &candidate) { return !candidate.hasRoom; });
+    }
+    return candidates;
 }
 
 bool ServerChooser::staysAt(const EstimatedServer &home, const EstimatedServer &best)
--- a/src/traffic/serverchooser.h
+++ b/src/traffic/serverchooser.h
@@ -65,8 +65,11 @@
         ServerScore score;
         ResponseTimeEstimate estimate;
         double expectedMs = 0;
+        /// False if it is full by the last notices.
+        bool hasRoom = true;
     };
-    /// The servers that can take the call; if there are any, also those that are full by the last notices.
+    /// The servers that can take the call; if any of them is not avoided, also those that are full by the last notices
+    /// and not by this host's own calls.
     std::vector<EstimatedServer> estimateCandidates(const std::vector<BackendServerId> &servers,
                                                     const ObservedTimes &serviceTimes);
     /// Whether a call goes to the server that is soonest without calls, although it is expected sooner from another.
--- a/tests/responsetimeestimatetest.cpp
+++ b/tests/responsetimeestimatetest.cpp
@@ -253,6 +253,34 @@
     CHECK(table.choose({Service, {BackendServerId("f")}, {}}, Start, random).reason == ChoiceReason::LastResort);
 }
 
+TEST_CASE("a host does not fill a server beyond its limit by its own calls, however far the others are")
+{
+    ServerTable table;
+    table.apply({{server("n", Near), server("f", Far)}, {}});
+    table.recordConnectTime(Far, Milliseconds(60));
+    recordAnswers(table, server("n", Near), Milliseconds(15));
+    recordAnswers(table, server("f", Far), Milliseconds(75));
+    startCalls(table, "n", 14);
+    CHECK(choices(table)["n"] == 100);
+    startCalls(table, "n", 1);
+    CHECK(choices(table)["f"] == 100);
+}
+
+TEST_CASE("full servers get no calls because a server that fails has room")
+{
+    auto table = knownTable();
+    table.apply({{server("f2", Far)}, {}});
+    for (int i = 0; i < 2; ++i) {
+        startCalls(table, "n", 1);
+        table.recordCallEnded(BackendServerId("n"), AttemptEnd::Broken, Start);
+    }
+    table.setPeerLoads({{serverKey(BackendServerId("f")), 15}, {serverKey(BackendServerId("f2")), 15}});
+    CHECK(choices(table)["n"] == 100);
+    Random random(1);
+    CHECK(table.choose({Service, {}, {}}, Start, random).reason == ChoiceReason::LastResort);
+    CHECK(table.choose({Service, {BackendServerId("n")}, {}}, Start, random).reason == ChoiceReason::AllFull);
+}
+
 TEST_CASE("without service times, with one domain, many servers or groups, choices are as by load alone")
 {
     const auto same = [](const std::vector<DiscoveredServer> &servers, bool isAnswered) {
