Weigh prompts and streams of engines without groups as before

Cause: an engine service with two to four servers in several domains and no groups also counts as one whose servers are compared by their response times. One answer that was no stream was enough, and its streams were then sent by the service times of other calls, and held prompts and the wait for a first event were not looked at.

Change: calls with a stream admission or a prompt to reuse are chosen for as before the response time estimate.

Result: the new case of responsetimeestimatetest fails before (the holder of the prompt is not chosen) and passes after.

--- a/src/traffic/serverchooser.cpp
+++ b/src/traffic/serverchooser.cpp
@@ -32,7 +32,8 @@
         return choice;
     }
     const auto &servers = found->second;
-    if (m_records.hasEstimates(m_query.service)) {
+    // Streams and prompts are weighed by their first events; service times are those of other calls.
+    if (!m_query.admission && !m_query.promptReuse && m_records.hasEstimates(m_query.service)) {
         const auto serviceTimes = m_records.serviceTimesOf(m_query.service, m_now);
         if (serviceTimes.count > 0) {
             return chooseSoonest(servers, serviceTimes);
--- a/tests/responsetimeestimatetest.cpp
+++ b/tests/responsetimeestimatetest.cpp
@@ -3,6 +3,7 @@
 
 #include "traffic/responsetimeestimate.h"
 
+#include "support/promptcalls.h"
 #include "traffic/domainlatencies.h"
 #include "traffic/observedtimes.h"
 #include "traffic/serverprocess.h"
@@ -281,6 +282,19 @@
     CHECK(table.choose({Service, {BackendServerId("n")}, {}}, Start, random).reason == ChoiceReason::AllFull);
 }
 
+TEST_CASE("streams and prompts are not sent by the service times of other calls")
+{
+    auto table = knownTable();
+    const auto reuse = promptCall({{"part", 3000}}, 100);
+    table.recordPromptStarted(BackendServerId("f"), reuse, Start);
+    Random random(1);
+    const auto held = table.choose({Service, {}, {}, reuse}, Start, random);
+    CHECK(held.server == BackendServerId("f"));
+    CHECK(held.reason == ChoiceReason::HoldsPrompt);
+    StreamAdmission admission{Milliseconds(2000), 25, Milliseconds(400), Milliseconds(400), {}};
+    CHECK(table.choose({Service, {}, admission}, Start, random).expectedMs == 0);
+}
+
 TEST_CASE("without service times, with one domain, many servers or groups, choices are as by load alone")
 {
     const auto same = [](const std::vector<DiscoveredServer> &servers, bool isAnswered) {
