Do not take a group without calls for slow

Cause: the current step of a group is at least the time since its last one. Where the group had no calls left, the pause after the last event counted as a slow step until it was four mean steps long: with steps of 200 ms and an objective of 400 ms, an idle group counted as slow for 0.4 s and got fewer streams than one with calls.

Change: a group without calls, of all hosts, has no step.

Result: the new case of groupselectiontest fails before and passes after.

--- a/src/traffic/serverchooser.cpp
+++ b/src/traffic/serverchooser.cpp
@@ -169,7 +169,8 @@
     std::vector<GroupCandidate> result;
     for (auto &[group, candidate] : candidates) {
         candidate.group = group;
-        candidate.step = currentStep(group);
+        // What looks like a long step is the time since the last one if there are no calls.
+        candidate.step = candidate.hasCalls ? currentStep(group) : Microseconds(0);
         result.push_back(candidate);
     }
     return result;
--- a/tests/groupselectiontest.cpp
+++ b/tests/groupselectiontest.cpp
@@ -188,6 +188,20 @@
     CHECK(streams(table, Now, 40)['a'] == 40);
 }
 
+TEST_CASE("a group without calls is not slow, however long ago its last step was")
+{
+    auto table = twoGroups(Milliseconds(200), Milliseconds(200));
+    const auto later = Now + Milliseconds(600);
+    for (int call = 0; call < 8; ++call) {
+        table.recordCallStarted(BackendServerId("b0"));
+    }
+    table.recordReceived(BackendServerId("b0"), later - Milliseconds(200));
+    table.recordReceived(BackendServerId("b0"), later);
+    CHECK(table.currentStep(BackendServerId("a0"), later) > Objective);
+    Random random(1);
+    CHECK_FALSE(table.choose(query(), later, random).isGroupSelected);
+}
+
 TEST_CASE("with one group, quick steps or no objective, choices are as by load alone")
 {
     const auto sequence = [](ServerTable table, const ServerQuery &query) {
