Forget the comparison in a group before all groups are compared

Cause: if the selected group has no sound rank, all groups are compared, and the ranks of the first comparison were compared and counted again, in ServerChoice::candidates and skippedCold.

Change: the second comparison begins empty.

--- a/src/traffic/serverchooser.cpp
+++ b/src/traffic/serverchooser.cpp
@@ -47,7 +47,7 @@
     compareSample(servers, order, holderId);
     if (!m_selectedGroup.isEmpty() && m_comparison.bestScore.isAvoided) {
         m_selectedGroup = GroupId();
-        choice.isGroupSelected = false;
+        m_comparison = {};
         compareSample(servers, order, holderId);
     }
     if (!holderId.isEmpty() && hasRoom(m_records.entries.at(holderId))) {
