--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -31,9 +31,8 @@
     {"routed",
      "reason",
      "soonest-response",
-     "sent to a server from which the response is expected sooner than from a less loaded one, which is farther away "
-     "or "
-     "slower"},
+     "chosen by expected response times although another server is less loaded, which is farther away or slower or is "
+     "shown as less loaded by notices that are up to 0.3 s old"},
     {"attempt-ended", "end", "not-sent", "no connection was made, so the server did not receive the call"},
     {"attempt-ended",
      "end",
--- a/src/traffic/choicereason.h
+++ b/src/traffic/choicereason.h
@@ -13,7 +13,8 @@
     LeastLoaded,
     /// The first event is expected sooner than from a less loaded server, since part of the prompt is held there.
     HoldsPrompt,
-    /// The response is expected sooner than from a less loaded server, which is farther away or slower.
+    /// Chosen by expected response times, although another server is less loaded: that one is farther away or slower,
+    /// or only a part of the calls moves there.
     SoonestResponse,
     /// This server and all others that could take the call failed recently or are slow.
     LastResort,
--- a/src/traffic/serverchoice.h
+++ b/src/traffic/serverchoice.h
@@ -26,7 +26,7 @@
     std::uint64_t heldTokens = 0;
     /// Expected response time; 0 if it is not estimated.
     double expectedMs = 0;
-    /// Some groups of the service make steps that are too long, and the server was chosen in a group of its own draw.
+    /// Some groups of the service make steps that are too long, and the server was chosen in a group selected before.
     bool isGroupSelected = false;
     /// The room in the server's group; nothing if the call's admission does not limit groups.
     std::optional<GroupRoom> room;
--- a/tests/support/unevendemand.h
+++ b/tests/support/unevendemand.h
@@ -110,7 +110,7 @@
     static constexpr std::uint32_t Slots = 6;
     static constexpr double ServiceMs = 15;
     static constexpr double OnTimeMs = 120;
-    /// Half of the deadline of 1,000 ms: then a call is sent to another server.
+    /// Half of the deadline of 1,000 ms, after which a call counts as failed. It is not retried.
     static constexpr Milliseconds AttemptTimeout{500};
 
     struct Call {
