--- a/src/explain/eventexplanation.cpp
+++ b/src/explain/eventexplanation.cpp
@@ -28,6 +28,11 @@
      "holds-prompt",
      "sent to a server that holds the beginning of the prompt, since reading it again elsewhere takes longer than the "
      "wait there"},
+    {"routed",
+     "reason",
+     "soonest-response",
+     "chosen by expected response times although another server is less loaded, which is farther away or slower or is "
+     "shown as less loaded by notices that are up to 0.3 s old"},
     {"attempt-ended", "end", "not-sent", "no connection was made, so the server did not receive the call"},
     {"attempt-ended",
      "end",
