Have servers return cold in the soak, and check the limit for them

Cold servers were tested only without other faults. Calls at a server whose link was disturbed, and those before a delay of the soak itself, are excused.

--- a/tests/soak/documents.cpp
+++ b/tests/soak/documents.cpp
@@ -44,7 +44,7 @@
                 {"version", "v1"},
                 {"slots", 8},
                 {"state", entry.isLeaving ? "draining" : "ready"},
-                {"cold-remaining-ms", 0},
+                {"cold-remaining-ms", entry.coldRemaining.count()},
                 {"born", entry.startedAt},
                 {"sequence", 1}}
         .dump();
--- a/tests/soak/documents.h
+++ b/tests/soak/documents.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/clocktypes.h"
+
 #include <cstdint>
 #include <string>
 
@@ -20,6 +22,7 @@
     std::uint64_t startedAt = 0;
     bool isLeaving = false;
     std::string failureDomain = "d1";
+    Milliseconds coldRemaining{0};
 };
 
 std::string serverDocument(const ServerEntry &entry);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 
@@ -85,11 +86,8 @@
     }
     std::vector<SoakHost *> hosts;
     for (std::size_t i = 0; i < m_options.hosts; ++i) {
-        const auto settings = m_options.hasEvacuations
-            ? "evacuation_limit_ms: " + std::to_string(EvacuationLimit.count()) + "\n"
-            : std::string();
         m_hosts.push_back(std::make_unique<SoakHost>(
-            m_context, "host" + std::to_string(i), m_storeAddress, m_options.program, m_options.directory, settings));
+            m_context, "host" + std::to_string(i), m_storeAddress, m_options.program, m_options.directory, settings()));
         hosts.push_back(m_hosts.back().get());
     }
     for (std::size_t i = 0; i < m_options.callers; ++i) {
@@ -97,6 +95,45 @@
             m_context, "caller" + std::to_string(i), m_options.seed * 1000 + i, hosts, m_ledger));
     }
     m_prober = std::make_unique<SoakCaller>(m_context, "prober", m_options.seed, hosts, m_ledger);
+    if (m_options.hasColdReturns) {
+        addColdReturns();
+    }
+}
+
+void Soak::addColdReturns()
+{
+    m_coldReturns = std::make_unique<ColdReturns>(
+        m_context,
+        m_options.seed,
+        m_ledger,
+        [this](std::size_t server) { return replaceServer(*m_servers[server], Milliseconds(0)); },
+        [this](const SoakServer &server) {
+            const auto entry = server.entry();
+            if (!m_leavingSince.contains(entry.id)) {
+                m_store.put("servers", entry.id, nlohmann::json::parse(serverDocument(entry)));
+            }
+        });
+}
+
+std::string Soak::settings() const
+{
+    std::string settings;
+    if (m_options.hasEvacuations) {
+        settings += "evacuation_limit_ms: " + std::to_string(EvacuationLimit.count()) + "\n";
+    }
+    if (m_options.hasColdReturns && !m_options.lacksSettings) {
+        settings += ColdReturns::settings();
+    }
+    return settings;
+}
+
+std::string Soak::configuration(std::uint64_t version) const
+{
+    auto document = nlohmann::json::parse(configurationDocument(version));
+    if (m_options.hasColdReturns) {
+        ColdReturns::addLimit(document);
+    }
+    return document.dump();
 }
 
 void Soak::run()
@@ -122,7 +159,7 @@
         const auto document = objectDocument(entry.id, serverDocument(entry));
         co_await writeToStore("POST", "/objects/servers", document);
     }
-    const auto first = objectDocument("main", configurationDocument(m_version));
+    const auto first = objectDocument("main", configuration(m_version));
     co_await writeToStore("POST", "/objects/config", first);
     for (const auto &host : m_hosts) {
         host->start();
@@ -149,6 +186,12 @@
         ++m_faultsInProgress;
         spawn(m_context.get_executor(), "soak-evacuations", evacuateAtRandom(start + m_options.duration));
     }
+    if (m_coldReturns) {
+        spawn(m_context.get_executor(),
+              "soak-cold-returns",
+              m_coldReturns->replaceAtRandom(m_servers.size(), start + m_options.duration));
+        spawn(m_context.get_executor(), "soak-delays", m_coldReturns->watchDelays());
+    }
     co_await injectFaults(start);
     endFaults();
     co_await sleep(RecoveryTime);
@@ -157,6 +200,9 @@
     while (m_faultsInProgress > 0 && steadyNow() < endDeadline) {
         co_await sleep(PollInterval);
     }
+    if (m_coldReturns) {
+        m_checks.merge(m_coldReturns->counts());
+    }
     m_hosts.clear();
     m_context.stop();
 }
@@ -310,6 +356,9 @@
     server.startInstance();
     // The entry of the old instance stays for a while, as after a crash that the store has not yet detected.
     co_await sleep(duration);
+    if (m_coldReturns) {
+        m_coldReturns->makeCold(server);
+    }
     const auto entry = server.entry();
     const auto document = objectDocument(entry.id, serverDocument(entry));
     co_await writeToStore("POST", "/objects/servers", document);
@@ -378,6 +427,9 @@
     const std::string call(request["Cardamomhill-Request-Id"]);
     m_ledger.ran(call, std::string(request["Cardamomhill-Tenant"]));
     checkEvacuation(call, instance);
+    if (m_coldReturns) {
+        m_coldReturns->onRun(call, instance, isHeldUp(instance));
+    }
     const auto leaving = m_leavingSince.find(instance);
     const auto *host = m_ledger.hostOf(call);
     if (leaving == m_leavingSince.end() || leaving->second == SteadyTime::max() || host == nullptr) {
@@ -400,7 +452,7 @@
     }
     m_isWritingConfiguration = true;
     const auto version = ++m_version;
-    const auto document = objectDocument("main", configurationDocument(version));
+    const auto document = objectDocument("main", configuration(version));
     const auto acknowledgedAt = co_await writeToStore("PUT", "/objects/config/main", document);
     m_isWritingConfiguration = false;
     co_await sleep(MaxConfigurationDelay);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/asio.h"
+#include "soak/coldreturns.h"
 #include "soak/faultplan.h"
 #include "soak/ledger.h"
 #include "soak/soakcaller.h"
@@ -25,6 +26,10 @@
     std::size_t callers = 12;
     /// Whether a failure domain with half of the servers is evacuated and taken back at random times.
     bool hasEvacuations = false;
+    /// Whether servers return cold, at random times and when a fault replaces them.
+    bool hasColdReturns = false;
+    /// Whether the gateways lack the settings of the parts that are checked, which shows that the checks can fail.
+    bool lacksSettings = false;
     /// Path of the gateway program.
     std::string program;
     /// Directory for the settings and logs of the hosts.
@@ -61,6 +66,10 @@
     /// Whether the link to a server was harmed lately, so that a call that was sent in time may arrive late.
     bool isHeldUp(const std::string &instance) const;
     Task<> changeConfiguration();
+    /// The configuration of a version, with what the options add.
+    std::string configuration(std::uint64_t version) const;
+    std::string settings() const;
+    void addColdReturns();
     Task<> checkConfiguration(std::uint64_t version, SteadyTime acknowledgedAt);
     Task<> checkRecovery();
     void endFaults();
@@ -83,6 +92,7 @@
     std::vector<std::unique_ptr<SoakHost>> m_hosts;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     std::unique_ptr<SoakCaller> m_prober;
+    std::unique_ptr<ColdReturns> m_coldReturns;
     /// When the store acknowledged that an instance leaves; SteadyTime::max() until it has.
     std::map<std::string, SteadyTime> m_leavingSince;
     /// When the store acknowledged that the failure domain is evacuated; SteadyTime::max() while it is not.
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -14,7 +14,8 @@
 
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
-      "[--servers N] [--callers N] [--evacuations] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
+      "[--servers N] [--callers N] [--evacuations] [--cold-returns]\n"
+      "[--without-settings] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
       "[--signal-delay-ms N] [--domains N]\n"
       "[--groups N [--ranks N] [--answer-delay-ms N] [--execution-delay-ms N] [--lost-answers PERCENT] "
       "[--preemptions PERCENT] [--reformations PERCENT]]]\n";
@@ -57,6 +58,8 @@
                                   {"servers", required_argument, nullptr, 'b'},
                                   {"callers", required_argument, nullptr, 'c'},
                                   {"evacuations", no_argument, nullptr, 'e'},
+                                  {"cold-returns", no_argument, nullptr, 'C'},
+                                  {"without-settings", no_argument, nullptr, 'W'},
                                   {"planned-stops", no_argument, nullptr, 'P'},
                                   {"grace-ms", required_argument, nullptr, 'g'},
                                   {"reformations", required_argument, nullptr, 'F'},
@@ -81,6 +84,10 @@
             options.directory = optarg;
         } else if (optionId == 'e') {
             options.hasEvacuations = true;
+        } else if (optionId == 'C') {
+            options.hasColdReturns = true;
+        } else if (optionId == 'W') {
+            options.lacksSettings = true;
         } else if (optionId == 'P') {
             isPlannedStops = true;
         } else if (optionId == 'q') {
--- a/tests/soak/soakserver.cpp
+++ b/tests/soak/soakserver.cpp
@@ -1,12 +1,24 @@
 #include "soak/soakserver.h"
 
 #include "control/controladdress.h"
+#include "net/steadynow.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace Cardamomhill
 {
 
+namespace
+{
+
+Milliseconds remainingTime(SteadyTime until)
+{
+    return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(until - steadyNow()));
+}
+
+} // namespace
+
 SoakServer::SoakServer(asio::io_context &context, std::string name, std::string failureDomain, RunObserver onRun)
     : m_context(context)
     , m_name(std::move(name))
@@ -24,6 +36,7 @@
 void SoakServer::startInstance()
 {
     stopInstance();
+    m_coldUntil = SteadyTime();
     const auto id = m_name + "-" + std::to_string(m_instances.size() + 1);
     m_instances.push_back(std::make_unique<DirectBackend>(
         m_context, id, [this, id](const HttpRequest &request) { m_onRun(id, request); }));
@@ -48,7 +61,14 @@
             controlAddress(m_link.endpoint()).value(),
             number,
             false,
-            m_failureDomain};
+            m_failureDomain,
+            remainingTime(m_coldUntil)};
+}
+
+void SoakServer::setColdUntil(SteadyTime until)
+{
+    m_coldUntil = until;
+    m_instances.back()->setColdUntil(until);
 }
 
 StabilityTracker &SoakServer::linkStability()
--- a/tests/soak/soakserver.h
+++ b/tests/soak/soakserver.h
@@ -27,6 +27,9 @@
     void startInstance();
     void stopInstance();
 
+    /// The current instance is cold until then.
+    void setColdUntil(SteadyTime until);
+
     /// The registration of the current instance.
     ServerEntry entry() const;
     FaultProxy &link();
@@ -40,6 +43,7 @@
     RunObserver m_onRun;
     FaultProxy m_link;
     StabilityTracker m_linkStability;
+    SteadyTime m_coldUntil{};
     /// Includes stopped instances, because their coroutines end later.
     std::vector<std::unique_ptr<DirectBackend>> m_instances;
 };
--- a/tests/soakledgertest.cpp
+++ b/tests/soakledgertest.cpp
@@ -1,3 +1,4 @@
+#include "soak/coldarrivals.h"
 #include "soak/ledger.h"
 
 #include <doctest/doctest.h>
@@ -65,3 +66,25 @@
     ledger.addViolation("mixed", "x");
     CHECK(countViolations(ledger, "mixed") == 1);
 }
+
+// Guards against a check that passes hosts that send a cold server too much, or fails those that keep the limit.
+TEST_CASE("more calls to a cold server in a second than its limit are found")
+{
+    constexpr SteadyTime Start{Seconds(100)};
+    ColdArrivals arrivals(3);
+    arrivals.setCold("cold", Start + Seconds(3));
+    for (const int offset : {0, 400, 1000}) {
+        CHECK(arrivals.recordRun("cold", Start + Milliseconds(offset)));
+    }
+    CHECK_FALSE(arrivals.recordRun("cold", Start + Milliseconds(1000)));
+    CHECK(arrivals.recordRun("cold", Start + Milliseconds(2001)));
+    CHECK(arrivals.recordRun("cold", Start + Milliseconds(2002)));
+    CHECK(arrivals.recordRun("cold", Start + Milliseconds(2003)));
+    CHECK_FALSE(arrivals.recordRun("cold", Start + Milliseconds(2004)));
+    arrivals.forgetAll();
+    CHECK(arrivals.recordRun("cold", Start + Milliseconds(2005)));
+    for (int call = 0; call < 10; ++call) {
+        CHECK(arrivals.recordRun("cold", Start + Seconds(3)));
+        CHECK(arrivals.recordRun("warm", Start));
+    }
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -3,6 +3,7 @@
 #include "core/clocktypes.h"
 #include "net/listen.h"
 #include "net/spawn.h"
+#include "net/steadynow.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -62,6 +63,14 @@
         + NotExecutedHeader + "Content-Length: 5\r\n\r\nstale";
 }
 
+/// States how much longer the server is cold; empty if it is warm.
+std::string coldHeader(SteadyTime coldUntil)
+{
+    const auto remaining = std::chrono::ceil<Milliseconds>(coldUntil - steadyNow());
+    return remaining <= Milliseconds(0) ? std::string()
+                                        : "Cardamomhill-Cold-Remaining: " + std::to_string(remaining.count()) + "\r\n";
+}
+
 std::string eventText(int number)
 {
     return "id: " + std::to_string(number) + "\ndata: event-" + std::to_string(number) + "\n\n";
@@ -107,6 +116,11 @@
     m_isLeaving = isLeaving;
 }
 
+void DirectBackend::setColdUntil(SteadyTime until)
+{
+    m_coldUntil = until;
+}
+
 void DirectBackend::setRetryAfter(std::string retryAfter)
 {
     m_retryAfter = std::move(retryAfter);
@@ -202,7 +216,8 @@
 std::string DirectBackend::responseHead(const HttpRequest &request, unsigned status, const std::string &headers) const
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + RequestIdHeader + ": "
-        + std::string(request[RequestIdHeader]) + "\r\n" + (m_isLeaving ? LeavingHeader : "") + headers + "\r\n";
+        + std::string(request[RequestIdHeader]) + "\r\n" + (m_isLeaving ? LeavingHeader : "") + coldHeader(m_coldUntil)
+        + headers + "\r\n";
 }
 
 std::string DirectBackend::description(const HttpRequest &request) const
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -49,6 +49,9 @@
     /// States in all further answers that this server is leaving.
     void setLeaving(bool isLeaving);
 
+    /// States in all further answers, until then, how much longer this server is cold.
+    void setColdUntil(SteadyTime until);
+
     /// Answers all further calls with 503, not run, and this value of Retry-After. An empty text ends that.
     void setRetryAfter(std::string retryAfter);
 
@@ -105,6 +108,7 @@
     std::uint64_t m_abandoned = 0;
     std::uint64_t m_callCount = 0;
     bool m_isLeaving = false;
+    SteadyTime m_coldUntil{};
     std::string m_retryAfter;
     std::function<RawAnswer(const HttpRequest &)> m_rawAnswer;
 };
