--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -98,6 +98,11 @@
     if (m_options.hasColdReturns) {
         addColdReturns();
     }
+    if (m_options.hasOutages || m_options.hasUrgency) {
+        m_engineLoad = std::make_unique<EngineLoad>(
+            m_context, EngineLoad::Options{m_options.hasUrgency, m_options.seed}, hosts, m_ledger);
+        m_engineLoad->start(m_store);
+    }
 }
 
 void Soak::addColdReturns()
@@ -124,6 +129,9 @@
     if (m_options.hasColdReturns && !m_options.lacksSettings) {
         settings += ColdReturns::settings();
     }
+    if (m_options.hasOutages && !m_options.lacksSettings) {
+        settings += EngineLoad::settings();
+    }
     return settings;
 }
 
@@ -133,6 +141,9 @@
     if (m_options.hasColdReturns) {
         ColdReturns::addLimit(document);
     }
+    if (m_engineLoad) {
+        m_engineLoad->addService(document);
+    }
     return document.dump();
 }
 
@@ -182,16 +193,7 @@
     for (const auto &caller : m_callers) {
         spawn(m_context.get_executor(), "soak-caller", caller->run(start + m_options.duration + RecoveryTime));
     }
-    if (m_options.hasEvacuations) {
-        ++m_faultsInProgress;
-        spawn(m_context.get_executor(), "soak-evacuations", evacuateAtRandom(start + m_options.duration));
-    }
-    if (m_coldReturns) {
-        spawn(m_context.get_executor(),
-              "soak-cold-returns",
-              m_coldReturns->replaceAtRandom(m_servers.size(), start + m_options.duration));
-        spawn(m_context.get_executor(), "soak-delays", m_coldReturns->watchDelays());
-    }
+    startOptions(start + m_options.duration);
     co_await injectFaults(start);
     endFaults();
     co_await sleep(RecoveryTime);
@@ -200,11 +202,36 @@
     while (m_faultsInProgress > 0 && steadyNow() < endDeadline) {
         co_await sleep(PollInterval);
     }
+    endOptions();
+    m_hosts.clear();
+    m_context.stop();
+}
+
+void Soak::startOptions(SteadyTime end)
+{
+    if (m_options.hasEvacuations) {
+        ++m_faultsInProgress;
+        spawn(m_context.get_executor(), "soak-evacuations", evacuateAtRandom(end));
+    }
+    if (m_coldReturns) {
+        const auto servers = m_servers.size();
+        spawn(m_context.get_executor(), "soak-cold-returns", m_coldReturns->replaceAtRandom(servers, end));
+        spawn(m_context.get_executor(), "soak-delays", m_coldReturns->watchDelays());
+    }
+    if (m_engineLoad) {
+        spawn(m_context.get_executor(), "soak-engine-load", m_engineLoad->run(end, end + RecoveryTime));
+    }
+}
+
+void Soak::endOptions()
+{
     if (m_coldReturns) {
         m_checks.merge(m_coldReturns->counts());
     }
-    m_hosts.clear();
-    m_context.stop();
+    if (m_engineLoad) {
+        m_engineLoad->judge();
+        m_checks.merge(m_engineLoad->counts());
+    }
 }
 
 Task<> Soak::injectFaults(SteadyTime start)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 
 #include "net/asio.h"
 #include "soak/coldreturns.h"
+#include "soak/engineload.h"
 #include "soak/faultplan.h"
 #include "soak/ledger.h"
 #include "soak/soakcaller.h"
@@ -28,6 +29,10 @@
     bool hasEvacuations = false;
     /// Whether servers return cold, at random times and when a fault replaces them.
     bool hasColdReturns = false;
+    /// Whether all engines of a service stop responding at random times.
+    bool hasOutages = false;
+    /// Whether a service of engines gets more of the less urgent requests at random times than it can serve.
+    bool hasUrgency = false;
     /// Whether the gateways lack the settings of the parts that are checked, which shows that the checks can fail.
     bool lacksSettings = false;
     /// Path of the gateway program.
@@ -70,6 +75,9 @@
     std::string configuration(std::uint64_t version) const;
     std::string settings() const;
     void addColdReturns();
+    /// Starts what the options add beside the faults of the plan.
+    void startOptions(SteadyTime end);
+    void endOptions();
     Task<> checkConfiguration(std::uint64_t version, SteadyTime acknowledgedAt);
     Task<> checkRecovery();
     void endFaults();
@@ -93,6 +101,7 @@
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     std::unique_ptr<SoakCaller> m_prober;
     std::unique_ptr<ColdReturns> m_coldReturns;
+    std::unique_ptr<EngineLoad> m_engineLoad;
     /// When the store acknowledged that an instance leaves; SteadyTime::max() until it has.
     std::map<std::string, SteadyTime> m_leavingSince;
     /// When the store acknowledged that the failure domain is evacuated; SteadyTime::max() while it is not.
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -14,7 +14,7 @@
 
 const char *const Usage
     = "usage: cardamomhill-soak --program FILE --directory DIR [--seed N] [--seconds N] [--hosts N] "
-      "[--servers N] [--callers N] [--evacuations] [--cold-returns]\n"
+      "[--servers N] [--callers N] [--evacuations] [--cold-returns] [--outages | --urgency]\n"
       "[--without-settings] [--planned-stops [--grace-ms N] [--no-grace-setting] [--pauses]\n"
       "[--signal-delay-ms N] [--domains N]\n"
       "[--groups N [--ranks N] [--answer-delay-ms N] [--execution-delay-ms N] [--lost-answers PERCENT] "
@@ -59,6 +59,8 @@
                                   {"callers", required_argument, nullptr, 'c'},
                                   {"evacuations", no_argument, nullptr, 'e'},
                                   {"cold-returns", no_argument, nullptr, 'C'},
+                                  {"outages", no_argument, nullptr, 'O'},
+                                  {"urgency", no_argument, nullptr, 'U'},
                                   {"without-settings", no_argument, nullptr, 'W'},
                                   {"planned-stops", no_argument, nullptr, 'P'},
                                   {"grace-ms", required_argument, nullptr, 'g'},
@@ -86,6 +88,10 @@
             options.hasEvacuations = true;
         } else if (optionId == 'C') {
             options.hasColdReturns = true;
+        } else if (optionId == 'O') {
+            options.hasOutages = true;
+        } else if (optionId == 'U') {
+            options.hasUrgency = true;
         } else if (optionId == 'W') {
             options.lacksSettings = true;
         } else if (optionId == 'P') {
@@ -128,6 +134,7 @@
             options.callers = number;
         }
     }
+    isValid = isValid && !(options.hasOutages && options.hasUrgency);
     if (!isValid || options.program.empty() || options.directory.empty()) {
         std::cerr << Usage;
         return 2;
