--- a/tests/soakledgertest.cpp
+++ b/tests/soakledgertest.cpp
@@ -1,5 +1,7 @@
 #include "soak/coldarrivals.h"
 #include "soak/ledger.h"
+#include "soak/outagerecord.h"
+#include "soak/servedshare.h"
 
 #include <doctest/doctest.h>
 
@@ -88,3 +90,62 @@
         CHECK(arrivals.recordRun("warm", Start));
     }
 }
+
+// Guards against calls that run although they were rejected while all servers had stopped.
+TEST_CASE("a call of any kind that ran and was rejected in an outage is found")
+{
+    Ledger ledger;
+    ledger.sent("before", CallKind::Stream, 0);
+    ledger.ran("before", "workshop");
+    ledger.answered("before", 503);
+    ledger.setOutage(true);
+    ledger.sent("rejected", CallKind::Stream, 0);
+    ledger.answered("rejected", 503);
+    ledger.sent("failed", CallKind::Stream, 0);
+    ledger.ran("failed", "workshop");
+    ledger.answered("failed", 504);
+    ledger.setOutage(false);
+    CHECK(ledger.violations().empty());
+    CHECK(ledger.rejectedInOutageCount() == 1);
+    ledger.ran("rejected", "workshop");
+    CHECK(countViolations(ledger, "outage") == 1);
+}
+
+// Guards against callers that come back late enough in an outage, or after it, and are turned away.
+TEST_CASE("a retried request that is not served after an outage is found")
+{
+    constexpr SteadyTime Start{Seconds(100)};
+    OutageRecord outages;
+    outages.begin(Start);
+    outages.end(Start + Seconds(3));
+    CHECK(outages.isOut(Start));
+    CHECK_FALSE(outages.isOut(Start + Seconds(3)));
+    outages.retried("too early", Start + Milliseconds(2499), false);
+    outages.retried("served", Start + Milliseconds(2500), true);
+    CHECK(outages.violations().empty());
+    outages.retried("waited", Start + Milliseconds(2500), false);
+    outages.retried("after", Start + Seconds(4), false);
+    CHECK(outages.violations().size() == 2);
+    CHECK(outages.checkedRetryCount() == 3);
+    // The next outage begins while the second of them may be in progress.
+    outages.begin(Start + Seconds(6));
+    CHECK(outages.violations().size() == 1);
+}
+
+// Guards against a kind or an organisation that a surge of others leaves without service.
+TEST_CASE("requests of a class that is served less than a quarter as often as all are found")
+{
+    ServedShare share;
+    const auto add = [&share](const std::string &name, int requests, int served) {
+        for (int request = 0; request < requests; ++request) {
+            share.add({name}, request < served);
+        }
+    };
+    add("many", 100, 80);
+    add("some", 100, 20);
+    CHECK(share.violations().empty());
+    add("few", 100, 5);
+    CHECK(share.violations().size() == 1);
+    add("unknown", 19, 0);
+    CHECK(share.violations().size() == 1);
+}
