--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,8 +1,6 @@
 #include "soak/soak.h"
 
-#include "core/random.h"
 #include "logging/logging.h"
-#include "net/httpclient.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
 #include "soak/freeendpoint.h"
@@ -29,16 +27,9 @@
 constexpr Milliseconds RecoveryTime{6000};
 constexpr int RecoveryCallsPerHost = 10;
 constexpr Milliseconds StartTimeout{15000};
-/// Time within which calls to an evacuated failure domain must stop, and how long evacuations and pauses between them
-/// last.
-constexpr Milliseconds EvacuationLimit{2000};
-constexpr Milliseconds MinEvacuationTime{1000};
-constexpr Milliseconds MaxEvacuationTime{6000};
 const std::string FailureDomain = "d1";
-const std::string EvacuatedDomain = "d2";
 constexpr Milliseconds EndTimeout{20000};
 constexpr Milliseconds PollInterval{50};
-constexpr Milliseconds StoreCallTimeout{1000};
 constexpr unsigned Ok = 200;
 constexpr unsigned FirstError = 300;
 constexpr unsigned Unauthorized = 401;
@@ -71,6 +62,7 @@
     : m_options(std::move(options))
     , m_store(m_context)
     , m_storeAddress(freeEndpoint(m_context))
+    , m_storeWriter(m_context, m_storeAddress, m_ledger)
 {
     const auto listening = m_store.listen(m_storeAddress);
     if (listening.has_error()) {
@@ -81,7 +73,7 @@
         m_servers.push_back(std::make_unique<SoakServer>(
             m_context,
             "server" + std::to_string(i),
-            isEvacuated ? EvacuatedDomain : FailureDomain,
+            isEvacuated ? RandomEvacuations::Domain : FailureDomain,
             [this](const std::string &instance, const HttpRequest &request) { onRun(instance, request); }));
     }
     std::vector<SoakHost *> hosts;
@@ -95,6 +87,9 @@
             m_context, "caller" + std::to_string(i), m_options.seed * 1000 + i, hosts, m_ledger));
     }
     m_prober = std::make_unique<SoakCaller>(m_context, "prober", m_options.seed, hosts, m_ledger);
+    if (m_options.hasEvacuations) {
+        m_evacuations = std::make_unique<RandomEvacuations>(m_context, m_options.seed, m_storeWriter);
+    }
     if (m_options.hasColdReturns) {
         addColdReturns();
     }
@@ -135,7 +130,7 @@
 {
     std::string settings;
     if (m_options.hasEvacuations) {
-        settings += "evacuation_limit_ms: " + std::to_string(EvacuationLimit.count()) + "\n";
+        settings += RandomEvacuations::settings();
     }
     if (m_options.hasColdReturns && !m_options.lacksSettings) {
         settings += ColdReturns::settings();
@@ -179,10 +174,10 @@
     for (const auto &server : m_servers) {
         const auto entry = server->entry();
         const auto document = objectDocument(entry.id, serverDocument(entry));
-        co_await writeToStore("POST", "/objects/servers", document);
+        co_await m_storeWriter.write("POST", "/objects/servers", document);
     }
     const auto first = objectDocument("main", configuration(m_version));
-    co_await writeToStore("POST", "/objects/config", first);
+    co_await m_storeWriter.write("POST", "/objects/config", first);
     for (const auto &host : m_hosts) {
         host->start();
     }
@@ -220,9 +215,8 @@
 
 void Soak::startOptions(SteadyTime end)
 {
-    if (m_options.hasEvacuations) {
-        ++m_faultsInProgress;
-        spawn(m_context.get_executor(), "soak-evacuations", evacuateAtRandom(end));
+    if (m_evacuations) {
+        spawn(m_context.get_executor(), "soak-evacuations", evacuate(end));
     }
     if (m_coldReturns) {
         const auto servers = m_servers.size();
@@ -236,6 +230,9 @@
 
 void Soak::endOptions()
 {
+    if (m_evacuations) {
+        m_checks["evacuation-order"] = m_evacuations->count();
+    }
     if (m_coldReturns) {
         m_checks.merge(m_coldReturns->counts());
     }
@@ -374,15 +371,15 @@
     m_storeStability.markUnstable(steadyNow() + duration);
     switch (kind) {
     case FaultKind::StopStore:
-        co_await setStoreFaults(R"({"down":true})");
+        co_await m_storeWriter.setFaults(R"({"down":true})");
         co_await sleep(duration);
-        co_await setStoreFaults(R"({"down":false})");
+        co_await m_storeWriter.setFaults(R"({"down":false})");
         break;
     case FaultKind::LoseStoreWrites:
-        co_await setStoreFaults(R"({"lose_writes":2})");
+        co_await m_storeWriter.setFaults(R"({"lose_writes":2})");
         break;
     default:
-        co_await setStoreFaults(R"({"drop_history":true,"cut_watches":true})");
+        co_await m_storeWriter.setFaults(R"({"drop_history":true,"cut_watches":true})");
         break;
     }
     m_storeStability.markUnstable(steadyNow());
@@ -399,8 +396,8 @@
     }
     const auto entry = server.entry();
     const auto document = objectDocument(entry.id, serverDocument(entry));
-    co_await writeToStore("POST", "/objects/servers", document);
-    co_await writeToStore("DELETE", "/objects/servers/" + old.id, "");
+    co_await m_storeWriter.write("POST", "/objects/servers", document);
+    co_await m_storeWriter.write("DELETE", "/objects/servers/" + old.id, "");
 }
 
 Task<> Soak::drainServer(SoakServer &server)
@@ -412,7 +409,7 @@
     m_leavingSince[entry.id] = SteadyTime::max();
     entry.isLeaving = true;
     const auto document = objectDocument(entry.id, serverDocument(entry));
-    const auto acknowledgedAt = co_await writeToStore("PUT", "/objects/servers/" + entry.id, document);
+    const auto acknowledgedAt = co_await m_storeWriter.write("PUT", "/objects/servers/" + entry.id, document);
     m_leavingSince[entry.id] = acknowledgedAt;
     co_await sleep(DrainTime);
     if (server.entry().id == entry.id) {
@@ -420,21 +417,10 @@
     }
 }
 
-Task<> Soak::evacuateAtRandom(SteadyTime end)
-{
-    Random random(m_options.seed);
-    std::uniform_int_distribution<Milliseconds::rep> time(MinEvacuationTime.count(), MaxEvacuationTime.count());
-    const std::string kind = "/objects/evacuations";
-    const std::string object = std::string(kind).append("/").append(EvacuatedDomain);
-    while (steadyNow() < end) {
-        co_await sleep(Milliseconds(time(random)) / 2);
-        const auto document = objectDocument(EvacuatedDomain, "{}");
-        m_evacuatedSince = co_await writeToStore("POST", kind, document);
-        ++m_checks["evacuation-order"];
-        co_await sleep(Milliseconds(time(random)));
-        m_evacuatedSince = SteadyTime::max();
-        co_await writeToStore("DELETE", object, "");
-    }
+Task<> Soak::evacuate(SteadyTime end)
+{
+    ++m_faultsInProgress;
+    co_await m_evacuations->run(end);
     --m_faultsInProgress;
 }
 
@@ -442,13 +428,14 @@
 {
     const auto *host = m_ledger.hostOf(call);
     const bool isThere = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &server) {
-        return server->entry().id == instance && server->entry().failureDomain == EvacuatedDomain;
+        return server->entry().id == instance && server->entry().failureDomain == RandomEvacuations::Domain;
     });
-    if (!isThere || m_evacuatedSince == SteadyTime::max() || host == nullptr || isHeldUp(instance)) {
+    if (!m_evacuations || !isThere || m_evacuations->since() == SteadyTime::max() || host == nullptr
+        || isHeldUp(instance)) {
         return;
     }
     ++m_checks["evacuation"];
-    if (steadyNow() - m_evacuatedSince > EvacuationLimit && timeLimitsApply(*m_hosts[*host], m_evacuatedSince)) {
+    if (m_evacuations->isInForce() && timeLimitsApply(*m_hosts[*host], m_evacuations->since())) {
         m_ledger.addViolation("evacuation", call + " reached " + instance + " in the evacuated domain after the limit");
     }
 }
@@ -491,7 +478,7 @@
     m_isWritingConfiguration = true;
     const auto version = ++m_version;
     const auto document = objectDocument("main", configuration(version));
-    const auto acknowledgedAt = co_await writeToStore("PUT", "/objects/config/main", document);
+    const auto acknowledgedAt = co_await m_storeWriter.write("PUT", "/objects/config/main", document);
     m_isWritingConfiguration = false;
     co_await sleep(MaxConfigurationDelay);
     co_await checkConfiguration(version, acknowledgedAt);
@@ -559,7 +546,7 @@
     for (const auto &server : m_servers) {
         server->link().setState(LinkState::Open);
     }
-    spawn(m_context.get_executor(), "soak-end-faults", setStoreFaults(R"({"down":false,"lose_writes":0})"));
+    spawn(m_context.get_executor(), "soak-end-faults", m_storeWriter.setFaults(R"({"down":false,"lose_writes":0})"));
 }
 
 bool Soak::timeLimitsApply(SoakHost &host, SteadyTime since) const
@@ -567,40 +554,6 @@
     return host.stability().isStableSince(since) && m_storeStability.isStableSince(since);
 }
 
-Task<SteadyTime> Soak::writeToStore(std::string method, std::string path, std::string document)
-{
-    HttpClient client(m_context, m_storeAddress);
-    const auto deadline = steadyNow() + EndTimeout;
-    while (true) {
-        auto request = makeHttpRequest(method, path, document);
-        const auto response = co_await client.call(std::move(request), StoreCallTimeout);
-        // An earlier try may have been applied although its answer was lost: then a POST finds that the object exists,
-        // and a DELETE that it is gone.
-        const bool isDone = response.has_value()
-            && (response.value().status < FirstError || response.value().status == NotFound
-                || (method == "POST" && response.value().status == 409));
-        if (isDone) {
-            co_return steadyNow();
-        }
-        if (steadyNow() > deadline) {
-            m_ledger.addViolation("stand-in",
-                                  "the store does not accept " + std::string(method).append(" ").append(path));
-            co_return steadyNow();
-        }
-        co_await sleep(PollInterval);
-    }
-}
-
-Task<> Soak::setStoreFaults(std::string faults)
-{
-    HttpClient client(m_context, m_storeAddress);
-    auto request = makeHttpRequest("POST", "/faults", faults);
-    const auto response = co_await client.call(std::move(request), StoreCallTimeout);
-    if (response.has_error()) {
-        m_ledger.addViolation("stand-in", "the store did not set its faults: " + response.error().error.message());
-    }
-}
-
 Task<> Soak::sleep(Milliseconds time)
 {
     asio::steady_timer timer(m_context, time);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -5,9 +5,11 @@
 #include "soak/engineload.h"
 #include "soak/faultplan.h"
 #include "soak/ledger.h"
+#include "soak/randomevacuations.h"
 #include "soak/soakcaller.h"
 #include "soak/soakhost.h"
 #include "soak/soakserver.h"
+#include "soak/storewriter.h"
 #include "standins/platformstore.h"
 
 #include <cstdint>
@@ -66,7 +68,7 @@
     Task<> injectLinkFault(FaultKind kind, FaultProxy &link, Milliseconds duration);
     Task<> replaceServer(SoakServer &server, Milliseconds duration);
     Task<> drainServer(SoakServer &server);
-    Task<> evacuateAtRandom(SteadyTime end);
+    Task<> evacuate(SteadyTime end);
     void checkEvacuation(const std::string &call, const std::string &instance);
     /// Whether the link to a server was harmed lately, so that a call that was sent in time may arrive late.
     bool isHeldUp(const std::string &instance) const;
@@ -86,9 +88,6 @@
     /// Whether neither the host nor the store had a fault around or after that time, so that time limits apply.
     bool timeLimitsApply(SoakHost &host, SteadyTime since) const;
 
-    /// Repeats a write until the store accepts it; returns the time of the acknowledgement.
-    Task<SteadyTime> writeToStore(std::string method, std::string path, std::string document);
-    Task<> setStoreFaults(std::string faults);
     Task<> sleep(Milliseconds time);
 
     SoakOptions m_options;
@@ -97,16 +96,16 @@
     tcp::endpoint m_storeAddress;
     StabilityTracker m_storeStability;
     Ledger m_ledger;
+    StoreWriter m_storeWriter;
     std::vector<std::unique_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakHost>> m_hosts;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     std::unique_ptr<SoakCaller> m_prober;
+    std::unique_ptr<RandomEvacuations> m_evacuations;
     std::unique_ptr<ColdReturns> m_coldReturns;
     std::unique_ptr<EngineLoad> m_engineLoad;
     /// When the store acknowledged that an instance leaves; SteadyTime::max() until it has.
     std::map<std::string, SteadyTime> m_leavingSince;
-    /// When the store acknowledged that the failure domain is evacuated; SteadyTime::max() while it is not.
-    SteadyTime m_evacuatedSince = SteadyTime::max();
     std::map<std::string, std::size_t> m_checks;
     std::uint64_t m_version = 1;
     /// Number of faults in progress, including the checks that follow them.
