--- a/tests/soak/engineload.cpp
+++ b/tests/soak/engineload.cpp
@@ -39,7 +39,7 @@
 /// Of each organisation, 35 a second in all.
 constexpr Milliseconds UrgentInterval{200};
 constexpr Milliseconds BatchInterval{150};
-/// 66 a second, which with the others is more than twice of what the engines can do.
+/// 66 a second, which with the others is more than twice what the engines can do.
 constexpr Milliseconds SurgeInterval{15};
 constexpr Milliseconds MinQuietTime{500};
 constexpr Milliseconds MaxQuietTime{1500};
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -129,7 +129,7 @@
 std::string Soak::settings() const
 {
     std::string settings;
-    if (m_options.hasEvacuations) {
+    if (m_options.hasEvacuations && !m_options.lacksSettings) {
         settings += RandomEvacuations::settings();
     }
     if (m_options.hasColdReturns && !m_options.lacksSettings) {
