Do not count servers as full whose agents have no configuration yet

servingtest failed once beside load: the first request to an entry process got 503 with all-at-limit on an idle fleet. An agent without the configuration of its server reported a capacity of 0, which means that the server accepts no calls. Entry processes have a configuration in force before agents get it, so they could pass such a report to routing and refuse all calls until the next one, up to about 2 s. Such reports now state that the capacity is unknown, and the limit of the entry process's configuration applies. Calls with a key are still not sent there, since the agent would refuse them.

The new case of requestroutingtest fails without the change (3 checks). servingtest is unchanged and passes, as do routingtest, membershiptest and fleetstoptest.

--- a/src/agent/agentserver.cpp
+++ b/src/agent/agentserver.cpp
@@ -341,7 +341,7 @@
 void AgentServer::apply(const Configuration &configuration)
 {
     const auto *self = configuration.backendServer(m_identity.backendServer);
-    m_capacity = self == nullptr ? 0 : self->capacity;
+    m_capacity = self == nullptr ? LoadReport::UnknownCapacity : self->capacity;
     m_keyed->apply(configuration);
 }
 
--- a/src/agent/agentserver.h
+++ b/src/agent/agentserver.h
@@ -100,7 +100,7 @@
     std::unique_ptr<KeyedExecutions> m_keyed;
     std::size_t m_runningCalls = 0;
     std::uint64_t m_loadSequence = 0;
-    std::uint32_t m_capacity = 0;
+    std::uint32_t m_capacity = LoadReport::UnknownCapacity;
     AgentDrain m_drain;
     AgentDrain::ConnectionId m_nextConnection = 1;
 };
--- a/src/entry/requestrouting.cpp
+++ b/src/entry/requestrouting.cpp
@@ -194,7 +194,7 @@
 {
     const auto index = m_table.find(server);
     return index && m_table.server(*index).state == MemberState::Live
-        && m_table.availability(*index, steadyNow()) == Availability::Available;
+        && m_table.availability(*index, steadyNow()) == Availability::Available && m_table.mayDecideKeys(*index);
 }
 
 SlotSet RequestRouting::availableSlots(const SlotTable &table, bool localOnly) const
--- a/src/membership/agentreporter.cpp
+++ b/src/membership/agentreporter.cpp
@@ -27,7 +27,6 @@
 constexpr Seconds ExclusionTime(10);
 constexpr Milliseconds PauseThreshold(2000);
 constexpr Milliseconds RepairInterval(200);
-constexpr std::uint32_t SignificantLoadDivisor = 8;
 
 std::uint32_t requestCount(const LoadReport &load)
 {
@@ -36,10 +35,9 @@
 
 bool isSignificant(const LoadReport &before, const LoadReport &after)
 {
-    const auto threshold = std::max(1U, after.capacity / SignificantLoadDivisor);
     const auto difference
         = std::max(requestCount(before), requestCount(after)) - std::min(requestCount(before), requestCount(after));
-    return difference >= threshold || before.capacity != after.capacity;
+    return difference >= after.significantChange() || before.capacity != after.capacity;
 }
 
 } // namespace
@@ -51,6 +49,7 @@
     m_row.server = MemberTable::hashOf(m_identity.server);
     m_row.incarnation = static_cast<std::uint64_t>(m_identity.start.time_since_epoch().count());
     m_row.state = static_cast<std::uint8_t>(MemberState::Live);
+    m_row.capacity = LoadReport::UnknownCapacity;
 }
 
 void AgentReporter::setEntryHosts(const std::vector<EntryHost> &hosts)
--- a/src/membership/membertable.cpp
+++ b/src/membership/membertable.cpp
@@ -22,8 +22,6 @@
 constexpr Seconds AnnouncementPeriod(30);
 constexpr Seconds ServerTimeout(120);
 constexpr Seconds RecentReportWindow(40);
-// A change below one eighth of the capacity hardly affects the choice between two servers, but would fill the messages.
-constexpr std::uint32_t SignificantLoadDivisor = 8;
 constexpr double TransmissionsPerDoubling = 3.0;
 constexpr Milliseconds AgeUnit(100);
 
@@ -287,9 +285,9 @@
 bool MemberTable::isSignificant(const Server &server, SteadyTime now)
 {
     const auto load = server.row.load();
-    const auto threshold = std::max(1U, load.capacity / SignificantLoadDivisor);
     const bool changedEnough
-        = difference(load.running + load.queued, server.announced.running + server.announced.queued) >= threshold;
+        = difference(load.running + load.queued, server.announced.running + server.announced.queued)
+        >= load.significantChange();
     return changedEnough || load.capacity != server.announced.capacity
         || now - server.announcedAt >= AnnouncementPeriod;
 }
--- a/src/routing/backendtable.cpp
+++ b/src/routing/backendtable.cpp
@@ -243,6 +243,12 @@
     return outstanding < entry.server.capacityLimit ? Availability::Available : Availability::AtLimit;
 }
 
+bool BackendTable::mayDecideKeys(Index index) const
+{
+    const auto &report = m_entries[index].report;
+    return !report || report->isCapacityKnown();
+}
+
 SteadyTime BackendTable::excludedUntil(Index index) const
 {
     return m_entries[index].excludedUntil;
--- a/src/routing/backendtable.h
+++ b/src/routing/backendtable.h
@@ -113,6 +113,9 @@
     /// Whether the server can get a request. Does not distinguish live servers from suspect ones.
     Availability availability(Index index, SteadyTime now) const;
 
+    /// Whether the agent may have the configuration of its server, without which it refuses all calls with a key.
+    bool mayDecideKeys(Index index) const;
+
     /// When the exclusion ends; a time in the past if the server is not excluded.
     SteadyTime excludedUntil(Index index) const;
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -81,7 +81,8 @@
 Result<RoutingDecision, RoutingError> Router::chooseSlotOwner(const Query &query) const
 {
     const auto owner = m_table.find(*query.request.slotOwner);
-    if (!owner || m_table.availability(*owner, query.now) != Availability::Available) {
+    if (!owner || m_table.availability(*owner, query.now) != Availability::Available
+        || !m_table.mayDecideKeys(*owner)) {
         const RoutingErrorCode code = RoutingErrorCode::SlotOwnerUnavailable;
         return failure(RoutingError{code, query.request.service, m_options.overloadRetryAfter});
     }
--- a/tests/requestroutingtest.cpp
+++ b/tests/requestroutingtest.cpp
@@ -1,6 +1,9 @@
 #include "entry/requestrouting.h"
+#include "agent/agentserver.h"
 #include "config/config.h"
 #include "entry/callerrequest.h"
+#include "membership/agentreporter.h"
+#include "metrics/metricsregistry.h"
 #include "objectstore/versionedobject.h"
 
 #include <doctest/doctest.h>
@@ -84,4 +87,38 @@
     CHECK_FALSE(fixture.occupy());
 }
 
+// Entry processes get a configuration before the agents do. Reports that an agent made before that made every request
+// of a new service fail with `all-at-limit` for up to 2 s, and replies for longer.
+TEST_CASE("an agent that has not received its configuration does not make its server appear full")
+{
+    Fixture fixture;
+    fixture.setCapacity(4, 2);
+    const BackendServerId server("b");
+    SUBCASE("with the first row of its gossip")
+    {
+        const AgentReporter reporter(AgentIdentity{server, FailureDomainId("d"), WallTime(Milliseconds(7))});
+        fixture.routing.updateState(server, 7, MemberState::Live);
+        fixture.routing.updateLoad(server, 7, reporter.row().load(), ReportSource::Gossip);
+        CHECK(fixture.occupy());
+    }
+    asio::io_context context;
+    MetricsRegistry metrics;
+    AgentServer agent(context, {server, 7}, tcp::endpoint(), tcp::endpoint(), Milliseconds(1000), metrics);
+    SUBCASE("with the load that it measures")
+    {
+        fixture.routing.updateState(server, 7, MemberState::Live);
+        fixture.routing.updateLoad(server, 7, agent.makeLoadReport(), ReportSource::Reply);
+        CHECK(fixture.occupy());
+        CHECK(fixture.occupy());
+        CHECK_FALSE(fixture.occupy());
+    }
+    SUBCASE("unless it leaves")
+    {
+        agent.startLeaving();
+        fixture.routing.updateState(server, 7, MemberState::Live);
+        fixture.routing.updateLoad(server, 7, agent.makeLoadReport(), ReportSource::Gossip);
+        CHECK_FALSE(fixture.occupy());
+    }
+}
+
 } // namespace Cardamomhill
--- a/tests/routingtest.cpp
+++ b/tests/routingtest.cpp
@@ -308,6 +308,11 @@
     const RoutingRequest request{SERVICE, "", {}, serverId(2)};
     const Router router(table, LOCAL);
     CHECK(router.choose(request, at(Seconds(1)), random).value().server == serverId(2));
+    // An agent without its configuration refuses calls with a key, so the caller would need another key.
+    table.report(serverId(2), 1, {1, 0, 0, LoadReport::UnknownCapacity}, ReportSource::Gossip, at(Seconds(1)));
+    CHECK(router.choose(request, at(Seconds(1)), random).error().code == RoutingErrorCode::SlotOwnerUnavailable);
+    table.report(serverId(2), 1, {2, 0, 0, 1}, ReportSource::Gossip, at(Seconds(1)));
+    CHECK(router.choose(request, at(Seconds(1)), random).value().server == serverId(2));
     table.setState(serverId(2), 1, MemberState::Leaving);
     CHECK(router.choose(request, at(Seconds(1)), random).error().code == RoutingErrorCode::SlotOwnerUnavailable);
 }
