--- a/tests/slowreadertest.cpp
+++ b/tests/slowreadertest.cpp
@@ -28,7 +28,7 @@
 /// Two of these are over that limit, so a larger answer is relayed piece by piece.
 constexpr std::size_t EventCount = 3;
 /// Bounds on how much memory grows from that of an idle process: at any time, and once the crowd is gone. What waits in
-/// the send queues of the callers' sockets counts, since it takes the host's memory like what the process holds. The
+/// the queues of its sockets to callers and servers counts, since it takes the host's memory like what it holds. The
 /// memory of the host less 24 MB for the idle process and for what else the host runs, and the bound of bodymemorytest.
 constexpr std::size_t MaxPeakGrowthKilobytes = 40 * MegabyteKilobytes;
 constexpr std::size_t MaxLastingGrowthKilobytes = 24 * MegabyteKilobytes;
@@ -84,7 +84,7 @@
             }
         });
         m_fleet.run(m_fleet.waitForLog(0, "event=configuration-in-force version=2"));
-        registerLargeServer();
+        m_fleet.run(registerLargeServer());
         m_idleKilobytes = status().memoryKilobytes("VmRSS");
     }
 
@@ -111,12 +111,23 @@
 
 private:
     /// Registers the server with a slot for each member of the crowd, so that none is refused for want of one.
-    void registerLargeServer()
+    Task<> registerLargeServer()
     {
         const ServerEntry entry{"s1", controlAddress(m_fleet.server("s1").endpoint()).value(), 2, false};
         auto document = nlohmann::json::parse(serverDocument(entry));
         document["slots"] = 2 * CrowdSize;
         m_fleet.store.put("servers", "s1", document);
+        const auto deadline = steadyNow() + CrowdTimeout;
+        // The first line is of the server's earlier registration.
+        const auto isKnown = [this] {
+            const std::string text = "event=server-present server=s1";
+            const auto log = m_fleet.log(0);
+            return log.find(text) != log.rfind(text);
+        };
+        while (!isKnown() && steadyNow() < deadline) {
+            co_await m_fleet.sleep(PollInterval);
+        }
+        CHECK(isKnown());
     }
 
     static constexpr const char *OrdinaryId = "ordinary-";
@@ -208,8 +219,9 @@
 
     std::size_t growth()
     {
-        const auto held
-            = status().memoryKilobytes("VmRSS") + ProcessStatus::sendQueueKilobytes(m_fleet.listenAddress(0).port());
+        const auto held = status().memoryKilobytes("VmRSS")
+            + ProcessStatus::sendQueueKilobytes(m_fleet.listenAddress(0).port())
+            + ProcessStatus::receiveQueueKilobytes(m_fleet.server("s1").endpoint().port());
         return held - std::min(held, m_idleKilobytes);
     }
 
--- a/tests/support/processstatus.h
+++ b/tests/support/processstatus.h
@@ -39,25 +39,53 @@
         return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
     }
 
-    /// What waits to be sent or acknowledged on the connections of a port of 127.0.0.1.
+    /// What waits to be sent or acknowledged on the connections from a port of this host.
     static std::size_t sendQueueKilobytes(unsigned port)
     {
+        return queuedKilobytes([port](const Connection &connection) {
+            return connection.localPort == port ? connection.sendQueueBytes : 0;
+        });
+    }
+
+    /// What waits to be read on the connections to a port of this host.
+    static std::size_t receiveQueueKilobytes(unsigned port)
+    {
+        return queuedKilobytes([port](const Connection &connection) {
+            return connection.remotePort == port ? connection.receiveQueueBytes : 0;
+        });
+    }
+
+private:
+    struct Connection {
+        unsigned localPort = 0;
+        unsigned remotePort = 0;
+        unsigned long sendQueueBytes = 0;
+        unsigned long receiveQueueBytes = 0;
+    };
+
+    template<class BytesOf>
+    static std::size_t queuedKilobytes(BytesOf bytesOf)
+    {
+        constexpr int FieldCount = 4;
         std::ifstream table("/proc/net/tcp");
         std::string line;
         std::size_t bytes = 0;
         while (std::getline(table, line)) {
-            unsigned localPort = 0;
-            unsigned long queued = 0;
+            Connection connection;
             // Number, local address and port, remote ones, state, and the queues for sending and receiving.
-            if (std::sscanf(line.c_str(), " %*d: %*x:%x %*x:%*x %*x %lx:", &localPort, &queued) == 2
-                && localPort == port) {
-                bytes += queued;
+            if (std::sscanf(line.c_str(),
+                            " %*d: %*x:%x %*x:%x %*x %lx:%lx",
+                            &connection.localPort,
+                            &connection.remotePort,
+                            &connection.sendQueueBytes,
+                            &connection.receiveQueueBytes)
+                == FieldCount) {
+                bytes += bytesOf(connection);
             }
         }
         return bytes / 1024;
     }
 
-private:
     std::filesystem::path m_directory;
 };
 
