Limit what answers to callers that read nothing take of the host's memory

Answers and events of up to 256 KiB were held for each caller, and the kernel's queues took several hundred kB more on both sides of each call. Answers together now hold at most an eighth of the host's memory; without room a plain answer is sent as it arrives, and a stream with a large event waits. The queues of connections get another eighth, if that is less than 1 MiB each, which it is not with the default of memory_megabytes.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -30,6 +30,11 @@
 constexpr std::size_t MaxBufferedAnswerBytes = 256 * 1024;
 /// A longer event, or this many bytes without an event, is treated as a broken answer.
 constexpr std::size_t MaxEventBytes = 256 * 1024;
+/// Memory is asked for once an event is larger.
+constexpr std::size_t UncountedEventBytes = 16 * 1024;
+/// An event is in memory twice for a moment, when it is separated from what follows it.
+constexpr std::size_t EventMemoryFactor = 2;
+constexpr Milliseconds RoomPollPeriod{20};
 /// A call that is not a stream is sent to another server, if one can take it, when the first has not begun to answer
 /// after the route's timeout divided by this.
 constexpr int AttemptTimeoutDivisor = 2;
@@ -258,6 +263,7 @@
         co_return true;
     }
     m_connection = std::make_unique<HttpClientConnection>(m_thread.context(), ReadBufferBytes);
+    m_connection->setReceiveQueueBytes(m_thread.receiveQueueBytes());
     const auto connected = co_await m_connection->connect(*endpoint, std::min(ConnectTimeout, remainingTime()));
     const bool isConnected = connected.has_value();
     if (!isConnected) {
@@ -369,7 +375,8 @@
             break;
         }
         body += *piece.value();
-        if (!m_state.hasAnswerBegun && body.size() <= MaxBufferedAnswerBytes) {
+        // Without memory for the whole answer it is sent as it arrives, like one that is too large.
+        if (!m_state.hasAnswerBegun && body.size() <= MaxBufferedAnswerBytes && m_exchange.tryHold(body.size())) {
             continue;
         }
         const bool begun = co_await beginAnswer();
@@ -380,7 +387,9 @@
         if (!sent) {
             co_return AttemptEnd::CallerGone;
         }
-        body.clear();
+        // Frees the buffer too.
+        std::string().swap(body);
+        m_exchange.releaseHeld();
     }
     if (m_state.hasAnswerBegun) {
         co_return co_await endAnswer();
@@ -436,7 +445,30 @@
         if (m_eventSplitter.pendingBytes() > MaxEventBytes) {
             co_return endAsBroken("event exceeds the size limit");
         }
+        const bool hasRoom = co_await waitForRoom();
+        if (!hasRoom) {
+            co_return endFromError({NetErrorCode::TimedOut, "no memory for the event"});
+        }
+    }
+}
+
+Task<bool> Attempt::waitForRoom()
+{
+    if (m_eventSplitter.pendingBytes() <= UncountedEventBytes) {
+        m_exchange.releaseHeld();
+        co_return true;
+    }
+    asio::steady_timer timer(m_thread.context());
+    // All at once, since streams that each hold a part could wait for each other.
+    while (!m_exchange.tryHold(EventMemoryFactor * MaxEventBytes)) {
+        if (isGivenUp() || m_state.remainingTime(steadyNow()) <= RoomPollPeriod) {
+            co_return false;
+        }
+        timer.expires_after(RoomPollPeriod);
+        SystemError ignored;
+        co_await timer.async_wait(storeError(ignored));
     }
+    co_return true;
 }
 
 bool Attempt::claimDelivery()
--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -92,6 +92,9 @@
     HttpHeaders answerHeaders() const;
     Milliseconds remainingTime() const;
     void recordArrival();
+    /// Waits for memory for the event that is arriving, if it is large; meanwhile the server's answer is not read.
+    /// Returns false if nobody waits for the stream any more or its time is over.
+    Task<bool> waitForRoom();
     void releaseConnection();
     /// Whether nobody waits for this attempt any more.
     bool isGivenUp() const;
--- a/src/gateway/callerloadreport.cpp
+++ b/src/gateway/callerloadreport.cpp
@@ -30,16 +30,20 @@
     const auto counts = server.counts();
     const auto bodyBytes = server.bodyBytes();
     m_metrics.gauge("body_bytes").set(static_cast<std::int64_t>(bodyBytes));
+    m_metrics.gauge("answer_bytes").set(static_cast<std::int64_t>(server.answerBytes()));
     m_metrics.gauge("caller_connections").set(static_cast<std::int64_t>(server.connectionCount()));
     m_metrics.counter("bodies_refused_total").add(counts.refusedBodies - m_counted.refusedBodies);
     m_metrics.counter("bodies_dropped_total").add(counts.droppedBodies - m_counted.droppedBodies);
     m_metrics.counter("bodies_skipped_total").add(counts.skippedBodies - m_counted.skippedBodies);
     m_metrics.counter("connections_refused_total").add(counts.refusedConnections - m_counted.refusedConnections);
     m_metrics.counter("connections_displaced_total").add(counts.displacedConnections - m_counted.displacedConnections);
+    m_metrics.counter("answers_refused_memory_total").add(counts.refusedAnswers - m_counted.refusedAnswers);
     m_counted = counts;
     // A skipped body is one of a refused call, which is logged by itself.
     auto limited = counts;
     limited.skippedBodies = 0;
+    // An answer that waits for memory is refused it many times.
+    limited.refusedAnswers = 0;
     logRefusals(limited, bodyBytes, now);
     returnMemory(bodyBytes, now);
 }
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -7,6 +7,7 @@
 #include "gateway/callhandler.h"
 #include "gateway/evacuationrecord.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/hostlimits.h"
 #include "logging/logging.h"
 #include "metrics/metricsregistry.h"
 #include "net/httpclientconnection.h"
@@ -41,15 +42,6 @@
 /// Fraction of the retry ratio that is used, since each host counts its calls in a window of its own.
 constexpr double RetryRatioFraction = 0.83;
 
-/// The fraction of the host's memory that bodies of requests may take. The rest is for the connections of callers, for
-/// answers and for what the process knows of servers and other hosts.
-constexpr std::size_t BodyMemoryDivisor = 4;
-constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
-/// Descriptors for files, listening sockets and connections to the store, to other hosts and kept ones to servers.
-constexpr std::size_t ReservedDescriptors = 200;
-/// A call takes one descriptor for its caller and one for its server.
-constexpr std::size_t DescriptorsPerCall = 2;
-
 ServerTableOptions serverTableOptions(const GatewaySettings &settings)
 {
     ServerTableOptions options;
@@ -57,19 +49,6 @@
     return options;
 }
 
-HttpLimits httpLimitsOf(const CallerLimits &limits, const GatewaySettings &settings)
-{
-    HttpLimits http;
-    http.maxHeaderBytes = limits.headerBytes;
-    http.maxBodyBytes = limits.bodyBytes;
-    http.requestTimeout = limits.requestReadTimeout;
-    http.idleTimeout = limits.idleTimeout;
-    http.maxTotalBodyBytes = settings.memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor;
-    http.maxConnections
-        = std::min(http.maxConnections, (settings.maxDescriptors - ReservedDescriptors) / DescriptorsPerCall);
-    return http;
-}
-
 } // namespace
 
 GatewayThread::GatewayThread(const GatewaySettings &settings,
@@ -162,6 +141,11 @@
     return m_context;
 }
 
+std::size_t GatewayThread::receiveQueueBytes() const
+{
+    return socketQueueBytesOf(m_settings);
+}
+
 bool GatewayThread::refusesHead(const HttpRequest::header_type &head) const
 {
     const auto call = m_codec.parseCall(head);
--- a/src/gateway/gatewaythread.h
+++ b/src/gateway/gatewaythread.h
@@ -78,6 +78,9 @@
     void stop();
     asio::io_context &context();
 
+    /// How many bytes of an answer may wait to be read on a connection to a server, or 0 if that is not limited.
+    std::size_t receiveQueueBytes() const;
+
     void applyConfiguration(std::shared_ptr<const TrafficConfiguration> configuration);
     void applyServers(const ServerChanges &changes);
     /// Ends all calls to servers of the evacuated failure domains, except those that were sent before.
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -37,10 +37,21 @@
 {
 }
 
+void HttpClientConnection::setReceiveQueueBytes(std::size_t bytes)
+{
+    m_receiveQueueBytes = bytes;
+}
+
 Task<Result<void, NetError>> HttpClientConnection::connect(const tcp::endpoint &endpoint, Milliseconds timeout)
 {
     m_stream.expires_after(timeout);
     SystemError error;
+    if (m_receiveQueueBytes > 0) {
+        // Set before the connection is opened, since that determines the largest window.
+        m_stream.socket().open(endpoint.protocol(), error);
+        m_stream.socket().set_option(asio::socket_base::receive_buffer_size(static_cast<int>(m_receiveQueueBytes)),
+                                     error);
+    }
     co_await m_stream.async_connect(endpoint, storeError(error));
     if (error) {
         const bool refused = error == asio::error::connection_refused;
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -24,6 +24,10 @@
 
     explicit HttpClientConnection(asio::io_context &context, std::size_t readBufferBytes = DefaultReadBufferBytes);
 
+    /// Sets how many bytes of answers may wait to be read, before the connection is opened. 0 leaves that to the
+    /// kernel.
+    void setReceiveQueueBytes(std::size_t bytes);
+
     /// Connects. On failure no part of a request was sent.
     Task<Result<void, NetError>> connect(const tcp::endpoint &endpoint, Milliseconds timeout);
 
@@ -69,6 +73,7 @@
     Task<Result<void, NetError>> readHead(Milliseconds timeout);
 
     beast::tcp_stream m_stream;
+    std::size_t m_receiveQueueBytes = 0;
     AnswerReader m_reader;
     /// Whether an answer to the last request has a body.
     bool m_hasBody = true;
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -1,5 +1,6 @@
 #include "net/httpexchange.h"
 
+#include "net/answerbudget.h"
 #include "net/httplimits.h"
 
 #include <boost/asio/write.hpp>
@@ -8,6 +9,8 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <limits>
+
 #include <sys/socket.h>
 
 namespace Cardamomhill
@@ -71,10 +74,12 @@
 HttpExchange::HttpExchange(beast::tcp_stream &stream,
                            HttpRequest request,
                            const HttpLimits &limits,
+                           AnswerBudget &answerBudget,
                            const bool *closesAfterAnswer)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_limits(limits)
+    , m_answerBudget(answerBudget)
     , m_closesAfterAnswer(closesAfterAnswer)
     , m_version(m_request.version())
     , m_isHeadRequest(m_request.method() == http::verb::head)
@@ -82,6 +87,37 @@
 {
 }
 
+HttpExchange::~HttpExchange()
+{
+    releaseHeld();
+}
+
+bool HttpExchange::tryHold(std::size_t bytes)
+{
+    return m_answerBudget.take(m_heldBytes, bytes);
+}
+
+void HttpExchange::releaseHeld()
+{
+    m_answerBudget.release(m_heldBytes);
+}
+
+std::size_t HttpExchange::pieceBytes() const
+{
+    return m_limits.maxSendQueueBytes == 0 ? std::numeric_limits<std::size_t>::max() : m_limits.maxSendQueueBytes / 2;
+}
+
+Task<bool> HttpExchange::writePieces(std::string_view data)
+{
+    SystemError error;
+    while (!data.empty() && !error) {
+        const auto piece = data.substr(0, pieceBytes());
+        co_await asio::async_write(m_stream, asio::buffer(piece), storeError(error));
+        data.remove_prefix(piece.size());
+    }
+    co_return !error;
+}
+
 const HttpRequest &HttpExchange::request() const
 {
     return m_request;
@@ -127,9 +163,15 @@
     m_hasAnswerBegun = true;
     m_stream.expires_after(m_limits.writeTimeout);
     SystemError error;
-    co_await http::async_write(m_stream, response, storeError(error));
-    m_isComplete = !error;
-    co_return !error;
+    if (response.body().size() <= pieceBytes()) {
+        co_await http::async_write(m_stream, response, storeError(error));
+        m_isComplete = !error;
+        co_return !error;
+    }
+    http::response_serializer<http::string_body> serializer(response);
+    co_await http::async_write_header(m_stream, serializer, storeError(error));
+    m_isComplete = !error && co_await writePieces(response.body());
+    co_return m_isComplete;
 }
 
 HttpExchange::BodyEnd HttpExchange::bodyEndOfChunkedAnswer(unsigned status) const
@@ -167,11 +209,14 @@
         co_return true;
     }
     m_stream.expires_after(m_limits.writeTimeout);
-    SystemError error;
     if (m_bodyEnd == BodyEnd::Close) {
-        co_await asio::async_write(m_stream, asio::buffer(data), storeError(error));
-    } else {
-        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), storeError(error));
+        co_return co_await writePieces(data);
+    }
+    SystemError error;
+    while (!data.empty() && !error) {
+        const auto piece = data.substr(0, pieceBytes());
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(piece)), storeError(error));
+        data.remove_prefix(piece.size());
     }
     co_return !error;
 }
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -18,6 +18,7 @@
 namespace Cardamomhill
 {
 
+class AnswerBudget;
 struct HttpLimits;
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
@@ -36,7 +37,12 @@
     HttpExchange(beast::tcp_stream &stream,
                  HttpRequest request,
                  const HttpLimits &limits,
+                 AnswerBudget &answerBudget,
                  const bool *closesAfterAnswer);
+    ~HttpExchange();
+
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
 
     const HttpRequest &request() const;
 
@@ -50,6 +56,11 @@
     /// Closes the connection at once, so that the caller receives a truncated answer.
     void abort();
 
+    /// Whether so many bytes of the answer may be held in memory, instead of being sent as they arrive. They count
+    /// until releaseHeld() or the end of the exchange.
+    bool tryHold(std::size_t bytes);
+    void releaseHeld();
+
     /// Sends a whole answer. Returns false if writing failed, such as after the caller closed the connection. So do
     /// beginChunkedAnswer(), sendChunk() and endChunkedAnswer().
     Task<bool> sendAnswer(unsigned status, std::string contentType, std::string body, HttpHeaders headers = {});
@@ -81,6 +92,9 @@
         Close,
     };
 
+    /// The size of the pieces in which data is given to the kernel, since it takes each of them whole.
+    std::size_t pieceBytes() const;
+    Task<bool> writePieces(std::string_view data);
     BodyEnd bodyEndOfChunkedAnswer(unsigned status) const;
     /// Called when an answer begins. Returns whether the connection is kept open after it.
     bool decideKeepAlive();
@@ -88,6 +102,8 @@
     beast::tcp_stream &m_stream;
     HttpRequest m_request;
     const HttpLimits &m_limits;
+    AnswerBudget &m_answerBudget;
+    std::size_t m_heldBytes = 0;
     const bool *m_closesAfterAnswer;
     unsigned m_version;
     bool m_isBodySkipped = false;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -115,6 +115,7 @@
     , m_limits(limits)
     , m_handler(std::move(handler))
     , m_bodyMemory(limits)
+    , m_answerBudget(limits.maxTotalAnswerBytes)
     , m_discardBuffer(DiscardBufferBytes)
     , m_acceptor(context)
 {
@@ -133,6 +134,7 @@
 {
     m_limits = limits;
     m_bodyMemory.setLimits(limits);
+    m_answerBudget.setTotal(limits.maxTotalAnswerBytes);
 }
 
 void HttpServer::setHeadCheck(HeadCheck check)
@@ -166,11 +168,17 @@
     return m_bodyMemory.usedBytes();
 }
 
+std::size_t HttpServer::answerBytes() const
+{
+    return m_answerBudget.usedBytes();
+}
+
 HttpServerCounts HttpServer::counts() const
 {
     auto counts = m_counts;
     counts.refusedBodies = m_bodyMemory.refusedCount();
     counts.droppedBodies = m_bodyMemory.droppedCount();
+    counts.refusedAnswers = m_answerBudget.refusedCount();
     return counts;
 }
 
@@ -217,6 +225,9 @@
     }
     SystemError ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    if (m_limits.maxSendQueueBytes > 0) {
+        limitUnsentBytes(socket, m_limits.maxSendQueueBytes / 2);
+    }
     const auto connection = std::make_shared<Connection>(std::move(socket));
     ++m_connectionCount;
     const auto position = m_connections.insert(m_connections.end(), connection);
@@ -310,6 +321,7 @@
     HttpExchange exchange(connection.stream,
                           wasRead ? std::move(request.value()) : HttpRequest(),
                           m_limits,
+                          m_answerBudget,
                           wasRead && !connection.isBodySkipped ? &m_closesAfterAnswers : nullptr);
     if (connection.isBodySkipped) {
         exchange.setBodySkipped();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "net/answerbudget.h"
 #include "net/asio.h"
 #include "net/bodymemory.h"
 #include "net/httpexchange.h"
@@ -52,6 +53,9 @@
     /// Bytes of request bodies that are arriving or belong to requests in progress.
     std::size_t bodyBytes() const;
 
+    /// Bytes that answers hold for their callers.
+    std::size_t answerBytes() const;
+
     HttpServerCounts counts() const;
 
 private:
@@ -80,6 +84,7 @@
     Handler m_handler;
     HeadCheck m_headCheck;
     BodyMemory m_bodyMemory;
+    AnswerBudget m_answerBudget;
     HttpServerCounts m_counts;
     /// Where all connections put what they discard.
     std::vector<char> m_discardBuffer;
--- a/src/net/httpservercounts.h
+++ b/src/net/httpservercounts.h
@@ -18,6 +18,9 @@
     /// Waiting connections closed for new ones.
     std::uint64_t displacedConnections = 0;
 
+    /// Answers that found no memory to be held in.
+    std::uint64_t refusedAnswers = 0;
+
     bool operator==(const HttpServerCounts &) const = default;
 };
 
--- a/src/net/listen.cpp
+++ b/src/net/listen.cpp
@@ -1,5 +1,7 @@
 #include "net/listen.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace Cardamomhill
@@ -28,4 +30,11 @@
     return success();
 }
 
+void limitUnsentBytes(tcp::socket &socket, std::size_t bytes)
+{
+    using NotSentLowWatermark = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+    SystemError ignored;
+    socket.set_option(NotSentLowWatermark(static_cast<int>(bytes)), ignored);
+}
+
 } // namespace Cardamomhill
--- a/src/net/listen.h
+++ b/src/net/listen.h
@@ -11,4 +11,8 @@
 /// among which the kernel distributes the connections.
 Result<void, NetError> openListener(tcp::acceptor &acceptor, const tcp::endpoint &endpoint, bool shared);
 
+/// Has the kernel take no further bytes for a connection while as many wait to be sent. Those that were sent and not
+/// acknowledged don't count, so the connection is not slowed down.
+void limitUnsentBytes(tcp::socket &socket, std::size_t bytes);
+
 } // namespace Cardamomhill
--- a/src/traffic/eventsplitter.cpp
+++ b/src/traffic/eventsplitter.cpp
@@ -61,10 +61,14 @@
         return std::nullopt;
     }
     StreamEvent event;
-    event.bytes = m_pending.substr(0, end);
+    if (end == m_pending.size()) {
+        event.bytes.swap(m_pending);
+    } else {
+        event.bytes = m_pending.substr(0, end);
+        m_pending.erase(0, end);
+    }
     event.id = idOf(event.bytes);
     event.hasData = event.bytes.starts_with("data") || event.bytes.find("\ndata") != std::string::npos;
-    m_pending.erase(0, end);
     return event;
 }
 
--- /dev/null
+++ b/tests/answerbudgettest.cpp
@@ -0,0 +1,71 @@
+// Guards against answers that callers don't read and that together take more memory than a host has.
+
+#include "net/answerbudget.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+constexpr std::size_t Kilobyte = 1024;
+constexpr std::size_t TotalBytes = 1000 * Kilobyte;
+
+} // namespace
+
+TEST_CASE("answers never hold more than the total, and one that is refused keeps what it holds")
+{
+    AnswerBudget budget(TotalBytes);
+    std::vector<std::size_t> held(10, 0);
+    std::size_t granted = 0;
+    for (auto &answer : held) {
+        granted += budget.take(answer, 250 * Kilobyte) ? 1 : 0;
+        CHECK(budget.usedBytes() <= TotalBytes);
+    }
+    CHECK(granted == 4);
+    CHECK(budget.refusedCount() == 6);
+    CHECK_FALSE(budget.take(held[0], 251 * Kilobyte));
+    CHECK(held[0] == 250 * Kilobyte);
+}
+
+TEST_CASE("an answer that grows is counted once, and what is given back can be taken again")
+{
+    AnswerBudget budget(TotalBytes);
+    std::size_t first = 0;
+    std::size_t second = 0;
+    CHECK(budget.take(first, 400 * Kilobyte));
+    CHECK(budget.take(first, 900 * Kilobyte));
+    CHECK(budget.take(first, 100 * Kilobyte));
+    CHECK(budget.usedBytes() == 900 * Kilobyte);
+    CHECK_FALSE(budget.take(second, 200 * Kilobyte));
+    budget.release(first);
+    budget.release(first);
+    CHECK(budget.usedBytes() == 0);
+    CHECK(budget.take(second, 200 * Kilobyte));
+}
+
+TEST_CASE("small answers are held when the total is used up, or ordinary callers would be affected")
+{
+    AnswerBudget budget(TotalBytes);
+    std::size_t large = 0;
+    std::size_t small = 0;
+    CHECK(budget.take(large, TotalBytes));
+    CHECK(budget.take(small, 16 * Kilobyte));
+    CHECK(small == 0);
+    CHECK_FALSE(budget.take(small, 17 * Kilobyte));
+}
+
+TEST_CASE("a total that is lowered below what is held refuses further bytes")
+{
+    AnswerBudget budget(TotalBytes);
+    std::size_t first = 0;
+    std::size_t second = 0;
+    CHECK(budget.take(first, TotalBytes));
+    budget.setTotal(TotalBytes / 2);
+    CHECK_FALSE(budget.take(second, 17 * Kilobyte));
+    budget.release(first);
+    CHECK(budget.take(second, 17 * Kilobyte));
+}
