End streams of callers that stopped reading when others need their memory

A stream with a large event waited up to 30 s for memory that streams of callers without a read held. Answers whose callers have taken nothing for 1 s now give way to it, the longest stalled first and no more than needed; otherwise nothing is ended.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -460,7 +460,7 @@
     }
     asio::steady_timer timer(m_thread.context());
     // All at once, since streams that each hold a part could wait for each other.
-    while (!m_exchange.tryHold(EventMemoryFactor * MaxEventBytes)) {
+    while (!m_exchange.tryHoldInsteadOfStalled(EventMemoryFactor * MaxEventBytes)) {
         if (isGivenUp() || m_state.remainingTime(steadyNow()) <= RoomPollPeriod) {
             co_return false;
         }
--- a/src/gateway/callerloadreport.cpp
+++ b/src/gateway/callerloadreport.cpp
@@ -37,6 +37,7 @@
     m_metrics.counter("bodies_skipped_total").add(counts.skippedBodies - m_counted.skippedBodies);
     m_metrics.counter("connections_refused_total").add(counts.refusedConnections - m_counted.refusedConnections);
     m_metrics.counter("connections_displaced_total").add(counts.displacedConnections - m_counted.displacedConnections);
+    m_metrics.counter("answers_displaced_total").add(counts.displacedAnswers - m_counted.displacedAnswers);
     m_metrics.counter("answers_refused_memory_total").add(counts.refusedAnswers - m_counted.refusedAnswers);
     m_counted = counts;
     // A skipped body is one of a refused call, which is logged by itself.
@@ -59,6 +60,7 @@
               {"bodies_dropped", counts.droppedBodies - m_logged.droppedBodies},
               {"connections_refused", counts.refusedConnections - m_logged.refusedConnections},
               {"connections_displaced", counts.displacedConnections - m_logged.displacedConnections},
+              {"answers_displaced", counts.displacedAnswers - m_logged.displacedAnswers},
               {"body_bytes", bodyBytes}});
     m_logged = counts;
     m_loggedAt = now;
--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -2,6 +2,7 @@
 
 #include "net/answerbudget.h"
 #include "net/httplimits.h"
+#include "net/steadynow.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -85,6 +86,8 @@
     , m_isHeadRequest(m_request.method() == http::verb::head)
     , m_keepAlive(m_request.keep_alive())
 {
+    // The write that waits ends with an error, as if the caller had closed the connection.
+    m_held.abort = [this] { m_stream.close(); };
 }
 
 HttpExchange::~HttpExchange()
@@ -94,12 +97,27 @@
 
 bool HttpExchange::tryHold(std::size_t bytes)
 {
-    return m_answerBudget.take(m_heldBytes, bytes);
+    return m_answerBudget.take(m_held, bytes);
+}
+
+bool HttpExchange::tryHoldInsteadOfStalled(std::size_t bytes)
+{
+    if (tryHold(bytes)) {
+        return true;
+    }
+    const auto displaced = m_answerBudget.takeFromStalled(m_held, bytes, steadyNow());
+    if (!displaced) {
+        return false;
+    }
+    for (const auto *const answer : *displaced) {
+        answer->abort();
+    }
+    return true;
 }
 
 void HttpExchange::releaseHeld()
 {
-    m_answerBudget.release(m_heldBytes);
+    m_answerBudget.release(m_held);
 }
 
 std::size_t HttpExchange::pieceBytes() const
@@ -112,9 +130,11 @@
     SystemError error;
     while (!data.empty() && !error) {
         const auto piece = data.substr(0, pieceBytes());
+        m_held.waitsSince = steadyNow();
         co_await asio::async_write(m_stream, asio::buffer(piece), storeError(error));
         data.remove_prefix(piece.size());
     }
+    m_held.waitsSince.reset();
     co_return !error;
 }
 
@@ -215,9 +235,11 @@
     SystemError error;
     while (!data.empty() && !error) {
         const auto piece = data.substr(0, pieceBytes());
+        m_held.waitsSince = steadyNow();
         co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(piece)), storeError(error));
         data.remove_prefix(piece.size());
     }
+    m_held.waitsSince.reset();
     co_return !error;
 }
 
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/asio.h"
+#include "net/heldanswer.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -59,6 +60,8 @@
     /// Whether so many bytes of the answer may be held in memory, instead of being sent as they arrive. They count
     /// until releaseHeld() or the end of the exchange.
     bool tryHold(std::size_t bytes);
+    /// As tryHold(), but ends answers whose callers have stopped reading, if that makes enough room.
+    bool tryHoldInsteadOfStalled(std::size_t bytes);
     void releaseHeld();
 
     /// Sends a whole answer. Returns false if writing failed, such as after the caller closed the connection. So do
@@ -103,7 +106,7 @@
     HttpRequest m_request;
     const HttpLimits &m_limits;
     AnswerBudget &m_answerBudget;
-    std::size_t m_heldBytes = 0;
+    HeldAnswer m_held;
     const bool *m_closesAfterAnswer;
     unsigned m_version;
     bool m_isBodySkipped = false;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -179,6 +179,7 @@
     counts.refusedBodies = m_bodyMemory.refusedCount();
     counts.droppedBodies = m_bodyMemory.droppedCount();
     counts.refusedAnswers = m_answerBudget.refusedCount();
+    counts.displacedAnswers = m_answerBudget.displacedCount();
     return counts;
 }
 
--- a/src/net/httpservercounts.h
+++ b/src/net/httpservercounts.h
@@ -18,8 +18,10 @@
     /// Waiting connections closed for new ones.
     std::uint64_t displacedConnections = 0;
 
-    /// Answers that found no memory to be held in.
+    /// How often an answer found no memory to be held in.
     std::uint64_t refusedAnswers = 0;
+    /// Answers that were ended because others needed their memory and their callers had stopped reading.
+    std::uint64_t displacedAnswers = 0;
 
     bool operator==(const HttpServerCounts &) const = default;
 };
