--- a/src/gateway/attempt.h
+++ b/src/gateway/attempt.h
@@ -92,6 +92,9 @@
     HttpHeaders answerHeaders() const;
     Milliseconds remainingTime() const;
     void recordArrival();
+    /// Waits for memory for the event that is arriving, if it is large; meanwhile the server's answer is not read.
+    /// Returns false if nobody waits for the stream any more or its time is over.
+    Task<bool> waitForRoom();
     void releaseConnection();
     /// Records how long the server took for the call, if it has answered it completely.
     void recordAnswered();
