Let measured latencies of failure domains fade

Change: a measurement counts in full for 10 s and half as much after each further 10 s. Measured: a new case of responsetimeestimatetest, which the code before cannot pass.

--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -336,7 +336,7 @@
 
 void GatewayThread::recordConnectTime(const FailureDomainId &domain, Microseconds time)
 {
-    m_servers.recordConnectTime(domain, time);
+    m_servers.recordConnectTime(domain, time, steadyNow());
 }
 
 bool GatewayThread::canServeAllEngines() const
--- a/src/traffic/serverrecords.cpp
+++ b/src/traffic/serverrecords.cpp
@@ -161,7 +161,7 @@
 ResponseTimeEstimate
 ServerRecords::estimateOf(const KnownServer &entry, const ObservedTimes &serviceTimesOfAll, SteadyTime now) const
 {
-    const auto roundTrip = latencies.roundTrip(entry.server.failureDomain);
+    const auto roundTrip = latencies.roundTrip(entry.server.failureDomain, now);
     return {entry.slots(),
             serviceMsOf(serviceTimes.latest(entry.server.id, now), serviceTimesOfAll),
             std::chrono::duration<double, std::milli>(roundTrip).count()};
@@ -175,7 +175,7 @@
         return;
     }
     const auto &entry = found->second;
-    const auto roundTrip = latencies.roundTrip(entry.server.failureDomain);
+    const auto roundTrip = latencies.roundTrip(entry.server.failureDomain, now);
     serviceTimes.record(process.id, ResponseTimeEstimate::serviceMsFrom(elapsed, roundTrip, calls, entry.slots()), now);
 }
 
--- a/src/traffic/servertable.cpp
+++ b/src/traffic/servertable.cpp
@@ -236,9 +236,9 @@
     return !m_records.entries.empty();
 }
 
-void ServerTable::recordConnectTime(const FailureDomainId &domain, Microseconds time)
+void ServerTable::recordConnectTime(const FailureDomainId &domain, Microseconds time, SteadyTime now)
 {
-    m_records.latencies.record(domain, time);
+    m_records.latencies.record(domain, time, now);
 }
 
 double ServerTable::callsAt(const BackendServerId &id, SteadyTime now) const
--- a/src/traffic/servertable.h
+++ b/src/traffic/servertable.h
@@ -99,7 +99,7 @@
     bool hasServers() const;
 
     /// Records how long setting up a connection to a server of a failure domain took.
-    void recordConnectTime(const FailureDomainId &domain, Microseconds time);
+    void recordConnectTime(const FailureDomainId &domain, Microseconds time, SteadyTime now);
     /// The estimated calls in progress at a server, of all entry hosts; 0 for an unknown one.
     double callsAt(const BackendServerId &id, SteadyTime now) const;
     /// Records that a process has answered a call completely. No effect for a service without estimates.
--- a/tests/responsetimeestimatetest.cpp
+++ b/tests/responsetimeestimatetest.cpp
@@ -49,8 +49,8 @@
 {
     ServerTable table(options);
     table.apply({{server("n", Near), server("f", Far)}, {}});
-    table.recordConnectTime(Near, Microseconds(200));
-    table.recordConnectTime(Far, Microseconds(2800));
+    table.recordConnectTime(Near, Microseconds(200), Start);
+    table.recordConnectTime(Far, Microseconds(2800), Start);
     recordAnswers(table, server("n", Near), Milliseconds(15));
     recordAnswers(table, server("f", Far), Milliseconds(18));
     return table;
@@ -160,18 +160,28 @@
 TEST_CASE("the latency of a domain is that of its quickest connection lately")
 {
     DomainLatencies latencies;
-    CHECK(latencies.roundTrip(Far) == Microseconds(0));
-    latencies.record(Far, Microseconds(9000));
-    CHECK(latencies.roundTrip(Far) == Microseconds(9000));
-    latencies.record(Far, Microseconds(2800));
-    latencies.record(Far, Microseconds(4000));
-    CHECK(latencies.roundTrip(Far) == Microseconds(2800));
-    CHECK(latencies.roundTrip(Near) == Microseconds(0));
+    CHECK(latencies.roundTrip(Far, Start) == Microseconds(0));
+    latencies.record(Far, Microseconds(9000), Start);
+    CHECK(latencies.roundTrip(Far, Start) == Microseconds(9000));
+    latencies.record(Far, Microseconds(2800), Start);
+    latencies.record(Far, Microseconds(4000), Start);
+    CHECK(latencies.roundTrip(Far, Start) == Microseconds(2800));
+    CHECK(latencies.roundTrip(Near, Start) == Microseconds(0));
     // A path that has become longer is noticed.
     for (int i = 0; i < 8; ++i) {
-        latencies.record(Far, Microseconds(20'000));
+        latencies.record(Far, Microseconds(20'000), Start);
     }
-    CHECK(latencies.roundTrip(Far) == Microseconds(20'000));
+    CHECK(latencies.roundTrip(Far, Start) == Microseconds(20'000));
+}
+
+TEST_CASE("a domain is measured again although its latency was long once")
+{
+    DomainLatencies latencies;
+    latencies.record(Far, Microseconds(300'000), Start);
+    CHECK(latencies.roundTrip(Far, Start + Seconds(10)) == Microseconds(300'000));
+    CHECK(latencies.roundTrip(Far, Start + Seconds(120)) < Microseconds(1000));
+    latencies.record(Far, Microseconds(2800), Start + Seconds(121));
+    CHECK(latencies.roundTrip(Far, Start + Seconds(121)) == Microseconds(2800));
 }
 
 TEST_CASE("a server in another domain is chosen only where it responds sooner")
@@ -258,7 +268,7 @@
 {
     ServerTable table;
     table.apply({{server("n", Near), server("f", Far)}, {}});
-    table.recordConnectTime(Far, Milliseconds(60));
+    table.recordConnectTime(Far, Milliseconds(60), Start);
     recordAnswers(table, server("n", Near), Milliseconds(15));
     recordAnswers(table, server("f", Far), Milliseconds(75));
     startCalls(table, "n", 14);
@@ -304,7 +314,7 @@
             options.maxEstimatedServers = maxServers;
             ServerTable table(options);
             table.apply({servers, {}});
-            table.recordConnectTime(Far, Milliseconds(5));
+            table.recordConnectTime(Far, Milliseconds(5), Start);
             Random random(7);
             std::string sequence;
             for (int i = 0; i < 20; ++i) {
