Check a configuration document before it is sent

An operator learned of a rejected configuration from the logs of gateways, and of entries without effect from callers. cardamomhill check-config reports both, contradictory limits, and the differences from another version.

--- a/src/cli/commandline.cpp
+++ b/src/cli/commandline.cpp
@@ -1,6 +1,7 @@
 #include "cli/commandline.h"
 
 #include "agent/agentprogram.h"
+#include "cli/checkconfigcommand.h"
 #include "cli/commandoptions.h"
 #include "cli/explaincommand.h"
 #include "cli/gatewaycommand.h"
@@ -50,6 +51,9 @@
   config check agent FILE           check the settings of an agent
   config check gateway FILE         check the settings of a gateway
   config check KIND NAME FILE       check the JSON value of a configuration object
+  check-config FILE [--settings FILE] [--against FILE | --store ADDRESS:PORT]
+                                    check a configuration document of the users' platform (- for standard input),
+                                    and compare it with a saved one or with the one in force
   status --operator-port ADDRESS:PORT
                                     print the state of a process
   explain ID FILE...                print what the logs of processes say about a request
@@ -59,6 +63,7 @@
   -V, --version  print the version
 
 Exit status: 0 success, 1 runtime error, 2 wrong usage, 3 mistakes in settings or configuration.
+check-config: 0 no findings, 1 findings, 2 not checked.
 )";
 
 template<class Errors>
@@ -157,6 +162,7 @@
     static const std::map<std::string_view, Command> Commands{
         {"agent", &agentCommand},
         {"backendserver", &objectCommand},
+        {"check-config", &checkConfigCommand},
         {"config", &configCommand},
         {"entry", &entryCommand},
         {"explain", &explainCommand},
--- a/src/cli/commandoptions.cpp
+++ b/src/cli/commandoptions.cpp
@@ -10,13 +10,15 @@
 namespace
 {
 
-constexpr std::array<option, 9> LongOptions{{
+constexpr std::array<option, 11> LongOptions{{
     {"settings", required_argument, nullptr, 's'},
     {"platform", required_argument, nullptr, 'p'},
     {"operator-port", required_argument, nullptr, 'o'},
     {"set", required_argument, nullptr, 'f'},
     {"file", required_argument, nullptr, 'i'},
     {"host-stopped", no_argument, nullptr, 'S'},
+    {"against", required_argument, nullptr, 'a'},
+    {"store", required_argument, nullptr, 't'},
     {"help", no_argument, nullptr, 'h'},
     {"version", no_argument, nullptr, 'V'},
     {nullptr, 0, nullptr, 0},
@@ -40,6 +42,12 @@
     case 'i':
         options.valueFile = optarg;
         return true;
+    case 'a':
+        options.againstFile = optarg;
+        return true;
+    case 't':
+        options.store = optarg;
+        return true;
     case 'S':
         options.hostStopped = true;
         return true;
--- a/src/cli/commandoptions.h
+++ b/src/cli/commandoptions.h
@@ -18,6 +18,10 @@
     /// Arguments of --set, as "field=value". A value that is not valid JSON is taken as a string.
     std::vector<std::string> assignments;
     std::string valueFile;
+    /// A saved configuration document to compare with.
+    std::string againstFile;
+    /// Address of the store with the configuration in force to compare with.
+    std::string store;
     /// The operator confirms that the hosts of retired backend servers were stopped.
     bool hostStopped = false;
     bool help = false;
--- a/src/cli/exitstatus.h
+++ b/src/cli/exitstatus.h
@@ -12,6 +12,11 @@
     UsageError = 2,
     /// Settings or a configuration object are invalid.
     SettingsError = 3,
+
+    /// `check-config` has found something.
+    Findings = 1,
+    /// `check-config` could not check everything, or the command line is invalid.
+    NotChecked = 2,
 };
 
 } // namespace Cardamomhill
--- /dev/null
+++ b/src/configcheck/documentcodec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "configcheck/configurationdocument.h"
+#include "configcheck/configurationfield.h"
+#include "core/jsonerror.h"
+#include "core/result.h"
+
+#include <string_view>
+
+namespace Cardamomhill
+{
+
+/// Parses the configuration documents of a platform and names their fields. Holds no policy.
+class DocumentCodec
+{
+public:
+    virtual ~DocumentCodec() = default;
+
+    /// Fails only if the text cannot be read as JSON. Fields that cannot be used are problems of the document.
+    virtual Result<ConfigurationDocument, JsonError> parseDocument(std::string_view text) const = 0;
+
+    /// The name of a field within its entry, such as "timeout-ms", or of a member of the document.
+    virtual std::string_view fieldName(ConfigurationField field) const = 0;
+};
+
+} // namespace Cardamomhill
