--- a/src/configcheck/documentcodec.h
+++ b/src/configcheck/documentcodec.h
@@ -2,9 +2,12 @@
 
 #include "configcheck/configurationdocument.h"
 #include "configcheck/configurationfield.h"
+#include "core/clocktypes.h"
 #include "core/jsonerror.h"
 #include "core/result.h"
+#include "traffic/callkind.h"
 
+#include <string>
 #include <string_view>
 
 namespace Cardamomhill
@@ -21,6 +24,10 @@
 
     /// The name of a field within its entry, such as "timeout-ms", or of a member of the document.
     virtual std::string_view fieldName(ConfigurationField field) const = 0;
+
+    /// A time in the unit of the field.
+    virtual std::string textOf(ConfigurationField field, Milliseconds time) const = 0;
+    virtual std::string textOf(CallKind kind) const = 0;
 };
 
 } // namespace Cardamomhill
--- a/src/configcheck/matchcheck.cpp
+++ b/src/configcheck/matchcheck.cpp
@@ -18,7 +18,7 @@
 /// Gateways compare host names in lower case and without the port.
 bool canMatchHostName(const std::string &hostName)
 {
-    return !hostName.empty() && std::none_of(hostName.begin(), hostName.end(), [](char character) {
+    return std::none_of(hostName.begin(), hostName.end(), [](char character) {
         return (character >= 'A' && character <= 'Z') || character == ':';
     });
 }
