--- a/src/configcheck/configurationcomparison.cpp
+++ b/src/configcheck/configurationcomparison.cpp
@@ -28,14 +28,6 @@
 /// A field and its value as text.
 using Fields = std::vector<internal::FieldValue>;
 
-/// All fields of an entry as one text.
-std::string textOf(const internal::FindingList &findings, const Fields &fields)
-{
-    return joinWithCommas(fields, [&findings](const internal::FieldValue &field) {
-        return findings.pathOf("", field.field) + "=" + field.value;
-    });
-}
-
 /// Adds the fields that differ between two versions of an entry. A field that only one of them has is compared with
 /// an empty value.
 void addChangedFields(internal::FindingList &findings,
@@ -64,6 +56,15 @@
 /// By name. Of entries of the same name, the last one counts.
 using ComparedEntries = std::map<std::string, ComparedEntry>;
 
+/// All fields of an entry as one text; empty if some of them could not be read.
+std::string textOf(const internal::FindingList &findings, const ComparedEntry &entry)
+{
+    const auto textOfField = [&findings](const internal::FieldValue &field) {
+        return findings.pathOf("", field.field) + "=" + field.value;
+    };
+    return entry.isSound ? joinWithCommas(entry.fields, textOfField) : std::string();
+}
+
 void compareEntries(internal::FindingList &findings,
                     const ChangeKinds &kinds,
                     const ComparedEntries &oldEntries,
@@ -72,14 +73,14 @@
     for (const auto &[name, entry] : newEntries) {
         const auto old = oldEntries.find(name);
         if (old == oldEntries.end()) {
-            findings.add(kinds.added, entry.path, EntryChange{name, "", textOf(findings, entry.fields)});
+            findings.add(kinds.added, entry.path, EntryChange{name, "", textOf(findings, entry)});
         } else if (old->second.isSound && entry.isSound) {
             addChangedFields(findings, kinds.changed, entry.path, old->second.fields, entry.fields);
         }
     }
     for (const auto &[name, entry] : oldEntries) {
         if (!newEntries.contains(name)) {
-            findings.add(kinds.removed, entry.path, EntryChange{name, textOf(findings, entry.fields), ""});
+            findings.add(kinds.removed, entry.path, EntryChange{name, textOf(findings, entry), ""});
         }
     }
 }
--- a/tests/checkconfigcommandtest.cpp
+++ b/tests/checkconfigcommandtest.cpp
@@ -185,9 +185,11 @@
     checkFails(command.storeOption(), "platform: unavailable");
     command.store().setDown(false);
     command.store().putRaw("config", "main", "{\"version\":");
-    checkFails(command.storeOption(), "");
+    checkFails(command.storeOption(), "JSON: malformed at byte");
     command.store().put("config", "main", documentWith("/routes/0/timeout-ms", -1));
     checkFails(command.storeOption(), "rejected by gateways");
+    command.store().setSilent(true);
+    checkFails(command.storeOption(), "platform: unavailable");
     asio::io_context context;
     checkFails(" --store 127.0.0.1:" + std::to_string(freeEndpoint(context).port()), "platform: not-sent");
 }
--- a/tests/checkconfigtest.cpp
+++ b/tests/checkconfigtest.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -288,6 +289,19 @@
     CHECK(hasLine(added, "finding=keys-changed path=tenants[1].api-keys organisation=kiosk added=1 removed=0"));
 }
 
+// Guards against differences that show the defaults of fields that could not be read.
+TEST_CASE("the fields of an entry that could not be read are not compared")
+{
+    auto document = nextDocument();
+    document["routes"][0]["timeout-ms"] = -1;
+    CHECK(compare(soundDocument(), document).empty());
+    document["routes"][0]["path-prefix"] = "/new/";
+    CHECK(compare(soundDocument(), document).front() == "finding=route-added path=routes[0] name=shop.example/new/");
+    document = nextDocument();
+    document["tenants"][0]["api-keys"][0] = 7;
+    CHECK(compare(soundDocument(), document).empty());
+}
+
 TEST_CASE("of API keys that differ only the organisation and the counts are reported")
 {
     auto document = nextDocument();
