Report a directory given as settings as unreadable

yaml-cpp opens a directory and lets the standard library's exception of the first read through, so `--settings DIRECTORY` ended every command that reads settings by SIGABRT (status 134). The exception is now the error "file cannot be read": check-config returns status 2. settingstest and checkconfigcommandtest have the case and pass.

--- a/src/settings/settingsreader.cpp
+++ b/src/settings/settingsreader.cpp
@@ -4,6 +4,7 @@
 
 #include "net/address.h"
 
+#include <ios>
 #include <optional>
 #include <sstream>
 
@@ -33,6 +34,9 @@
         m_root = YAML::LoadFile(file);
     } catch (const YAML::BadFile &) {
         addError(SettingsErrorCode::Unreadable, 0, "", "");
+    } catch (const std::ios_base::failure &) {
+        // The standard library's own exception: a directory can be opened, but not read.
+        addError(SettingsErrorCode::Unreadable, 0, "", "");
     } catch (const YAML::ParserException &error) {
         addError(SettingsErrorCode::MalformedYaml, error.mark.line + 1, "", "");
     }
--- a/tests/checkconfigcommandtest.cpp
+++ b/tests/checkconfigcommandtest.cpp
@@ -145,6 +145,7 @@
     checkFails(broken + " --against " + broken,
                "rejected by gateways: finding=field-rejected path=routes[0].timeout-ms");
     checkFails(broken + " --settings /nonexistent.yaml", "/nonexistent.yaml: file cannot be read");
+    checkFails(broken + " --settings /tmp", "/tmp: file cannot be read");
     checkFails("", "usage: cardamomhill check-config");
     checkFails(broken + " " + broken, "usage: cardamomhill check-config");
     checkFails(broken + " --store nowhere", "usage: cardamomhill check-config");
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -183,6 +183,8 @@
 TEST_CASE("a missing file and malformed YAML have their own error codes")
 {
     CHECK(readAgentSettings("no-such-file.yaml").error().front().code == SettingsErrorCode::Unreadable);
+    // Reading a directory fails with an exception that is not one of yaml-cpp, and must not end the program.
+    CHECK(readAgentSettings(".").error().front().code == SettingsErrorCode::Unreadable);
     const TemporaryFile broken("host: [entry-1\n");
     CHECK(readEntrySettings(broken.path()).error().front().code == SettingsErrorCode::MalformedYaml);
     const TemporaryFile list("- a\n- b\n");
