--- a/src/cli/commandoptions.cpp
+++ b/src/cli/commandoptions.cpp
@@ -1,6 +1,7 @@
 #include "cli/commandoptions.h"
 
 #include <array>
+#include <iostream>
 
 #include <getopt.h>
 
@@ -69,6 +70,11 @@
     CommandOptions options;
     int letter = 0;
     while ((letter = getopt_long(argc, argv, "s:p:o:f:i:hV", LongOptions.data(), nullptr)) != -1) {
+        // An empty value, as of a variable that is not set, must not count as an option that is not given.
+        if (optarg != nullptr && *optarg == '\0') {
+            std::cerr << argv[0] << ": an option has an empty value\n";
+            return std::nullopt;
+        }
         // getopt_long has printed the error.
         if (!storeOption(options, letter)) {
             return std::nullopt;
--- a/tests/checkconfigcommandtest.cpp
+++ b/tests/checkconfigcommandtest.cpp
@@ -152,6 +152,10 @@
     checkFails(broken + " --against " + broken + command.storeOption(), "usage: cardamomhill check-config");
     checkFails("- --against - <" + broken, "usage: cardamomhill check-config");
     checkFails(broken + " --unknown", "unrecognized option");
+    // Guards against a script whose variable is not set, which would take a missing comparison for no differences.
+    for (const std::string option : {" --against ''", " --store ''", " --settings ''"}) {
+        checkFails(broken + option, "an option has an empty value");
+    }
 }
 
 TEST_CASE("the configuration in force is read with one call and no write, and no key is printed")
