Compute the budget of request bodies in one place

The gateway and check-config each had the fraction of the host's memory that bodies may take. Both now call GatewaySettings::bodyBudgetBytes(). No test derived the budget from settings; checkconfigcommandtest now does, for 32 MiB of memory (limit 8388608), and passes.

--- a/src/cli/checkconfigcommand.cpp
+++ b/src/cli/checkconfigcommand.cpp
@@ -23,11 +23,8 @@
 
 ProcessLimits limitsOf(const GatewaySettings &settings)
 {
-    constexpr std::uint64_t BytesPerMegabyte = 1024 * 1024;
-    /// The part of a host's memory that a gateway grants to the bodies of requests.
-    constexpr std::uint64_t BodyMemoryDivisor = 4;
     ProcessLimits limits;
-    limits.bodyBudgetBytes = settings.memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor;
+    limits.bodyBudgetBytes = settings.bodyBudgetBytes();
     limits.retries.ratio = settings.retryRatio;
     limits.retries.slack = settings.retrySlack;
     limits.retries.window = settings.retryWindow;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,13 +52,24 @@
     /// How long an engine holds the calls of a group that has lost a rank, before it refuses them. Outages of a whole
     /// engine service are noticed within a part of it, and only if it is set.
     std::optional<Milliseconds> engineStall;
-    /// Memory of this host. The bodies of requests may together use a quarter of it. The default allows for a body of
+    /// Memory of this host. The bodies of requests may together use a part of it. The default allows for a body of
     /// 4 MiB on each of 4096 connections, which no caller can exceed.
     std::uint32_t memoryMegabytes = 65'536;
     /// Descriptors that this process may open. The number of callers' connections is limited by it; the default allows
     /// for 4096.
     std::uint32_t maxDescriptors = 8'392;
     LogLevel logLevel = LogLevel::Info;
+
+    /// The fraction of the host's memory that bodies of requests may take. The rest is for the connections of callers,
+    /// for answers and for what the process knows of servers and other hosts.
+    static constexpr std::size_t BodyMemoryDivisor = 4;
+
+    /// Bytes that the bodies of all requests may use together.
+    std::size_t bodyBudgetBytes() const
+    {
+        constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
+        return memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor;
+    }
 };
 
 Result<GatewaySettings, SettingsErrors> readGatewaySettings(const std::string &file);
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -41,10 +41,6 @@
 /// Fraction of the retry ratio that is used, since each host counts its calls in a window of its own.
 constexpr double RetryRatioFraction = 0.83;
 
-/// The fraction of the host's memory that bodies of requests may take. The rest is for the connections of callers, for
-/// answers and for what the process knows of servers and other hosts.
-constexpr std::size_t BodyMemoryDivisor = 4;
-constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
 /// Descriptors for files, listening sockets and connections to the store, to other hosts and kept ones to servers.
 constexpr std::size_t ReservedDescriptors = 200;
 /// A call takes one descriptor for its caller and one for its server.
@@ -64,7 +60,7 @@
     http.maxBodyBytes = limits.bodyBytes;
     http.requestTimeout = limits.requestReadTimeout;
     http.idleTimeout = limits.idleTimeout;
-    http.maxTotalBodyBytes = settings.memoryMegabytes * BytesPerMegabyte / BodyMemoryDivisor;
+    http.maxTotalBodyBytes = settings.bodyBudgetBytes();
     http.maxConnections
         = std::min(http.maxConnections, (settings.maxDescriptors - ReservedDescriptors) / DescriptorsPerCall);
     return http;
--- a/tests/checkconfigcommandtest.cpp
+++ b/tests/checkconfigcommandtest.cpp
@@ -120,6 +120,10 @@
     run = command.run(sound + " --settings " + settings);
     CHECK(run.status == HasFindings);
     CHECK(run.output == AttemptsLine);
+    const auto large = command.file("large.json", documentWith("/limits/max-body-bytes", 8'388'609).dump());
+    run = command.run(large + " --settings " + command.file("small.yaml", SettingsText + "memory_megabytes: 32\n"));
+    CHECK(run.output
+          == AttemptsLine + "finding=body-limit-above-budget path=limits.max-body-bytes value=8388609 limit=8388608\n");
     run = command.run(sound + " --against " + next);
     CHECK(run.status == HasFindings);
     CHECK(run.output == "finding=version-not-newer path=version old=8 new=7\n");
