Report no service as missing or unreached because of an unread field

A service entry that is no object made each route to it a service-missing finding, and a route or a part of a split that could not be read made its services service-unreached. Such findings vanish when the rejected field is mended. Both kinds are now left out if a service's name, or where a route leads, could not be read. Of the seven documents in checkconfigtest, each now gives the rejected field only.

--- a/src/configcheck/matchcheck.cpp
+++ b/src/configcheck/matchcheck.cpp
@@ -4,6 +4,7 @@
 #include "configcheck/findinglist.h"
 
 #include <algorithm>
+#include <initializer_list>
 #include <map>
 #include <set>
 #include <string>
@@ -65,17 +66,33 @@
     }
 }
 
+/// Whether one of the fields could not be read somewhere in an array, or a whole element that has them.
+bool hasUnreadable(const FindingList &findings,
+                   const ConfigurationDocument &document,
+                   ConfigurationField array,
+                   std::initializer_list<ConfigurationField> fields)
+{
+    const auto arrayPath = findings.pathOf("", array);
+    const auto isUnreadable = [&](const Finding &problem) {
+        const auto &path = problem.path;
+        const auto endsWithField
+            = [&](ConfigurationField field) { return path.ends_with("." + findings.pathOf("", field)); };
+        return problem.kind == FindingKind::FieldRejected && path.starts_with(arrayPath)
+            && (path == arrayPath || path.ends_with(']') || std::any_of(fields.begin(), fields.end(), endsWithField));
+    };
+    return std::any_of(document.problems().begin(), document.problems().end(), isUnreadable);
+}
+
 /// The services that a document names.
 class KnownServices
 {
 public:
-    explicit KnownServices(const ConfigurationDocument &document)
+    KnownServices(const FindingList &findings, const ConfigurationDocument &document)
+        : m_hasUnreadableName(
+            hasUnreadable(findings, document, ConfigurationField::Services, {ConfigurationField::ServiceName}))
     {
-        // An array that could not be read may have named any service.
-        m_hasUnreadableName = document.services().empty() && document.isRejected();
         for (const auto &entry : document.services()) {
             m_lastPaths[entry.value.id] = entry.path;
-            m_hasUnreadableName = m_hasUnreadableName || (!entry.isSound && entry.value.id.isEmpty());
         }
     }
 
@@ -93,7 +110,7 @@
 
 private:
     std::map<ServiceId, std::string> m_lastPaths;
-    bool m_hasUnreadableName = false;
+    bool m_hasUnreadableName;
 };
 
 void addServicesOfRoute(FindingList &findings,
@@ -134,18 +151,23 @@
 
 void addServices(FindingList &findings, const ConfigurationDocument &document)
 {
-    const KnownServices known(document);
+    const KnownServices known(findings, document);
     for (const auto &entry : document.routes()) {
         if (entry.isSound) {
             addServicesOfRoute(findings, entry, known);
         }
     }
+    // A route whose services could not be read may lead to any service.
+    const bool mayReachAny = hasUnreadable(findings,
+                                           document,
+                                           ConfigurationField::Routes,
+                                           {ConfigurationField::RouteService, ConfigurationField::RouteSplitWeight});
     const auto reached = reachedServices(document);
     for (const auto &entry : document.services()) {
         const auto &id = entry.value.id;
         if (entry.isSound && known.lastPath(id) != entry.path) {
             findings.add(FindingKind::ServiceReplaced, entry.path, OtherEntry{known.lastPath(id)});
-        } else if (entry.isSound && !reached.contains(id)) {
+        } else if (entry.isSound && !mayReachAny && !reached.contains(id)) {
             findings.add(FindingKind::ServiceUnreached, entry.path, NamedEntry{id.value()});
         }
     }
--- a/tests/checkconfigtest.cpp
+++ b/tests/checkconfigtest.cpp
@@ -191,9 +191,28 @@
     auto document = soundDocument();
     document["services"].push_back({{"name", "shop"}});
     CHECK(check(document) == Lines{"finding=service-replaced path=services[0] by=services[3]"});
-    // A service whose name cannot be read may be the one that a route leads to.
-    CHECK(check(documentWith("/services/0/name", 7))
-          == Lines{"finding=field-rejected path=services[0].name reason=wrong-type"});
+}
+
+// Guards against findings that are only consequences of a rejected field, and vanish when it is mended.
+TEST_CASE("services are not reported as missing or unreached because of what could not be read")
+{
+    for (const std::string pointer : {"/services/0/name",
+                                      "/services/0",
+                                      "/services",
+                                      "/routes/2",
+                                      "/routes/2/traffic-split/1",
+                                      "/routes/2/traffic-split/1/service",
+                                      "/routes/2/traffic-split/1/weight"}) {
+        const auto lines = check(documentWith(pointer, -7));
+        CHECK_MESSAGE(lines.size() == 1, pointer);
+        CHECK(lines.front().starts_with("finding=field-rejected "));
+    }
+    // The services of a route with another rejected field are known.
+    auto other = documentWith("/routes/2/timeout-ms", -7);
+    other["services"].push_back({{"name", "unused"}});
+    CHECK(check(other)
+          == Lines{"finding=field-rejected path=routes[2].timeout-ms reason=out-of-range",
+                   "finding=service-unreached path=services[3] name=unused"});
 }
 
 TEST_CASE("keys that two organisations hold, and organisations without keys, are reported without any key")
