Check more required fields and nesting depths in the tests of check-config

Of the twelve required fields, the tests left out three and compared none with what the gateway does, and of the four limits they left out three. The test of very many problems claimed to cover gateways, which it does not run.

--- a/src/configcheck/documentcodec.h
+++ b/src/configcheck/documentcodec.h
@@ -22,7 +22,7 @@
     /// Fails only if the text cannot be read as JSON. Fields that cannot be used are problems of the document.
     virtual Result<ConfigurationDocument, JsonError> parseDocument(std::string_view text) const = 0;
 
-    /// The name of a field within its entry, such as "timeout-ms", or of a member of the document.
+    /// The path of a field within its entry, or of a member within the document.
     virtual std::string_view fieldName(ConfigurationField field) const = 0;
 
     /// A time in the unit of the field.
--- a/tests/checkconfigpropertytest.cpp
+++ b/tests/checkconfigpropertytest.cpp
@@ -1,4 +1,5 @@
 #include "configcheck/configcheck.h"
+#include "core/parsejson.h"
 #include "platform/documents.h"
 #include "support/configurationdocuments.h"
 
@@ -186,7 +187,9 @@
 TEST_CASE("no nesting ends the program")
 {
     CHECK(rc::check("nested values", [] {
-        const auto depth = *rc::gen::inRange<std::size_t>(0, 200'000);
+        // Few depths of a wide range are ones that the parser accepts.
+        const auto maxDepth = *rc::gen::element(MaxJsonDepth, std::size_t{200'000});
+        const auto depth = *rc::gen::inRange<std::size_t>(0, maxDepth);
         const auto nested = std::string(depth, '[') + std::string(depth, ']');
         const auto text = soundDocument().dump();
         const auto place = text.find(*rc::gen::element<std::string>("\"shop\"", "2000", "\"secret-1\"", "8", "true"));
--- a/tests/checkconfigtest.cpp
+++ b/tests/checkconfigtest.cpp
@@ -89,6 +89,10 @@
         {"/routes/1/hostname", nullptr, "path=routes[1].hostname reason=wrong-type"},
         {"/routes/2/timeout-ms", -1, "path=routes[2].timeout-ms reason=out-of-range"},
         {"/routes/2/timeout-ms", 1e30, "path=routes[2].timeout-ms reason=out-of-range"},
+        {"/routes/0/target-latency-ms", nullptr, "path=routes[0].target-latency-ms reason=out-of-range"},
+        {"/routes/0/path-prefix", 7, "path=routes[0].path-prefix reason=wrong-type"},
+        {"/routes/0/route-type", 7, "path=routes[0].route-type reason=wrong-type"},
+        {"/routes/0/service", 7, "path=routes[0].service reason=wrong-type"},
         {"/routes/2/gap-target-ms", "fast", "path=routes[2].gap-target-ms reason=out-of-range"},
         {"/routes/0/priority", 0.5, "path=routes[0].priority reason=out-of-range"},
         {"/routes/0/max-attempts", 4294967296, "path=routes[0].max-attempts reason=out-of-range"},
@@ -98,10 +102,19 @@
         {"/routes/2/traffic-split/1", "chat", "path=routes[2].traffic-split[1] reason=wrong-type"},
         {"/services/0/max-connections", -1, "path=services[0].max-connections reason=out-of-range"},
         {"/services/0/cold-start-s", -1, "path=services[0].cold-start-s reason=out-of-range"},
+        {"/services/0/cold-per-s", 1e10, "path=services[0].cold-per-s reason=out-of-range"},
+        {"/services/0/name", 7, "path=services[0].name reason=wrong-type"},
+        {"/services/1/engine", nullptr, "path=services[1].engine reason=wrong-type"},
+        {"/services/1/engine/slots", 0.5, "path=services[1].engine.slots reason=out-of-range"},
+        {"/services/1/engine/usual/answer", "9", "path=services[1].engine.usual.answer reason=out-of-range"},
         {"/services/1/engine", 7, "path=services[1].engine reason=wrong-type"},
         {"/services/1/engine/step_ms", "20", "path=services[1].engine.step_ms reason=wrong-type"},
         {"/services/1/engine/usual/prompt", -1, "path=services[1].engine.usual.prompt reason=out-of-range"},
         {"/limits/max-body-bytes", -1, "path=limits.max-body-bytes reason=out-of-range"},
+        {"/limits/max-header-bytes", -1, "path=limits.max-header-bytes reason=out-of-range"},
+        {"/limits/header-timeout-ms", -1, "path=limits.header-timeout-ms reason=out-of-range"},
+        {"/limits/idle-timeout-ms", -1, "path=limits.idle-timeout-ms reason=out-of-range"},
+        {"/tenants/1/name", nullptr, "path=tenants[1].name reason=wrong-type"},
         {"/tenants/1/priority", -1, "path=tenants[1].priority reason=out-of-range"},
         {"/tenants/1/api-keys/0", 7, "path=tenants[1].api-keys[0] reason=wrong-type"},
     };
@@ -123,6 +136,26 @@
           == Lines{"finding=field-rejected path=version reason=missing",
                    "finding=field-rejected path=routes reason=missing",
                    "finding=field-rejected path=services reason=missing"});
+    const auto checkRequired = [](const std::string &parent, const std::string &name, const std::string &path) {
+        auto document = soundDocument();
+        document[Json::json_pointer(parent)].erase(name);
+        CHECK(check(document).front() == "finding=field-rejected path=" + path + " reason=missing");
+        const auto gateway = Platform::Store().parseConfiguration({{"config", "main"}, 7, document.dump()});
+        REQUIRE_MESSAGE(gateway.has_error(), path);
+        CHECK(gateway.error().cause == path);
+    };
+    checkRequired("", "version", "version");
+    checkRequired("", "routes", "routes");
+    checkRequired("", "services", "services");
+    checkRequired("/routes/0", "hostname", "routes[0].hostname");
+    checkRequired("/routes/0", "path-prefix", "routes[0].path-prefix");
+    checkRequired("/routes/0", "route-type", "routes[0].route-type");
+    checkRequired("/routes/0", "service", "routes[0].service");
+    checkRequired("/routes/2/traffic-split/0", "service", "routes[2].traffic-split[0].service");
+    checkRequired("/routes/2/traffic-split/0", "weight", "routes[2].traffic-split[0].weight");
+    checkRequired("/services/0", "name", "services[0].name");
+    checkRequired("/tenants/0", "name", "tenants[0].name");
+    checkRequired("/tenants/0", "api-keys", "tenants[0].api-keys");
     auto document = soundDocument();
     document["routes"][0] = Json::object();
     document["services"][0].erase("name");
@@ -148,7 +181,7 @@
     CHECK(check(documentWith("/version", 0)) == Lines{"finding=version-not-newer path=version old=0 new=0"});
 }
 
-// Guards against a gateway or a check that uses memory many times the size of a malformed document.
+// Guards against a check that collects as many problems as a malformed document has bytes.
 TEST_CASE("a document with very many problems is reported up to a limit and not checked further")
 {
     auto document = soundDocument();
