--- a/src/gateway/hostlimits.cpp
+++ b/src/gateway/hostlimits.cpp
@@ -11,10 +11,9 @@
 namespace
 {
 
-/// The fractions of the host's memory that bodies of requests, answers that are held, and the queues of the
-/// connections may take. The rest is for the connections themselves and for what the process knows of servers and other
+/// The fractions of the host's memory that answers that are held and the queues of the connections may take beside the
+/// bodies of requests. The rest is for the connections themselves and for what the process knows of servers and other
 /// hosts.
-constexpr std::size_t BodyMemoryDivisor = 4;
 constexpr std::size_t AnswerMemoryDivisor = 8;
 constexpr std::size_t QueueMemoryDivisor = 8;
 constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
@@ -46,7 +45,7 @@
     http.maxBodyBytes = limits.bodyBytes;
     http.requestTimeout = limits.requestReadTimeout;
     http.idleTimeout = limits.idleTimeout;
-    http.maxTotalBodyBytes = memoryBytes(settings) / BodyMemoryDivisor;
+    http.maxTotalBodyBytes = settings.bodyBudgetBytes();
     http.maxTotalAnswerBytes = memoryBytes(settings) / AnswerMemoryDivisor;
     http.maxSendQueueBytes = socketQueueBytesOf(settings);
     http.maxConnections = maxConnections(settings);
--- a/tests/support/unevendemand.h
+++ b/tests/support/unevendemand.h
@@ -78,7 +78,7 @@
             m_processes.push_back(processOf(server));
             for (std::size_t host = 0; host < Hosts; ++host) {
                 m_tables[host].apply({{server}, {}});
-                m_tables[host].recordConnectTime(server.failureDomain, 2 * latencyBetween(host % Domains, domain));
+                recordConnectTime(host, domain);
             }
         }
         for (std::size_t host = 0; host < Hosts; ++host) {
@@ -173,6 +173,12 @@
         });
     }
 
+    void recordConnectTime(std::size_t host, std::size_t domain)
+    {
+        m_tables[host].recordConnectTime(
+            FailureDomainId("d" + std::to_string(domain)), 2 * latencyBetween(host % Domains, domain), m_now);
+    }
+
     void startCall(std::size_t host, Microseconds duration)
     {
         const bool isMeasured = m_now >= m_measureFrom;
@@ -185,6 +191,7 @@
         }
         const std::size_t server = choice.server.value().back() - '0';
         m_result.inOtherDomain += isMeasured && server != host % Domains ? 1 : 0;
+        recordConnectTime(host, server);
         table.recordCallStarted(choice.server);
         const Call call{host, server, m_now, table.callsAt(choice.server, m_now), duration};
         schedule(latencyBetween(host % Domains, server), [this, call] { arriveAtServer(call); });
