--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -115,6 +115,15 @@
         m_killsAt = steadyNow() + TerminationGrace;
     }
 
+    /// A busy machine runs the process, and so its handler of the signal, later than the test goes on.
+    Task<> waitUntilDraining()
+    {
+        const auto deadline = steadyNow() + AnswerTimeout;
+        while (log().find("event=draining ") == std::string::npos && steadyNow() < deadline) {
+            co_await sleep(PollInterval);
+        }
+    }
+
     /// Sends SIGTERM to a process that does not run until so much later, as on a host whose processors are taken.
     Task<> terminateWhilePaused(Milliseconds pause)
     {
@@ -350,6 +359,7 @@
         auto second = co_await gateway.connect();
         gateway.terminate();
         co_await gateway.sleep(EventInterval);
+        co_await gateway.waitUntilDraining();
         taken = co_await gateway.pay(*connection, takenId, EventInterval, ShortDeadline);
         refused = co_await gateway.stream(*second, refusedId, 40);
     };
