--- a/src/coordinator/groupcoordinator.h
+++ b/src/coordinator/groupcoordinator.h
@@ -84,8 +84,8 @@
     void handleAnswer(const RankOrder &order, MapSwitch &originSwitch, OrderAnswer answer);
     Task<> readOneState();
     Task<bool> readMap();
-    /// Reads the map and the first counters of a group that was just formed or taken over, while the reports on what the
-    /// last coordinator has left are awaited. The first plan then needs only one more reading.
+    /// Reads the map and the first counters of a group that was just formed or taken over, while the reports on what
+    /// the last coordinator has left are awaited. The first plan then needs only one more reading.
     Task<> readAhead();
     Task<> considerSwitch();
     Task<> readUtilisation();
