--- a/src/configcheck/findingkind.h
+++ b/src/configcheck/findingkind.h
@@ -23,7 +23,7 @@
     /// No call has such a host name.
     HostNameUnmatched,
     /// No call's path has such a prefix.
-    PathPrefixUnmatched,
+    PrefixUnmatched,
     /// A later service of the same name replaces this one.
     ServiceReplaced,
     /// A route leads to a service that the document does not contain.
@@ -71,7 +71,7 @@
         {FindingKind::VersionNotNewer, "version-not-newer"},
         {FindingKind::RouteCovered, "route-covered"},
         {FindingKind::HostNameUnmatched, "host-name-unmatched"},
-        {FindingKind::PathPrefixUnmatched, "path-prefix-unmatched"},
+        {FindingKind::PrefixUnmatched, "prefix-unmatched"},
         {FindingKind::ServiceReplaced, "service-replaced"},
         {FindingKind::ServiceMissing, "service-missing"},
         {FindingKind::ServiceUnreached, "service-unreached"},
--- a/src/configcheck/matchcheck.cpp
+++ b/src/configcheck/matchcheck.cpp
@@ -59,7 +59,7 @@
                          NamedEntry{route.hostName});
         }
         if (entry.isSound && !canMatchPath(route.pathPrefix)) {
-            findings.add(FindingKind::PathPrefixUnmatched,
+            findings.add(FindingKind::PrefixUnmatched,
                          findings.pathOf(entry.path, ConfigurationField::RoutePathPrefix),
                          NamedEntry{route.pathPrefix});
         }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -419,6 +419,7 @@
 
 Task<AttemptEnd> Attempt::relayEvents()
 {
+    auto &outage = m_thread.serviceOutage(m_state.query.service);
     while (true) {
         auto piece = co_await m_connection->readSome(m_state.remainingTime(steadyNow()));
         if (piece.has_error()) {
@@ -430,7 +431,7 @@
         m_eventSplitter.append(*piece.value());
         while (auto event = m_eventSplitter.next()) {
             recordArrival();
-            m_thread.serviceOutage(m_state.query.service).recordProgress(m_lastArrival);
+            outage.recordProgress(m_lastArrival);
             recordProgress();
             if (!event->id.empty() && !m_state.lastEventId.empty() && !isLaterEventId(event->id, m_state.lastEventId)) {
                 continue;
