--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -45,6 +45,7 @@
         "link_megabits_per_second", settings.linkMegabitsPerSecond, MinLinkMegabitsPerSecond, MaxLinkMegabitsPerSecond);
     settings.coldOvershoot = reader.optionalDecimal("cold_overshoot", 0, MaxColdOvershoot);
     settings.coldSlack = reader.optionalDecimal("cold_slack", 0, MaxColdSlack);
+    settings.selectsGroups = reader.boolean("select_groups", settings.selectsGroups);
     settings.promptRetention = reader.named("prompt_retention", settings.promptRetention);
     const Milliseconds engineStall(reader.integer("engine_stall_ms", 0, 1, MaxEngineStallMs));
     if (engineStall > Milliseconds(0)) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -47,6 +47,8 @@
     std::optional<double> coldSlack;
     /// How long the engines hold the prompts of calls.
     PromptRetention promptRetention = PromptRetention::Running;
+    /// Whether streams go less to a group whose steps exceed the pause objective while another group's do not.
+    bool selectsGroups = false;
     /// Time within which calls to an evacuated failure domain must stop. Evacuations are followed only if it is set.
     std::optional<Milliseconds> evacuationLimit;
     /// How long an engine holds the calls of a group that has lost a rank, before it refuses them. Outages of a whole
--- a/src/gateway/gatewaythread.cpp
+++ b/src/gateway/gatewaythread.cpp
@@ -47,6 +47,7 @@
 {
     ServerTableOptions options;
     options.prompts.retention = settings.promptRetention;
+    options.selectsGroups = settings.selectsGroups;
     return options;
 }
 
--- a/tests/settingstest.cpp
+++ b/tests/settingstest.cpp
@@ -62,6 +62,17 @@
 
 } // namespace
 
+TEST_CASE("streams are not moved between groups unless the settings ask for it")
+{
+    const std::string gateway = "host: a\nfailure_domain: d\nlisten: 127.0.0.1:1\noperator_listen: 127.0.0.1:2\n"
+                                "peer_listen: 127.0.0.1:3\nplatform: 127.0.0.1:4\n";
+    const auto selectsGroups = [&](const std::string &line) {
+        return readGatewaySettings(TemporaryFile(gateway + line).path()).value().selectsGroups;
+    };
+    CHECK_FALSE(selectsGroups(""));
+    CHECK(selectsGroups("select_groups: true\n"));
+}
+
 TEST_CASE("valid settings are read unchanged")
 {
     const TemporaryFile file(ValidEntry);
