Let the budget of answers outlive exchanges that outlive their server

Cause: an exchange gave its answer's memory back in its destructor to a budget that its server owned. Coroutines that an io_context still holds are destroyed after the server: a use after free, found with sanitizers by storerelaytest, stoppedservicetest and gatewaycontroltest. Change: the budget is shared.

--- a/src/net/httpexchange.cpp
+++ b/src/net/httpexchange.cpp
@@ -75,12 +75,12 @@
 HttpExchange::HttpExchange(beast::tcp_stream &stream,
                            HttpRequest request,
                            const HttpLimits &limits,
-                           AnswerBudget &answerBudget,
+                           std::shared_ptr<AnswerBudget> answerBudget,
                            const bool *closesAfterAnswer)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_limits(limits)
-    , m_answerBudget(answerBudget)
+    , m_answerBudget(std::move(answerBudget))
     , m_closesAfterAnswer(closesAfterAnswer)
     , m_version(m_request.version())
     , m_isHeadRequest(m_request.method() == http::verb::head)
@@ -97,7 +97,7 @@
 
 bool HttpExchange::tryHold(std::size_t bytes)
 {
-    return m_answerBudget.take(m_held, bytes);
+    return m_answerBudget->take(m_held, bytes);
 }
 
 bool HttpExchange::tryHoldInsteadOfStalled(std::size_t bytes)
@@ -105,7 +105,7 @@
     if (tryHold(bytes)) {
         return true;
     }
-    const auto displaced = m_answerBudget.takeFromStalled(m_held, bytes, steadyNow());
+    const auto displaced = m_answerBudget->takeFromStalled(m_held, bytes, steadyNow());
     if (!displaced) {
         return false;
     }
@@ -117,7 +117,7 @@
 
 void HttpExchange::releaseHeld()
 {
-    m_answerBudget.release(m_held);
+    m_answerBudget->release(m_held);
 }
 
 std::size_t HttpExchange::pieceBytes() const
--- a/src/net/httpexchange.h
+++ b/src/net/httpexchange.h
@@ -38,7 +38,7 @@
     HttpExchange(beast::tcp_stream &stream,
                  HttpRequest request,
                  const HttpLimits &limits,
-                 AnswerBudget &answerBudget,
+                 std::shared_ptr<AnswerBudget> answerBudget,
                  const bool *closesAfterAnswer);
     ~HttpExchange();
 
@@ -105,7 +105,8 @@
     beast::tcp_stream &m_stream;
     HttpRequest m_request;
     const HttpLimits &m_limits;
-    AnswerBudget &m_answerBudget;
+    /// Shared, since an exchange may be destroyed after its server, with the coroutine that owns it.
+    std::shared_ptr<AnswerBudget> m_answerBudget;
     HeldAnswer m_held;
     const bool *m_closesAfterAnswer;
     unsigned m_version;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -115,7 +115,7 @@
     , m_limits(limits)
     , m_handler(std::move(handler))
     , m_bodyMemory(limits)
-    , m_answerBudget(limits.maxTotalAnswerBytes)
+    , m_answerBudget(std::make_shared<AnswerBudget>(limits.maxTotalAnswerBytes))
     , m_discardBuffer(DiscardBufferBytes)
     , m_acceptor(context)
 {
@@ -134,7 +134,7 @@
 {
     m_limits = limits;
     m_bodyMemory.setLimits(limits);
-    m_answerBudget.setTotal(limits.maxTotalAnswerBytes);
+    m_answerBudget->setTotal(limits.maxTotalAnswerBytes);
 }
 
 void HttpServer::setHeadCheck(HeadCheck check)
@@ -170,7 +170,7 @@
 
 std::size_t HttpServer::answerBytes() const
 {
-    return m_answerBudget.usedBytes();
+    return m_answerBudget->usedBytes();
 }
 
 HttpServerCounts HttpServer::counts() const
@@ -178,8 +178,8 @@
     auto counts = m_counts;
     counts.refusedBodies = m_bodyMemory.refusedCount();
     counts.droppedBodies = m_bodyMemory.droppedCount();
-    counts.refusedAnswers = m_answerBudget.refusedCount();
-    counts.displacedAnswers = m_answerBudget.displacedCount();
+    counts.refusedAnswers = m_answerBudget->refusedCount();
+    counts.displacedAnswers = m_answerBudget->displacedCount();
     return counts;
 }
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -84,7 +84,7 @@
     Handler m_handler;
     HeadCheck m_headCheck;
     BodyMemory m_bodyMemory;
-    AnswerBudget m_answerBudget;
+    std::shared_ptr<AnswerBudget> m_answerBudget;
     HttpServerCounts m_counts;
     /// Where all connections put what they discard.
     std::vector<char> m_discardBuffer;
