--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -171,16 +171,3 @@
     echo "held: $*"
     exit 0
 }
-# raw_call: sends the bytes of its input to the gateway on one connection, and prints what comes back within a second.
-raw_call() {
-    perl -e '
-        use Socket;
-        local $/;
-        my $bytes = <STDIN>;
-        socket(my $socket, PF_INET, SOCK_STREAM, 0) or exit 0;
-        connect($socket, sockaddr_in($ARGV[0], inet_aton("127.0.0.1"))) or exit 0;
-        syswrite($socket, $bytes);
-        $SIG{ALRM} = sub { exit 0 };
-        alarm 1;
-        while (sysread($socket, my $part, 4096)) { syswrite(STDOUT, $part); }' "$GATE_PORT"
-}
