--- a/review/standins-2/server.pl
+++ b/review/standins-2/server.pl
@@ -1,28 +1,32 @@
 #!/usr/bin/perl
 # A stand-in for a backend server of the users' platform. One process a connection, plain text, no HTTP library.
 #
-# usage: server.pl --port N --id ID --record FILE [--poison PART] [--version N] [--receive-buffer BYTES]
-#                  [--read-rate BYTES_PER_SECOND] [--group DIRECTORY]
+# usage: server.pl --port N --id ID --record FILE [--poison PART [--restart-after SECONDS --born FILE]] [--version N]
 #
 # The query of a call says how it is answered: after delay=MS of work, or with 504 once the stated time is over; or with
 # events=N, bytes=N, interval=MS as a stream, which goes on after Last-Event-Id. Each call that is run is recorded as
 # "TIME run SERVER ID TARGET", and the end of its work as "TIME end SERVER ID". Work ends when the caller closes.
 #
-# With --group, streams are those of a rank of a group: all ranks work only while the directory has the file `open`. If it is
-# gone, a stream stalls for 1.5 s; then one that has begun is cut off, and another one gets 503. begin=MS is the time
-# before the first event.
+# With --poison, the process crashes after the first event on a prompt with that part. With --restart-after, only the
+# processes of the connections crash: the main process keeps its listening socket, takes no connection for so long, and
+# serves again then, as a new instance with the same id. It writes the new time of its start to the file of --born.
+#
+# With --version, a call that states another version of the weights gets 421.
 use strict;
 use warnings;
-use Socket qw(PF_INET SOCK_STREAM SOL_SOCKET SO_RCVBUF IPPROTO_TCP TCP_NODELAY MSG_PEEK);
+use POSIX qw(WNOHANG);
+use Socket qw(PF_INET SOCK_STREAM SOL_SOCKET IPPROTO_TCP TCP_NODELAY MSG_PEEK);
 use Time::HiRes qw(time sleep);
 
-my %option = ('receive-buffer' => 0, 'read-rate' => 0);
+my %option;
 while (@ARGV) {
     my $name = shift @ARGV;
     $name =~ s/^--//;
     $option{$name} = shift @ARGV;
 }
-$SIG{CHLD} = 'IGNORE';
+my %children;
+my $isCrashed = 0;
+$SIG{USR1} = sub { $isCrashed = 1 };
 $SIG{PIPE} = 'IGNORE';
 setpgrp(0, 0);
 my $parent = $$;
@@ -44,6 +48,10 @@
 # Ends this process and all of its connections at once, as a crash does.
 sub crash {
     record("crash $option{id}");
+    if ($option{'restart-after'}) {
+        kill 'USR1', $parent;
+        sleep 10;
+    }
     kill 'KILL', -$parent;
 }
 
@@ -72,9 +80,7 @@
 sub read_body {
     my ($socket, $body, $length) = @_;
     while (length $body < $length) {
-        my $step = $option{'read-rate'} ? int($option{'read-rate'} / 50) + 1 : 65536;
-        return unless sysread($socket, $body, $step, length $body);
-        sleep 0.02 if $option{'read-rate'};
+        return unless sysread($socket, $body, 65536, length $body);
     }
     return $body;
 }
@@ -95,25 +101,6 @@
     return 1;
 }
 
-# Waits for so many seconds of the group's work. Returns false if the group has been broken for the time of a stall.
-sub stay_open {
-    my ($seconds) = @_;
-    my $worked = 0;
-    my $brokenAt;
-    while ($worked < $seconds) {
-        my $step = $seconds - $worked < 0.02 ? $seconds - $worked : 0.02;
-        sleep $step;
-        if (!defined $option{group} || -e "$option{group}/open") {
-            $worked += $step;
-            undef $brokenAt;
-        } else {
-            $brokenAt = time unless defined $brokenAt;
-            return 0 if time - $brokenAt > 1.5;
-        }
-    }
-    return 1;
-}
-
 sub chunk {
     my ($text) = @_;
     return sprintf("%x\r\n%s\r\n", length $text, $text);
@@ -144,12 +131,9 @@
         my $last = $field->('Last-Event-Id') || 0;
         my $data = 'x' x $number->('bytes', 50);
         my $head = "HTTP/1.1 200 OK\r\n$seal${versions}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        if (!stay_open($number->('begin', 0) / 1000)) {
-            return write_all($socket, "HTTP/1.1 503 Broken\r\nAt-Server: $option{id}\r\n$refused");
-        }
         return 0 unless write_all($socket, $head);
         for my $event ($last + 1 .. $events) {
-            return 0 unless stay_open($number->('interval', 20) / 1000);
+            sleep $number->('interval', 20) / 1000;
             return 0 unless write_all($socket, chunk("id: $event\ndata: $data\n\n"));
             crash() if $isPoisoned;
         }
@@ -171,13 +155,36 @@
 
 socket(my $listener, PF_INET, SOCK_STREAM, 0) or die "socket: $!";
 setsockopt($listener, SOL_SOCKET, Socket::SO_REUSEADDR(), 1);
-setsockopt($listener, SOL_SOCKET, SO_RCVBUF, $option{'receive-buffer'}) if $option{'receive-buffer'};
 bind($listener, Socket::sockaddr_in($option{port}, Socket::inet_aton('127.0.0.1'))) or die "bind: $!";
 listen($listener, 256) or die "listen: $!";
+sub reap {
+    while ((my $ended = waitpid(-1, WNOHANG)) > 0) {
+        delete $children{$ended};
+    }
+}
+
 while (1) {
-    next unless accept(my $socket, $listener);
+    my $isAccepted = accept(my $socket, $listener);
+    reap();
+    if ($isCrashed) {
+        $isCrashed = 0;
+        # None of these was waited for, so no other process can have its id.
+        kill 'KILL', keys %children;
+        close $socket if $isAccepted;
+        sleep $option{'restart-after'};
+        open(my $file, '>', $option{born});
+        printf $file "%d\n", time * 1000;
+        close $file;
+        next;
+    }
+    next unless $isAccepted;
     my $child = fork;
-    next if !defined $child || $child > 0;
+    next unless defined $child;
+    if ($child > 0) {
+        $children{$child} = 1;
+        next;
+    }
+    $SIG{USR1} = 'DEFAULT';
     close $listener;
     setsockopt($socket, IPPROTO_TCP, TCP_NODELAY, 1);
     my $rest = '';
