--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,32 +1,37 @@
 #!/usr/bin/env bash
-# One part of a prompt crashes servers whose addresses go on taking connections. See claim.txt.
+# One part of long prompts crashes servers. See claim.txt. PARTS is the number of shared parts of a prompt, 60 unless set, and
+# POISON_ID the id of the part in question.
 source "$(dirname "$0")/../common-2.sh"
-PARTS=3
+PARTS="${PARTS:-60}"
+POISON_ID="${POISON_ID:-bad0bad0}"
 STABLE_WINDOW_S=4
 DOWN_S=2
 IDS=(one two three four)
 
 start_store
 POISON=()
-[ "$TROUBLE" = 0 ] || POISON=(--poison bad0bad0)
-# follow ID: writes the registration of a server, and again when it has a new start time.
-follow() {
-    local id="$1" file="$WORK/born-$1" born=""
-    trap 'exit 0' TERM
+[ "$TROUBLE" = 0 ] || POISON=(--poison "$POISON_ID")
+# supervise ID: runs a server, and starts it again some seconds after it has crashed, as a new process of the same id.
+supervise() {
+    local id="$1" port="PORT_$1" child
+    trap 'kill "$child" 2>/dev/null; exit 0' TERM
     while true; do
-        if [ "$(cat "$file")" != "$born" ]; then
-            born="$(cat "$file")"
-            register "$id" "$born"
-        fi
-        sleep 0.1
+        perl "$SERVER_PROGRAM" --port "${!port}" --id "$id" --record "$RECORD" "${POISON[@]}" &
+        child=$!
+        register "$id" "$(date +%s%3N)"
+        wait "$child" || true
+        sleep "$DOWN_S"
     done
 }
 for id in "${IDS[@]}"; do
-    date +%s%3N >"$WORK/born-$id"
-    server "$id" --restart-after "$DOWN_S" --born "$WORK/born-$id" "${POISON[@]}"
-    follow "$id" >/dev/null 2>&1 &
+    free_port "PORT_$id"
+    supervise "$id" >>"$WORK/server_$id.log" 2>&1 &
     PIDS+=($!)
 done
+for id in "${IDS[@]}"; do
+    port="PORT_$id"
+    wait_for 5 listens "${!port}" || cannot_run "server $id does not listen"
+done
 configure 100000 "$(route draft streaming 2 8000 ',"stream-resume":true,"gap-target-ms":120,"session-affinity":true')"
 start_gateway
 wait_for_servers "${IDS[@]}"
@@ -46,7 +51,7 @@
 sleep 3
 # A request with the part in question each 0.7 s, no two alike, each from a caller of its own that does not come back.
 for number in $(seq 55); do
-    caller --name "poison$number" --header "$(prompt bad0bad0 "$(printf '600%05x' "$number")")" &
+    caller --name "poison$number" --header "$(prompt "$POISON_ID" "$(printf '600%05x' "$number")")" &
     CALLERS+=($!)
     sleep 0.7
 done
