Encode names of entries in the targets of calls to the store

Callers saw that almost no request was served after all processes had been restarted while an entry of another writer stood in the list of servers, under a name with a character such as &, +, #, % or a blank.

Cause: the codecs of the store put names into targets as they are. Such a name at the end of a page is sent as `after` for the next one, where & ends the value, # ends the target, + is a blank, % begins an escape and a blank ends the target. The store then returned the same page again, or refused the call, so the list never ended and a host that started knew no server. Calls that read or replace one object named another one. Names of leases contain names of groups, which servers choose.

--- a/src/control/defaultobjectapi.cpp
+++ b/src/control/defaultobjectapi.cpp
@@ -5,6 +5,7 @@
 #include "core/parsejson.h"
 #include "core/wholenumber.h"
 #include "net/httpclient.h"
+#include "net/percentencoding.h"
 
 namespace Cardamomhill
 {
@@ -12,9 +13,14 @@
 namespace
 {
 
+std::string kindPath(const std::string &kind)
+{
+    return "/objects/" + percentEncoded(kind);
+}
+
 std::string pathOf(const ObjectKey &key)
 {
-    return "/objects/" + key.kind + "/" + key.name;
+    return kindPath(key.kind) + "/" + percentEncoded(key.name);
 }
 
 /// The object in a text whose value may be unreadable; nothing if another member is.
@@ -51,7 +57,7 @@
 
 HttpRequest DefaultObjectApi::makeListRequest(const std::string &kind, const std::string & /*after*/) const
 {
-    return makeHttpRequest("GET", kind.empty() ? "/objects" : "/objects/" + kind);
+    return makeHttpRequest("GET", kind.empty() ? "/objects" : kindPath(kind));
 }
 
 HttpRequest DefaultObjectApi::makeStaleListRequest(const std::string &kind) const
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -21,6 +21,7 @@
 #include "net/messagereader.h"
 #include "net/neterror.h"
 #include "net/notification.h"
+#include "net/percentencoding.h"
 #include "net/retryafter.h"
 #include "net/spawn.h"
 #include "net/steadynow.h"
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -3,8 +3,7 @@
 #include "core/parsejson.h"
 #include "net/httpexchange.h"
 #include "net/steadynow.h"
-
-#include <charconv>
+#include "standins/storetarget.h"
 
 namespace Cardamomhill
 {
@@ -19,18 +18,6 @@
 constexpr unsigned Gone = 410;
 constexpr unsigned Unavailable = 503;
 
-std::uint64_t queryNumber(const std::string &query, const std::string &name, std::uint64_t fallback)
-{
-    const auto start = ("&" + query).find("&" + name + "=");
-    if (start == std::string::npos) {
-        return fallback;
-    }
-    const auto text = query.substr(start + name.size() + 1);
-    std::uint64_t number = fallback;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
-
 // These are functions because g++ 12 cannot compile braced lists of JSON values in coroutines.
 
 nlohmann::json errorJson(const char *error)
@@ -44,13 +31,15 @@
 }
 
 /// Elements are joined as texts, since some of them cannot be parsed.
-std::string pageText(const char *array, const std::vector<std::string> &elements, std::uint64_t revision)
+std::string
+pageText(const char *array, const std::vector<std::string> &elements, std::uint64_t revision, bool hasMore = false)
 {
     std::string text = std::string("{\"") + array + "\":[";
     for (const auto &element : elements) {
         text += (text.back() == '[' ? "" : ",") + element;
     }
-    return text + "],\"has-more\":false,\"store-revision\":" + std::to_string(revision) + "}";
+    return text + "],\"has-more\":" + (hasMore ? "true" : "false") + ",\"store-revision\":" + std::to_string(revision)
+        + "}";
 }
 
 std::string objectText(const std::string &name, std::uint64_t revision, const std::string &spec)
@@ -129,6 +118,11 @@
     recordChange(key, text, true);
 }
 
+void PlatformStore::setPageLength(std::size_t length)
+{
+    m_pageLength = length;
+}
+
 void PlatformStore::setPageText(const std::string &kind, const std::string &text)
 {
     m_pageTexts[kind] = text;
@@ -166,22 +160,18 @@
 
 Task<> PlatformStore::answer(HttpExchange &exchange)
 {
-    const std::string target(exchange.request().target());
-    const auto queryStart = target.find('?');
-    const std::string path = target.substr(0, queryStart);
-    const std::string query = queryStart == std::string::npos ? "" : target.substr(queryStart + 1);
+    const StoreTarget target({exchange.request().target().data(), exchange.request().target().size()});
     const std::string method(exchange.request().method_string());
-    constexpr std::string_view Prefix = "/objects/";
-    if (path == "/faults") {
+    if (target.path == "/faults") {
         co_await answerFaults(exchange);
         co_return;
     }
-    if (path.starts_with("/raw")) {
-        co_await answerRaw(exchange, path);
+    if (target.path.starts_with("/raw")) {
+        co_await answerRaw(exchange, target.path);
         co_return;
     }
     ++m_calls;
-    m_serializableCalls += queryNumber(query, "serializable", 0);
+    m_serializableCalls += target.number("serializable", 0);
     if (m_isSilent) {
         co_await neverAnswer();
         co_return;
@@ -190,16 +180,14 @@
         co_await send(exchange, Unavailable, errorJson("down"));
         co_return;
     }
-    if (!path.starts_with(Prefix)) {
+    if (target.kind.empty()) {
         co_await send(exchange, NotFound, errorJson("path"));
         co_return;
     }
-    const std::string rest = path.substr(Prefix.size());
-    const auto slash = rest.find('/');
-    const Key key{rest.substr(0, slash), slash == std::string::npos ? "" : rest.substr(slash + 1)};
+    const Key key{target.kind, target.name};
     const auto found = m_objects.find(key);
     if (method == "GET" && key.second.empty()) {
-        co_await answerKind(exchange, key.first, query);
+        co_await answerKind(exchange, target);
     } else if (method == "POST" || method == "PUT") {
         co_await answerWrite(exchange, key, method == "POST");
     } else if (found == m_objects.end()) {
@@ -229,32 +217,35 @@
     co_await sendText(exchange, Ok, done);
 }
 
-Task<> PlatformStore::answerKind(HttpExchange &exchange, const std::string &kind, const std::string &query)
+Task<> PlatformStore::answerKind(HttpExchange &exchange, const StoreTarget &target)
 {
     constexpr std::uint64_t NotAWatch = 0;
+    const std::string &kind = target.kind;
     const auto pageTextOfKind = m_pageTexts[kind];
     if (!pageTextOfKind.empty()) {
         co_await sendText(exchange, Ok, pageTextOfKind);
         co_return;
     }
-    const auto since = queryNumber(query, "watch", NotAWatch);
+    const auto since = target.number("watch", NotAWatch);
     if (since != NotAWatch) {
-        const bool isSerializable = queryNumber(query, "serializable", 0) != 0;
+        const bool isSerializable = target.number("serializable", 0) != 0;
         if (!isSerializable && m_watchesToLose.erase(kind) != 0) {
             co_await neverAnswer();
             co_return;
         }
-        const Milliseconds wait(static_cast<std::int64_t>(queryNumber(query, "wait-ms", 0)));
+        const Milliseconds wait(static_cast<std::int64_t>(target.number("wait-ms", 0)));
         co_await answerWatch(exchange, kind, since, wait);
         co_return;
     }
+    const auto after = target.query.find("after");
+    const Key last{kind, after == target.query.end() ? std::string() : after->second};
     std::vector<std::string> items;
-    for (const auto &[key, object] : m_objects) {
-        if (key.first == kind) {
-            items.push_back(object.text);
-        }
+    auto object = m_objects.upper_bound(last);
+    for (; object != m_objects.end() && object->first.first == kind && items.size() < m_pageLength; ++object) {
+        items.push_back(object->second.text);
     }
-    const auto page = pageText("items", items, m_revision);
+    const bool hasMore = object != m_objects.end() && object->first.first == kind;
+    const auto page = pageText("items", items, m_revision, hasMore);
     co_await sendText(exchange, Ok, page);
 }
 
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <list>
 #include <map>
 #include <set>
@@ -19,6 +20,7 @@
 {
 
 class HttpExchange;
+struct StoreTarget;
 
 /// A stand-in for the store of the users' platform: objects with metadata and spec, and watches by kind. POST /faults
 /// takes "down" (requests get 503, open watches are closed), "lose_writes" (this many writes are applied but get no
@@ -51,6 +53,8 @@
     /// The same for a whole item, which need not have a readable name.
     void putRawItem(const std::string &kind, const std::string &name, const std::string &item);
     void remove(const std::string &kind, const std::string &name);
+    /// The largest number of objects in one answer to a list; unlimited at first.
+    void setPageLength(std::size_t length);
     /// Makes lists and watches of a kind return this text instead of a page; empty for pages.
     void setPageText(const std::string &kind, const std::string &text);
     /// An object with its metadata and spec.
@@ -77,7 +81,7 @@
     };
 
     Task<> answer(HttpExchange &exchange);
-    Task<> answerKind(HttpExchange &exchange, const std::string &kind, const std::string &query);
+    Task<> answerKind(HttpExchange &exchange, const StoreTarget &target);
     Task<> answerWatch(HttpExchange &exchange, std::string kind, std::uint64_t since, Milliseconds wait);
     Task<> answerWrite(HttpExchange &exchange, const Key &key, bool creates);
     Task<> answerFaults(HttpExchange &exchange);
@@ -93,6 +97,7 @@
     asio::io_context &m_context;
     HttpServer m_server;
     std::map<Key, Object> m_objects;
+    std::size_t m_pageLength = std::numeric_limits<std::size_t>::max();
     std::map<std::string, std::string> m_pageTexts;
     std::deque<Change> m_history;
     std::list<Notification *> m_openWatches;
