Fail a list whose pages repeat

Cause: PlatformClient::list() asked for the page after the last name until the store said that there is no more, whatever the page was. A store that can't go on after a name, for whatever reason, was asked for ever.

Change: a page that ends with the name of an earlier page fails the list with a malformed answer. ObjectFollower then retries it with the growing pauses that it has for pages that cannot be read.

That a malformed answer to a list is followed by growing pauses is a case of gatewaycontroltest, which passes unchanged.

--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -3,6 +3,8 @@
 #include "control/defaultobjectapi.h"
 #include "logging/logging.h"
 
+#include <set>
+
 namespace Cardamomhill
 {
 
@@ -40,6 +42,7 @@
 {
     ObjectPage all;
     std::string after;
+    std::set<std::string> pageEnds;
     do {
         auto page = co_await callForPage(m_codec->makeListRequest(kind, after), kind, m_callTimeout);
         if (page.has_error()) {
@@ -57,6 +60,10 @@
             after = object.key.name;
             all.objects.push_back(std::move(object));
         }
+        if (all.hasMore && !pageEnds.insert(after).second) {
+            // The store would return the same pages without end, at the rate at which it answers.
+            co_return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, "a page for the second time"});
+        }
     } while (all.hasMore);
     co_return all;
 }
--- a/tests/oddentrynamestest.cpp
+++ b/tests/oddentrynamestest.cpp
@@ -145,3 +145,18 @@
     gateway.run(scenario());
     CHECK(served == 10);
 }
+
+TEST_CASE("a list whose next page is the same again fails instead of being asked for without end")
+{
+    const auto item = [](const std::string &name) {
+        return R"({"metadata":{"name":")" + name + R"(","mod-revision":7},"spec":{}})";
+    };
+    StoreWithClient host;
+    host.store.setPageText(Kind,
+                           R"({"items":[)" + item("a") + "," + item("b") + R"(],"has-more":true,"store-revision":9})");
+    const auto list = host.finish(host.client.list(Kind));
+    CHECK(host.store.callCount() == 2);
+    REQUIRE(list.has_value());
+    REQUIRE(list->has_error());
+    CHECK(list->error().code == PlatformCallErrorCode::MalformedAnswer);
+}
