--- a/src/net/percentencoding.cpp
+++ b/src/net/percentencoding.cpp
@@ -1,12 +1,14 @@
 #include "net/percentencoding.h"
 
+#include <algorithm>
+
 namespace Cardamomhill
 {
 
 namespace
 {
 
-bool isUnreserved(char byte)
+bool isUnreservedByte(char byte)
 {
     constexpr std::string_view Marks = "-._~";
     return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z')
@@ -15,6 +17,11 @@
 
 } // namespace
 
+bool isUnreserved(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), isUnreservedByte);
+}
+
 std::string percentEncoded(std::string_view text)
 {
     constexpr std::string_view HexDigits = "0123456789ABCDEF";
@@ -22,7 +29,7 @@
     std::string encoded;
     encoded.reserve(text.size());
     for (const char byte : text) {
-        if (isUnreserved(byte)) {
+        if (isUnreservedByte(byte)) {
             encoded += byte;
             continue;
         }
--- a/tests/oddentrynamestest.cpp
+++ b/tests/oddentrynamestest.cpp
@@ -2,6 +2,7 @@
 
 #include "control/platformclient.h"
 #include "platform/objectapi.h"
+#include "platform/store.h"
 #include "standins/platformstore.h"
 #include "support/freeendpoint.h"
 #include "support/loopbackgateway.h"
@@ -146,6 +147,46 @@
     CHECK(served == 10);
 }
 
+TEST_CASE("an entry with an odd name is no server, whatever else it holds")
+{
+    const ServerEntry sound{"s1", "127.0.0.1:8080", 1, false};
+    const auto spec = serverDocument(sound);
+    for (const std::string name : {"s1", "i-7f3a91c2", "S_1.2~x"}) {
+        CHECK(Platform::Store().parseServer({{Kind, name}, 7, spec}).has_value());
+    }
+    for (const auto &part : oddParts()) {
+        if (part == "~" || part == "..") {
+            continue;
+        }
+        CAPTURE(part);
+        const auto server = Platform::Store().parseServer({{Kind, "s1" + part}, 7, spec});
+        REQUIRE(server.has_error());
+        CHECK(server.error().code == StoreParseErrorCode::Malformed);
+    }
+}
+
+TEST_CASE("the name of an entry adds no field to the calls that servers get")
+{
+    LoopbackGateway gateway({"s1"});
+    const ServerEntry forged{"s1", controlAddress(gateway.server("s1").endpoint()).value(), 1, false};
+    gateway.store.put(Kind, "s1\r\nX-Private: forged\r\nX-Rest: x", nlohmann::json::parse(serverDocument(forged)));
+    int served = 0;
+    int forgedFields = 0;
+    const auto scenario = [&]() -> Task<> {
+        co_await gateway.sleep(Seconds(2));
+        for (int i = 0; i < 40; ++i) {
+            const auto id = "call" + std::to_string(i);
+            auto request = LoopbackGateway::makeCall("/safe/ok", id);
+            const auto result = co_await gateway.call(std::move(request));
+            served += result.status == Ok ? 1 : 0;
+            forgedFields += result.body.find("forged") != std::string::npos ? 1 : 0;
+        }
+    };
+    gateway.run(scenario());
+    CHECK(served == 40);
+    CHECK(forgedFields == 0);
+}
+
 TEST_CASE("a list whose next page is the same again fails instead of being asked for without end")
 {
     const auto item = [](const std::string &name) {
