Refuse answers whose status is none in HTTP

Callers saw an answer 600 or 999 of a server in trouble as their answer. With a status below 100, such as 000, they saw a success whose body was not the server's, if its body looked like an answer; else a call waited for the timeout of its route although its answer was there and useless.

Cause: the parser of heads takes any three digits for a status. HttpClientConnection took all below 200 for interim answers (1xx), so it read the body of the answer as the head of the next one, or waited for it. Nothing had an upper bound.

Change: HttpClientConnection::readHead(), through which all answers of servers, engines, relays and the store are read, fails with a malformed message for statuses outside 100 to 599 (RFC 9110, section 15). The attempt then counts as broken, like one with other bytes that are no answer: the call is sent to another server if it may be, or gets 502 at once.

Evidence: oddanswertest sends such answers through a real gateway on all kinds of routes.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint32_t MaxHeaderBytes = 8 * 1024;
 /// Largest number of interim (1xx) answers, such as 100 Continue, before the final one.
 constexpr int MaxInterimAnswers = 8;
+/// The statuses of HTTP are those between these two (RFC 9110, section 15).
+constexpr unsigned FirstStatus = 100;
+constexpr unsigned LastStatus = 599;
 
 NetError netError(NetErrorCode code, const SystemError &error)
 {
@@ -115,7 +118,13 @@
     for (int interim = 0; interim <= MaxInterimAnswers; ++interim) {
         // No limit for the body: callers of readSome() limit what they keep.
         auto read = co_await m_reader.readHead(MaxHeaderBytes, std::numeric_limits<std::uint64_t>::max(), m_hasBody);
-        if (read.has_error() || status() >= FirstFinalStatus) {
+        if (read.has_error()) {
+            co_return read;
+        }
+        if (status() < FirstStatus || status() > LastStatus) {
+            co_return failure(NetError{NetErrorCode::MalformedMessage, "status out of range"});
+        }
+        if (status() >= FirstFinalStatus) {
             co_return read;
         }
     }
--- /dev/null
+++ b/tests/oddanswertest.cpp
@@ -0,0 +1,134 @@
+// Guards against answers that are none in HTTP and are passed on, in whole or in part.
+
+#include "support/loopbackgateway.h"
+
+#include <array>
+
+using namespace Cardamomhill;
+
+namespace
+{
+
+using ConnectionEnd = DirectBackend::ConnectionEnd;
+
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned LastStatus = 599;
+/// Part of each body that only an answer of the faulty server has.
+const std::string Marker = "spoiled";
+const std::array<std::string, 4> Routes{"safe", "pay", "draft", "talk"};
+
+bool isStream(const std::string &route)
+{
+    return route == "draft" || route == "talk";
+}
+
+std::string bodyFor(const std::string &route)
+{
+    return isStream(route) ? "id: 1\ndata: " + Marker + "\n\n" : Marker;
+}
+
+/// Fields that let a gateway accept an answer to this call, without those that frame its body.
+std::string acceptableFields(const HttpRequest &request, const std::string &route)
+{
+    return "Cardamomhill-Request-Id: " + std::string(request["Cardamomhill-Request-Id"])
+        + "\r\nCardamomhill-Response-Seal: seal\r\nContent-Type: "
+        + (isStream(route) ? "text/event-stream" : "text/plain") + "\r\n";
+}
+
+/// An answer to this call that is correct but for its status.
+std::string answerWithStatus(const std::string &status, const HttpRequest &request, const std::string &route)
+{
+    const auto body = bodyFor(route);
+    return "HTTP/1.1 " + status + " X\r\n" + acceptableFields(request, route)
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Sends calls on a route to a gateway whose only server answers all of them so, and checks that none of them gets the
+/// server's answer or waits for another one.
+void checkNotPassedOn(const std::string &route,
+                      const std::function<std::string(const HttpRequest &)> &answer,
+                      ConnectionEnd end = ConnectionEnd::Closed)
+{
+    constexpr int Calls = 2;
+    constexpr Milliseconds LongestWait{1000};
+    static int number = 0;
+    static std::map<std::string, std::unique_ptr<LoopbackGateway>> gateways;
+    auto &gateway = gateways[route];
+    if (!gateway) {
+        gateway = std::make_unique<LoopbackGateway>(std::vector<std::string>{"bad-1"});
+    }
+    gateway->server("bad-1").setRawAnswer([&](const HttpRequest &request) {
+        return DirectBackend::RawAnswer{answer(request), end};
+    });
+    const auto scenario = [&]() -> Task<> {
+        for (int i = 0; i < Calls; ++i) {
+            const auto id = "call" + std::to_string(++number);
+            const auto path = std::string("/").append(route).append("/ok");
+            auto request = LoopbackGateway::makeCall(path, id);
+            const auto result = co_await gateway->call(std::move(request));
+            CHECK(gateway->runsOf(id) > 0);
+            CHECK(result.status >= FirstServerError);
+            CHECK(result.status <= LastStatus);
+            CHECK(result.body.find(Marker) == std::string::npos);
+            CHECK(result.duration < LongestWait);
+        }
+    };
+    gateway->run(scenario());
+    gateway->server("bad-1").setRawAnswer({});
+}
+
+} // namespace
+
+TEST_CASE("an answer whose status is none in HTTP is not passed on")
+{
+    for (const auto &route : Routes) {
+        for (const std::string status : {"000",
+                                         "0",
+                                         "00",
+                                         "001",
+                                         "099",
+                                         "0200",
+                                         "+200",
+                                         "-20",
+                                         "20",
+                                         "2000",
+                                         "1e2",
+                                         "2x0",
+                                         "\t200",
+                                         "600",
+                                         "999"}) {
+            CAPTURE(route);
+            CAPTURE(status);
+            checkNotPassedOn(route,
+                             [&](const HttpRequest &request) { return answerWithStatus(status, request, route); });
+        }
+    }
+}
+
+TEST_CASE("the body of an answer whose status is below 100 is not read as the answer that follows an interim one")
+{
+    for (const auto &route : Routes) {
+        for (const std::string status : {"000", "001", "099"}) {
+            CAPTURE(route);
+            CAPTURE(status);
+            checkNotPassedOn(route, [&](const HttpRequest &request) {
+                const auto body = answerWithStatus("200", request, route);
+                return "HTTP/1.1 " + status + " X\r\n" + acceptableFields(request, route)
+                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            });
+        }
+    }
+}
+
+TEST_CASE("a call to which a server answers with a status below 100 does not wait for another answer")
+{
+    for (const auto &route : Routes) {
+        CAPTURE(route);
+        checkNotPassedOn(
+            route,
+            [&](const HttpRequest &request) {
+                return "HTTP/1.1 000 X\r\n" + acceptableFields(request, route) + "Content-Length: 0\r\n\r\n";
+            },
+            ConnectionEnd::KeptOpen);
+    }
+}
--- a/tests/standins/directbackend.cpp
+++ b/tests/standins/directbackend.cpp
@@ -131,10 +131,13 @@
     m_rawAnswer = std::move(answer);
 }
 
-Task<> DirectBackend::answerRaw(Connection &connection, const HttpRequest &request)
+Task<bool> DirectBackend::answerRaw(Connection &connection, const HttpRequest &request)
 {
     const auto answer = m_rawAnswer(request);
-    co_await write(connection, answer.bytes);
+    const bool sent = co_await write(connection, answer.bytes);
+    if (answer.end == ConnectionEnd::KeptOpen) {
+        co_return sent;
+    }
     // Lets the bytes arrive, which a reset would discard.
     co_await pause();
     SystemError ignored;
@@ -142,6 +145,7 @@
         connection.socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
     connection.socket.close(ignored);
+    co_return false;
 }
 
 std::uint64_t DirectBackend::callCount() const
@@ -443,8 +447,7 @@
     }
     if (m_rawAnswer) {
         countRun(request);
-        co_await answerRaw(connection, request);
-        co_return false;
+        co_return co_await answerRaw(connection, request);
     }
     const bool isFaulty = m_id.starts_with("bad");
     constexpr std::string_view RefusalPrefix = "refusal-";
--- a/tests/standins/directbackend.h
+++ b/tests/standins/directbackend.h
@@ -55,8 +55,8 @@
     /// Answers all further calls with 503, not run, and this value of Retry-After. An empty text ends that.
     void setRetryAfter(std::string retryAfter);
 
-    /// How a connection ends after a raw answer.
-    enum class ConnectionEnd : std::uint8_t { Closed, Reset };
+    /// How a connection ends after a raw answer, if it does.
+    enum class ConnectionEnd : std::uint8_t { Closed, Reset, KeptOpen };
 
     /// The bytes of an answer and the end of its connection.
     struct RawAnswer {
@@ -92,7 +92,7 @@
     Task<bool> answerResumed(Connection &connection, const HttpRequest &request, const std::string &fault);
     Task<bool> write(Connection &connection, std::string text);
     Task<> pause();
-    Task<> answerRaw(Connection &connection, const HttpRequest &request);
+    Task<bool> answerRaw(Connection &connection, const HttpRequest &request);
     void countRun(const HttpRequest &request);
     void notifyAnswered(const HttpRequest &request, bool wasSent) const;
     std::string responseHead(const HttpRequest &request, unsigned status, const std::string &headers) const;
