Refuse answers in whose heads a line begins with a blank

Callers got an answer in whose head the name of a field began with a blank as a success: the line was passed on as a part of the field before it. If the line would have framed the body, they got a body that was not the server's, with the sizes of its chunks in it.

Cause: the parser of heads takes a line that begins with a blank or a tab for the continuation of the value before it, an obsolete form that no current sender writes. MessageReader passed its result on.

Change: reading the head of an answer fails when a line begins with a blank or a tab, which RFC 9112, section 5.2, provides for gateways. All answers of servers, engines, relays and the store are read there. Requests are still read as before, which the same section allows.

Evidence: the new cases of oddanswertest failed before for lines that begin with a blank or a tab: 34 calls of all kinds of routes got 200 and the body of the spoiled answer, 16 of them with the bytes that frame it. Now none does. Names with a blank, a control byte or another byte that is none of a name elsewhere, and such a line directly after the status, were refused before as well. httpclienttest sends such a head cut at each byte (failed before, for the first cut), and a body that begins with blanks, which is still read.

--- a/src/net/messagereader.cpp
+++ b/src/net/messagereader.cpp
@@ -112,6 +112,24 @@
     return bytes.find(HeadEnd, start) != std::string_view::npos;
 }
 
+/// Whether a line of the head that has not been parsed yet begins with a blank. The parser joins such a line to the
+/// value of the line before. It leaves a field in the buffer until the next line has begun, so none is missed.
+template<bool isRequest>
+bool MessageReader<isRequest>::hasFoldedLine() const
+{
+    constexpr std::string_view LineEnd = "\r\n";
+    const auto received = m_buffer.data();
+    std::string_view rest(static_cast<const char *>(received.data()), received.size());
+    while (!rest.empty() && !rest.starts_with(LineEnd)) {
+        if (rest.starts_with(' ') || rest.starts_with('\t')) {
+            return true;
+        }
+        const auto end = rest.find(LineEnd);
+        rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + LineEnd.size());
+    }
+    return false;
+}
+
 /// Returns whether the head is complete.
 template<bool isRequest>
 Result<bool, NetError> MessageReader<isRequest>::parseHead()
@@ -122,6 +140,10 @@
     if (isRequest && !shouldParse()) {
         return false;
     }
+    // RFC 9112, section 5.2, lets a gateway refuse such an answer.
+    if (!isRequest && hasFoldedLine()) {
+        return failure(NetError{NetErrorCode::MalformedMessage, "a line of the head begins with a blank"});
+    }
     SystemError error;
     m_scannedBytes = 0;
     try {
--- a/src/net/messagereader.h
+++ b/src/net/messagereader.h
@@ -39,7 +39,7 @@
     /// Waits for bytes, without reading a message. Fails once the peer has closed the connection.
     Task<Result<void, NetError>> receive();
 
-    /// Reads the head of the next message.
+    /// Reads the head of the next message. Fails for an answer in which a line begins with a blank.
     /// @param headerBytes fails if the head is longer
     /// @param bodyBytes fails if the head states a longer body
     /// @param hasBody false if the message has no body whatever its head says, as an answer to HEAD
@@ -83,6 +83,7 @@
     using Parser = boost::beast::http::parser<isRequest, boost::beast::http::empty_body>;
 
     bool shouldParse();
+    bool hasFoldedLine() const;
     Result<bool, NetError> parseHead();
     BodyDecoder::Framing framing() const;
 
--- a/tests/httpclienttest.cpp
+++ b/tests/httpclienttest.cpp
@@ -230,6 +230,27 @@
     }
 }
 
+// Guards against a line that the parser takes for a part of the value before it.
+TEST_CASE("an answer with a line that begins with a blank fails, and one whose body begins with a blank does not")
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nX-Before: 1\r\n";
+    const std::string lengthAndBody = "Content-Length: 4\r\n\r\n  ok";
+    for (const std::string line : {"", " X-Odd: 1\r\n", "\tX-Odd: 1\r\n", " \r\n"}) {
+        for (std::size_t splitAt = 1; splitAt < (start + line + lengthAndBody).size(); ++splitAt) {
+            CAPTURE(line);
+            CAPTURE(splitAt);
+            const auto text = start + line + lengthAndBody;
+            const auto answer = answerFrom({text.substr(0, splitAt), text.substr(splitAt)});
+            REQUIRE(answer.has_value() == line.empty());
+            if (answer.has_value()) {
+                CHECK(answer.value().body == "  ok");
+            } else {
+                CHECK(answer.error().code == NetErrorCode::MalformedMessage);
+            }
+        }
+    }
+}
+
 // Guards against a process that keeps all bytes of a line that never ends.
 TEST_CASE("the line of a chunk and the trailer that never end fail their call long before its timeout")
 {
--- a/tests/oddanswertest.cpp
+++ b/tests/oddanswertest.cpp
@@ -132,3 +132,80 @@
             ConnectionEnd::KeptOpen);
     }
 }
+
+namespace
+{
+
+/// Lines of a head whose names are none.
+const std::vector<std::string> &oddLines()
+{
+    static const std::vector<std::string> Lines{"X Odd: 1",
+                                                "X\tOdd: 1",
+                                                "X-Odd : 1",
+                                                "X-Odd\t: 1",
+                                                " X-Odd: 1",
+                                                "\tX-Odd: 1",
+                                                "  ",
+                                                "X\x01Odd: 1",
+                                                "\x01X-Odd: 1",
+                                                "X-Odd\x1f: 1",
+                                                "X\x7fOdd: 1",
+                                                std::string("X\0Odd: 1", 8),
+                                                "X\rOdd: 1",
+                                                "X\nOdd: 1",
+                                                "X\x80Odd: 1",
+                                                "X(Odd): 1",
+                                                ": 1",
+                                                "X-Odd"};
+    return Lines;
+}
+
+/// Lines that would frame a body if their names had no blank or control byte.
+const std::vector<std::string> &oddFramingLines()
+{
+    static const std::vector<std::string> Lines{"Transfer-Encoding : chunked",
+                                                " Transfer-Encoding: chunked",
+                                                "\tTransfer-Encoding: chunked",
+                                                "\x0bTransfer-Encoding: chunked",
+                                                "Transfer-Encoding\x0b: chunked",
+                                                "Transfer Encoding: chunked"};
+    return Lines;
+}
+
+} // namespace
+
+TEST_CASE("an answer in whose head the name of a field holds a blank or a control byte is not passed on")
+{
+    for (const auto &route : Routes) {
+        for (const auto &line : oddLines()) {
+            for (const bool isFirst : {true, false}) {
+                CAPTURE(route);
+                CAPTURE(line);
+                CAPTURE(isFirst);
+                checkNotPassedOn(route, [&](const HttpRequest &request) {
+                    const auto fields = acceptableFields(request, route);
+                    const auto body = bodyFor(route);
+                    return "HTTP/1.1 200 X\r\n" + (isFirst ? line + "\r\n" + fields : fields + line + "\r\n")
+                        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+                });
+            }
+        }
+    }
+}
+
+TEST_CASE("a body is not passed on with the bytes that frame it because a name in the head is spoiled")
+{
+    for (const auto &route : Routes) {
+        for (const auto &line : oddFramingLines()) {
+            CAPTURE(route);
+            CAPTURE(line);
+            checkNotPassedOn(route, [&](const HttpRequest &request) {
+                const auto body = bodyFor(route);
+                std::array<char, 20> size{};
+                std::snprintf(size.data(), size.size(), "%zx", body.size());
+                return "HTTP/1.1 200 X\r\n" + acceptableFields(request, route) + line + "\r\n\r\n" + size.data()
+                    + "\r\n" + body + "\r\n0\r\n\r\n";
+            });
+        }
+    }
+}
