Go on after a page whose last name is no text

A host that started beside such an entry got no list of servers, so it would have served nothing.

Cause: a list goes on after the last name of a page that can be read. If the only entry of a page (a page holds about 1 MB, as one entry may) has a name that JSON can express and text cannot, a surrogate without its pair, there is no such name and the list failed each time.

Change: the codec tells after which name the next page begins. If the last name cannot be parsed, U+FFFD takes the place of lone surrogates, which is how stores decode them too. The entry is still counted as unreadable and names nothing.

Evidence: the new case of oddentrynamestest failed before; the list now has the entries before and after. A property test in jsonpagetest shows that the repair makes each such string readable and leaves sound ones alone. A name with bytes that are not UTF-8, alone on a page, still fails the list with a typed error: no JSON text can contain it.

--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -3,6 +3,8 @@
 #include "control/defaultobjectapi.h"
 #include "logging/logging.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace Cardamomhill
@@ -52,14 +54,12 @@
         all.revision = after.empty() ? page.value().revision : all.revision;
         all.hasMore = page.value().hasMore;
         all.unreadableCount += page.value().unreadableCount;
-        if (all.hasMore && page.value().objects.empty()) {
+        if (all.hasMore && page.value().lastName.empty()) {
             // Without a name the next page cannot be requested, and a list that ends here would be incomplete.
             co_return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, "a page without names"});
         }
-        for (auto &object : page.value().objects) {
-            after = object.key.name;
-            all.objects.push_back(std::move(object));
-        }
+        after = page.value().lastName;
+        std::move(page.value().objects.begin(), page.value().objects.end(), std::back_inserter(all.objects));
         if (all.hasMore && !pageEnds.insert(after).second) {
             // The store would return the same pages without end, at the rate at which it answers.
             co_return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, "a page for the second time"});
--- a/src/core/jsonstructure.cpp
+++ b/src/core/jsonstructure.cpp
@@ -1,6 +1,8 @@
 #include "core/jsonstructure.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <string>
 
 namespace Cardamomhill
@@ -42,6 +44,33 @@
     return characterAt(text, colon) == ':' ? skipWhiteSpace(text, colon + 1) : NotFound;
 }
 
+/// Length of an escape \uXXXX.
+constexpr std::size_t UnicodeEscapeLength = 6;
+
+/// Whether a text begins with an escape \uXXXX whose value lies between `first` and `last`.
+bool startsWithEscape(std::string_view text, std::uint16_t first, std::uint16_t last)
+{
+    constexpr int HexBase = 16;
+    const auto escape = text.substr(0, UnicodeEscapeLength);
+    if (escape.size() < UnicodeEscapeLength || !escape.starts_with("\\u")) {
+        return false;
+    }
+    std::uint16_t value = 0;
+    const auto *const end = escape.data() + escape.size();
+    const auto read = std::from_chars(escape.data() + 2, end, value, HexBase);
+    return read.ptr == end && value >= first && value <= last;
+}
+
+bool startsWithLeadingSurrogate(std::string_view text)
+{
+    return startsWithEscape(text, 0xD800, 0xDBFF);
+}
+
+bool startsWithTrailingSurrogate(std::string_view text)
+{
+    return startsWithEscape(text, 0xDC00, 0xDFFF);
+}
+
 /// Reads one value; see endOfValue().
 class ValueScanner
 {
@@ -189,4 +218,25 @@
     return result;
 }
 
+std::string replaceLoneSurrogates(std::string_view text)
+{
+    constexpr std::string_view Replacement = "\\ufffd";
+    std::string result;
+    while (!text.empty()) {
+        const bool isLeading = startsWithLeadingSurrogate(text);
+        const bool isPair = isLeading && startsWithTrailingSurrogate(text.substr(UnicodeEscapeLength));
+        if (!isPair && (isLeading || startsWithTrailingSurrogate(text))) {
+            result += Replacement;
+            text.remove_prefix(UnicodeEscapeLength);
+            continue;
+        }
+        // The second character of an escape is not the beginning of another one.
+        const std::size_t escapeLength = text.front() == '\\' ? 2 : 1;
+        const auto length = std::min(isPair ? 2 * UnicodeEscapeLength : escapeLength, text.size());
+        result += text.substr(0, length);
+        text.remove_prefix(length);
+    }
+    return result;
+}
+
 } // namespace Cardamomhill
--- a/src/core/jsonstructure.h
+++ b/src/core/jsonstructure.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <limits>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -40,4 +41,7 @@
 
 JsonMembers membersOf(std::string_view text);
 
+/// A JSON string in which U+FFFD takes the place of each escaped surrogate without its pair, which no text can contain.
+std::string replaceLoneSurrogates(std::string_view text);
+
 } // namespace Cardamomhill
--- a/src/objectstore/objectpage.h
+++ b/src/objectstore/objectpage.h
@@ -18,6 +18,9 @@
     std::vector<std::string> removed;
     /// The list is incomplete: more objects follow the last one.
     bool hasMore = false;
+    /// The name of the last object of a list, after which its next page begins; with a replacement for what is no text.
+    /// Empty if the list has no name that can be read.
+    std::string lastName{};
     /// Number of objects or events that were left out because their names cannot be read.
     std::size_t unreadableCount = 0;
 
--- a/tests/jsonpagetest.cpp
+++ b/tests/jsonpagetest.cpp
@@ -163,6 +163,26 @@
     CHECK(holds);
 }
 
+TEST_CASE("a string with surrogates that have no pair is repaired, and any other stays as it is")
+{
+    CHECK(replaceLoneSurrogates(R"("a\ud800b")") == R"("a\ufffdb")");
+    CHECK(rc::check("escapes in any order", [] {
+        const auto parts = *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>(
+            R"(\ud800)", R"(\uDBFF)", R"(\udc00)", R"(\ud83d\ude00)", R"(\u0041)", R"(\\)", R"(\")", "ud800", "a"));
+        std::string text = "\"";
+        for (const auto &part : parts) {
+            text += part;
+        }
+        text += '"';
+        RC_ASSERT(parseJson(replaceLoneSurrogates(text)).has_value());
+        RC_ASSERT(parseJson(text).has_error() || replaceLoneSurrogates(text) == text);
+    }));
+    // Whatever it is given, it returns.
+    for (const std::string broken : {"", "\\", "\\u", "\\ud8", "\"\\ud800\\u", "\\ud800\\ud800"}) {
+        CHECK(replaceLoneSurrogates(broken).size() >= std::min<std::size_t>(broken.size(), 1));
+    }
+}
+
 TEST_CASE("an array that is empty, last, missing or not an array is accepted")
 {
     for (const auto *text : {R"({"items":[],"store-revision":12})",
--- a/tests/oddentrynamestest.cpp
+++ b/tests/oddentrynamestest.cpp
@@ -187,6 +187,22 @@
     CHECK(forgedFields == 0);
 }
 
+TEST_CASE("a list goes on after a page whose only entry has a name that is no text")
+{
+    StoreWithClient host;
+    host.store.setPageLength(1);
+    host.store.put(Kind, "a", nlohmann::json::object());
+    // The encoding of a surrogate, which a store that is not strict keeps.
+    host.store.putRawItem(Kind, "b\xed\xa0\x80", R"({"metadata":{"name":"b\ud800","mod-revision":7},"spec":{}})");
+    host.store.put(Kind, "c", nlohmann::json::object());
+    const auto list = host.finish(host.client.list(Kind));
+    REQUIRE(list.has_value());
+    REQUIRE(list->has_value());
+    CHECK(list->value().objects.size() == 2);
+    CHECK(list->value().unreadableCount == 1);
+    CHECK_FALSE(list->value().hasMore);
+}
+
 TEST_CASE("a list whose next page is the same again fails instead of being asked for without end")
 {
     const auto item = [](const std::string &name) {
