Give each case of oddanswertest gateways of its own

Cause: the cases shared gateways in a static variable, so what one case did to a gateway could decide another, and they ended after the test program's own statics.

Change: a fixture holds one gateway for each route of each case. Checks, bounds and answers are unchanged.

--- a/tests/oddanswertest.cpp
+++ b/tests/oddanswertest.cpp
@@ -43,45 +43,56 @@
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-/// Sends calls on a route to a gateway whose only server answers all of them so, and checks that none of them gets the
-/// server's answer or waits for another one.
-void checkNotPassedOn(const std::string &route,
-                      const std::function<std::string(const HttpRequest &)> &answer,
-                      ConnectionEnd end = ConnectionEnd::Closed)
+/// A gateway with one server, whose calls all get the same odd answer.
+class OddAnswers
 {
-    constexpr int Calls = 2;
-    constexpr Milliseconds LongestWait{1000};
-    static int number = 0;
-    static std::map<std::string, std::unique_ptr<LoopbackGateway>> gateways;
-    auto &gateway = gateways[route];
-    if (!gateway) {
-        gateway = std::make_unique<LoopbackGateway>(std::vector<std::string>{"bad-1"});
+public:
+    explicit OddAnswers(const std::string &route)
+        : m_route(route)
+        , m_gateway({"bad-1"})
+    {
     }
-    gateway->server("bad-1").setRawAnswer([&](const HttpRequest &request) {
-        return DirectBackend::RawAnswer{answer(request), end};
-    });
-    const auto scenario = [&]() -> Task<> {
+
+    /// Checks that no call gets the server's answer, and that none waits for another one.
+    void checkNotPassedOn(const std::function<std::string(const HttpRequest &)> &answer,
+                          ConnectionEnd end = ConnectionEnd::Closed)
+    {
+        m_gateway.server("bad-1").setRawAnswer([answer, end](const HttpRequest &request) {
+            return DirectBackend::RawAnswer{answer(request), end};
+        });
+        m_gateway.run(sendCalls());
+    }
+
+private:
+    Task<> sendCalls()
+    {
+        constexpr int Calls = 2;
+        // Half of the timeout of the routes.
+        constexpr Milliseconds LongestWait{1000};
         for (int i = 0; i < Calls; ++i) {
-            const auto id = "call" + std::to_string(++number);
-            const auto path = std::string("/").append(route).append("/ok");
+            const auto id = "call" + std::to_string(++m_callCount);
+            const auto path = std::string("/").append(m_route).append("/ok");
             auto request = LoopbackGateway::makeCall(path, id);
-            const auto result = co_await gateway->call(std::move(request));
-            CHECK(gateway->runsOf(id) > 0);
+            const auto result = co_await m_gateway.call(std::move(request));
+            CHECK(m_gateway.runsOf(id) > 0);
             CHECK(result.status >= FirstServerError);
             CHECK(result.status <= LastStatus);
             CHECK(result.body.find(Marker) == std::string::npos);
             CHECK(result.duration < LongestWait);
         }
-    };
-    gateway->run(scenario());
-    gateway->server("bad-1").setRawAnswer({});
-}
+    }
+
+    std::string m_route;
+    LoopbackGateway m_gateway;
+    int m_callCount = 0;
+};
 
 } // namespace
 
 TEST_CASE("an answer whose status is none in HTTP is not passed on")
 {
     for (const auto &route : Routes) {
+        OddAnswers answers(route);
         for (const std::string status : {"000",
                                          "0",
                                          "00",
@@ -99,8 +110,8 @@
                                          "999"}) {
             CAPTURE(route);
             CAPTURE(status);
-            checkNotPassedOn(route,
-                             [&](const HttpRequest &request) { return answerWithStatus(status, request, route); });
+            answers.checkNotPassedOn(
+                [&](const HttpRequest &request) { return answerWithStatus(status, request, route); });
         }
     }
 }
@@ -108,10 +119,11 @@
 TEST_CASE("the body of an answer whose status is below 100 is not read as the answer that follows an interim one")
 {
     for (const auto &route : Routes) {
+        OddAnswers answers(route);
         for (const std::string status : {"000", "001", "099"}) {
             CAPTURE(route);
             CAPTURE(status);
-            checkNotPassedOn(route, [&](const HttpRequest &request) {
+            answers.checkNotPassedOn([&](const HttpRequest &request) {
                 const auto body = answerWithStatus("200", request, route);
                 return "HTTP/1.1 " + status + " X\r\n" + acceptableFields(request, route)
                     + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -123,9 +135,9 @@
 TEST_CASE("a call to which a server answers with a status below 100 does not wait for another answer")
 {
     for (const auto &route : Routes) {
+        OddAnswers answers(route);
         CAPTURE(route);
-        checkNotPassedOn(
-            route,
+        answers.checkNotPassedOn(
             [&](const HttpRequest &request) {
                 return "HTTP/1.1 000 X\r\n" + acceptableFields(request, route) + "Content-Length: 0\r\n\r\n";
             },
@@ -177,12 +189,13 @@
 TEST_CASE("an answer in whose head the name of a field holds a blank or a control byte is not passed on")
 {
     for (const auto &route : Routes) {
+        OddAnswers answers(route);
         for (const auto &line : oddLines()) {
             for (const bool isFirst : {true, false}) {
                 CAPTURE(route);
                 CAPTURE(line);
                 CAPTURE(isFirst);
-                checkNotPassedOn(route, [&](const HttpRequest &request) {
+                answers.checkNotPassedOn([&](const HttpRequest &request) {
                     const auto fields = acceptableFields(request, route);
                     const auto body = bodyFor(route);
                     return "HTTP/1.1 200 X\r\n" + (isFirst ? line + "\r\n" + fields : fields + line + "\r\n")
@@ -196,10 +209,11 @@
 TEST_CASE("a body is not passed on with the bytes that frame it because a name in the head is spoiled")
 {
     for (const auto &route : Routes) {
+        OddAnswers answers(route);
         for (const auto &line : oddFramingLines()) {
             CAPTURE(route);
             CAPTURE(line);
-            checkNotPassedOn(route, [&](const HttpRequest &request) {
+            answers.checkNotPassedOn([&](const HttpRequest &request) {
                 const auto body = bodyFor(route);
                 std::array<char, 20> size{};
                 std::snprintf(size.data(), size.size(), "%zx", body.size());
