--- a/tests/oddentrynamestest.cpp
+++ b/tests/oddentrynamestest.cpp
@@ -43,7 +43,7 @@
         REQUIRE(store.listen(endpoint).has_value());
     }
 
-    /// Runs a call for as long as it may last at most.
+    /// Runs a call to its end; nothing if it lasts longer than two seconds.
     template<class Value>
     std::optional<Result<Value, PlatformCallError>> finish(Task<Result<Value, PlatformCallError>> call)
     {
@@ -156,6 +156,7 @@
     }
     for (const auto &part : oddParts()) {
         if (part == "~" || part == "..") {
+            // Odd in a path only; an id may contain them.
             continue;
         }
         CAPTURE(part);
--- a/tests/standins/storetarget.h
+++ b/tests/standins/storetarget.h
@@ -18,7 +18,7 @@
 
     /// Not decoded.
     std::string path;
-    /// The parts of a path /objects/KIND/NAME; empty if the path is another one, or has no name.
+    /// Decoded parts of a path /objects/KIND/NAME. Both are empty for another path, and the name for /objects/KIND.
     std::string kind;
     std::string name;
     std::map<std::string, std::string> query;
