Start streams until one runs in the domain that is evacuated

Cause: the test, not the product. It starts four streams and needs one of them at the far server. Since plain servers are chosen by expected response time, and those that differ by less than a tenth of the service time share the calls at random (docs/design/uneven-demand.md). All four go to the near server once in 16 runs. The log of a failed run shows it: near and far are both candidates, and all four streams have expected_ms=200.8 and go to near. When the test was written the least loaded server was chosen, which always divided the streams. Change: after the first four streams further ones are started, one at a time, until one runs at the far server; at the latest the ninth does, since the near server has eight slots. All of them have to be whole and to run once, so no check is weaker.

--- a/tests/evacuationfleettest.cpp
+++ b/tests/evacuationfleettest.cpp
@@ -11,7 +11,10 @@
 constexpr Milliseconds Limit{2000};
 constexpr Milliseconds CallInterval{40};
 constexpr Milliseconds SlowCallTime{200};
+/// Streams that begin at the same time.
 constexpr int StreamCount = 4;
+/// One more than the slots of the near server, so that the last one is expected to begin sooner at the far server.
+constexpr int MaxStreamCount = 9;
 constexpr unsigned Ok = 200;
 constexpr unsigned Unavailable = 503;
 const std::string Near = "near";
@@ -104,24 +107,31 @@
         CHECK(m_lastFarRun < begun);
     }
 
-    /// Reads a stream that goes on for longer than the limit.
-    Task<> readStream(std::string id)
+    /// Starts streams at the first host until one runs at the far server. Servers that are expected to answer equally
+    /// soon share them at random, so the first ones may all run at the near server.
+    Task<> startStreams()
     {
-        auto request = GatewayFleet::makeCall("/draft/stream", id);
-        request.set("X-Events", std::to_string(StreamEvents));
-        request.set("X-Event-Interval-Ms", "100");
-        request.set("Cardamomhill-Request-Deadline", "8000");
-        const auto result = co_await fleet.call(0, request);
-        m_wholeStreams += result.isComplete && result.status == Ok ? 1 : 0;
-        ++m_endedStreams;
+        while (m_startedStreams < StreamCount) {
+            startStream();
+        }
+        co_await callFor(0, Milliseconds(500));
+        while (farStreams() == 0 && m_startedStreams < MaxStreamCount) {
+            startStream();
+            while (streamRuns() < m_startedStreams && m_endedStreams == 0) {
+                co_await fleet.sleep(CallInterval);
+            }
+        }
+        CHECK(farStreams() > 0);
     }
 
-    Task<> waitForStreams(int count)
+    /// Waits for the ends of all streams, and checks that each is whole and ran once.
+    Task<> waitForStreams()
     {
-        while (m_endedStreams < count) {
+        while (m_endedStreams < m_startedStreams) {
             co_await fleet.sleep(CallInterval);
         }
-        CHECK(m_wholeStreams == count);
+        CHECK(m_wholeStreams == m_startedStreams);
+        CHECK(streamRuns() == m_startedStreams);
     }
 
     SteadyTime lastFarRun() const
@@ -136,6 +146,47 @@
     static inline const std::string CallPath = "/safe/ok";
     static inline const std::string SlowPath = "/safe/slow";
 
+    static std::string streamId(int stream)
+    {
+        return "stream-" + std::to_string(stream);
+    }
+
+    void startStream()
+    {
+        fleet.spawnTask(readStream(streamId(m_startedStreams)));
+        ++m_startedStreams;
+    }
+
+    /// Reads a stream that goes on for longer than the limit.
+    Task<> readStream(std::string id)
+    {
+        auto request = GatewayFleet::makeCall("/draft/stream", id);
+        request.set("X-Events", std::to_string(StreamEvents));
+        request.set("X-Event-Interval-Ms", "100");
+        request.set("Cardamomhill-Request-Deadline", "8000");
+        const auto result = co_await fleet.call(0, request);
+        m_wholeStreams += result.isComplete && result.status == Ok ? 1 : 0;
+        ++m_endedStreams;
+    }
+
+    int farStreams()
+    {
+        int count = 0;
+        for (int stream = 0; stream < m_startedStreams; ++stream) {
+            count += fleet.runs[streamId(stream)][Far];
+        }
+        return count;
+    }
+
+    int streamRuns()
+    {
+        int count = 0;
+        for (int stream = 0; stream < m_startedStreams; ++stream) {
+            count += fleet.runsOf(streamId(stream));
+        }
+        return count;
+    }
+
     std::string farAddress()
     {
         return controlAddress(fleet.server(Far).endpoint()).value();
@@ -144,6 +195,7 @@
     SteadyTime m_lastFarRun{};
     int m_callCount = 0;
     int m_slowCalls = 0;
+    int m_startedStreams = 0;
     int m_endedStreams = 0;
     int m_wholeStreams = 0;
 };
@@ -158,15 +210,7 @@
         fleet.run(evacuation.callUntilFar(host));
     }
     fleet.kill(1);
-    for (int stream = 0; stream < StreamCount; ++stream) {
-        fleet.spawnTask(evacuation.readStream("stream-" + std::to_string(stream)));
-    }
-    fleet.run(evacuation.callFor(0, Milliseconds(500)));
-    int farStreams = 0;
-    for (int stream = 0; stream < StreamCount; ++stream) {
-        farStreams += fleet.runs["stream-" + std::to_string(stream)][Far];
-    }
-    REQUIRE(farStreams > 0);
+    fleet.run(evacuation.startStreams());
 
     // The streams there do not keep calls away.
     fleet.run(evacuation.callUntilFar(0));
@@ -181,12 +225,7 @@
     fleet.start(1);
     fleet.run(fleet.waitUntilReady());
     evacuation.checkNoCallsToFar(1);
-    fleet.run(evacuation.waitForStreams(StreamCount));
-    int runs = 0;
-    for (int stream = 0; stream < StreamCount; ++stream) {
-        runs += fleet.runsOf("stream-" + std::to_string(stream));
-    }
-    CHECK(runs == StreamCount);
+    fleet.run(evacuation.waitForStreams());
 
     evacuation.setEvacuated(FarDomain, false);
     for (std::size_t host = 0; host < 2; ++host) {
