--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of review/11 to review/15 start beside the product: a driver for each case, which holds its
+# Builds what the scripts of review/11 to review/13 start beside the product: a driver for each case, which holds its
 # callers, its servers and its store.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -16,7 +16,7 @@
 for source in review/standins-3/*.cpp; do
     common+=("$(compile "$source")")
 done
-for number in 11 12 13 14 15; do
+for number in 11 12 13; do
     # A driver that runs is replaced, not written to.
     g++ "$(compile "review/$number/driver.cpp")" "${common[@]}" -pthread -o "$directory/driver-$number.new"
     mv "$directory/driver-$number.new" "$directory/driver-$number"
--- a/review/standins-3/message.cpp
+++ b/review/standins-3/message.cpp
@@ -71,11 +71,6 @@
 {
 }
 
-void MessageReader::prepend(const std::string &bytes)
-{
-    m_buffer.insert(0, bytes);
-}
-
 bool MessageReader::fill(long long deadline)
 {
     const auto left = std::max(0LL, deadline - nowMs());
--- a/review/standins-3/message.h
+++ b/review/standins-3/message.h
@@ -52,9 +52,6 @@
     std::optional<std::string> readBody(std::size_t length, int timeoutMs);
     Answer readAnswer(int timeoutMs);
 
-    /// Adds bytes that were received before.
-    void prepend(const std::string &bytes);
-
 private:
     bool fill(long long deadline);
     void readChunks(Answer &answer, long long deadline);
--- a/review/standins-3/modelserver.cpp
+++ b/review/standins-3/modelserver.cpp
@@ -29,11 +29,6 @@
         + "\r\nCardamomhill-Response-Seal: seal." + server.id() + "\r\n" + fields + "\r\n";
 }
 
-bool ModelServer::Call::hasCallerGone() const
-{
-    return socket.isClosedByPeer();
-}
-
 ModelServer::ModelServer(std::string id, Record &record, Handler handler)
     : m_id(std::move(id))
     , m_record(record)
--- a/review/standins-3/modelserver.h
+++ b/review/standins-3/modelserver.h
@@ -24,7 +24,6 @@
         std::string id() const;
         /// The head of an answer, up to and with the empty line.
         std::string answerHead(int status, const std::string &fields) const;
-        bool hasCallerGone() const;
     };
     /// Answers a call. Returns whether the connection is kept.
     using Handler = std::function<bool(const Call &)>;
--- a/review/standins-3/socket.cpp
+++ b/review/standins-3/socket.cpp
@@ -131,13 +131,6 @@
     return 1;
 }
 
-bool Socket::isClosedByPeer() const
-{
-    char byte = 0;
-    const auto received = recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 void Socket::shutDown() const
 {
     shutdown(m_descriptor, SHUT_RDWR);
--- a/review/standins-3/socket.h
+++ b/review/standins-3/socket.h
@@ -32,8 +32,6 @@
     /// Appends what arrives within the time. 1 if something did, 0 at the end of the connection or after a reset, -1 if
     /// the time is over.
     int receive(std::string &buffer, int timeoutMs, std::size_t maxBytes = 16384) const;
-    /// Whether the peer has closed or reset the connection.
-    bool isClosedByPeer() const;
     void shutDown() const;
     /// Closes with a reset.
     void reset();
--- a/review/standins-3/storestandin.cpp
+++ b/review/standins-3/storestandin.cpp
@@ -55,13 +55,6 @@
     return m_state.revision;
 }
 
-std::size_t StoreStandin::count(const std::string &kind) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_state.objects.find(kind);
-    return found == m_state.objects.end() ? 0 : found->second.size();
-}
-
 void StoreStandin::put(const std::string &kind, const std::string &name, const std::string &spec)
 {
     const std::lock_guard lock(m_mutex);
--- a/review/standins-3/storestandin.h
+++ b/review/standins-3/storestandin.h
@@ -32,9 +32,6 @@
 
     /// Writes as the operator or a server does.
     void put(const std::string &kind, const std::string &name, const std::string &spec);
-    /// Number of objects of a kind.
-    std::size_t count(const std::string &kind) const;
-
     /// Keeps a copy of the state.
     void takeCopy();
     /// Closes all connections, is away for this time and comes back from the copy, in the next era.
