Order revisions of the store by its era

Cause: revisions were compared by their numbers alone. The relays listed the restored store and their copies began at a lower number, so the other hosts ignored their pages as outdated; once the number had passed theirs, the relays left out every change that was numbered below it. Nothing read the era that the store states in its answers.

StoreRevision (era, number) takes the place of the number in pages, relayed copies, calls to relays and watches, and is ordered by the era first. A host of an earlier era gets 410 from its relay and lists all objects; pages of an earlier era are ignored; a watch that is answered in another era is followed by a list, and the short watch beside it notices the era within 2 s.

--- a/src/control/defaultobjectapi.cpp
+++ b/src/control/defaultobjectapi.cpp
@@ -90,6 +90,11 @@
     return request;
 }
 
+std::uint64_t DefaultObjectApi::eraOf(const HttpResponse & /*response*/) const
+{
+    return 0;
+}
+
 PlatformCallError DefaultObjectApi::errorOf(const HttpResponse &response) const
 {
     constexpr unsigned NotFound = 404;
@@ -132,7 +137,7 @@
         return failure(malformed("no revision"));
     }
     ObjectPage page;
-    page.revision = *revision;
+    page.revision.number = *revision;
     for (const auto element : split.value().elements) {
         auto object = objectOf(element);
         if (object) {
--- a/src/control/defaultobjectapi.h
+++ b/src/control/defaultobjectapi.h
@@ -17,6 +17,7 @@
     HttpRequest makeStaleWatchRequest(const std::string &kind, std::uint64_t since, Milliseconds wait) const override;
     HttpRequest
     makeWriteRequest(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const override;
+    std::uint64_t eraOf(const HttpResponse &response) const override;
     PlatformCallError errorOf(const HttpResponse &response) const override;
     Result<PlatformObject, PlatformCallError> parseObject(const ObjectKey &key, const std::string &body) const override;
     Result<ObjectPage, PlatformCallError> parsePage(const std::string &kind, const std::string &body) const override;
--- a/src/control/entrycontrol.cpp
+++ b/src/control/entrycontrol.cpp
@@ -154,7 +154,7 @@
     ObjectPage objects;
     std::optional<PlatformCallError> error;
     if (const auto *watch = std::get_if<WatchRequest>(&request)) {
-        auto result = co_await m_platform.watch(std::string(), watch->since, watch->timeout);
+        auto result = co_await m_platform.watch(std::string(), {0, watch->since}, watch->timeout);
         if (result.has_error()) {
             error = result.error();
         } else {
@@ -176,7 +176,7 @@
         logEvent(LogLevel::Warning, "platform-watch-failed", {{"error", error->message()}});
         co_return std::nullopt;
     }
-    answer.revision = objects.revision;
+    answer.revision = objects.revision.number;
     answer.objects = std::move(objects.objects);
     co_return answer;
 }
--- a/src/control/objectapicodec.h
+++ b/src/control/objectapicodec.h
@@ -34,6 +34,8 @@
     virtual HttpRequest
     makeWriteRequest(const ObjectKey &key, std::uint64_t expectedVersion, const std::string &value) const = 0;
 
+    /// The era of the store that an answer states, or 0. Each restoration of the store from a copy begins a new one.
+    virtual std::uint64_t eraOf(const HttpResponse &response) const = 0;
     /// The error that an unsuccessful answer represents.
     virtual PlatformCallError errorOf(const HttpResponse &response) const = 0;
     virtual Result<PlatformObject, PlatformCallError> parseObject(const ObjectKey &key,
--- a/src/control/objectfollower.cpp
+++ b/src/control/objectfollower.cpp
@@ -105,7 +105,9 @@
 
 void ObjectFollower::watchMissedChanges()
 {
-    logEvent(LogLevel::Warning, "watch-missed-changes", {{"kind", m_kind}, {"revision", m_revision}});
+    logEvent(LogLevel::Warning,
+             "watch-missed-changes",
+             {{"kind", m_kind}, {"era", m_revision.era}, {"revision", m_revision.number}});
     m_mustList = true;
     abortWatch();
 }
@@ -115,7 +117,7 @@
     return m_source.role();
 }
 
-std::uint64_t ObjectFollower::revision() const
+const StoreRevision &ObjectFollower::revision() const
 {
     return m_revision;
 }
@@ -191,10 +193,16 @@
     if (page.value().revision < m_revision) {
         co_return steadyNow() + StoreRelay::LongPollTimeout;
     }
+    if (!mustList && !continuesHistory(page.value().revision)) {
+        co_return steadyNow();
+    }
     if (!m_isRevisionFromRelay || mustList) {
         logEvent(LogLevel::Info,
                  "relay-listed",
-                 {{"kind", m_kind}, {"relay", relay.name}, {"revision", page.value().revision}});
+                 {{"kind", m_kind},
+                  {"relay", relay.name},
+                  {"era", page.value().revision.era},
+                  {"revision", page.value().revision.number}});
     }
     m_isRevisionFromRelay = true;
     m_revision = page.value().revision;
@@ -211,9 +219,19 @@
         co_return false;
     }
     setContact(true, "listed");
+    if (page.value().revision.era < m_revision.era) {
+        // The answer was read before the store was restored. The next list shows the new era.
+        logEvent(LogLevel::Warning,
+                 "store-list-outdated",
+                 {{"kind", m_kind}, {"known_era", m_revision.era}, {"era", page.value().revision.era}});
+        co_return true;
+    }
     logEvent(LogLevel::Info,
              "store-listed",
-             {{"kind", m_kind}, {"objects", page.value().objects.size()}, {"revision", page.value().revision}});
+             {{"kind", m_kind},
+              {"objects", page.value().objects.size()},
+              {"era", page.value().revision.era},
+              {"revision", page.value().revision.number}});
     m_revision = page.value().revision;
     m_mustList = false;
     m_isRevisionFromRelay = false;
@@ -247,11 +265,7 @@
     }
     setContact(true, "watched");
     m_unreadableBackoff.reset();
-    if (page.value().revision < m_revision) {
-        logEvent(LogLevel::Error,
-                 "store-revision-went-back",
-                 {{"kind", m_kind}, {"known", m_revision}, {"revision", page.value().revision}});
-        m_mustList = true;
+    if (!continuesHistory(page.value().revision)) {
         co_return true;
     }
     m_revision = page.value().revision;
@@ -260,6 +274,23 @@
     co_return true;
 }
 
+bool ObjectFollower::continuesHistory(const StoreRevision &revision)
+{
+    if (revision.era == m_revision.era && revision.number >= m_revision.number) {
+        return true;
+    }
+    const bool isNewEra = revision.era != m_revision.era;
+    logEvent(isNewEra ? LogLevel::Warning : LogLevel::Error,
+             isNewEra ? "store-era-changed" : "store-revision-went-back",
+             {{"kind", m_kind},
+              {"known_era", m_revision.era},
+              {"known", m_revision.number},
+              {"era", revision.era},
+              {"revision", revision.number}});
+    m_mustList = true;
+    return false;
+}
+
 void ObjectFollower::callFailed(const PlatformCallError &error)
 {
     if (!error.isAnswer()) {
@@ -289,7 +320,7 @@
     if (contact != m_hasContact) {
         logEvent(contact ? LogLevel::Info : LogLevel::Warning,
                  contact ? "store-regained" : "store-lost",
-                 {{"kind", m_kind}, {"cause", cause}, {"revision", m_revision}});
+                 {{"kind", m_kind}, {"cause", cause}, {"era", m_revision.era}, {"revision", m_revision.number}});
     }
     m_hasContact = contact;
     m_observers.onContact(contact);
--- a/src/control/objectfollower.h
+++ b/src/control/objectfollower.h
@@ -9,9 +9,9 @@
 #include "objectstore/backoff.h"
 #include "objectstore/objectpage.h"
 #include "objectstore/storeavailability.h"
+#include "objectstore/storerevision.h"
 #include "objectstore/storesource.h"
 
-#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -61,7 +61,7 @@
     StoreRole role() const;
 
     /// The revision up to which all changes were reported to the observers.
-    std::uint64_t revision() const;
+    const StoreRevision &revision() const;
 
 private:
     Task<> follow();
@@ -70,6 +70,8 @@
     Task<SteadyTime> followRelay(RelayHost relay);
     Task<bool> list();
     Task<bool> watch();
+    /// Whether changes that were read at a revision follow those known to this host. If not, all objects are listed.
+    bool continuesHistory(const StoreRevision &revision);
     /// Ends a watch that has not returned changes which exist, and lists all objects instead.
     void watchMissedChanges();
     /// Ends a watch in progress. Its failure does not count as a failure of the store.
@@ -96,7 +98,7 @@
     /// way.
     Backoff m_unreadableBackoff;
     SteadyTime m_nextStoreCallAt{};
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
     bool m_mustList = true;
     bool m_isWatching = false;
     /// The last value reported to Observers::onContact.
--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -50,8 +50,20 @@
         if (page.has_error()) {
             co_return failure(page.error());
         }
+        const auto &revision = page.value().revision;
+        if (!after.empty() && revision.era < all.revision.era) {
+            co_return failure(PlatformCallError{PlatformCallErrorCode::MalformedAnswer, "a page of an earlier era"});
+        }
+        if (!after.empty() && revision.era > all.revision.era) {
+            // The pages received so far show what the restored store may no longer have.
+            all = ObjectPage();
+            after.clear();
+            pageEnds.clear();
+            all.hasMore = true;
+            continue;
+        }
         // The first page's revision is kept, so that a watch from it also reports changes made between two pages.
-        all.revision = after.empty() ? page.value().revision : all.revision;
+        all.revision = after.empty() ? revision : all.revision;
         all.hasMore = page.value().hasMore;
         all.unreadableCount += page.value().unreadableCount;
         if (all.hasMore && page.value().lastName.empty()) {
@@ -75,16 +87,16 @@
 }
 
 Task<Result<ObjectPage, PlatformCallError>>
-PlatformClient::watch(std::string kind, std::uint64_t since, Milliseconds wait)
+PlatformClient::watch(std::string kind, StoreRevision since, Milliseconds wait)
 {
-    auto request = m_codec->makeWatchRequest(kind, since, wait);
+    auto request = m_codec->makeWatchRequest(kind, since.number, wait);
     return callForPage(std::move(request), std::move(kind), wait + WatchTimeoutMargin);
 }
 
 Task<Result<ObjectPage, PlatformCallError>>
-PlatformClient::watchStale(std::string kind, std::uint64_t since, Milliseconds wait)
+PlatformClient::watchStale(std::string kind, StoreRevision since, Milliseconds wait)
 {
-    auto request = m_codec->makeStaleWatchRequest(kind, since, wait);
+    auto request = m_codec->makeStaleWatchRequest(kind, since.number, wait);
     return callForPage(std::move(request), std::move(kind), wait + WatchTimeoutMargin);
 }
 
@@ -102,33 +114,36 @@
 
 Task<Result<PlatformObject, PlatformCallError>> PlatformClient::callForObject(HttpRequest request, ObjectKey key)
 {
-    const auto body = co_await call(std::move(request), m_callTimeout);
-    if (body.has_error()) {
-        co_return failure(body.error());
+    const auto response = co_await call(std::move(request), m_callTimeout);
+    if (response.has_error()) {
+        co_return failure(response.error());
     }
-    co_return m_codec->parseObject(key, body.value());
+    co_return m_codec->parseObject(key, response.value().body);
 }
 
 Task<Result<ObjectPage, PlatformCallError>>
 PlatformClient::callForPage(HttpRequest request, std::string kind, Milliseconds timeout)
 {
-    const auto body = co_await call(std::move(request), timeout);
-    if (body.has_error()) {
-        co_return failure(body.error());
+    const auto response = co_await call(std::move(request), timeout);
+    if (response.has_error()) {
+        co_return failure(response.error());
+    }
+    auto page = m_codec->parsePage(kind, response.value().body);
+    if (page.has_value()) {
+        page.value().revision.era = m_codec->eraOf(response.value());
     }
-    auto page = m_codec->parsePage(kind, body.value());
     if (page.has_value() && page.value().unreadableCount > 0) {
         logEvent(LogLevel::Warning,
                  "objects-unreadable",
                  {{"kind", kind},
                   {"count", page.value().unreadableCount},
-                  {"revision", page.value().revision},
+                  {"revision", page.value().revision.number},
                   {"cause", "no readable name"}});
     }
     co_return page;
 }
 
-Task<Result<std::string, PlatformCallError>> PlatformClient::call(HttpRequest request, Milliseconds timeout)
+Task<Result<HttpResponse, PlatformCallError>> PlatformClient::call(HttpRequest request, Milliseconds timeout)
 {
     constexpr unsigned FirstErrorStatus = 300;
     auto response = co_await m_client.call(std::move(request), timeout);
@@ -140,7 +155,7 @@
     if (response.value().status >= FirstErrorStatus) {
         co_return failure(m_codec->errorOf(response.value()));
     }
-    co_return std::move(response.value().body);
+    co_return std::move(response.value());
 }
 
 } // namespace Cardamomhill
--- a/src/control/platformclient.h
+++ b/src/control/platformclient.h
@@ -36,11 +36,12 @@
     /// Returns the first page of the objects of a kind, possibly some seconds out of date. Costs less than list().
     Task<Result<ObjectPage, PlatformCallError>> listStale(std::string kind);
 
-    /// Waits for changes after a revision. Returns an empty page if there are none within the wait time.
-    Task<Result<ObjectPage, PlatformCallError>> watch(std::string kind, std::uint64_t since, Milliseconds wait);
+    /// Waits for changes after a revision. Returns an empty page if there are none within the wait time. The store
+    /// knows only the revision's number, so a page of another era may lack changes.
+    Task<Result<ObjectPage, PlatformCallError>> watch(std::string kind, StoreRevision since, Milliseconds wait);
 
     /// The same, but may miss the changes of the last seconds. Costs less than watch().
-    Task<Result<ObjectPage, PlatformCallError>> watchStale(std::string kind, std::uint64_t since, Milliseconds wait);
+    Task<Result<ObjectPage, PlatformCallError>> watchStale(std::string kind, StoreRevision since, Milliseconds wait);
 
     /// Writes a JSON value if the object has the given version, or does not exist if that is 0.
     Task<Result<PlatformObject, PlatformCallError>>
@@ -54,7 +55,7 @@
     Task<Result<PlatformObject, PlatformCallError>> callForObject(HttpRequest request, ObjectKey key);
     Task<Result<ObjectPage, PlatformCallError>>
     callForPage(HttpRequest request, std::string kind, Milliseconds timeout);
-    Task<Result<std::string, PlatformCallError>> call(HttpRequest request, Milliseconds timeout);
+    Task<Result<HttpResponse, PlatformCallError>> call(HttpRequest request, Milliseconds timeout);
 
     std::shared_ptr<const ObjectApiCodec> m_codec;
     Milliseconds m_callTimeout;
--- a/src/control/relayclient.cpp
+++ b/src/control/relayclient.cpp
@@ -39,7 +39,7 @@
 
 RelayClient::~RelayClient() = default;
 
-Task<Result<ObjectPage, RelayCallError>> RelayClient::call(const RelayHost &relay, std::optional<std::uint64_t> since)
+Task<Result<ObjectPage, RelayCallError>> RelayClient::call(const RelayHost &relay, std::optional<StoreRevision> since)
 {
     if (!m_client || m_relay != relay) {
         const auto endpoint = parseAddress(relay.address);
--- a/src/control/relayclient.h
+++ b/src/control/relayclient.h
@@ -5,8 +5,8 @@
 #include "net/asio.h"
 #include "objectstore/objectpage.h"
 #include "objectstore/relayhost.h"
+#include "objectstore/storerevision.h"
 
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -26,7 +26,7 @@
 
     /// Returns all objects, or the changes since a given revision. That page is empty if nothing changes within
     /// StoreRelay::LongPollTimeout.
-    Task<Result<ObjectPage, RelayCallError>> call(const RelayHost &relay, std::optional<std::uint64_t> since);
+    Task<Result<ObjectPage, RelayCallError>> call(const RelayHost &relay, std::optional<StoreRevision> since);
 
 private:
     asio::io_context &m_context;
--- a/src/control/relaypage.cpp
+++ b/src/control/relaypage.cpp
@@ -11,11 +11,12 @@
 namespace
 {
 
-constexpr std::uint32_t FieldCount = 4;
-constexpr std::uint32_t CurrentFormat = 1;
+constexpr std::uint32_t FieldCount = 5;
+constexpr std::uint32_t CurrentFormat = 2;
 
 using PackedObject = std::tuple<std::string, std::uint64_t, std::string>;
-using PackedPage = std::tuple<std::uint32_t, std::uint64_t, std::vector<PackedObject>, std::vector<std::string>>;
+using PackedPage
+    = std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::vector<PackedObject>, std::vector<std::string>>;
 
 } // namespace
 
@@ -26,7 +27,8 @@
     for (const auto &object : page.objects) {
         objects.emplace_back(object.key.name, object.version, object.value);
     }
-    return packMsgpack(PackedPage(CurrentFormat, page.revision, std::move(objects), page.removed));
+    return packMsgpack(
+        PackedPage(CurrentFormat, page.revision.era, page.revision.number, std::move(objects), page.removed));
 }
 
 Result<ObjectPage, WireError> unpackPage(const std::string &kind, std::string_view bytes)
@@ -35,12 +37,12 @@
     if (packed.has_error()) {
         return failure(packed.error());
     }
-    auto &[format, revision, objects, removed] = packed.value();
+    auto &[format, era, number, objects, removed] = packed.value();
     if (format != CurrentFormat) {
         return failure(WireError{WireErrorCode::Malformed, 0});
     }
     ObjectPage page;
-    page.revision = revision;
+    page.revision = {era, number};
     page.removed = std::move(removed);
     for (auto &[name, version, value] : objects) {
         page.objects.push_back({{kind, std::move(name)}, version, std::move(value)});
--- a/src/control/relaypage.h
+++ b/src/control/relaypage.h
@@ -10,8 +10,8 @@
 namespace Cardamomhill
 {
 
-/// Encodes objects for another entry host: a msgpack array of the format number, the revision, the objects (name,
-/// version and value each) and the names of removed objects.
+/// Encodes objects for another entry host: a msgpack array of the format number, the era, the number of the revision,
+/// the objects (name, version and value each) and the names of removed objects.
 std::string packPage(const ObjectPage &page);
 
 /// Decodes a page. The encoded objects do not include their kind.
--- a/src/control/storerelay.cpp
+++ b/src/control/storerelay.cpp
@@ -1,7 +1,6 @@
 #include "control/storerelay.h"
 
 #include "control/relaypage.h"
-#include "core/parsenumber.h"
 #include "net/httpclient.h"
 #include "net/httplimits.h"
 #include "net/steadynow.h"
@@ -23,11 +22,11 @@
 
 } // namespace
 
-HttpRequest StoreRelay::makeRequest(const std::string &kind, std::optional<std::uint64_t> since)
+HttpRequest StoreRelay::makeRequest(const std::string &kind, const std::optional<StoreRevision> &since)
 {
     auto target = std::string(PathPrefix) + kind;
     if (since) {
-        target += std::string(SinceParameter) + std::to_string(*since);
+        target += std::string(SinceParameter) + toText(*since);
     }
     return makeHttpRequest("GET", target);
 }
@@ -51,22 +50,22 @@
 Task<> StoreRelay::answer(HttpExchange &exchange)
 {
     std::string_view target(exchange.request().target().data(), exchange.request().target().size());
-    std::optional<std::uint64_t> since;
+    std::optional<StoreRevision> since;
     const auto parameter = target.find(SinceParameter);
     if (parameter != std::string_view::npos) {
-        since = parseNumber<std::uint64_t>(target.substr(parameter + SinceParameter.size()));
+        since = parseStoreRevision(target.substr(parameter + SinceParameter.size()));
         target = since ? target.substr(0, parameter) : std::string_view();
     }
     const bool isRelayPath = target.substr(0, PathPrefix.size()) == PathPrefix;
     const auto kind = isRelayPath ? m_kinds.find(std::string(target.substr(PathPrefix.size()))) : m_kinds.end();
     if (kind == m_kinds.end()) {
-        co_await exchange.sendAnswer(StatusNotFound, ReasonType, "/relay/KIND, /relay/KIND?since=REVISION\n");
+        co_await exchange.sendAnswer(StatusNotFound, ReasonType, "/relay/KIND, /relay/KIND?since=ERA.NUMBER\n");
         co_return;
     }
     co_await answerKind(exchange, kind->second, since);
 }
 
-Task<> StoreRelay::answerKind(HttpExchange &exchange, RelayedKind &kind, std::optional<std::uint64_t> since)
+Task<> StoreRelay::answerKind(HttpExchange &exchange, RelayedKind &kind, std::optional<StoreRevision> since)
 {
     const auto &copy = kind.copy();
     const auto deadline = steadyNow() + LongPollTimeout;
--- a/src/control/storerelay.h
+++ b/src/control/storerelay.h
@@ -7,8 +7,8 @@
 #include "net/httpexchange.h"
 #include "net/httpserver.h"
 #include "net/neterror.h"
+#include "objectstore/storerevision.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,7 +18,7 @@
 
 /// Serves objects of the platform's store to other entry hosts, which follow the store through this one.
 ///
-/// `GET /relay/KIND` returns all objects. `GET /relay/KIND?since=REVISION` returns the changes since that revision as
+/// `GET /relay/KIND` returns all objects. `GET /relay/KIND?since=ERA.NUMBER` returns the changes since that revision as
 /// soon as there are any, or an empty page after LongPollTimeout.
 class StoreRelay
 {
@@ -31,7 +31,7 @@
     static constexpr unsigned StatusDeclined = 421;
     static constexpr unsigned StatusNoContact = 503;
 
-    static HttpRequest makeRequest(const std::string &kind, std::optional<std::uint64_t> since);
+    static HttpRequest makeRequest(const std::string &kind, const std::optional<StoreRevision> &since);
 
     explicit StoreRelay(asio::io_context &context);
 
@@ -42,7 +42,7 @@
 
 private:
     Task<> answer(HttpExchange &exchange);
-    Task<> answerKind(HttpExchange &exchange, RelayedKind &kind, std::optional<std::uint64_t> since);
+    Task<> answerKind(HttpExchange &exchange, RelayedKind &kind, std::optional<StoreRevision> since);
 
     asio::io_context &m_context;
     std::map<std::string, RelayedKind> m_kinds;
--- a/src/control/watchmonitor.cpp
+++ b/src/control/watchmonitor.cpp
@@ -17,15 +17,16 @@
 /// Only limits a wait that a new watch ends.
 constexpr Seconds IdleWait{3600};
 
-/// Whether there are changes, or may be: they are unknown once the store has dropped its history, of which it need not
-/// tell a watch that it holds open.
-bool showsChanges(const Result<ObjectPage, PlatformCallError> &page)
+/// Whether there are changes, or may be: they are unknown once the store has dropped its history or begun a new era, of
+/// which it need not tell a watch that it holds open.
+bool showsChanges(const Result<ObjectPage, PlatformCallError> &page, const StoreRevision &since)
 {
     if (page.has_error()) {
         return page.error().code == PlatformCallErrorCode::HistoryGone;
     }
     const auto &changes = page.value();
-    return !changes.objects.empty() || !changes.removed.empty() || changes.unreadableCount != 0;
+    return changes.revision.era != since.era || !changes.objects.empty() || !changes.removed.empty()
+        || changes.unreadableCount != 0;
 }
 
 } // namespace
@@ -48,7 +49,7 @@
     spawn(m_context.get_executor(), "watch-monitor", run());
 }
 
-void WatchMonitor::watchBegan(std::uint64_t since)
+void WatchMonitor::watchBegan(const StoreRevision &since)
 {
     m_watch = Watch{++m_watchCount, since};
     m_begin.notify();
@@ -88,7 +89,7 @@
         m_observers.onUnanswered(page.error());
         co_return;
     }
-    if (!showsChanges(page)) {
+    if (!showsChanges(page, watch.since)) {
         co_return;
     }
     asio::steady_timer timer(m_context, DeliveryTime);
--- a/src/control/watchmonitor.h
+++ b/src/control/watchmonitor.h
@@ -3,6 +3,7 @@
 #include "control/platformclient.h"
 #include "net/asio.h"
 #include "net/notification.h"
+#include "objectstore/storerevision.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,7 +15,8 @@
 {
 
 /// Notices that a watch of the platform's store will not be answered: its answer was lost, or the store accepted the
-/// request while it answered none. Such a watch looks like one without changes until its long timeout.
+/// request while it answered none, or the store has begun a new era, in which it reaches the watch's revision only
+/// later. Such a watch looks like one without changes until its long timeout.
 ///
 /// Each watch is accompanied by short, cheap ones from the same revision on another connection. The first of them meets
 /// the store in the same state as the watch does.
@@ -37,7 +39,7 @@
     void start();
 
     /// Notes that a watch from this revision is sent.
-    void watchBegan(std::uint64_t since);
+    void watchBegan(const StoreRevision &since);
     /// Notes that the watch is over, answered or not.
     void watchEnded();
 
@@ -45,7 +47,7 @@
     /// A watch in progress.
     struct Watch {
         std::uint64_t number = 0;
-        std::uint64_t since = 0;
+        StoreRevision since;
     };
 
     Task<> run();
--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -193,10 +193,11 @@
                   {"service", server.service.value()},
                   {"address", server.address},
                   {"failure_domain", server.failureDomain.value()},
-                  {"revision", m_serverFollower.revision()}});
+                  {"revision", m_serverFollower.revision().number}});
     }
     for (const auto &id : changes.removed) {
-        logEvent(LogLevel::Info, "server-gone", {{"server", id.value()}, {"revision", m_serverFollower.revision()}});
+        logEvent(
+            LogLevel::Info, "server-gone", {{"server", id.value()}, {"revision", m_serverFollower.revision().number}});
     }
     m_observers.onServers(changes);
 }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -21,6 +21,7 @@
 readResponse(HttpClientConnection &connection, std::size_t maxBytes, SteadyTime deadline)
 {
     HttpResponse response;
+    response.head = connection.head();
     response.status = connection.status();
     response.contentType = connection.contentType();
     while (response.body.size() <= maxBytes) {
--- a/src/net/httpresponse.h
+++ b/src/net/httpresponse.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/messagereader.h"
+
 #include <string>
 
 namespace Cardamomhill
@@ -7,6 +9,7 @@
 
 /// A whole HTTP answer.
 struct HttpResponse {
+    AnswerReader::Head head;
     unsigned status = 0;
     std::string contentType;
     std::string body;
--- a/src/objectstore/objectcopy.cpp
+++ b/src/objectstore/objectcopy.cpp
@@ -47,7 +47,7 @@
     return m_isComplete;
 }
 
-std::uint64_t ObjectCopy::revision() const
+const StoreRevision &ObjectCopy::revision() const
 {
     return m_revision;
 }
@@ -62,7 +62,7 @@
     return page;
 }
 
-std::optional<ObjectPage> ObjectCopy::changesSince(std::uint64_t revision) const
+std::optional<ObjectPage> ObjectCopy::changesSince(const StoreRevision &revision) const
 {
     if (revision < m_historyStart) {
         return std::nullopt;
@@ -84,7 +84,7 @@
     return page;
 }
 
-void ObjectCopy::recordChange(std::uint64_t revision, const std::string &name)
+void ObjectCopy::recordChange(const StoreRevision &revision, const std::string &name)
 {
     m_changes.emplace_back(revision, name);
     while (m_changes.size() > m_historyLength) {
--- a/src/objectstore/objectcopy.h
+++ b/src/objectstore/objectcopy.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "objectstore/objectpage.h"
+#include "objectstore/storerevision.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -25,29 +25,30 @@
 
     /// Replaces the content with a complete list of the kind.
     void replace(const ObjectPage &all);
-    /// Applies changes made since the revision of the copy.
+    /// Applies changes made since the revision of the copy, in the same era of the store.
     void apply(const ObjectPage &changes);
     /// Drops the content when changes may have been missed. The copy is incomplete until the next replace().
     void clear();
 
     bool isComplete() const;
-    std::uint64_t revision() const;
+    const StoreRevision &revision() const;
 
     ObjectPage all() const;
-    /// The changes between the given revision and the copy's; nothing when the history does not reach back that far.
+    /// The changes between the given revision and the copy's; nothing when the history does not reach back that far,
+    /// which includes every revision of an earlier era.
     /// The page is empty for a revision later than the copy's.
-    std::optional<ObjectPage> changesSince(std::uint64_t revision) const;
+    std::optional<ObjectPage> changesSince(const StoreRevision &revision) const;
 
 private:
-    void recordChange(std::uint64_t revision, const std::string &name);
+    void recordChange(const StoreRevision &revision, const std::string &name);
 
     std::size_t m_historyLength;
     bool m_isComplete = false;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
     /// m_changes holds all changes after this revision.
-    std::uint64_t m_historyStart = 0;
+    StoreRevision m_historyStart;
     std::map<std::string, PlatformObject> m_objects;
-    std::deque<std::pair<std::uint64_t, std::string>> m_changes;
+    std::deque<std::pair<StoreRevision, std::string>> m_changes;
 };
 
 } // namespace Cardamomhill
--- a/src/objectstore/objectpage.h
+++ b/src/objectstore/objectpage.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "objectstore/platformobject.h"
+#include "objectstore/storerevision.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -12,7 +12,7 @@
 
 /// Objects, or changes of objects, with the revision of the whole store at which they were read.
 struct ObjectPage {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::vector<PlatformObject> objects;
     /// Names of objects of the watched kind that no longer exist.
     std::vector<std::string> removed;
--- a/src/objectstore/objectstoremodule.h
+++ b/src/objectstore/objectstoremodule.h
@@ -19,6 +19,7 @@
 #include "objectstore/relayhost.h"
 #include "objectstore/sourcechoice.h"
 #include "objectstore/storeavailability.h"
+#include "objectstore/storerevision.h"
 #include "objectstore/storerole.h"
 #include "objectstore/storesource.h"
 #include "objectstore/versionedobject.h"
--- a/tests/objectcopytest.cpp
+++ b/tests/objectcopytest.cpp
@@ -21,7 +21,7 @@
 
 /// The objects known to a host that polls a copy for changes.
 struct Follower {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::map<std::string, std::uint64_t> versions;
 
     void update(const ObjectPage &page, bool isAll)
@@ -53,7 +53,7 @@
         std::map<std::string, std::uint64_t> store;
         std::uint64_t revision = 1;
         ObjectCopy copy(HistoryLength);
-        copy.replace(ObjectPage{revision, {}, {}, false});
+        copy.replace(ObjectPage{{0, revision}, {}, {}, false});
         Follower follower;
         const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
         for (const int step : steps) {
@@ -68,7 +68,7 @@
                     page.addChanged(objectOf(name, revision));
                 }
             }
-            page.revision = revision;
+            page.revision.number = revision;
             copy.apply(page);
             if (step % 5 == 0) {
                 follower.poll(copy);
@@ -84,21 +84,34 @@
 TEST_CASE("a cleared copy is incomplete, and has no changes since an older revision after it is filled again")
 {
     ObjectCopy copy;
-    copy.replace(ObjectPage{5, {objectOf("a", 3)}, {}, false});
+    copy.replace(ObjectPage{{0, 5}, {objectOf("a", 3)}, {}, false});
     CHECK(copy.isComplete());
     copy.clear();
     CHECK_FALSE(copy.isComplete());
-    copy.replace(ObjectPage{9, {objectOf("b", 8)}, {}, false});
-    CHECK_FALSE(copy.changesSince(5).has_value());
+    copy.replace(ObjectPage{{0, 9}, {objectOf("b", 8)}, {}, false});
+    CHECK_FALSE(copy.changesSince({0, 5}).has_value());
     CHECK(copy.all().objects.size() == 1);
 }
 
 TEST_CASE("a follower with a later revision than the copy gets no changes from it")
 {
     ObjectCopy copy;
-    copy.replace(ObjectPage{5, {objectOf("a", 3)}, {}, false});
-    const auto changes = copy.changesSince(7);
+    copy.replace(ObjectPage{{0, 5}, {objectOf("a", 3)}, {}, false});
+    const auto changes = copy.changesSince({0, 7});
     REQUIRE(changes.has_value());
     CHECK(changes->objects.empty());
-    CHECK(changes->revision == 5);
+    CHECK(changes->revision == StoreRevision{0, 5});
+}
+
+// A relay whose store was restored must not answer a host of the earlier era with changes that leave some out.
+TEST_CASE("a copy of a later era has no changes since a revision of an earlier one, whatever its number")
+{
+    ObjectCopy copy;
+    copy.replace(ObjectPage{{2, 5}, {objectOf("a", 3)}, {}, false});
+    CHECK_FALSE(copy.changesSince({1, 5}).has_value());
+    CHECK_FALSE(copy.changesSince({1, 900}).has_value());
+    const auto changes = copy.changesSince({3, 1});
+    REQUIRE(changes.has_value());
+    CHECK(changes->objects.empty());
+    CHECK(changes->revision < StoreRevision{3, 1});
 }
--- a/tests/objectpagetest.cpp
+++ b/tests/objectpagetest.cpp
@@ -60,7 +60,7 @@
             + itemOf("b", R"({"x":1})") + R"(],"has-more":false,"store-revision":12})";
         const auto page = Platform::ObjectApi().parsePage("servers", body);
         REQUIRE_MESSAGE(page.has_value(), spec.substr(0, 40));
-        CHECK(page.value().revision == 12);
+        CHECK(page.value().revision.number == 12);
         CHECK(page.value().unreadableCount == 0);
         REQUIRE(page.value().objects.size() == 3);
         CHECK(page.value().objects[1].key.name == "odd");
@@ -77,7 +77,7 @@
             + itemOf("c", spec) + R"(}],"store-revision":12})";
         const auto page = Platform::ObjectApi().parsePage("servers", body);
         REQUIRE_MESSAGE(page.has_value(), spec.substr(0, 40));
-        CHECK(page.value().revision == 12);
+        CHECK(page.value().revision.number == 12);
         REQUIRE(page.value().objects.size() == 2);
         CHECK(page.value().objects[0].key.name == "odd");
         CHECK(Platform::Store().parseServer(page.value().objects[0]).has_error());
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -118,6 +118,31 @@
     recordChange(key, text, true);
 }
 
+void PlatformStore::saveCopy()
+{
+    m_copiedObjects = m_objects;
+    m_copiedRevision = m_revision;
+}
+
+void PlatformStore::restoreCopy(bool cutsWatches)
+{
+    ++m_era;
+    m_objects = m_copiedObjects;
+    m_revision = m_copiedRevision;
+    std::erase_if(m_history, [this](const Change &change) { return change.revision > m_copiedRevision; });
+    m_watchCuts += cutsWatches ? 1 : 0;
+    notifyWatches();
+}
+
+HttpHeaders PlatformStore::headers() const
+{
+    HttpHeaders headers;
+    if (m_era != 0) {
+        headers.emplace_back("Store-Era", std::to_string(m_era));
+    }
+    return headers;
+}
+
 void PlatformStore::setPageLength(std::size_t length)
 {
     m_pageLength = length;
@@ -150,12 +175,12 @@
 Task<> PlatformStore::send(HttpExchange &exchange, unsigned status, const Json &json)
 {
     const std::string body = json.dump();
-    co_await exchange.sendAnswer(status, "application/json", body);
+    co_await exchange.sendAnswer(status, "application/json", body, headers());
 }
 
 Task<> PlatformStore::sendText(HttpExchange &exchange, unsigned status, const std::string &body)
 {
-    co_await exchange.sendAnswer(status, "application/json", body);
+    co_await exchange.sendAnswer(status, "application/json", body, headers());
 }
 
 Task<> PlatformStore::answer(HttpExchange &exchange)
@@ -253,8 +278,9 @@
 {
     const auto end = steadyNow() + wait;
     const auto watchCutsBefore = m_watchCuts;
+    const bool isUnknownRevision = since > m_revision;
     auto events = eventsSince(kind, since);
-    while (events.empty() && steadyNow() < end && since >= m_oldestWatchRevision && !m_isDown
+    while (events.empty() && steadyNow() < end && since >= m_oldestWatchRevision && !isUnknownRevision && !m_isDown
            && m_watchCuts == watchCutsBefore) {
         Notification notification(m_context);
         const auto position = m_openWatches.insert(m_openWatches.end(), &notification);
@@ -264,7 +290,7 @@
     }
     if (m_isDown || m_watchCuts != watchCutsBefore) {
         exchange.abort();
-    } else if (since < m_oldestWatchRevision) {
+    } else if (since < m_oldestWatchRevision || isUnknownRevision) {
         co_await send(exchange, Gone, errorJson("history"));
     } else if (!events.empty() && m_changesToLose[kind] > 0) {
         --m_changesToLose[kind];
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -53,6 +53,11 @@
     /// The same for a whole item, which need not have a readable name.
     void putRawItem(const std::string &kind, const std::string &name, const std::string &item);
     void remove(const std::string &kind, const std::string &name);
+    /// Keeps a copy of all objects and of the revision for restoreCopy().
+    void saveCopy();
+    /// Goes back to the saved copy and begins a new era. Open watches stay open and are answered by the new era's
+    /// changes after the revision that they state, if they are not cut.
+    void restoreCopy(bool cutsWatches);
     /// The largest number of objects in one answer to a list; unlimited at first.
     void setPageLength(std::size_t length);
     /// Makes lists and watches of a kind return this text instead of a page; empty for pages.
@@ -91,6 +96,8 @@
     void notifyWatches();
     /// Keeps a call without an answer.
     Task<> neverAnswer();
+    /// The headers of every answer.
+    HttpHeaders headers() const;
     std::vector<std::string> eventsSince(const std::string &kind, std::uint64_t since) const;
     void recordChange(const Key &key, const std::string &object, bool removed);
 
@@ -107,6 +114,10 @@
     std::uint64_t m_watchCuts = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_serializableCalls = 0;
+    /// Stated in every answer once a copy has been restored.
+    std::uint64_t m_era = 0;
+    std::map<Key, Object> m_copiedObjects;
+    std::uint64_t m_copiedRevision = 1;
     std::map<std::string, int> m_changesToLose;
     std::set<std::string> m_watchesToLose;
     bool m_isMute = false;
--- a/tests/storerelaytest.cpp
+++ b/tests/storerelaytest.cpp
@@ -65,7 +65,7 @@
     StoreRelay relay;
     tcp::endpoint address;
     RelayHost self;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::map<std::string, std::uint64_t> versions;
     bool hasContact = false;
     ObjectFollower follower;
@@ -144,6 +144,8 @@
 };
 
 constexpr int LargeDomain = 24;
+/// Two seconds until the answer of a short watch states the new era, and the time in which the hosts list it.
+constexpr Milliseconds RestorationNoticeTime{2600};
 
 } // namespace
 
@@ -275,10 +277,88 @@
     CHECK(domain.allKnow("late"));
 }
 
+// Guards against hosts that keep outdated objects for good because the store, restored from a copy, counts on from a
+// revision below theirs.
+TEST_CASE("hosts behind a relay follow the store after it was restored from an older copy")
+{
+    for (const bool cutsWatches : {true, false}) {
+        CAPTURE(cutsWatches);
+        Domain domain(10);
+        domain.announceHosts();
+        domain.store.put(Kind, "kept", {{"port", 1}});
+        domain.store.put(Kind, "withdrawn", {{"port", 1}});
+        domain.run(SettlingTime);
+        domain.store.saveCopy();
+        // These changes are lost and leave all hosts at a later revision than the copy's.
+        for (int index = 0; index < 5; ++index) {
+            domain.store.put(Kind, "lost", {{"port", index}});
+            domain.run(CallInterval);
+        }
+        domain.run(SettlingTime);
+        REQUIRE(domain.allKnow("lost"));
+        domain.store.restoreCopy(cutsWatches);
+        domain.store.put(Kind, "new", {{"port", 1}});
+        domain.store.remove(Kind, "withdrawn");
+        domain.run(RestorationNoticeTime);
+        for (const auto &host : domain.hosts) {
+            CHECK(host->versions.contains("kept"));
+            CHECK(host->versions.contains("new"));
+            CHECK_FALSE(host->versions.contains("withdrawn"));
+            CHECK_FALSE(host->versions.contains("lost"));
+        }
+        domain.store.put(Kind, "later", {{"port", 1}});
+        domain.run(SettlingTime);
+        CHECK(domain.allKnow("later"));
+    }
+}
+
+// Guards against a watch that outlives the restoration and continues with the new era's changes without those before.
+TEST_CASE("a watch that is open while the store is restored hides no change, though its revision is assigned again")
+{
+    Domain domain(1);
+    domain.run(SettlingTime);
+    domain.store.saveCopy();
+    domain.store.put(Kind, "lost", {{"port", 1}});
+    domain.run(SettlingTime);
+    REQUIRE(domain.allKnow("lost"));
+    domain.store.restoreCopy(false);
+    for (const auto *name : {"new-1", "new-2", "new-3"}) {
+        domain.store.put(Kind, name, {{"port", 1}});
+        domain.run(CallInterval);
+    }
+    domain.run(SettlingTime);
+    CHECK(domain.allKnow("new-1"));
+    CHECK(domain.allKnow("new-3"));
+    CHECK_FALSE(domain.allKnow("lost"));
+}
+
+// Guards against a change of relays that takes a host back to the objects of an earlier era.
+TEST_CASE("a host that knows the restored store ignores a relay that does not know it yet")
+{
+    Domain domain(10);
+    domain.announceHosts();
+    domain.store.saveCopy();
+    domain.store.put(Kind, "lost", {{"port", 1}});
+    domain.run(SettlingTime);
+    const auto relays = domain.relays();
+    REQUIRE(relays.size() == 2);
+    const auto all = relays.front()->relay.kind(Kind).copy().all();
+    domain.store.restoreCopy(true);
+    domain.store.put(Kind, "new", {{"port", 1}});
+    domain.run(SettlingTime);
+    // One relay goes back to what it had before.
+    relays.front()->relay.kind(Kind).replace(all);
+    domain.run(SettlingTime);
+    for (const auto &host : domain.hosts) {
+        CHECK(host->versions.contains("new"));
+        CHECK_FALSE(host->versions.contains("lost"));
+    }
+}
+
 TEST_CASE("pages are unchanged after encoding and decoding, and malformed bytes are an error")
 {
     ObjectPage page;
-    page.revision = 12;
+    page.revision = {3, 12};
     page.addChanged({{Kind, "a"}, 11, R"({"port":1})"});
     page.addRemoved("b");
     const auto bytes = packPage(page);
