Suspect every part of a prompt, whatever its place and the length of its id

Four servers crashed 72 times in 40 s, and most sound requests got 503.

Cause: three bounds cut off what the decision looks at: a report of a crash took the first 50 parts, the parser kept the first 64 shared parts, and it left out ids of more than 64 characters. `server-crashed` shows it: its parts end before the part in question.

The ids of all shared parts are kept in one string that is no longer than the header, long ids as digests; a report has up to 4,096 parts, and beyond that leaves out the least likely ones. What hosts tell each other is divided into notices that fit into a datagram, so that longer reports arrive; a burst of crashes is told in one notice instead of two crashes a tick.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -111,7 +111,7 @@
     if (!connected) {
         co_return AttemptEnd::NotSent;
     }
-    if (m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+    if (m_thread.promptGuard().blockedPartOf(m_state.head)) {
         m_cause = "a part of the prompt is blocked";
         co_return AttemptEnd::Withdrawn;
     }
@@ -198,7 +198,7 @@
 
 void Attempt::cancelIfBlocked()
 {
-    if (!hasGoneOn() && m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+    if (!hasGoneOn() && m_thread.promptGuard().blockedPartOf(m_state.head)) {
         cancel("a part of the prompt is blocked");
     }
 }
--- a/src/gateway/callhandler.cpp
+++ b/src/gateway/callhandler.cpp
@@ -214,7 +214,7 @@
             co_await answerFailure();
             co_return;
         }
-        if (m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+        if (m_thread.promptGuard().blockedPartOf(m_state.head)) {
             co_await answerFailure();
             co_return;
         }
@@ -291,7 +291,7 @@
 
 RetryVerdict CallHandler::retryVerdict(SteadyTime now)
 {
-    if (m_thread.promptGuard().blockedPartOf(m_state.head) != nullptr) {
+    if (m_thread.promptGuard().blockedPartOf(m_state.head)) {
         return RetryVerdict::PromptBlocked;
     }
     if (m_state.isPromptSuspected) {
@@ -334,8 +334,8 @@
 std::optional<Problem> CallHandler::blockedProblem()
 {
     auto &guard = m_thread.promptGuard();
-    const auto *part = guard.blockedPartOf(m_state.head);
-    if (part == nullptr) {
+    const auto part = guard.blockedPartOf(m_state.head);
+    if (!part) {
         return std::nullopt;
     }
     const bool wasSent = m_state.attempts.sentCount() > 0;
--- a/src/gateway/peerexchange.h
+++ b/src/gateway/peerexchange.h
@@ -75,7 +75,8 @@
     std::set<HostId> heardHosts() const;
 
 private:
-    /// Size of the receive buffer. A notice with calls at 100 servers has about 1 kB, one about prompts up to 14 kB.
+    /// Size of the receive buffer. A notice with calls at 100 servers has about 1 kB, one about prompts at most
+    /// PromptNoticeQueue::MaxNoticeBytes and the name of its host.
     static constexpr std::size_t MaxNoticeBytes = 16 * 1024;
 
     Task<> receive();
--- a/src/gateway/promptguard.cpp
+++ b/src/gateway/promptguard.cpp
@@ -12,6 +12,8 @@
 
 #include <algorithm>
 #include <random>
+#include <span>
+#include <utility>
 
 namespace Cardamomhill
 {
@@ -21,13 +23,10 @@
 
 /// A host that is up accepts or refuses a connection in milliseconds.
 constexpr Milliseconds ConnectTimeout{400};
-/// These bound the size of a notice.
-constexpr std::size_t MaxSuspectsPerReport = 50;
-constexpr std::size_t MaxCrashesPerNotice = 2;
-constexpr std::size_t MaxBlockedPerNotice = 50;
-constexpr std::size_t MaxSoundPerNotice = 50;
-/// More are forgotten together; other hosts then store the block.
-constexpr std::size_t MaxReportedParts = 1000;
+/// Of older reports, other hosts store the block.
+constexpr std::size_t MaxReportedParts = 4 * CrashSuspects::DefaultMaxSuspects;
+/// Suspects that the log names of each crash.
+constexpr std::size_t MaxLoggedSuspects = 50;
 /// How often all hosts together announce the blocked parts, for hosts that have just started.
 constexpr Milliseconds AnnouncementInterval{1000};
 constexpr double AnnouncementsPerInterval = 4;
@@ -50,16 +49,24 @@
     , m_metrics(metrics)
     , m_random(seed)
     , m_observers(std::move(observers))
+    , m_unsent(m_host)
+    , m_reportedParts(MaxReportedParts)
 {
 }
 
-const std::string *PromptGuard::blockedPartOf(const CallHead &call) const
+std::optional<std::string> PromptGuard::blockedPartOf(const CallHead &call) const
 {
+    if (!m_blame.hasSuspects()) {
+        return std::nullopt;
+    }
     const auto now = steadyNow();
-    const auto &parts = call.sharedPromptParts;
-    const auto found = std::find_if(
-        parts.begin(), parts.end(), [&](const PromptPart &part) { return m_blame.isBlocked(part.id, now); });
-    return found == parts.end() ? nullptr : &found->id;
+    for (const auto id : call.sharedPromptPartIds) {
+        std::string part(id);
+        if (m_blame.isBlocked(part, now)) {
+            return part;
+        }
+    }
+    return std::nullopt;
 }
 
 Milliseconds PromptGuard::recordRefusal(const std::string &part)
@@ -70,19 +77,27 @@
 
 void PromptGuard::recordSound(const CallHead &call)
 {
-    for (const auto &part : call.sharedPromptParts) {
-        if (m_blame.recordSound(part.id, steadyNow())) {
-            m_soundParts.insert(part.id);
-            removeStored(part.id);
+    const auto now = steadyNow();
+    for (const auto id : call.sharedPromptPartIds) {
+        const std::string part(id);
+        if (m_blame.recordSound(part, now)) {
+            m_soundParts.insert(part);
+            removeStored(part);
         }
     }
 }
 
 bool PromptGuard::isSuspected(const CallHead &call) const
 {
-    const auto &parts = call.sharedPromptParts;
-    return std::any_of(
-        parts.begin(), parts.end(), [this](const PromptPart &part) { return m_blame.isSuspected(part.id); });
+    if (!m_blame.hasSuspects()) {
+        return false;
+    }
+    for (const auto id : call.sharedPromptPartIds) {
+        if (m_blame.isSuspected(std::string(id))) {
+            return true;
+        }
+    }
+    return false;
 }
 
 bool PromptGuard::hasSuspects() const
@@ -92,17 +107,14 @@
 
 void PromptGuard::recordBreak(const ServerProcess &process, const CallHead &call)
 {
-    if (call.sharedPromptParts.empty()) {
+    if (call.sharedPromptPartIds.isEmpty()) {
         return;
     }
     const auto key = keyOf(process);
-    const auto [found, isNew] = m_breaks.try_emplace(key, Break{process, {}});
+    const auto [found, isNew] = m_breaks.try_emplace(key, Break{process, CrashSuspects()});
     std::uint32_t position = 0;
-    for (const auto &part : call.sharedPromptParts) {
-        if (found->second.suspects.size() < MaxSuspectsPerReport) {
-            found->second.suspects.try_emplace(part.id,
-                                               PromptSuspect{part.id, position, m_blame.isKnownSound(part.id)});
-        }
+    for (const auto id : call.sharedPromptPartIds) {
+        found->second.suspects.add(id, position, m_blame.isKnownSound(std::string(id)));
         ++position;
     }
     if (isNew) {
@@ -126,24 +138,20 @@
     if (!isRefused) {
         co_return;
     }
-    CrashReport report{key, {}};
-    for (const auto &[part, suspect] : broken.suspects) {
-        report.suspects.push_back(suspect);
-    }
+    CrashReport report{key, broken.suspects.ranked()};
+    const std::span logged(report.suspects.data(), std::min(report.suspects.size(), MaxLoggedSuspects));
     logEvent(LogLevel::Info,
              "server-crashed",
              {{"server", broken.process.id.value()},
               {"address", address},
-              {"parts", joinWithCommas(report.suspects, [](const PromptSuspect &suspect) { return suspect.part; })}});
+              {"parts_count", report.suspects.size()},
+              {"parts", joinWithCommas(logged, &PromptSuspect::part)}});
     m_metrics.counter("server_crashes_total").add();
     recordCrash(report);
-    if (m_reportedParts.size() > MaxReportedParts) {
-        m_reportedParts.clear();
-    }
     for (const auto &suspect : report.suspects) {
-        m_reportedParts.insert(suspect.part);
+        m_reportedParts.record(suspect.part, steadyNow());
     }
-    m_unsent.crashes.push_back(std::move(report));
+    m_unsent.addCrash(std::move(report));
 }
 
 void PromptGuard::recordCrash(const CrashReport &report)
@@ -174,6 +182,10 @@
     const auto now = steadyNow();
     bool isNew = false;
     for (const auto &part : parts) {
+        if (part.part.size() > PromptPartIds::MaxIdLength) {
+            // No call has such a part.
+            continue;
+        }
         if (m_blame.block(part, now)) {
             isNew = true;
             logEvent(LogLevel::Warning, "prompt-blocked", {{"part", part.part}, {"source", source}});
@@ -190,7 +202,7 @@
 void PromptGuard::storeIfReported(const std::string &part)
 {
     // Only the hosts that reported it, since all hosts learn of a block at the same time.
-    if (m_reportedParts.erase(part) > 0) {
+    if (m_reportedParts.erase(part)) {
         m_storedParts.insert(part);
         m_observers.onStorable(m_blame.blockedParts(steadyNow()));
     }
@@ -208,20 +220,12 @@
 {
     decide();
     addSoundParts(hostCount);
-    if (m_unsent.blocked.empty() && isAnnouncementDue(hostCount)) {
-        m_unsent.blocked = m_blame.blockedParts(steadyNow());
-    }
-    if (m_unsent.isEmpty()) {
-        return;
+    if (!m_unsent.hasBlocked() && isAnnouncementDue(hostCount)) {
+        m_unsent.setBlocked(m_blame.blockedParts(steadyNow()));
     }
-    m_unsent.blocked.resize(std::min(m_unsent.blocked.size(), MaxBlockedPerNotice));
-    m_unsent.host = m_host;
-    auto notice = std::exchange(m_unsent, {});
-    while (notice.crashes.size() > MaxCrashesPerNotice) {
-        m_unsent.crashes.push_back(std::move(notice.crashes.back()));
-        notice.crashes.pop_back();
+    if (!m_unsent.isEmpty()) {
+        m_observers.onNotice(m_unsent.next());
     }
-    m_observers.onNotice(notice);
 }
 
 void PromptGuard::decide()
@@ -232,7 +236,7 @@
         return;
     }
     logEvent(LogLevel::Warning, "prompt-blocked", {{"part", *part}, {"source", m_host}});
-    m_unsent.blocked = m_blame.blockedParts(now);
+    m_unsent.setBlocked(m_blame.blockedParts(now));
     m_observers.onBlocked();
     storeIfReported(*part);
 }
@@ -242,8 +246,8 @@
     if (m_soundParts.empty()) {
         m_soundNotices = FirstSoundNotices;
     } else if (isChosen(m_soundNotices, hostCount)) {
-        while (!m_soundParts.empty() && m_unsent.sound.size() < MaxSoundPerNotice) {
-            m_unsent.sound.push_back(m_soundParts.extract(m_soundParts.begin()).value());
+        for (const auto &part : std::exchange(m_soundParts, {})) {
+            m_unsent.addSound(part);
         }
     } else {
         m_soundNotices *= SoundNoticeGrowth;
--- a/src/gateway/promptguard.h
+++ b/src/gateway/promptguard.h
@@ -2,14 +2,17 @@
 
 #include "core/random.h"
 #include "net/asio.h"
+#include "traffic/crashsuspects.h"
 #include "traffic/promptblame.h"
 #include "traffic/promptnotice.h"
+#include "traffic/promptnoticequeue.h"
+#include "traffic/recentparts.h"
 #include "traffic/serverprocess.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -38,8 +41,8 @@
     PromptGuard(
         asio::io_context &context, std::string host, MetricsRegistry &metrics, std::uint64_t seed, Observers observers);
 
-    /// A blocked part of a call's prompt; nullptr if it has none.
-    const std::string *blockedPartOf(const CallHead &call) const;
+    /// A blocked part of a call's prompt, if it has one.
+    std::optional<std::string> blockedPartOf(const CallHead &call) const;
 
     /// Records that a call was refused for a part of its prompt. Returns how long such calls will be refused.
     Milliseconds recordRefusal(const std::string &part);
@@ -67,11 +70,9 @@
     void tick(std::size_t hostCount);
 
 private:
-    using Suspects = std::map<std::string, PromptSuspect>;
-
     struct Break {
         ServerProcess process;
-        Suspects suspects;
+        CrashSuspects suspects;
     };
 
     /// Reports a crash if the server accepts no connection any more.
@@ -95,9 +96,9 @@
     PromptBlame m_blame;
     /// Processes whose connections broke and that are being checked.
     std::unordered_map<std::uint64_t, Break> m_breaks;
-    PromptNotice m_unsent;
-    /// Parts in this host's reports of crashes.
-    std::set<std::string> m_reportedParts;
+    PromptNoticeQueue m_unsent;
+    /// Parts in this host's latest reports of crashes.
+    RecentParts m_reportedParts;
     /// Parts that this host has stored as blocked.
     std::set<std::string> m_storedParts;
     /// Suspected or blocked parts under which an answer went on, until this host or another one has said so.
--- a/src/gateway/streamcontinuation.cpp
+++ b/src/gateway/streamcontinuation.cpp
@@ -47,7 +47,7 @@
     const auto &guard = m_thread.promptGuard();
     return !m_run && !m_state.isCallerGone && !m_state.isEndedEarly && m_state.isResumable()
         && m_state.attempts.allowsRetryAfter(AttemptEnd::Broken, *m_state.route, m_state.remainingTime(steadyNow()))
-        && guard.blockedPartOf(m_state.head) == nullptr && !guard.isSuspected(m_state.head);
+        && !guard.blockedPartOf(m_state.head) && !guard.isSuspected(m_state.head);
 }
 
 void StreamContinuation::begin(Attempt &silent, std::string_view cause)
--- a/src/traffic/callhead.h
+++ b/src/traffic/callhead.h
@@ -2,6 +2,7 @@
 
 #include "core/clocktypes.h"
 #include "traffic/promptpart.h"
+#include "traffic/promptpartids.h"
 
 #include <cstdint>
 #include <optional>
@@ -25,8 +26,10 @@
     std::optional<Milliseconds> remainingTime;
     /// The event after which the caller resumes a stream; empty for a new stream.
     std::string lastEventId;
-    /// The parts of the prompt that other calls may share, in order: all but the last.
+    /// The first parts of the prompt that other calls may share, in order.
     std::vector<PromptPart> sharedPromptParts;
+    /// The ids of all parts that other calls may share: all parts but the last.
+    PromptPartIds sharedPromptPartIds;
     /// Tokens of the whole prompt, as far as the caller states them.
     std::uint64_t promptTokens = 0;
 };
--- a/tests/callheadtest.cpp
+++ b/tests/callheadtest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,15 @@
 
 using Parts = std::vector<PromptPart>;
 
+std::vector<std::string> idsOf(const CallHead &head)
+{
+    std::vector<std::string> ids;
+    for (const auto id : head.sharedPromptPartIds) {
+        ids.emplace_back(id);
+    }
+    return ids;
+}
+
 } // namespace
 
 TEST_CASE("all parts of a prompt but the last are shared, and the tokens of all are counted")
@@ -88,3 +98,26 @@
         }
     }));
 }
+
+TEST_CASE("all parts have an id that stays the same, whatever their number and the length of their ids")
+{
+    std::string text;
+    std::vector<std::string> expected;
+    for (int i = 0; i < 4000; ++i) {
+        expected.push_back("p" + std::to_string(i));
+        text += expected.back() + ":3,";
+    }
+    CHECK(idsOf(parsed(text + "last:5")) == expected);
+    const std::string longest(PromptPartIds::MaxIdLength, 'a');
+    CHECK(idsOf(parsed(longest + ":1,:2,b:2,x:3")) == std::vector<std::string>{longest, "b"});
+    const auto digests = idsOf(parsed(longest + "a:1," + longest + "b:1," + longest + "a:7,a b:1,\xff:1,x:3"));
+    REQUIRE(digests.size() == 5);
+    CHECK(digests[0] == digests[2]);
+    CHECK(std::set<std::string>(digests.begin(), digests.end()).size() == 4);
+    for (const auto &digest : digests) {
+        CHECK(digest.size() <= PromptPartIds::MaxIdLength);
+        CHECK(digest.find(' ') == std::string::npos);
+    }
+    CHECK(idsOf(parsed("a:1")).empty());
+    CHECK(parsed(",,a:1").sharedPromptPartIds.isEmpty());
+}
--- a/tests/promptblametest.cpp
+++ b/tests/promptblametest.cpp
@@ -1,10 +1,15 @@
 #include "traffic/promptblame.h"
 #include "core/random.h"
+#include "traffic/crashsuspects.h"
 #include "traffic/promptnotice.h"
+#include "traffic/promptnoticequeue.h"
+#include "traffic/promptpartids.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -260,3 +265,68 @@
     notice.format = PromptNotice::CurrentFormat + 1;
     CHECK_FALSE(unpackPromptNotice(packPromptNotice(notice)));
 }
+
+// Guards against hosts that tell each other only the first parts of a prompt, or send datagrams that cannot be read.
+TEST_CASE("everything a host has to tell about prompts arrives, in notices of limited size")
+{
+    constexpr std::size_t Suspects = 3000;
+    constexpr std::size_t Others = 400;
+    PromptNoticeQueue queue("h1");
+    std::set<std::string> parts;
+    std::vector<BlockedPart> blocked;
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        CrashReport report{process, {}};
+        for (std::size_t index = 0; index < Suspects; ++index) {
+            const auto part = std::string(PromptPartIds::MaxIdLength - 8, 'p') + std::to_string(index);
+            report.suspects.push_back({part, 4'000'000'000, false});
+        }
+        queue.addCrash(report);
+    }
+    for (std::size_t index = 0; index < Others; ++index) {
+        queue.addSound(std::string(PromptPartIds::MaxIdLength - 8, 's') + std::to_string(index));
+        blocked.push_back({std::string(PromptPartIds::MaxIdLength - 8, 'b') + std::to_string(index),
+                           std::numeric_limits<std::uint64_t>::max()});
+    }
+    queue.setBlocked(blocked);
+    std::map<std::uint64_t, std::size_t> suspects;
+    std::size_t soundCount = 0;
+    std::size_t blockedCount = 0;
+    while (!queue.isEmpty()) {
+        const auto notice = queue.next();
+        REQUIRE_FALSE(notice.isEmpty());
+        REQUIRE(packPromptNotice(notice).size() <= PromptNoticeQueue::MaxNoticeBytes + notice.host.size());
+        for (const auto &report : notice.crashes) {
+            suspects[report.process] += report.suspects.size();
+        }
+        soundCount += notice.sound.size();
+        blockedCount += notice.blocked.size();
+    }
+    CHECK(suspects == std::map<std::uint64_t, std::size_t>{{1, Suspects}, {2, Suspects}, {3, Suspects}});
+    CHECK(soundCount == Others);
+    CHECK(blockedCount == Others);
+}
+
+// Guards against a burst of crashes that is told two a tick, which delays the verdict.
+TEST_CASE("many crashes under short prompts are told in one notice")
+{
+    PromptNoticeQueue queue("h1");
+    for (std::uint64_t process = 1; process <= 50; ++process) {
+        queue.addCrash({process, prompt({"a", "bad", "c"})});
+    }
+    CHECK(queue.next().crashes.size() == 50);
+    CHECK(queue.isEmpty());
+}
+
+TEST_CASE("of more suspects than are reported, sound parts and the first parts of prompts are left out")
+{
+    CrashSuspects suspects(3);
+    for (std::uint32_t position = 0; position < 100; ++position) {
+        suspects.add("p" + std::to_string(position), position, position >= 98);
+    }
+    suspects.add("p5", 400, false);
+    std::vector<std::string> parts;
+    for (const auto &suspect : suspects.ranked()) {
+        parts.push_back(suspect.part);
+    }
+    CHECK(parts == std::vector<std::string>{"p5", "p97", "p96"});
+}
--- a/tests/promptcrashtest.cpp
+++ b/tests/promptcrashtest.cpp
@@ -20,12 +20,21 @@
 constexpr unsigned Ok = 200;
 const std::string PrefixHeader = "Cardamomhill-Prompt-Prefix";
 
+/// What the prompts of all calls look like.
+struct PromptShape {
+    /// Parts that all calls share, before the one that may crash servers.
+    int sharedPartCount = 1;
+    /// The id of the part that crashes servers.
+    std::string badId = "bad";
+};
+
 /// Servers that crash of calls with one part in their prompts, under calls with and without it.
 class CrashingFleet
 {
 public:
-    CrashingFleet()
+    explicit CrashingFleet(PromptShape shape = {})
         : fleet(HostCount, serverIds(), "retry_slack: 1000\n")
+        , m_shape(std::move(shape))
     {
         fleet.onRun = [this](const std::string &server, const HttpRequest &request) { receive(server, request); };
     }
@@ -98,7 +107,7 @@
 
     void receive(const std::string &server, const HttpRequest &request)
     {
-        if (std::string(request[PrefixHeader]).find("bad:") != std::string::npos) {
+        if (std::string(request[PrefixHeader]).find(m_shape.badId + ":") != std::string::npos) {
             m_arrivals.push_back(steadyNow());
             fleet.spawnTask(crash(server));
         }
@@ -130,8 +139,12 @@
         ++m_openCalls;
         const auto id = kind + std::to_string(number);
         auto request = GatewayFleet::makeCall("/draft/stream", id);
-        const std::string middle = kind == "bad" ? "bad:20" : "topic" + std::to_string(number % 5) + ":20";
-        request.set(PrefixHeader, "common:40," + middle + "," + id + ":5");
+        std::string prompt;
+        for (int part = 0; part < m_shape.sharedPartCount; ++part) {
+            prompt += "common" + std::to_string(part) + ":40,";
+        }
+        prompt += kind == "bad" ? m_shape.badId : "topic" + std::to_string(number % 5);
+        request.set(PrefixHeader, prompt + ":20," + id + ":5");
         const auto sentAt = steadyNow();
         const auto result = co_await fleet.call(static_cast<std::size_t>(number) % HostCount, std::move(request));
         if (kind == "sound") {
@@ -143,6 +156,7 @@
         --m_openCalls;
     }
 
+    PromptShape m_shape;
     std::vector<SteadyTime> m_arrivals;
     /// When each call without the part was sent, and those that got a whole answer.
     std::vector<SteadyTime> m_soundCalls;
@@ -173,6 +187,29 @@
     CHECK(crashing.soundAnswers() * 2 > crashing.soundCalls());
 }
 
+// Guards against parts that are never blocked because of their place or the length of their ids.
+TEST_CASE("a part that crashes servers is blocked behind hundreds of other parts, and with an id of any length")
+{
+    for (const auto &shape : {PromptShape{60, "bad"}, PromptShape{300, "bad"}, PromptShape{2, std::string(128, 'b')}}) {
+        CAPTURE(shape.sharedPartCount);
+        CAPTURE(shape.badId);
+        CrashingFleet crashing(shape);
+        crashing.fleet.run(crashing.run(Duration));
+        MESSAGE(crashing.crashes.size(),
+                " crashes, ",
+                crashing.lateArrivals(),
+                " late arrivals, ",
+                crashing.soundAnswers(),
+                " of ",
+                crashing.soundCalls(),
+                " sound calls answered");
+        CHECK(crashing.crashes.size() > 2);
+        CHECK(crashing.lateArrivals() <= MaxCallsAfterwards);
+        CHECK(crashing.soundCalls() > 20);
+        CHECK(crashing.soundAnswers() * 2 > crashing.soundCalls());
+    }
+}
+
 TEST_CASE("calls with a part in their prompts that crashes servers reach no server after all hosts have restarted")
 {
     constexpr Milliseconds ShortDuration{3000};
