Forget the weakest evidence about prompts when a table is full

Some prompts with many parts of their own, such as 2,000 suspects together, turned the protection off for ten minutes: servers crashed of each request with a part that came later.

Cause: the bounds fail open. Now the suspicions with the fewest and the oldest crashes, the parts that were sound the longest time ago, and the block that ends first make room for new ones.

--- a/src/traffic/promptblame.cpp
+++ b/src/traffic/promptblame.cpp
@@ -1,6 +1,8 @@
 #include "traffic/promptblame.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <string_view>
 #include <tuple>
 
 namespace Cardamomhill
@@ -26,6 +28,7 @@
 
 PromptBlame::PromptBlame(PromptBlameOptions options)
     : m_options(options)
+    , m_soundAt(options.maxKnownSound)
 {
 }
 
@@ -41,14 +44,31 @@
         return;
     }
     for (const auto &suspect : suspects) {
-        if (!m_suspicions.contains(suspect.part) && m_suspicions.size() >= m_options.maxSuspects) {
-            continue;
-        }
         auto &suspicion = m_suspicions[suspect.part];
         suspicion.position = std::max(suspicion.position, suspect.position);
         suspicion.isKnownSound = suspicion.isKnownSound || suspect.isKnownSound || isKnownSound(suspect.part);
         addCrash(suspicion, process, now);
     }
+    limitSuspicions();
+}
+
+void PromptBlame::limitSuspicions()
+{
+    if (m_suspicions.size() <= m_options.maxSuspects) {
+        return;
+    }
+    // By the name last, so that all hosts forget the same ones.
+    using Strength = std::tuple<std::uint32_t, SteadyTime, std::string_view>;
+    std::vector<Strength> strengths;
+    strengths.reserve(m_suspicions.size());
+    for (const auto &[part, suspicion] : m_suspicions) {
+        strengths.emplace_back(suspicion.count(), suspicion.countedAt, part);
+    }
+    const auto weakestKept = strengths.begin() + static_cast<std::ptrdiff_t>(strengths.size() - m_options.maxSuspects);
+    std::nth_element(strengths.begin(), weakestKept, strengths.end());
+    std::for_each(strengths.begin(), weakestKept, [this](const Strength &strength) {
+        m_suspicions.erase(std::string(std::get<std::string_view>(strength)));
+    });
 }
 
 void PromptBlame::addCrash(Suspicion &suspicion, std::uint64_t process, SteadyTime now) const
@@ -68,9 +88,7 @@
 
 bool PromptBlame::recordSound(const std::string &part, SteadyTime now)
 {
-    if (m_soundAt.size() < m_options.maxKnownSound || m_soundAt.contains(part)) {
-        m_soundAt[part] = now;
-    }
+    m_soundAt.record(part, now);
     const bool wasSuspected = m_suspicions.erase(part) > 0;
     const bool wasBlocked = m_blockedUntil.erase(part) > 0;
     return wasSuspected || wasBlocked;
@@ -78,7 +96,7 @@
 
 bool PromptBlame::isKnownSound(const std::string &part) const
 {
-    return m_soundAt.contains(part);
+    return m_soundAt.seenAt(part).has_value();
 }
 
 bool PromptBlame::isSuspected(const std::string &part) const
@@ -126,18 +144,26 @@
 
 bool PromptBlame::block(const BlockedPart &part, SteadyTime now)
 {
-    const auto sound = m_soundAt.find(part.part);
-    if (!isSuspected(part.part) && sound != m_soundAt.end() && now - sound->second < SoundPrecedence) {
+    const auto soundAt = m_soundAt.seenAt(part.part);
+    if (!isSuspected(part.part) && soundAt && now - *soundAt < SoundPrecedence) {
         return false;
     }
     const bool isNew = !isBlocked(part.part, now);
     if (isNew && m_blockedUntil.size() >= m_options.maxBlocked) {
         discardOld(now);
     }
+    const auto until = now + std::min(part.remaining(), m_options.blockTime);
     if (isNew && m_blockedUntil.size() >= m_options.maxBlocked) {
-        return false;
+        const auto first
+            = std::min_element(m_blockedUntil.begin(), m_blockedUntil.end(), [](const auto &left, const auto &right) {
+                  return left.second < right.second;
+              });
+        if (until <= first->second) {
+            return false;
+        }
+        m_blockedUntil.erase(first);
     }
-    setBlocked(part.part, now + std::min(part.remaining(), m_options.blockTime), now);
+    setBlocked(part.part, until, now);
     return isNew;
 }
 
@@ -205,7 +231,7 @@
     const auto oldestSound = now - m_options.knownSoundLifetime;
     std::erase_if(m_suspicions, [&](const auto &entry) { return entry.second.countedAt < oldestSuspicion; });
     std::erase_if(m_explained, [&](const auto &entry) { return entry.second < oldestSuspicion; });
-    std::erase_if(m_soundAt, [&](const auto &entry) { return entry.second < oldestSound; });
+    m_soundAt.discardBefore(oldestSound);
     std::erase_if(m_blockedUntil, [&](const auto &entry) { return now >= entry.second; });
 }
 
--- a/src/traffic/promptblame.h
+++ b/src/traffic/promptblame.h
@@ -3,6 +3,7 @@
 #include "core/clocktypes.h"
 #include "traffic/blockedpart.h"
 #include "traffic/promptsuspect.h"
+#include "traffic/recentparts.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -33,9 +34,12 @@
     Microseconds knownSoundLifetime = Seconds(60);
     /// A block ends this long after the last call that it refused.
     Milliseconds blockTime = std::chrono::minutes(10);
-    std::size_t maxSuspects = 2000;
+    /// More than two prompts can add. Beyond it the parts with the fewest and the oldest crashes are forgotten.
+    std::size_t maxSuspects = 10'000;
+    /// Beyond it the block that ends first is lifted.
     std::size_t maxBlocked = 256;
-    std::size_t maxKnownSound = 1000;
+    /// Beyond it the parts under which no answer went on for the longest time are forgotten.
+    std::size_t maxKnownSound = 8000;
 };
 
 /// Finds the parts of prompts that crash backend servers, from the crashes that all entry hosts report, and remembers
@@ -95,6 +99,8 @@
         std::uint32_t count() const;
     };
 
+    /// Forgets the weakest suspicions beyond the limit.
+    void limitSuspicions();
     void addCrash(Suspicion &suspicion, std::uint64_t process, SteadyTime now) const;
     std::uint32_t limitOf(const Suspicion &suspicion) const;
     /// Takes a crash as explained: it no longer counts against any part.
@@ -106,7 +112,7 @@
     std::unordered_map<std::string, Suspicion> m_suspicions;
     std::unordered_map<std::string, SteadyTime> m_blockedUntil;
     /// When an answer last went on under a part.
-    std::unordered_map<std::string, SteadyTime> m_soundAt;
+    RecentParts m_soundAt;
     /// Crashes under a blocked part, and when that was found.
     std::unordered_map<std::uint64_t, SteadyTime> m_explained;
     SteadyTime m_reportedAt{};
--- a/tests/promptblametest.cpp
+++ b/tests/promptblametest.cpp
@@ -330,3 +330,48 @@
     }
     CHECK(parts == std::vector<std::string>{"p5", "p97", "p96"});
 }
+
+// Guards against prompts that fill the tables, after which no other part is found to crash servers.
+TEST_CASE("a part that crashes servers is found after any number of other parts were suspected or sound")
+{
+    PromptBlameOptions options;
+    options.maxSuspects = 100;
+    options.maxKnownSound = 100;
+    Scene scene;
+    scene.blame = PromptBlame(options);
+    for (int call = 0; call < 300; ++call) {
+        scene.blame.recordSound("sound" + std::to_string(call), scene.now);
+    }
+    CHECK(scene.blame.isKnownSound("sound299"));
+    CHECK_FALSE(scene.blame.isKnownSound("sound0"));
+    for (int crash = 0; crash < 3; ++crash) {
+        std::vector<std::string> parts;
+        for (int part = 0; part < 150; ++part) {
+            parts.push_back("own" + std::to_string(crash * 150 + part));
+        }
+        scene.crash(parts);
+    }
+    CHECK_FALSE(scene.decide());
+    for (int crash = 0; crash < 3; ++crash) {
+        std::vector<std::string> parts{"bad"};
+        for (int part = 0; part < 90; ++part) {
+            parts.push_back("next" + std::to_string(crash * 90 + part));
+        }
+        scene.crash(parts);
+    }
+    CHECK(scene.decide() == "bad");
+}
+
+// Guards against a table of blocked parts that is full and lets every further part crash servers.
+TEST_CASE("a part that another host has blocked replaces the block that ends first when there are too many")
+{
+    PromptBlameOptions options;
+    options.maxBlocked = 2;
+    PromptBlame blame(options);
+    CHECK(blame.block({"a", 1000}, Start));
+    CHECK(blame.block({"b", 2000}, Start));
+    CHECK(blame.block({"c", 3000}, Start));
+    CHECK_FALSE(blame.isBlocked("a", Start));
+    CHECK(blame.isBlocked("b", Start));
+    CHECK(blame.isBlocked("c", Start));
+}
