Order the readings of a lease by the store's era

Callers would see, after a restoration of the store from a copy: a group of engines without a coordinator for as long as the store counts below the lease that it lost; a step that the last coordinator held stays held.

A holder whose lease is missing went on without writing it again.

A lease is ordered by the era in which it was read, a missing one included, and a holder writes its missing lease again.

Evidence: on the coordinator of both new cases of groupcoordinatormanagertest fail (the old lease is never acquired, the missing one never written); now both pass. coordinatorleasetest has the order of readings.

--- a/src/control/platformclient.cpp
+++ b/src/control/platformclient.cpp
@@ -118,7 +118,11 @@
     if (response.has_error()) {
         co_return failure(response.error());
     }
-    co_return m_codec->parseObject(key, response.value().body);
+    auto object = m_codec->parseObject(key, response.value().body);
+    if (object.has_value()) {
+        object.value().era = m_codec->eraOf(response.value());
+    }
+    co_return object;
 }
 
 Task<Result<ObjectPage, PlatformCallError>>
@@ -130,7 +134,11 @@
     }
     auto page = m_codec->parsePage(kind, response.value().body);
     if (page.has_value()) {
-        page.value().revision.era = m_codec->eraOf(response.value());
+        const auto era = m_codec->eraOf(response.value());
+        page.value().revision.era = era;
+        for (auto &object : page.value().objects) {
+            object.era = era;
+        }
     }
     if (page.has_value() && page.value().unreadableCount > 0) {
         logEvent(LogLevel::Warning,
--- a/src/control/relaypage.cpp
+++ b/src/control/relaypage.cpp
@@ -45,7 +45,7 @@
     page.revision = {era, number};
     page.removed = std::move(removed);
     for (auto &[name, version, value] : objects) {
-        page.objects.push_back({{kind, std::move(name)}, version, std::move(value)});
+        page.objects.push_back({{kind, std::move(name)}, version, std::move(value), era});
     }
     return page;
 }
--- a/src/coordinator/groupcoordinatormanager.cpp
+++ b/src/coordinator/groupcoordinatormanager.cpp
@@ -35,6 +35,7 @@
 {
     LeaseRecord record;
     record.version = object.version;
+    record.era = object.era;
     const auto value = parseJson(object.value);
     if (value.has_value()) {
         record.host = jsonString(value.value(), "host");
@@ -249,7 +250,10 @@
         records[GroupId(object.key.name)] = recordOf(object);
     }
     for (const auto &group : m_directory.groups()) {
-        stateOf(group.id).lease.observe(records[group.id], fitnessFor(group), steadyNow(), m_random);
+        auto &record = records[group.id];
+        // Also of a lease that does not exist.
+        record.era = page.value().revision.era;
+        stateOf(group.id).lease.observe(record, fitnessFor(group), steadyNow(), m_random);
     }
 }
 
@@ -323,13 +327,13 @@
         }
     }
     const auto ownLease = ownRecord();
-    const auto version = co_await write(group.id, ownLease, expected);
-    if (!version) {
+    const auto written = co_await write(group.id, ownLease, expected);
+    if (!written) {
         state.lease.lost(steadyNow(), m_random);
         co_return;
     }
     const auto previous = state.lease.holder();
-    state.lease.acquired(*version, steadyNow());
+    state.lease.acquired(*written, steadyNow());
     state.coordinator = std::make_shared<GroupCoordinator>(
         m_context,
         m_engineCodec,
@@ -350,9 +354,9 @@
 Task<> GroupCoordinatorManager::renew(const GroupView &group, GroupState &state)
 {
     const auto ownLease = ownRecord();
-    const auto version = co_await write(group.id, ownLease, state.lease.expectedVersion());
-    if (version) {
-        state.lease.renewed(*version, steadyNow());
+    const auto written = co_await write(group.id, ownLease, state.lease.expectedVersion());
+    if (written) {
+        state.lease.renewed(*written, steadyNow());
         co_return;
     }
     // The write may have succeeded although its answer was lost. The fencing tokens of the term protect the group if
@@ -362,21 +366,37 @@
     if (object.has_value()) {
         const auto record = recordOf(object.value());
         if (record.host == m_host.name && record.incarnation == m_incarnation) {
-            state.lease.renewed(record.version, steadyNow());
+            state.lease.renewed(record.revision(), steadyNow());
         } else {
             stepDown(group, state, "another host holds the lease");
         }
+    } else if (object.error().code == PlatformCallErrorCode::NotFound) {
+        co_await recreate(group, state);
     } else {
-        state.lease.renewed(state.lease.expectedVersion(), steadyNow());
+        state.lease.postponeRenewal(steadyNow());
+    }
+}
+
+Task<> GroupCoordinatorManager::recreate(const GroupView &group, GroupState &state)
+{
+    logEvent(LogLevel::Warning, "coordinator-lease-missing", {{"group", group.id.value()}});
+    constexpr std::uint64_t MustNotExist = 0;
+    const auto ownLease = ownRecord();
+    const auto written = co_await write(group.id, ownLease, MustNotExist);
+    if (written) {
+        state.lease.renewed(*written, steadyNow());
+    } else {
+        // The next renewal finds out who else has written it.
+        state.lease.postponeRenewal(steadyNow());
     }
 }
 
 LeaseRecord GroupCoordinatorManager::ownRecord() const
 {
-    return {0, m_host.name, m_incarnation};
+    return {0, m_host.name, m_incarnation, 0};
 }
 
-Task<std::optional<std::uint64_t>>
+Task<std::optional<StoreRevision>>
 GroupCoordinatorManager::write(const GroupId &group, const LeaseRecord &holder, std::uint64_t expectedVersion)
 {
     const nlohmann::json value{{"host", holder.host}, {"incarnation", holder.incarnation}, {"renewal", ++m_renewals}};
@@ -389,7 +409,7 @@
                  {{"group", group.value()}, {"error", written.error().message().substr(0, 60)}});
         co_return std::nullopt;
     }
-    co_return written.value().version;
+    co_return StoreRevision{written.value().era, written.value().version};
 }
 
 void GroupCoordinatorManager::stepDown(const GroupView &group, GroupState &state, std::string_view cause)
--- a/src/coordinator/groupcoordinatormanager.h
+++ b/src/coordinator/groupcoordinatormanager.h
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "net/asio.h"
 #include "objectstore/storeavailability.h"
+#include "objectstore/storerevision.h"
 #include "rebalance/coordinatorlease.h"
 #include "rebalance/groupdirectory.h"
 #include "traffic/groupnotice.h"
@@ -91,6 +92,8 @@
     Task<> maintainLease(const GroupView &group, EngineProfile engine);
     Task<> acquire(const GroupView &group, GroupState &state);
     Task<> renew(const GroupView &group, GroupState &state);
+    /// Writes the lease of a holder that the store has lost.
+    Task<> recreate(const GroupView &group, GroupState &state);
     LeaseRecord ownRecord() const;
     /// Gives up all leases as soon as their coordinators have ended.
     Task<> releaseLeases();
@@ -98,7 +101,7 @@
     Task<> releaseLastLeases();
     /// Writes the lease of a group.
     /// @param holder this host and its process, or nothing to give up the lease
-    Task<std::optional<std::uint64_t>>
+    Task<std::optional<StoreRevision>>
     write(const GroupId &group, const LeaseRecord &holder, std::uint64_t expectedVersion);
     void stepDown(const GroupView &group, GroupState &state, std::string_view cause);
     GroupNotice noticeOf(GroupEvent event, const GroupId &group, std::uint64_t epoch) const;
--- a/src/objectstore/platformobject.h
+++ b/src/objectstore/platformobject.h
@@ -16,6 +16,8 @@
     std::uint64_t version = 0;
     /// JSON text.
     std::string value;
+    /// The era of the store in which the object was read, or 0.
+    std::uint64_t era = 0;
 
     bool operator==(const PlatformObject &) const = default;
 };
--- a/src/rebalance/coordinatorlease.cpp
+++ b/src/rebalance/coordinatorlease.cpp
@@ -29,7 +29,7 @@
                                Random &random)
 {
     const bool isFirst = m_acquireAt == SteadyTime::max();
-    if (m_isHeld || (!isFirst && record.version <= m_record.version)) {
+    if (m_isHeld || (!isFirst && record.revision() <= m_record.revision())) {
         return;
     }
     m_record = record;
@@ -54,7 +54,7 @@
     if (m_isHeld || hasUnresponsiveHolder()) {
         return;
     }
-    m_unresponsiveHolderVersion = m_record.version;
+    m_unresponsiveHolderRevision = m_record.revision();
     m_acquireAt = std::min<SteadyTime>(m_acquireAt, now + takeoverDelay(random));
 }
 
@@ -81,7 +81,7 @@
 
 bool CoordinatorLease::hasUnresponsiveHolder() const
 {
-    return m_record.version == m_unresponsiveHolderVersion;
+    return m_record.revision() == m_unresponsiveHolderRevision;
 }
 
 const std::string &CoordinatorLease::holder() const
@@ -104,16 +104,21 @@
     return m_record.version;
 }
 
-void CoordinatorLease::acquired(std::uint64_t version, SteadyTime now)
+void CoordinatorLease::acquired(const StoreRevision &revision, SteadyTime now)
 {
     m_isHeld = true;
-    m_term = version;
-    renewed(version, now);
+    m_term = revision.number;
+    renewed(revision, now);
 }
 
-void CoordinatorLease::renewed(std::uint64_t version, SteadyTime now)
+void CoordinatorLease::renewed(const StoreRevision &revision, SteadyTime now)
+{
+    m_record = {revision.number, m_host, m_incarnation, revision.era};
+    postponeRenewal(now);
+}
+
+void CoordinatorLease::postponeRenewal(SteadyTime now)
 {
-    m_record = {version, m_host, m_incarnation};
     m_renewAt = now + m_options.renewInterval;
 }
 
--- a/src/rebalance/coordinatorlease.h
+++ b/src/rebalance/coordinatorlease.h
@@ -2,6 +2,7 @@
 
 #include "core/clocktypes.h"
 #include "core/random.h"
+#include "objectstore/storerevision.h"
 #include "rebalance/coordinatorfitness.h"
 
 #include <cstdint>
@@ -36,6 +37,14 @@
     /// Host and incarnation of the holder's process; empty if the last holder has given up the lease.
     std::string host;
     std::string incarnation;
+    /// The era of the store in which the lease was read.
+    std::uint64_t era = 0;
+
+    /// Orders the readings of a lease. The store may have lost the later versions of an earlier era.
+    StoreRevision revision() const
+    {
+        return {era, version};
+    }
 };
 
 /// Decides when this host acquires and renews the lease for coordinating a group. The lease is an object in the
@@ -70,8 +79,11 @@
     /// Version to state as the condition of the next write.
     std::uint64_t expectedVersion() const;
 
-    void acquired(std::uint64_t version, SteadyTime now);
-    void renewed(std::uint64_t version, SteadyTime now);
+    /// @param revision the era and the version of the lease that this process has written
+    void acquired(const StoreRevision &revision, SteadyTime now);
+    void renewed(const StoreRevision &revision, SteadyTime now);
+    /// The lease could not be renewed, and it is not known that another process holds it.
+    void postponeRenewal(SteadyTime now);
     /// Another process wrote the lease, or this process gives it up.
     void lost(SteadyTime now, Random &random);
 
@@ -94,8 +106,8 @@
     bool m_isHeld = false;
     /// Additional delay of this host that grows with the time it takes to send a map.
     Microseconds m_mapTransferDelay{0};
-    /// Version of the lease for which holderLeft() was handled.
-    std::uint64_t m_unresponsiveHolderVersion = 0;
+    /// The lease for which holderLeft() was handled.
+    StoreRevision m_unresponsiveHolderRevision;
 };
 
 } // namespace Cardamomhill
--- a/tests/coordinatorleasetest.cpp
+++ b/tests/coordinatorleasetest.cpp
@@ -101,7 +101,7 @@
     // The holder has renewed it after all.
     lease.observe({7, "b", "1"}, CoordinatorFitness{Locality::Local}, Start + Milliseconds(1500), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(2)));
-    lease.acquired(8, Start + Seconds(2));
+    lease.acquired({0, 8}, Start + Seconds(2));
     lease.holderLeft(Start + Seconds(2), random);
     CHECK_FALSE(lease.shouldAcquire(Start + Seconds(3)));
 }
@@ -155,10 +155,10 @@
 {
     Random random(1);
     CoordinatorLease lease("a", "1");
-    lease.acquired(9, Start);
+    lease.acquired({0, 9}, Start);
     CHECK_FALSE(lease.shouldRenew(Start));
     CHECK(lease.shouldRenew(Start + LongEnough));
-    lease.renewed(12, Start + Seconds(2));
+    lease.renewed({0, 12}, Start + Seconds(2));
     CHECK(lease.term() == 9);
     CHECK(lease.expectedVersion() == 12);
     lease.lost(Start + Seconds(3), random);
@@ -237,3 +237,21 @@
         REQUIRE(waiting.shouldAcquire(Start + Milliseconds(1501)));
     }
 }
+
+// Guards against a lease that nobody acquires for long, because the store, restored from a copy, has an older version.
+TEST_CASE("a lease that was read in a later era of the store replaces a later version of an earlier one")
+{
+    Random random(1);
+    CoordinatorLease lease("a", "1");
+    lease.observe({60, "b", "1", 1}, CoordinatorFitness{Locality::Local}, Start, random);
+    lease.observe({40, "c", "1", 2}, CoordinatorFitness{Locality::Local}, Start + Seconds(1), random);
+    CHECK(lease.expectedVersion() == 40);
+    CHECK(lease.holder() == "c");
+    // An answer that was read before the restoration.
+    lease.observe({61, "b", "1", 1}, CoordinatorFitness{Locality::Local}, Start + Seconds(2), random);
+    CHECK(lease.expectedVersion() == 40);
+    // The copy of the next restoration does not have the lease.
+    lease.observe({0, "", "", 3}, CoordinatorFitness{Locality::Local}, Start + Seconds(3), random);
+    CHECK(lease.expectedVersion() == 0);
+    CHECK(lease.shouldAcquire(Start + LongEnough));
+}
--- a/tests/groupcoordinatormanagertest.cpp
+++ b/tests/groupcoordinatormanagertest.cpp
@@ -170,3 +170,42 @@
     host.context.run_for(Seconds(13));
     CHECK(host.holder() == "host-a");
 }
+
+// Guards against a group without a coordinator while the restored store's revision is below that of the lost lease.
+TEST_CASE("a lease is acquired after the store was restored from a copy with an older version of it, or without it")
+{
+    for (const bool hasLease : {true, false}) {
+        CAPTURE(hasLease);
+        Host host;
+        if (!hasLease) {
+            host.store.remove(LeaseKind, Group);
+        }
+        host.store.saveCopy();
+        for (int renewal = 0; renewal < 50; ++renewal) {
+            host.renew();
+        }
+        host.context.run_for(Milliseconds(600));
+        host.store.restoreCopy(true);
+        host.context.run_for(Milliseconds(2500));
+        host.manager.setUnresponsiveHosts({"host-b"});
+        host.context.run_for(Seconds(9));
+        CHECK(host.store.has(LeaseKind, Group));
+        CHECK(host.holder() == "host-a");
+    }
+}
+
+// Guards against a holder whose renewals fail for good because the restored store does not have its lease.
+TEST_CASE("a holder writes its lease again after the store was restored from a copy without it")
+{
+    Host host;
+    host.store.remove(LeaseKind, Group);
+    host.store.saveCopy();
+    host.renew();
+    host.manager.setUnresponsiveHosts({"host-b"});
+    host.context.run_for(Seconds(3));
+    REQUIRE(host.holder() == "host-a");
+    host.store.restoreCopy(true);
+    host.context.run_for(Milliseconds(2500));
+    REQUIRE(host.store.has(LeaseKind, Group));
+    CHECK(host.holder() == "host-a");
+}
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -155,6 +155,11 @@
     notifyWatches();
 }
 
+bool PlatformStore::has(const std::string &kind, const std::string &name) const
+{
+    return m_objects.contains({kind, name});
+}
+
 nlohmann::json PlatformStore::object(const std::string &kind, const std::string &name) const
 {
     return Json::parse(m_objects.at({kind, name}).text);
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -62,6 +62,7 @@
     void setPageLength(std::size_t length);
     /// Makes lists and watches of a kind return this text instead of a page; empty for pages.
     void setPageText(const std::string &kind, const std::string &text);
+    bool has(const std::string &kind, const std::string &name) const;
     /// An object with its metadata and spec.
     nlohmann::json object(const std::string &kind, const std::string &name) const;
     /// Number of requests received, refused ones included.
