Keep servers whose registrations a restored store lost until they register

Callers would see fewer servers, or none, for up to two seconds after a restoration of the store: a host that listed it dropped each server whose registration the copy lacks.

Cause: missing registrations were taken for lapsed only after lost contact, and only if half of them were missing. Servers that are missing in the first list of a new era now stay in use for the usual grace period. One that is removed again after the list, or had announced its shutdown, is gone at once.

--- a/src/gateway/gatewaycontrol.cpp
+++ b/src/gateway/gatewaycontrol.cpp
@@ -144,7 +144,12 @@
 
 void GatewayControl::replaceServers(const ObjectPage &page)
 {
-    m_serverRegistry.replaceAll(readServers(page), steadyNow());
+    const auto era = page.revision.era;
+    const bool isRestored = m_serverEra && *m_serverEra != era;
+    m_serverEra = era;
+    const auto servers = readServers(page);
+    isRestored ? m_serverRegistry.replaceAllAfterRestoration(servers, steadyNow())
+               : m_serverRegistry.replaceAll(servers, steadyNow());
     publishServers();
 }
 
--- a/src/gateway/gatewaycontrol.h
+++ b/src/gateway/gatewaycontrol.h
@@ -71,6 +71,8 @@
     ObjectFollower m_serverFollower;
     std::optional<EvacuationFollower> m_evacuationFollower;
     ServerRegistry m_serverRegistry;
+    /// The era of the store in which the servers were last listed.
+    std::optional<std::uint64_t> m_serverEra;
     std::uint64_t m_configurationVersion = 0;
     bool m_hasSeenServer = false;
 };
--- a/src/traffic/serverregistry.cpp
+++ b/src/traffic/serverregistry.cpp
@@ -12,6 +12,23 @@
 }
 
 void ServerRegistry::replaceAll(const std::vector<DiscoveredServer> &servers, SteadyTime now)
+{
+    const auto missing = putAll(servers);
+    const auto minLapsed = m_options.minLapsedFraction * static_cast<double>(m_entries.size());
+    const bool mayHaveLapsed = static_cast<double>(missing.size()) >= minLapsed;
+    for (const auto &id : missing) {
+        mayHaveLapsed ? remove(id, now) : drop(id);
+    }
+}
+
+void ServerRegistry::replaceAllAfterRestoration(const std::vector<DiscoveredServer> &servers, SteadyTime now)
+{
+    for (const auto &id : putAll(servers)) {
+        expire(id, now + m_options.reregistrationGrace);
+    }
+}
+
+std::vector<BackendServerId> ServerRegistry::putAll(const std::vector<DiscoveredServer> &servers)
 {
     m_changes.isFirstList = m_changes.isFirstList || !m_hasList;
     m_hasList = true;
@@ -26,11 +43,7 @@
             missing.push_back(id);
         }
     }
-    const auto minLapsed = m_options.minLapsedFraction * static_cast<double>(m_entries.size());
-    const bool mayHaveLapsed = static_cast<double>(missing.size()) >= minLapsed;
-    for (const auto &id : missing) {
-        mayHaveLapsed ? remove(id, now) : drop(id);
-    }
+    return missing;
 }
 
 void ServerRegistry::put(const DiscoveredServer &server)
@@ -52,16 +65,20 @@
 
 void ServerRegistry::remove(const BackendServerId &id, SteadyTime now)
 {
-    const auto found = m_entries.find(id);
-    if (found == m_entries.end()) {
+    if (!m_entries.contains(id)) {
         return;
     }
-    // A server that has announced its shutdown will not register again.
-    if (isInGrace(now) && !found->second.server.isLeaving) {
-        found->second.expiresAt = std::min(found->second.expiresAt, m_graceEndsAt);
-        return;
+    isInGrace(now) ? expire(id, m_graceEndsAt) : drop(id);
+}
+
+void ServerRegistry::expire(const BackendServerId &id, SteadyTime at)
+{
+    auto &entry = m_entries.at(id);
+    if (entry.server.isLeaving) {
+        drop(id);
+    } else {
+        entry.expiresAt = std::min(entry.expiresAt, at);
     }
-    drop(id);
 }
 
 void ServerRegistry::reject(const BackendServerId &id)
--- a/src/traffic/serverregistry.h
+++ b/src/traffic/serverregistry.h
@@ -30,6 +30,9 @@
 
     /// Replaces the registrations by a complete list from the store.
     void replaceAll(const std::vector<DiscoveredServer> &servers, SteadyTime now);
+    /// The same with the first list after the store was restored from an older copy. Servers whose registrations the
+    /// copy lacks register again, so they stay in use for a grace period, however few they are.
+    void replaceAllAfterRestoration(const std::vector<DiscoveredServer> &servers, SteadyTime now);
     void put(const DiscoveredServer &server);
     void remove(const BackendServerId &id, SteadyTime now);
     /// Removes the server at once, without a grace period: its registration is present but names no server to use.
@@ -54,6 +57,11 @@
         SteadyTime expiresAt = SteadyTime::max();
     };
 
+    /// Adds or updates the listed servers and returns those that are missing in the list.
+    std::vector<BackendServerId> putAll(const std::vector<DiscoveredServer> &servers);
+    /// Lets a server's use end at the latest at the given time, or at once if it has announced its shutdown, since it
+    /// will not register again.
+    void expire(const BackendServerId &id, SteadyTime at);
     /// Removes the server at once, without a grace period.
     void drop(const BackendServerId &id);
     bool isInGrace(SteadyTime now) const;
--- a/tests/gatewaycontroltest.cpp
+++ b/tests/gatewaycontroltest.cpp
@@ -202,6 +202,30 @@
     CHECK(gateway.servers.size() == 2);
 }
 
+// Guards against hosts that drop servers whose registrations a restored store lost, until they register again.
+TEST_CASE("a server that a restored store lacks stays in use until its time to register again is over")
+{
+    Site site;
+    site.store.put("config", "main", configuration(1));
+    std::set<std::string> kept{"a", "b", "c", "d", "e"};
+    for (const auto &name : kept) {
+        site.store.put("servers", name, registration());
+    }
+    site.store.saveCopy();
+    site.store.put("servers", "back", registration());
+    site.store.put("servers", "gone", registration());
+    Gateway gateway(site.context, site.endpoint);
+    site.context.run_for(SettlingTime);
+    REQUIRE(gateway.servers.size() == kept.size() + 2);
+    site.store.restoreCopy(true);
+    site.context.run_for(SettlingTime);
+    CHECK(gateway.servers.size() == kept.size() + 2);
+    site.store.put("servers", "back", registration());
+    site.context.run_for(Milliseconds(3000));
+    kept.insert("back");
+    CHECK(gateway.servers == kept);
+}
+
 TEST_CASE("evacuations cause no requests without a limit for them, and a host is ready only after their first list")
 {
     constexpr Milliseconds FirstLists{300};
--- a/tests/serverregistrytest.cpp
+++ b/tests/serverregistrytest.cpp
@@ -54,6 +54,33 @@
     }
 }
 
+// Guards against servers that are out of use until they register again, because a restored store lost that they had.
+TEST_CASE("servers that a restored store lacks are kept for a grace period, however few they are")
+{
+    ServerRegistry registry;
+    registry.replaceAll({server("a"), server("b"), server("c"), server("d", true)}, Start);
+    registry.takeChanges();
+    registry.replaceAllAfterRestoration({server("b"), server("c")}, Start + Seconds(1));
+    // It had announced its shutdown.
+    CHECK(registry.takeChanges().removed == std::vector{BackendServerId("d")});
+    // The operator removes it again, which is no loss.
+    registry.remove(BackendServerId("c"), Start + Seconds(2));
+    CHECK(registry.takeChanges().removed == std::vector{BackendServerId("c")});
+    registry.removeExpired(Start + Seconds(3));
+    CHECK(registry.takeChanges().isEmpty());
+    SUBCASE("registers again in time")
+    {
+        registry.put(server("a"));
+        registry.removeExpired(Start + Seconds(20));
+        CHECK(registry.takeChanges().isEmpty());
+    }
+    SUBCASE("does not register again")
+    {
+        registry.removeExpired(Start + Seconds(4));
+        CHECK(registry.takeChanges().removed == std::vector{BackendServerId("a")});
+    }
+}
+
 TEST_CASE("a single server that is missing after an outage is gone")
 {
     ServerRegistry registry;
