--- a/tests/gatewaytest.sh
+++ b/tests/gatewaytest.sh
@@ -255,9 +255,10 @@
 
 relay_status() { curl -sS -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((PORT_BASE + 12))/relay/$1"; }
 expect "a gateway of a small failure domain follows the store for itself" 1 "$(curl -sS "http://$READY_A/status" | grep -c '"store_role":"direct"')"
-expect "and refuses to relay changes to others" 421 "$(relay_status 'servers?since=1')"
+expect "and refuses to relay changes to others" 421 "$(relay_status 'servers?since=0.1')"
 expect "an unknown kind is not relayed" 404 "$(relay_status none)"
-expect "a revision that is no number is refused" 404 "$(relay_status 'servers?since=1x')"
+expect "a revision that is no number is refused" 404 "$(relay_status 'servers?since=0.1x')"
+expect "a revision without an era is refused" 404 "$(relay_status 'servers?since=1')"
 
 call draft/stream -d x >"$DIRECTORY/stream.txt" &
 stream=$!
--- a/tests/storerelaytest.cpp
+++ b/tests/storerelaytest.cpp
@@ -389,7 +389,7 @@
 {
     ObjectPage page;
     page.revision = {3, 12};
-    page.addChanged({{Kind, "a"}, 11, R"({"port":1})"});
+    page.addChanged({{Kind, "a"}, 11, R"({"port":1})", page.revision.era});
     page.addRemoved("b");
     const auto bytes = packPage(page);
     const auto read = unpackPage(Kind, bytes);
