--- a/tests/coordinatorstoptest.cpp
+++ b/tests/coordinatorstoptest.cpp
@@ -19,9 +19,7 @@
     REQUIRE(group.start(fleet.store).has_value());
     fleet.configure(
         [](nlohmann::json &document) { document["services"].push_back(EngineGroup::serviceDocument("model")); });
-    // Each reading of the demand, one in three seconds, may find that no switch is worth its copies.
-    constexpr Milliseconds SwitchTimeout{60'000};
-    fleet.run(fleet.waitForLog(0, "phase=holding", SwitchTimeout));
+    fleet.run(fleet.waitForLog(0, "phase=holding"));
     fleet.terminate(0);
     fleet.run(fleet.waitForEnd(0));
     CHECK(fleet.log(0).find("event=coordinator-lease-released") != std::string::npos);
--- a/tests/support/gatewayfleet.h
+++ b/tests/support/gatewayfleet.h
@@ -176,9 +176,9 @@
     }
 
     /// Waits until the log of a gateway contains a text.
-    Task<> waitForLog(std::size_t host, std::string text, Milliseconds timeout = StartTimeout)
+    Task<> waitForLog(std::size_t host, std::string text)
     {
-        const auto deadline = steadyNow() + timeout;
+        const auto deadline = steadyNow() + StartTimeout;
         while (log(host).find(text) == std::string::npos && steadyNow() < deadline) {
             co_await sleep(PollInterval);
         }
